--- a/bench/standins/engine.py
+++ b/bench/standins/engine.py
@@ -4,12 +4,15 @@
 
 import json
 import re
+import time
+from collections import deque
 from typing import TYPE_CHECKING, Any
 
 import eventlet
 import xxhash
 
 from .base import Reply, Request, StandIn, bytes_reply, json_reply, not_found
+from .prefix_cache import PrefixCache
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -20,7 +23,10 @@
 
 class Engine(StandIn):
     """
-    Faults: ``honours_fencing``, ``token_s``, ``first_token_s``, ``tokens``.
+    Faults: ``honours_fencing``, ``token_s``, ``first_token_s``, ``tokens``;
+    ``capacity``, the runs beyond which all slow down (0: none); ``load_lag_s``, the
+    age of the load that it reports; ``prefixes``, how many it holds, and ``miss_s``,
+    what a prefix that it does not hold costs.
 
     Chunks that are handed over are counted and their digests kept, not their
     bytes.
@@ -32,8 +38,14 @@
             "token_s": 0.005,
             "first_token_s": 0.02,
             "tokens": 10,
+            "capacity": 0,
+            "load_lag_s": 0.0,
+            "prefixes": 16,
+            "miss_s": 0.0,
         }
         super().__init__(**{**defaults, **faults})
+        self.cache = PrefixCache(int(self.faults["prefixes"]))
+        self.load_history: deque[tuple[float, int]] = deque(maxlen=4096)
         self.digest = ""
         self.fencing = 0
         self.handed: dict[str, dict[int, str]] = {}
@@ -43,8 +55,31 @@
         self.orders: list[dict[str, Any]] = []
 
     def counters(self) -> dict[str, Any]:
-        """Return the runs by identifier, and the orders."""
-        return {"runs": self.runs, "orders": self.orders, "digest": self.digest}
+        """Return the runs by identifier, the orders and the cache's use."""
+        return {
+            "runs": self.runs,
+            "orders": self.orders,
+            "digest": self.digest,
+            "in_flight": self.in_flight,
+            "hits": self.cache.hits,
+            "misses": self.cache.misses,
+        }
+
+    def count(self, change: int) -> None:
+        """Count runs in flight, and remember when how many were."""
+        self.in_flight += change
+        self.load_history.append((time.monotonic(), self.in_flight))
+
+    def reported_load(self) -> int:
+        """Return the runs in flight as they were ``load_lag_s`` ago."""
+        seen_until = time.monotonic() - self.faults["load_lag_s"]
+        known = (count for at, count in reversed(self.load_history) if at <= seen_until)
+        return next(known, 0)
+
+    def slowdown(self) -> float:
+        """Return by how much runs are slowed down by one another."""
+        capacity = self.faults["capacity"]
+        return max(1.0, self.in_flight / capacity) if capacity else 1.0
 
     def answer(self, request: Request) -> Reply:
         """Answer the engine's protocol."""
@@ -61,9 +96,11 @@
                 {
                     "digest": self.digest,
                     "fencing": self.fencing,
-                    "in_flight": self.in_flight,
+                    "in_flight": self.reported_load(),
                 }
             )
+        if request.path == "/control/load":
+            return json_reply({"in_flight": self.in_flight})
         if request.path == "/v1/orders":
             return self.carry_out(request.json())
         if request.path == "/v1/generate":
@@ -87,23 +124,27 @@
             return json_reply({"problem": "no weights"}, "503 Service Unavailable")
         run_id = fields["run_id"]
         self.runs[run_id] = self.runs.get(run_id, 0) + 1
-        return Reply(body=self.tokens(run_id, fields["body"]))
+        hit = self.cache.use(fields["workspace"], fields["body"])
+        first_token_s = self.faults["first_token_s"]
+        if not hit:
+            first_token_s += self.faults["miss_s"]
+        return Reply(body=self.tokens(run_id, first_token_s))
 
-    def tokens(self, run_id: str, body: str) -> Iterator[bytes]:
+    def tokens(self, run_id: str, first_token_s: float) -> Iterator[bytes]:
         """Yield the records of an answer, with the digest at both ends."""
-        self.in_flight += 1
+        self.count(1)
         try:
             yield record({"start": {"digest": self.digest}})
-            eventlet.sleep(self.faults["first_token_s"])
+            eventlet.sleep(first_token_s * self.slowdown())
             count = int(self.faults["tokens"])
             for number in range(count):
                 if run_id in self.cancelled:
                     return
                 yield record({"text": f"{self.digest[:8]}:{number} "})
-                eventlet.sleep(self.faults["token_s"])
+                eventlet.sleep(self.faults["token_s"] * self.slowdown())
             yield record({"end": {"digest": self.digest, "tokens": count}})
         finally:
-            self.in_flight -= 1
+            self.count(-1)
 
 
 def record(fields: dict[str, Any]) -> bytes:
