Split the request flow into starting, resolving and reading out

Cause: one module carried the choice of a server, the start, the resolution of lost replies and the reading; changes to any of them met in one file. Ruled out: nothing; behaviour is unchanged. Change: starting.py, resolving.py, reading.py and active_run.py beside flow.py, which keeps the choice of a server. Before: make demo: all checks held. After: make lint types contracts test demo: all checks held.

--- a/packages/primroselever-entry/src/primroselever_entry/requests/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/flow.py
@@ -1,28 +1,19 @@
-"""
-One request from its choice of server to its ending.
-
-A start whose reply is lost is resolved over another connection before anything
-is said: either the agent confirms that the run never started, or the answer is
-read on, or the end is unknown.
-"""
+"""One request from its choice of server to its ending."""
 
 from __future__ import annotations
 
 import uuid
-from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
-
-import xxhash
+from typing import TYPE_CHECKING
 
-from primroselever_core.identifiers import GroupName, Incarnation, RunId, VmId
-from primroselever_core.outcomes import Done, Ending, NotRun, Reason, Unknown
+from primroselever_core.identifiers import GroupName, RunId, VmId
+from primroselever_core.outcomes import Ending, NotRun, Reason, Unknown
 from primroselever_core.routing.choose import choose_server
-from primroselever_core.routing.section import UNKNOWN_INCARNATION
-from primroselever_core.runs.registry import RunState
 from primroselever_node import clock
 from primroselever_node.logs import log_decision
-from primroselever_node.rpc.client_pool import LostReplyError, NeverSentError
-from primroselever_node.rpc.schema import schema
+
+from .active_run import ActiveRun
+from .reading import AnswerReader
+from .starting import Starter
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -36,19 +27,6 @@
     from .caller_request import CallerRequest
 
 MAX_ATTEMPTS = 3
-AVOID_S = 1.0
-RESOLVE_TRIES = 3
-
-
-@dataclass(slots=True)
-class ActiveRun:
-    """A run that an agent accepted, and how much of its answer was passed on."""
-
-    run_id: RunId
-    server: Server
-    incarnation: Incarnation
-    offset: int = 0
-    digest: Any = field(default_factory=xxhash.xxh3_128)
 
 
 class RequestFlow:
@@ -62,9 +40,9 @@
         progress_s: float,
     ) -> None:
         self.board = board
-        self.agents = agents
         self.random = random
-        self.progress_s = progress_s
+        self.starter = Starter(board, agents, progress_s)
+        self.reader = AnswerReader(agents, progress_s)
         self.in_flight = 0
 
     def answer(
@@ -91,7 +69,7 @@
             if isinstance(started, ActiveRun):
                 started.server.in_flight += 1
                 try:
-                    yield from self.read_out(request, started)
+                    yield from self.reader.read_out(request, started)
                 finally:
                     started.server.in_flight -= 1
                 return
@@ -119,7 +97,7 @@
             candidates=choice.candidates,
             workspace=request.workspace,
         )
-        return self.start(request, service, run_id, server)
+        return self.starter.start(request, service, run_id, server)
 
     def candidates(self, service: Service) -> list[Server]:
         """Return the servers of a service, those of this failure domain first."""
@@ -135,159 +113,3 @@
             if any(server.usable(now) for server in servers):
                 return servers
         return []
-
-    def start(
-        self, request: CallerRequest, service: Service, run_id: RunId, server: Server
-    ) -> ActiveRun | NotRun | Unknown:
-        """Start a run on a server."""
-        address = (server.vm.address, server.vm.rpc_port)
-        try:
-            self.learn_incarnation(server)
-            start = schema.StartRequest(
-                run_id=run_id,
-                incarnation=server.incarnation,
-                service_name=request.service,
-                workspace=request.workspace,
-                fingerprint=request.fingerprint,
-                body=request.body,
-                remaining_ms=clock.remaining_ms(request.deadline),
-                priority=request.priority,
-                idempotent=service.idempotent,
-                ticket=request.ticket,
-                weights_digest="",
-            )
-        except (NeverSentError, LostReplyError):
-            return self.pass_over(server)
-        try:
-            reply = self.agents.call(address, "start", start, timeout_s=self.progress_s)
-        except NeverSentError:
-            return self.pass_over(server)
-        except LostReplyError:
-            self.agents.forget(address)
-            return self.resolve(run_id, server)
-        server.reported = reply.load.in_flight
-        server.leaving = reply.leaving
-        if reply.state == "accepted":
-            return ActiveRun(RunId(reply.run_id), server, server.incarnation)
-        if reply.incarnation != server.incarnation:
-            server.incarnation = Incarnation(reply.incarnation)
-        return NotRun(Reason(reply.reason), reply.retry_after_ms / 1000)
-
-    def learn_incarnation(self, server: Server) -> None:
-        """Ask a server who it is, before the first start there."""
-        if server.incarnation == UNKNOWN_INCARNATION:
-            address = (server.vm.address, server.vm.rpc_port)
-            said = self.agents.call(
-                address, "heartbeat", self.heartbeat(), timeout_s=self.progress_s
-            )
-            server.incarnation = Incarnation(said.incarnation)
-            server.leaving = said.leaving
-
-    def heartbeat(self) -> Any:
-        """Return what this process says of itself."""
-        revision = self.board.profiles.revision
-        return schema.Heartbeat(
-            vm_id=self.board.identity.vm_id,
-            incarnation=self.board.identity.incarnation,
-            revision=revision.number,
-            revision_digest=revision.digest,
-            vm_list_revision=0,
-            leaving=self.board.leaving,
-            load=schema.Load(
-                in_flight=self.in_flight,
-                queued=0,
-                limit=0,
-                engine_load=0.0,
-                engine_age_ms=0,
-            ),
-            weights_digest="",
-            suspicions=[],
-        )
-
-    def pass_over(self, server: Server) -> NotRun:
-        """Send nothing new to a server for a while: it cannot be reached."""
-        server.avoid_until = clock.now() + AVOID_S
-        server.incarnation = UNKNOWN_INCARNATION
-        return NotRun(Reason.SERVER_LOST, AVOID_S)
-
-    def resolve(self, run_id: RunId, server: Server) -> ActiveRun | NotRun | Unknown:
-        """Find out what became of a start whose reply was lost."""
-        address = (server.vm.address, server.vm.rpc_port)
-        for _ in range(RESOLVE_TRIES):
-            try:
-                found = self.agents.call(
-                    address,
-                    "resolve",
-                    run_id,
-                    server.incarnation,
-                    timeout_s=self.progress_s,
-                )
-            except (NeverSentError, LostReplyError):
-                continue
-            if found.state == RunState.NOT_RUN:
-                return NotRun(Reason(found.reason), AVOID_S)
-            if found.state == RunState.MISSING:
-                break
-            return ActiveRun(run_id, server, server.incarnation)
-        self.pass_over(server)
-        return Unknown(Reason.SERVER_LOST)
-
-    def read_out(
-        self, request: CallerRequest, run: ActiveRun
-    ) -> Iterator[bytes | Ending]:
-        """Yield a run's answer as it comes, then its ending."""
-        address = (run.server.vm.address, run.server.vm.rpc_port)
-        failures = 0
-        while True:
-            remaining_ms = clock.remaining_ms(request.deadline)
-            if remaining_ms == 0:
-                yield self.give_up(address, run)
-                return
-            wait_ms = min(int(self.progress_s * 500), remaining_ms)
-            cursor = schema.RunCursor(run_id=run.run_id, offset=run.offset)
-            try:
-                reply = self.agents.call(
-                    address, "read", [cursor], wait_ms, timeout_s=self.progress_s
-                )
-            except (NeverSentError, LostReplyError):
-                self.agents.forget(address)
-                failures += 1
-                if failures > RESOLVE_TRIES:
-                    yield Unknown(Reason.SERVER_LOST)
-                    return
-                continue
-            failures = 0
-            run.server.reported = reply.load.in_flight
-            run.server.leaving = reply.leaving
-            if reply.incarnation != run.incarnation:
-                yield Unknown(Reason.SERVER_LOST)
-                return
-            for run_slice in reply.slices:
-                if run_slice.data:
-                    run.offset += len(run_slice.data)
-                    run.digest.update(run_slice.data)
-                    yield run_slice.data
-                if run_slice.state != RunState.RUNNING:
-                    yield self.ending_of(run, run_slice)
-                    return
-
-    def give_up(self, address: tuple[str, int], run: ActiveRun) -> Ending:
-        """Cancel a run whose caller's deadline has passed."""
-        try:
-            self.agents.call(address, "cancel", run.run_id, timeout_s=self.progress_s)
-        except (NeverSentError, LostReplyError):
-            self.agents.forget(address)
-        return Unknown(Reason.DEADLINE_PASSED)
-
-    def ending_of(self, run: ActiveRun, last: Any) -> Ending:
-        """Return the ending; ``Done`` only for the whole answer, checked."""
-        if last.state == RunState.DONE:
-            whole = last.length == run.offset
-            if whole and last.digest == run.digest.hexdigest():
-                return Done(last.length, last.digest)
-            return Unknown(Reason.ANSWER_DAMAGED)
-        if last.state == RunState.NOT_RUN:
-            return NotRun(Reason(last.reason))
-        if last.state == RunState.MISSING:
-            return Unknown(Reason.ANSWER_GONE)
-        return Unknown(Reason(last.reason))
--- /dev/null
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/reading.py
@@ -0,0 +1,91 @@
+"""Reading a run's answer by offset until its ending."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from primroselever_core.outcomes import Done, Ending, NotRun, Reason, Unknown
+from primroselever_core.runs.registry import RunState
+from primroselever_node import clock
+from primroselever_node.rpc.client_pool import LostReplyError, NeverSentError
+from primroselever_node.rpc.schema import schema
+
+from .resolving import RESOLVE_TRIES
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from primroselever_node.rpc.client_pool import ClientPool
+
+    from .active_run import ActiveRun
+    from .caller_request import CallerRequest
+
+
+class AnswerReader:
+    """Reads answers from agents; any read may go over any connection."""
+
+    def __init__(self, agents: ClientPool, progress_s: float) -> None:
+        self.agents = agents
+        self.progress_s = progress_s
+
+    def read_out(
+        self, request: CallerRequest, run: ActiveRun
+    ) -> Iterator[bytes | Ending]:
+        """Yield a run's answer as it comes, then its ending."""
+        failures = 0
+        while True:
+            remaining_ms = clock.remaining_ms(request.deadline)
+            if remaining_ms == 0:
+                yield self.give_up(run)
+                return
+            wait_ms = min(int(self.progress_s * 500), remaining_ms)
+            cursor = schema.RunCursor(run_id=run.run_id, offset=run.offset)
+            try:
+                reply = self.agents.call(
+                    run.address, "read", [cursor], wait_ms, timeout_s=self.progress_s
+                )
+            except (NeverSentError, LostReplyError):
+                self.agents.forget(run.address)
+                failures += 1
+                if failures > RESOLVE_TRIES:
+                    yield Unknown(Reason.SERVER_LOST)
+                    return
+                continue
+            failures = 0
+            run.server.reported = reply.load.in_flight
+            run.server.leaving = reply.leaving
+            if reply.incarnation != run.incarnation:
+                yield Unknown(Reason.SERVER_LOST)
+                return
+            for run_slice in reply.slices:
+                if run_slice.data:
+                    run.offset += len(run_slice.data)
+                    run.digest.update(run_slice.data)
+                    yield run_slice.data
+                if run_slice.state != RunState.RUNNING:
+                    yield ending_of(run, run_slice)
+                    return
+
+    def give_up(self, run: ActiveRun) -> Ending:
+        """Cancel a run whose caller's deadline has passed."""
+        try:
+            self.agents.call(
+                run.address, "cancel", run.run_id, timeout_s=self.progress_s
+            )
+        except (NeverSentError, LostReplyError):
+            self.agents.forget(run.address)
+        return Unknown(Reason.DEADLINE_PASSED)
+
+
+def ending_of(run: ActiveRun, last: Any) -> Ending:
+    """Return the ending; ``Done`` only for the whole answer, checked."""
+    if last.state == RunState.DONE:
+        whole = last.length == run.offset
+        if whole and last.digest == run.digest.hexdigest():
+            return Done(last.length, last.digest)
+        return Unknown(Reason.ANSWER_DAMAGED)
+    if last.state == RunState.NOT_RUN:
+        return NotRun(Reason(last.reason))
+    if last.state == RunState.MISSING:
+        return Unknown(Reason.ANSWER_GONE)
+    return Unknown(Reason(last.reason))
