Run non-idempotent calls at most once, with operation tickets

Cause: a non-idempotent call ran again whenever its caller sent it again, and a tombstone that expired by the clock let a late start through. Ruled out: idempotency keys alone (the key's home may be gone when the caller comes back), a clock on tombstones (a paused start outlives it), resolving a ticket by its run identifier (a forged ticket would read another's answer). Change: an agent issues tickets bound to its incarnation, an epoch, a sequence number and the fingerprint of service, workspace and body; every start names an epoch, a start for a closed epoch never runs, refusals set tombstones too. A refusal of an entry for a call that has a ticket is said as unknown.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -76,6 +76,13 @@
     return int(fleet.get(fleet.layout.origin_port, "/control")["sent_bytes"])
 
 
+def counted(fleet: Launcher) -> int:
+    """Return how often the plain services carried out any call."""
+    portals = [vm for vm in fleet.layout.agents() if vm.backend_kind == "plain"]
+    counters = [fleet.get(vm.backend_port, "/control") for vm in portals]
+    return sum(sum(found["calls"].values()) for found in counters)
+
+
 def last_record(reply: urllib3.BaseHTTPResponse) -> dict[str, Any]:
     """Return the trailing record of a streamed answer."""
     return json.loads(reply.data.splitlines()[-1])
@@ -100,7 +107,12 @@
     limit = MAX_COPIES_PER_DOMAIN * len(DOMAINS)
     table.row("the origin gave one copy per failure domain", copies <= limit, copies)
 
-    reply = post(layout, "renewals", b"renew 7")
+    refused = post(layout, "renewals", b"renew 7")
+    ticket = refused.headers.get("Operation-Ticket", "")
+    table.row("a call that must run once asks for a ticket", bool(ticket), "")
+    for _ in range(2):
+        reply = post(layout, "renewals", b"renew 7", **{"Operation-Ticket": ticket})
+    table.row("the same ticket again is the same run", counted(fleet) == 1, "")
     told = reply.headers.get("Request-Outcome")
     table.row("a request that must run once", told == "done", told)
 
--- a/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
+++ b/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
@@ -10,6 +10,8 @@
 
 from primroselever_core.identifiers import GroupName
 from primroselever_core.runs.registry import RunRegistry
+from primroselever_core.tickets.signing import TicketSigner
+from primroselever_core.tickets.ticket_book import TicketBook
 from primroselever_core.transfer.chunk_store import ChunkStore
 from primroselever_core.transfer.section import TransfersSection
 from primroselever_node import clock
@@ -32,11 +34,13 @@
 from primroselever_node.rpc.schema import schema
 from primroselever_node.rpc.server import RpcServer
 from primroselever_node.settings.load import load_settings
+from primroselever_node.settings.secrets import ticket_key
 
 from ..engine.engine_client import EngineClient
 from ..engine.plain_client import PlainClient
 from ..runs.handler import AgentHandler
 from ..runs.runner import Runner
+from ..runs.ticket_issuer import TicketIssuer
 from ..settings import AgentSettings
 from ..transfer.rollout import RolloutController
 from ..transfer.serving import ChunkServing
@@ -44,8 +48,7 @@
 if TYPE_CHECKING:
     from argparse import ArgumentParser, Namespace
 
-KEEP_RUN_S = 60.0
-KEEP_TOMBSTONE_S = 600.0
+KEEP_RUN_S = 300.0
 READ_OUT_S = 1.0
 
 logger = logging.getLogger(__name__)
@@ -76,7 +79,7 @@
     def __init__(self, settings: AgentSettings) -> None:
         self.settings = settings
         self.board = new_board(settings)
-        self.registry = RunRegistry(KEEP_RUN_S, KEEP_TOMBSTONE_S)
+        self.registry = RunRegistry(KEEP_RUN_S)
         self.section = TransfersSection(ChunkStore(settings.chunk_memory_bytes))
         self.board.runs = self.registry
         self.board.transfers = self.section
@@ -86,10 +89,16 @@
             self.engine if self.needs_weights else PlainClient(settings.backend.url)
         )
         self.runner = Runner(self.registry, backend)
+        identity = self.board.identity
+        self.tickets = TicketIssuer(
+            TicketBook(identity.vm_id, identity.incarnation, self.registry.book),
+            TicketSigner(ticket_key(settings.secrets)),
+        )
         self.handler = AgentHandler(
             self.board,
             self.registry,
             self.runner,
+            self.tickets,
             ChunkServing(self.section),
             settings,
         )
@@ -126,6 +135,7 @@
         run_controller(profiles.step, 0.2)
         run_controller(members.step, 1.0)
         run_controller(lambda: self.registry.expire(clock.now()), 1.0)
+        run_controller(self.tickets.step, 1.0)
         source = platform.origin or platform.weight_store
         if self.needs_weights and source is not None:
             rollout = RolloutController(
--- a/packages/primroselever-agent/src/primroselever_agent/runs/handler.py
+++ b/packages/primroselever-agent/src/primroselever_agent/runs/handler.py
@@ -11,9 +11,10 @@
     WeightsDigest,
     WorkspaceName,
 )
-from primroselever_core.outcomes import NotRun, Reason
+from primroselever_core.outcomes import NotRun, Reason, Unknown
 from primroselever_core.runs.answer_buffer import AnswerBuffer
 from primroselever_core.runs.registry import Run, RunRegistry, RunState
+from primroselever_core.tickets.operation_ticket import OperationTicket
 from primroselever_node import clock
 from primroselever_node.rpc.schema import schema
 
@@ -23,6 +24,7 @@
     from ..settings import AgentSettings
     from ..transfer.serving import ChunkServing
     from .runner import Runner
+    from .ticket_issuer import TicketIssuer
 
 MAX_SLICE_BYTES = 1 << 18
 OVERLOADED_RETRY_MS = 1000
@@ -37,12 +39,14 @@
         board: Blackboard,
         registry: RunRegistry,
         runner: Runner,
+        tickets: TicketIssuer,
         chunks: ChunkServing,
         settings: AgentSettings,
     ) -> None:
         self.board = board
         self.registry = registry
         self.runner = runner
+        self.tickets = tickets
         self.chunks = chunks
         self.settings = settings
         self.needs_weights = settings.backend.kind == "engine"
@@ -71,16 +75,34 @@
             load=self.load(),
             weights_digest=(transfers and transfers.serving) or "",
             suspicions=[],
+            epoch=self.registry.book.epoch,
         )
 
     def start(self, request: Any) -> Any:
-        """Admit and start a run, or refuse it, which means that it never ran."""
-        refusal = self.refusal(request)
-        if refusal is not None:
-            return self.refuse(refusal)
+        """Admit and start a run, or say what became of it."""
+        run_id, epoch = RunId(request.run_id), request.epoch or 0
+        if not request.idempotent or request.ticket:
+            ticket = self.tickets.check(request)
+            if not isinstance(ticket, OperationTicket):
+                return self.refuse(ticket)
+            run_id, epoch = ticket.run_id, ticket.epoch
+        elif request.incarnation != self.board.identity.incarnation:
+            return self.refuse(Unknown(Reason.SERVER_LOST))
+        known = self.registry.known(run_id, epoch)
+        if known is None:
+            refusal = self.refusal(request)
+            if refusal is not None:
+                return self.refuse(self.registry.refuse(run_id, epoch, refusal))
+            return self.admit(request, run_id, epoch)
+        if isinstance(known, Run):
+            return self.start_reply("accepted", run_id=run_id)
+        return self.refuse(known)
+
+    def admit(self, request: Any, run_id: RunId, epoch: int) -> Any:
+        """Start a run that is new here."""
         transfers = self.board.transfers
         run = Run(
-            run_id=RunId(request.run_id),
+            run_id=run_id,
             service=ServiceName(request.service_name),
             workspace=WorkspaceName(request.workspace),
             fingerprint=Fingerprint(request.fingerprint),
@@ -88,9 +110,10 @@
             deadline=clock.deadline_in(request.remaining_ms),
             answer=AnswerBuffer(self.settings.answer_limit_bytes),
             weights_digest=(transfers and transfers.serving) or "",
+            epoch=epoch,
         )
         admitted = self.registry.admit(run, clock.now())
-        if isinstance(admitted, NotRun):
+        if not isinstance(admitted, Run):
             return self.refuse(admitted)
         if admitted is run:
             self.runner.start(run, request.body, request.priority)
@@ -98,8 +121,6 @@
 
     def refusal(self, request: Any) -> NotRun | None:
         """Return why a start is refused now, or None."""
-        if request.incarnation != self.board.identity.incarnation:
-            return NotRun(Reason.SERVER_LOST, LEAVING_RETRY_MS / 1000)
         if self.board.leaving:
             return NotRun(Reason.LEAVING, LEAVING_RETRY_MS / 1000)
         transfers = self.board.transfers
@@ -109,10 +130,11 @@
             return NotRun(Reason.OVERLOADED, OVERLOADED_RETRY_MS / 1000)
         return None
 
-    def refuse(self, refusal: NotRun) -> Any:
-        """Return the reply to a start that did not run and never will."""
+    def refuse(self, refusal: NotRun | Unknown) -> Any:
+        """Return the reply to a start that does not run now."""
+        state = "refused" if isinstance(refusal, NotRun) else "unknown"
         return self.start_reply(
-            "refused", refusal.reason, int((refusal.retry_after_s or 0) * 1000)
+            state, refusal.reason, int((refusal.retry_after_s or 0) * 1000)
         )
 
     def start_reply(
@@ -127,6 +149,7 @@
             incarnation=self.board.identity.incarnation,
             load=self.load(),
             leaving=self.board.leaving,
+            epoch=self.registry.book.epoch,
         )
 
     def read(self, cursors: list[Any], wait_ms: int) -> Any:
@@ -183,13 +206,15 @@
             digest="",
         )
 
-    def resolve(self, run_id: str, incarnation: int) -> Any:
+    def resolve(self, run_id: str, incarnation: int, epoch: int) -> Any:
         """Return a run's state; a run that never started never will."""
         if incarnation != self.board.identity.incarnation:
             return self.slice_of(run_id, RunState.MISSING)
-        found = self.registry.resolve(RunId(run_id), clock.now())
+        found = self.registry.resolve(RunId(run_id), epoch)
         if isinstance(found, NotRun):
             return self.slice_of(run_id, RunState.NOT_RUN, found.reason)
+        if isinstance(found, Unknown):
+            return self.slice_of(run_id, RunState.MISSING, found.reason)
         return self.slice_of(run_id, found.state, found.reason)
 
     def cancel(self, run_id: str) -> None:
@@ -199,8 +224,17 @@
             self.runner.cancel(run)
 
     def issue_ticket(self, request: Any) -> Any:
-        """Return no ticket: this agent issues none."""
-        return schema.TicketReply(ticket="", reason=Reason.TICKET_GONE)
+        """Return a ticket for a non-idempotent call, or why there is none."""
+        if self.board.leaving:
+            issued: str | NotRun = NotRun(Reason.LEAVING, LEAVING_RETRY_MS / 1000)
+        else:
+            issued = self.tickets.issue(request)
+        if isinstance(issued, str):
+            return schema.TicketReply(ticket=issued, reason="", retry_after_ms=0)
+        retry_after_ms = int((issued.retry_after_s or 0) * 1000)
+        return schema.TicketReply(
+            ticket="", reason=issued.reason, retry_after_ms=retry_after_ms
+        )
 
     def fetch_publication(self, name: str, known_revision: int, wait_ms: int) -> Any:
         """Return the profiles in force, if they are newer than what is known."""
--- /dev/null
+++ b/packages/primroselever-agent/src/primroselever_agent/runs/ticket_issuer.py
@@ -0,0 +1,59 @@
+"""Tickets as they go over the wire: signed when issued, verified at a start."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from primroselever_core.identifiers import Fingerprint, ServiceName, WorkspaceName
+from primroselever_core.outcomes import NotRun, Reason, Unknown
+from primroselever_core.runs.fingerprint import fingerprint_of
+from primroselever_core.tickets.ticket_book import KeyScope
+from primroselever_node import clock
+
+if TYPE_CHECKING:
+    from primroselever_core.tickets.operation_ticket import OperationTicket
+    from primroselever_core.tickets.signing import TicketSigner
+    from primroselever_core.tickets.ticket_book import TicketBook
+
+EPOCH_S = 600.0
+
+
+class TicketIssuer:
+    """Issues and checks the tickets of this agent, and moves the epochs on."""
+
+    def __init__(self, book: TicketBook, signer: TicketSigner) -> None:
+        self.book = book
+        self.signer = signer
+        self.epoch_until = clock.now() + EPOCH_S
+
+    def issue(self, request: Any) -> str | NotRun:
+        """Return a signed ticket, or why there is none."""
+        scope = None
+        if request.idempotency_key:
+            scope = KeyScope(
+                ServiceName(request.service_name),
+                WorkspaceName(request.workspace),
+                request.idempotency_key,
+            )
+        ticket = self.book.issue(Fingerprint(request.fingerprint), scope)
+        return ticket if isinstance(ticket, NotRun) else self.signer.sign(ticket)
+
+    def check(self, request: Any) -> OperationTicket | NotRun | Unknown:
+        """Return the ticket of a start, or why it starts nothing."""
+        if not request.ticket:
+            return NotRun(Reason.TICKET_REQUIRED)
+        ticket = self.signer.verify(request.ticket)
+        digest = fingerprint_of(
+            request.service_name, request.workspace, request.body or b""
+        )
+        problem = self.book.check(ticket, digest)
+        if problem is not None:
+            return problem
+        assert ticket is not None
+        return ticket
+
+    def step(self) -> None:
+        """Move on to a new epoch when it is time, or when the marks are many."""
+        if clock.now() >= self.epoch_until or self.book.starts.full():
+            self.book.close_epoch()
+            self.epoch_until = clock.now() + EPOCH_S
--- a/packages/primroselever-core/src/primroselever_core/outcomes.py
+++ b/packages/primroselever-core/src/primroselever_core/outcomes.py
@@ -41,6 +41,8 @@
     ENGINE_REFUSED = "engine_refused"
     ANSWER_DAMAGED = "answer_damaged"
     ANSWER_GONE = "answer_gone"
+    START_EXPIRED = "start_expired"
+    KEY_REUSED = "key_reused"
     SERVER_LOST = "server_lost"
     PAUSED = "paused"
     CANCELLED = "cancelled"
@@ -66,11 +68,13 @@
 
     It may be said only when the start was never sent, the agent refused it, or
     the agent confirmed a tombstone. ``retry_after_s`` is in seconds, or None
-    where coming back makes no sense.
+    where coming back makes no sense. ``ticket`` is the operation ticket with
+    which to come back.
     """
 
     reason: Reason
     retry_after_s: float | None = None
+    ticket: str = ""
 
     @property
     def outcome(self) -> Outcome:
--- a/packages/primroselever-core/src/primroselever_core/routing/section.py
+++ b/packages/primroselever-core/src/primroselever_core/routing/section.py
@@ -29,6 +29,8 @@
     reported: int = 0
     leaving: bool = False
     avoid_until: float = 0.0
+    epoch: int = 0
+    epoch_until: float = 0.0
 
     def usable(self, now: float) -> bool:
         """Return whether new work may be sent to the server."""
--- a/packages/primroselever-core/tests/runs/test_registry.py
+++ b/packages/primroselever-core/tests/runs/test_registry.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import pytest
+from hypothesis import given, strategies as st
 
 from primroselever_core.identifiers import (
     Fingerprint,
@@ -8,7 +9,7 @@
     ServiceName,
     WorkspaceName,
 )
-from primroselever_core.outcomes import NotRun, Reason
+from primroselever_core.outcomes import NotRun, Reason, Unknown
 from primroselever_core.runs.answer_buffer import AnswerBuffer
 from primroselever_core.runs.registry import Run, RunRegistry, RunState
 
@@ -27,17 +28,17 @@
 
 @pytest.fixture
 def registry() -> RunRegistry:
-    return RunRegistry(keep_s=60.0, tombstone_s=600.0)
+    return RunRegistry(keep_s=60.0)
 
 
 def test_a_start_behind_a_tombstone_is_refused(registry: RunRegistry) -> None:
-    assert registry.resolve(RunId("r1"), now=0.0) == NotRun(Reason.TOMBSTONE)
+    assert registry.resolve(RunId("r1"), epoch=1) == NotRun(Reason.TOMBSTONE)
     assert registry.admit(new_run(), now=1.0) == NotRun(Reason.TOMBSTONE)
 
 
 def test_a_run_that_started_gets_no_tombstone(registry: RunRegistry) -> None:
     run = registry.admit(new_run(), now=0.0)
-    assert registry.resolve(RunId("r1"), now=1.0) is run
+    assert registry.resolve(RunId("r1"), epoch=1) is run
 
 
 def test_a_duplicated_start_gives_the_first_run(registry: RunRegistry) -> None:
@@ -65,3 +66,83 @@
     assert registry.runs
     registry.expire(now=61.0)
     assert not registry.runs
+
+
+def test_a_refused_start_never_runs_later(registry: RunRegistry) -> None:
+    refusal = NotRun(Reason.OVERLOADED, 1.0)
+    assert registry.refuse(RunId("r1"), 1, refusal) == refusal
+    assert registry.admit(new_run(), now=1.0) == NotRun(Reason.TOMBSTONE)
+
+
+def test_what_was_forgotten_is_unknown_and_never_runs(registry: RunRegistry) -> None:
+    run = registry.admit(new_run(), now=0.0)
+    assert isinstance(run, Run)
+    registry.end(run, RunState.DONE, None, now=1.0)
+    registry.expire(now=61.0)
+    gone = Unknown(Reason.ANSWER_GONE)
+    assert registry.resolve(RunId("r1"), epoch=1) == gone
+    assert registry.admit(new_run(), now=62.0) == gone
+
+
+def test_a_start_of_a_closed_epoch_never_runs(registry: RunRegistry) -> None:
+    registry.resolve(RunId("r1"), epoch=1)
+    registry.book.advance()
+    assert registry.admit(new_run(), now=1.0) == NotRun(Reason.TOMBSTONE)
+    registry.book.advance()
+    assert registry.admit(new_run(), now=2.0) == Unknown(Reason.START_EXPIRED)
+
+
+def test_a_run_outlives_its_epoch(registry: RunRegistry) -> None:
+    run = registry.admit(new_run(), now=0.0)
+    registry.book.advance()
+    registry.book.advance()
+    assert registry.resolve(RunId("r1"), epoch=1) is run
+
+
+def test_ended_answers_are_bounded_in_bytes() -> None:
+    registry = RunRegistry(keep_s=60.0, ended_bytes_limit=100)
+    for name in ("r1", "r2", "r3"):
+        run = registry.admit(new_run(name), now=0.0)
+        assert isinstance(run, Run)
+        run.answer.append(b"x" * 40)
+        registry.end(run, RunState.DONE, None, now=1.0)
+    assert list(registry.runs) == ["r2", "r3"]
+    assert registry.resolve(RunId("r1"), 1) == Unknown(Reason.ANSWER_GONE)
+    assert registry.in_flight() == 0
+
+
+STEP = st.tuples(
+    st.sampled_from(("start", "resolve", "refuse", "end", "expire", "advance")),
+    st.sampled_from(("r1", "r2")),
+    st.integers(1, 4),
+)
+
+
+@given(st.lists(STEP, max_size=40))
+def test_not_run_is_true_and_at_most_once(steps: list[tuple[str, str, int]]) -> None:
+    registry = RunRegistry(keep_s=0.0)
+    started: list[tuple[str, int]] = []
+    told_not_run: set[tuple[str, int]] = set()
+    for action, name, epoch in steps:
+        subject = (f"{name}-{epoch}", epoch)
+        said: object = None
+        if action == "start":
+            run = new_run(subject[0], deadline=1.0)
+            run.epoch = epoch
+            said = registry.admit(run, now=0.0)
+            if said is run:
+                started.append(subject)
+        elif action == "resolve":
+            said = registry.resolve(RunId(subject[0]), epoch)
+        elif action == "refuse":
+            said = registry.refuse(RunId(subject[0]), epoch, NotRun(Reason.OVERLOADED))
+        elif action == "end" and (known := registry.runs.get(RunId(subject[0]))):
+            registry.end(known, RunState.DONE, None, now=0.0)
+        elif action == "expire":
+            registry.expire(now=0.0)
+        elif action == "advance":
+            registry.book.advance()
+        if isinstance(said, NotRun):
+            told_not_run.add(subject)
+    assert len(started) == len(set(started))
+    assert not told_not_run & set(started)
--- /dev/null
+++ b/packages/primroselever-core/tests/tickets/test_ticket_book.py
@@ -0,0 +1,118 @@
+from __future__ import annotations
+
+import pytest
+
+from primroselever_core.identifiers import (
+    Fingerprint,
+    Incarnation,
+    ServiceName,
+    VmId,
+    WorkspaceName,
+)
+from primroselever_core.outcomes import NotRun, Reason, Unknown
+from primroselever_core.runs.start_book import StartBook
+from primroselever_core.tickets.operation_ticket import OperationTicket
+from primroselever_core.tickets.signing import TicketSigner, read_unverified
+from primroselever_core.tickets.ticket_book import KeyScope, TicketBook
+
+BODY = Fingerprint("f1")
+OTHER_BODY = Fingerprint("f2")
+SIGNER = TicketSigner(b"a key of the tests")
+
+
+def new_book(incarnation: int = 7, max_keys: int = 10) -> TicketBook:
+    return TicketBook(
+        VmId("lag-a portal:1"), Incarnation(incarnation), StartBook(), max_keys
+    )
+
+
+def scope(key: str, workspace: str = "ministry") -> KeyScope:
+    return KeyScope(ServiceName("renewals"), WorkspaceName(workspace), key)
+
+
+@pytest.fixture
+def book() -> TicketBook:
+    return new_book()
+
+
+def issued(book: TicketBook, key: str = "") -> OperationTicket:
+    ticket = book.issue(BODY, scope(key) if key else None)
+    assert isinstance(ticket, OperationTicket)
+    return ticket
+
+
+def test_a_ticket_survives_the_wire(book: TicketBook) -> None:
+    ticket = issued(book)
+    text = SIGNER.sign(ticket)
+    assert text.isascii()
+    assert SIGNER.verify(text) == ticket == read_unverified(text)
+    assert book.check(ticket, BODY) is None
+
+
+@pytest.mark.parametrize(
+    "alter",
+    [
+        lambda text: text.replace("1:", "2:", 1),
+        lambda text: text.replace(":1:f1", ":2:f1"),
+        lambda text: text[:-9] + ("A" if text[-9] != "A" else "B") + text[-8:],
+        lambda text: TicketSigner(b"another key").sign(read_unverified(text)),
+        lambda text: "",
+        lambda text: "é",
+    ],
+)
+def test_a_forged_or_altered_ticket_starts_nothing(book, alter) -> None:
+    ticket = SIGNER.verify(alter(SIGNER.sign(issued(book))))
+    assert book.check(ticket, BODY) == NotRun(Reason.TICKET_INVALID)
+
+
+def test_a_ticket_is_bound_to_its_body(book: TicketBook) -> None:
+    assert book.check(issued(book), OTHER_BODY) == NotRun(Reason.TICKET_INVALID)
+
+
+def test_a_ticket_of_another_incarnation_is_unknown(book: TicketBook) -> None:
+    earlier = issued(new_book(incarnation=6))
+    assert book.check(earlier, BODY) == Unknown(Reason.TICKET_GONE)
+
+
+def test_a_key_gets_its_ticket_back(book: TicketBook) -> None:
+    first = issued(book, "k1")
+    book.starts.start(first.run_id, first.epoch)
+    assert issued(book, "k1") == first
+    assert issued(book, "k2") != first
+    other = book.issue(BODY, scope("k1", workspace="guild"))
+    assert other != first
+
+
+def test_a_key_with_another_body_is_refused(book: TicketBook) -> None:
+    issued(book, "k1")
+    assert book.issue(OTHER_BODY, scope("k1")) == NotRun(Reason.KEY_REUSED)
+
+
+def test_a_key_whose_ticket_was_refused_gets_a_new_one(book: TicketBook) -> None:
+    first = issued(book, "k1")
+    book.starts.tombstone(first.run_id, first.epoch)
+    assert issued(book, "k1") != first
+
+
+def test_closing_epochs_keeps_the_keys_of_what_ran(book: TicketBook) -> None:
+    ran, unused = issued(book, "ran"), issued(book, "unused")
+    book.starts.start(ran.run_id, ran.epoch)
+    book.close_epoch()
+    assert issued(book, "unused") == unused
+    book.close_epoch()
+    assert issued(book, "ran") == ran
+    assert issued(book, "unused") != unused
+
+
+def test_full_of_keys_it_refuses_rather_than_forgets() -> None:
+    book = new_book(max_keys=2)
+    first = issued(book, "k1")
+    book.starts.start(first.run_id, first.epoch)
+    issued(book, "k2")
+    refusal = book.issue(BODY, scope("k3"))
+    assert isinstance(refusal, NotRun)
+    assert refusal.reason is Reason.OVERLOADED
+    assert issued(book, "k1") == first
+    book.close_epoch()
+    book.close_epoch()
+    issued(book, "k3")
--- a/packages/primroselever-entry/src/primroselever_entry/requests/application.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/application.py
@@ -4,6 +4,7 @@
 
 import json
 import logging
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 from primroselever_core.outcomes import Done, Ending, NotRun, Outcome, Reason
@@ -21,6 +22,7 @@
     from ..settings import EntrySettings
     from .flow import RequestFlow
 
+TICKET_HEADER = "HTTP_OPERATION_TICKET"
 STREAM_TYPE = "application/x-ndjson"
 LEAVING_RETRY_S = 1.0
 
@@ -56,10 +58,10 @@
         """Answer one request."""
         request = parse_request(environ, self.settings)
         if isinstance(request, Problem):
-            return self.refuse(request, start_response)
+            return self.refuse(unconfirmed(request, environ), start_response)
         service = self.service_of(request)
         if isinstance(service, Problem):
-            return self.refuse(service, start_response)
+            return self.refuse(unconfirmed(service, environ), start_response)
         parts = self.flow.answer(request, service)
         first = next(parts)
         if isinstance(first, NotRun) or not isinstance(first, (bytes, Done)):
@@ -124,6 +126,18 @@
         return [body]
 
 
+def unconfirmed(problem: Problem, environ: dict[str, Any]) -> Problem:
+    """
+    Return a refusal of this entry as it may be said.
+
+    A call that has a ticket may have run before, so only the ticket's agent may
+    say "not run".
+    """
+    if TICKET_HEADER in environ:
+        return replace(problem, outcome=Outcome.UNKNOWN)
+    return problem
+
+
 def trailer(ending: Ending | None) -> bytes:
     """Return the last record of a streamed answer."""
     fields: dict[str, Any] = {}
--- a/packages/primroselever-entry/src/primroselever_entry/requests/caller_request.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/caller_request.py
@@ -6,9 +6,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-import xxhash
-
 from primroselever_core.identifiers import Fingerprint, ServiceName, WorkspaceName
+from primroselever_core.runs.fingerprint import fingerprint_of
 from primroselever_node import clock
 
 from .problem import Problem
@@ -41,13 +40,6 @@
     fingerprint: Fingerprint
 
 
-def fingerprint_of(service: str, workspace: str, body: bytes) -> Fingerprint:
-    """Return the digest of what makes two requests the same."""
-    state = xxhash.xxh3_128(f"{service}\x00{workspace}\x00".encode())
-    state.update(body)
-    return Fingerprint(state.hexdigest())
-
-
 def parse_request(
     environ: dict[str, Any], settings: EntrySettings
 ) -> CallerRequest | Problem:
--- a/packages/primroselever-entry/src/primroselever_entry/requests/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/flow.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from primroselever_core.identifiers import GroupName, RunId, VmId
-from primroselever_core.outcomes import Ending, NotRun, Reason, Unknown
+from primroselever_core.outcomes import Done, Ending, NotRun, Reason, Unknown
 from primroselever_core.routing.choose import choose_server
 from primroselever_node import clock
 from primroselever_node.logs import log_decision
@@ -14,9 +14,10 @@
 from .active_run import ActiveRun
 from .reading import AnswerReader
 from .starting import Starter
+from .ticketing import TicketRouter
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Generator, Iterator
     from random import Random
 
     from primroselever_core.board import Blackboard
@@ -28,6 +29,10 @@
 
 MAX_ATTEMPTS = 3
 
+# The ends after which an idempotent request may run again elsewhere, once. A
+# failure of the engine is none of them: the request itself may be its cause.
+RETRIED = (Reason.SERVER_LOST, Reason.START_EXPIRED, Reason.WEIGHTS_CHANGED)
+
 
 class RequestFlow:
     """Carries requests; one object serves all requests of the process."""
@@ -38,11 +43,14 @@
         agents: ClientPool,
         random: Random,
         progress_s: float,
+        may_retry: Callable[[], bool] = lambda: True,
     ) -> None:
         self.board = board
         self.random = random
+        self.may_retry = may_retry
         self.starter = Starter(board, agents, progress_s)
         self.reader = AnswerReader(agents, progress_s)
+        self.tickets = TicketRouter(board, agents, self.starter, random)
         self.in_flight = 0
 
     def answer(
@@ -51,32 +59,54 @@
         """Yield the answer's bytes and, last of all, the ending."""
         self.in_flight += 1
         try:
-            yield from self.attempts(request, service)
+            if service.idempotent:
+                yield (yield from self.attempts(request, service))
+            elif request.ticket:
+                yield (yield from self.carry(request, self.tickets.start(request)))
+            else:
+                yield self.tickets.issue(request, self.candidates(service))
         finally:
             self.in_flight -= 1
 
     def attempts(
         self, request: CallerRequest, service: Service
-    ) -> Iterator[bytes | Ending]:
-        """Try servers until one accepts, then pass its answer on."""
+    ) -> Generator[bytes, None, Ending]:
+        """
+        Try servers until one runs the request; return how it ended.
+
+        A run that was lost is tried elsewhere once, and only while nothing of
+        its answer was passed on.
+        """
         passed_over: set[VmId] = set()
-        ending: Ending = NotRun(Reason.NO_SERVER)
-        for _ in range(MAX_ATTEMPTS):
-            if clock.now() >= request.deadline:
-                yield NotRun(Reason.DEADLINE_PASSED)
-                return
+        lost: Unknown | None = None
+        ending: Ending = NotRun(Reason.DEADLINE_PASSED)
+        for attempt in range(MAX_ATTEMPTS):
+            if clock.now() >= request.deadline or (attempt and not self.may_retry()):
+                break
             started = self.start_somewhere(request, service, passed_over)
-            if isinstance(started, ActiveRun):
-                started.server.in_flight += 1
-                try:
-                    yield from self.reader.read_out(request, started)
-                finally:
-                    started.server.in_flight -= 1
-                return
-            ending = started
-            if isinstance(started, Unknown) or started.reason is Reason.NO_SERVER:
+            ending = yield from self.carry(request, started)
+            passed_on = isinstance(started, ActiveRun) and started.offset > 0
+            if passed_on or isinstance(ending, Done):
+                return ending
+            if isinstance(ending, Unknown):
+                if lost is not None or ending.reason not in RETRIED:
+                    return ending
+                lost = ending
+            elif ending.reason is Reason.NO_SERVER:
                 break
-        yield ending
+        return lost or ending
+
+    def carry(
+        self, request: CallerRequest, started: ActiveRun | NotRun | Unknown
+    ) -> Generator[bytes, None, Ending]:
+        """Yield the answer of a run that was accepted; return how it ended."""
+        if not isinstance(started, ActiveRun):
+            return started
+        started.server.in_flight += 1
+        try:
+            return (yield from self.reader.read_out(request, started))
+        finally:
+            started.server.in_flight -= 1
 
     def start_somewhere(
         self, request: CallerRequest, service: Service, passed_over: set[VmId]
@@ -97,7 +127,7 @@
             candidates=choice.candidates,
             workspace=request.workspace,
         )
-        return self.starter.start(request, service, run_id, server)
+        return self.starter.start(request, run_id, server)
 
     def candidates(self, service: Service) -> list[Server]:
         """Return the servers of a service, those of this failure domain first."""
--- a/packages/primroselever-entry/src/primroselever_entry/requests/problem.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/problem.py
@@ -16,6 +16,7 @@
     Reason.FAIR_SHARE: 429,
     Reason.OVERLOADED: 429,
     Reason.QUARANTINED: 422,
+    Reason.KEY_REUSED: 422,
     Reason.TICKET_GONE: 409,
     Reason.TICKET_INVALID: 400,
     Reason.TICKET_REQUIRED: 428,
@@ -73,7 +74,9 @@
 
 def problem_of(ending: NotRun | Unknown) -> Problem:
     """Return the problem that tells a caller of an ending."""
+    ticket = ""
     if isinstance(ending, NotRun):
+        ticket = ending.ticket
         detail = "the request did not run and will not"
         status = STATUS_OF_REASON.get(ending.reason, 503)
     else:
@@ -86,4 +89,5 @@
         outcome=ending.outcome,
         reason=ending.reason,
         retry_after_s=ending.retry_after_s,
+        ticket=ticket,
     )
--- a/packages/primroselever-entry/src/primroselever_entry/requests/reading.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/reading.py
@@ -13,7 +13,7 @@
 from .resolving import RESOLVE_TRIES
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Generator
 
     from primroselever_node.rpc.client_pool import ClientPool
 
@@ -30,14 +30,13 @@
 
     def read_out(
         self, request: CallerRequest, run: ActiveRun
-    ) -> Iterator[bytes | Ending]:
-        """Yield a run's answer as it comes, then its ending."""
+    ) -> Generator[bytes, None, Ending]:
+        """Yield a run's answer as it comes; return its ending."""
         failures = 0
         while True:
             remaining_ms = clock.remaining_ms(request.deadline)
             if remaining_ms == 0:
-                yield self.give_up(run)
-                return
+                return self.give_up(run)
             wait_ms = min(int(self.progress_s * 500), remaining_ms)
             cursor = schema.RunCursor(run_id=run.run_id, offset=run.offset)
             try:
@@ -48,23 +47,20 @@
                 self.agents.forget(run.address)
                 failures += 1
                 if failures > RESOLVE_TRIES:
-                    yield Unknown(Reason.SERVER_LOST)
-                    return
+                    return Unknown(Reason.SERVER_LOST)
                 continue
             failures = 0
             run.server.reported = reply.load.in_flight
             run.server.leaving = reply.leaving
             if reply.incarnation != run.incarnation:
-                yield Unknown(Reason.SERVER_LOST)
-                return
+                return Unknown(Reason.SERVER_LOST)
             for run_slice in reply.slices:
                 if run_slice.data:
                     run.offset += len(run_slice.data)
                     run.digest.update(run_slice.data)
                     yield run_slice.data
                 if run_slice.state != RunState.RUNNING:
-                    yield ending_of(run, run_slice)
-                    return
+                    return ending_of(run, run_slice)
 
     def give_up(self, run: ActiveRun) -> Ending:
         """Cancel a run whose caller's deadline has passed."""
--- a/packages/primroselever-entry/src/primroselever_entry/requests/resolving.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/resolving.py
@@ -34,7 +34,9 @@
         self.agents = agents
         self.progress_s = progress_s
 
-    def resolve(self, run_id: RunId, server: Server) -> ActiveRun | NotRun | Unknown:
+    def resolve(
+        self, run_id: RunId, epoch: int, server: Server
+    ) -> ActiveRun | NotRun | Unknown:
         """Find out what became of a start whose reply was lost."""
         address = (server.vm.address, server.vm.rpc_port)
         for _ in range(RESOLVE_TRIES):
@@ -44,6 +46,7 @@
                     "resolve",
                     run_id,
                     server.incarnation,
+                    epoch,
                     timeout_s=self.progress_s,
                 )
             except (NeverSentError, LostReplyError):
@@ -54,11 +57,12 @@
                 break
             return ActiveRun(run_id, server, server.incarnation)
         pass_over(server)
-        return Unknown(Reason.SERVER_LOST)
+        return Unknown(Reason.SERVER_LOST, AVOID_S)
 
 
 def pass_over(server: Server) -> NotRun:
     """Send nothing new to a server for a while: it cannot be reached."""
     server.avoid_until = clock.now() + AVOID_S
     server.incarnation = UNKNOWN_INCARNATION
+    server.epoch_until = 0.0
     return NotRun(Reason.SERVER_LOST, AVOID_S)
--- a/packages/primroselever-entry/src/primroselever_entry/requests/starting.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/starting.py
@@ -12,16 +12,18 @@
 from primroselever_node.rpc.schema import schema
 
 from .active_run import ActiveRun
-from .resolving import Resolver, pass_over
+from .resolving import AVOID_S, RESOLVE_TRIES, Resolver, pass_over
 
 if TYPE_CHECKING:
     from primroselever_core.board import Blackboard
-    from primroselever_core.profiles.model import Service
     from primroselever_core.routing.section import Server
+    from primroselever_core.tickets.operation_ticket import OperationTicket
     from primroselever_node.rpc.client_pool import ClientPool
 
     from .caller_request import CallerRequest
 
+EPOCH_REFRESH_S = 120.0
+
 
 class Starter:
     """Starts runs on agents and takes in what they say of themselves."""
@@ -35,57 +37,75 @@
         self.resolver = Resolver(agents, progress_s)
 
     def start(
-        self, request: CallerRequest, service: Service, run_id: RunId, server: Server
+        self, request: CallerRequest, run_id: RunId, server: Server
     ) -> ActiveRun | NotRun | Unknown:
-        """Start a run on a server."""
-        address = (server.vm.address, server.vm.rpc_port)
+        """Start an idempotent run on a server."""
         try:
-            self.learn_incarnation(server)
+            self.learn_epoch(server)
         except (NeverSentError, LostReplyError):
             return pass_over(server)
-        start = self.start_request(request, service, run_id, server)
+        incarnation, epoch = server.incarnation, server.epoch
+        start = start_request(request, run_id, incarnation, epoch)
         try:
-            reply = self.agents.call(address, "start", start, timeout_s=self.progress_s)
+            reply = self.send(server, start)
         except NeverSentError:
             return pass_over(server)
         except LostReplyError:
-            self.agents.forget(address)
-            return self.resolver.resolve(run_id, server)
+            self.agents.forget(address_of(server))
+            return self.resolver.resolve(run_id, epoch, server)
+        return started(reply, server, incarnation)
+
+    def start_ticket(
+        self, request: CallerRequest, ticket: OperationTicket, server: Server
+    ) -> ActiveRun | NotRun | Unknown:
+        """
+        Start the run of a ticket on the server that issued it.
+
+        A start whose reply is lost is sent again, since one ticket never runs
+        twice. Only the agent may say that a ticket did not run: it may have been
+        used before, through another entry.
+        """
+        start = start_request(
+            request, ticket.run_id, ticket.incarnation, ticket.epoch, request.ticket
+        )
+        for _ in range(RESOLVE_TRIES):
+            if clock.now() >= request.deadline:
+                return Unknown(Reason.DEADLINE_PASSED)
+            start.remaining_ms = clock.remaining_ms(request.deadline)
+            try:
+                reply = self.send(server, start)
+            except (NeverSentError, LostReplyError):
+                self.agents.forget(address_of(server))
+                continue
+            return started(reply, server, ticket.incarnation)
+        return Unknown(Reason.SERVER_LOST, AVOID_S)
+
+    def send(self, server: Server, start: Any) -> Any:
+        """Send a start and take in what the reply says of the server."""
+        reply = self.agents.call(
+            address_of(server), "start", start, timeout_s=self.progress_s
+        )
         server.reported = reply.load.in_flight
         server.leaving = reply.leaving
-        if reply.state == "accepted":
-            return ActiveRun(RunId(reply.run_id), server, server.incarnation)
-        if reply.incarnation != server.incarnation:
-            server.incarnation = Incarnation(reply.incarnation)
-        return NotRun(Reason(reply.reason), reply.retry_after_ms / 1000)
-
-    def start_request(
-        self, request: CallerRequest, service: Service, run_id: RunId, server: Server
-    ) -> Any:
-        """Return the start as it goes over the wire."""
-        return schema.StartRequest(
-            run_id=run_id,
-            incarnation=server.incarnation,
-            service_name=request.service,
-            workspace=request.workspace,
-            fingerprint=request.fingerprint,
-            body=request.body,
-            remaining_ms=clock.remaining_ms(request.deadline),
-            priority=request.priority,
-            idempotent=service.idempotent,
-            ticket=request.ticket,
-            weights_digest="",
+        self.take_epoch(server, reply.incarnation, reply.epoch)
+        return reply
+
+    def learn_epoch(self, server: Server) -> None:
+        """Ask a server who it is, before the first start and now and then."""
+        known = server.incarnation != UNKNOWN_INCARNATION
+        if known and clock.now() < server.epoch_until:
+            return
+        said = self.agents.call(
+            address_of(server), "heartbeat", self.heartbeat(), timeout_s=self.progress_s
         )
+        server.leaving = said.leaving
+        self.take_epoch(server, said.incarnation, said.epoch)
 
-    def learn_incarnation(self, server: Server) -> None:
-        """Ask a server who it is, before the first start there."""
-        if server.incarnation == UNKNOWN_INCARNATION:
-            address = (server.vm.address, server.vm.rpc_port)
-            said = self.agents.call(
-                address, "heartbeat", self.heartbeat(), timeout_s=self.progress_s
-            )
-            server.incarnation = Incarnation(said.incarnation)
-            server.leaving = said.leaving
+    def take_epoch(self, server: Server, incarnation: int, epoch: int | None) -> None:
+        """Keep what later starts have to name."""
+        server.incarnation = Incarnation(incarnation)
+        server.epoch = epoch or 0
+        server.epoch_until = clock.now() + EPOCH_REFRESH_S
 
     def heartbeat(self) -> Any:
         """Return what this process says of itself."""
@@ -103,3 +123,44 @@
             weights_digest="",
             suspicions=[],
         )
+
+
+def start_request(
+    request: CallerRequest,
+    run_id: RunId,
+    incarnation: Incarnation,
+    epoch: int,
+    ticket: str = "",
+) -> Any:
+    """Return a start as it goes over the wire; one with a ticket runs once."""
+    return schema.StartRequest(
+        run_id=run_id,
+        incarnation=incarnation,
+        service_name=request.service,
+        workspace=request.workspace,
+        fingerprint=request.fingerprint,
+        body=request.body,
+        remaining_ms=clock.remaining_ms(request.deadline),
+        priority=request.priority,
+        idempotent=not ticket,
+        ticket=ticket,
+        weights_digest="",
+        epoch=epoch,
+    )
+
+
+def started(
+    reply: Any, server: Server, incarnation: Incarnation
+) -> ActiveRun | NotRun | Unknown:
+    """Return what a reply to a start says."""
+    if reply.state == "accepted":
+        return ActiveRun(RunId(reply.run_id), server, incarnation)
+    retry_after_s = reply.retry_after_ms / 1000 or None
+    if reply.state == "refused":
+        return NotRun(Reason(reply.reason), retry_after_s)
+    return Unknown(Reason(reply.reason), retry_after_s)
+
+
+def address_of(server: Server) -> tuple[str, int]:
+    """Return where a server's agent answers."""
+    return server.vm.address, server.vm.rpc_port
--- a/packages/primroselever-node/src/primroselever_node/rpc/primroselever.thrift
+++ b/packages/primroselever-node/src/primroselever_node/rpc/primroselever.thrift
@@ -29,6 +29,7 @@
   7: Load load,
   8: string weights_digest,
   9: list<Suspicion> suspicions,
+  20: i64 epoch,
 }
 
 /* A published value as it is handed on: revision 0 means none newer. */
@@ -44,9 +45,11 @@
   4: string idempotency_key,
 }
 
+/* ticket is empty when none is issued, for the reason. */
 struct TicketReply {
   1: string ticket,
   2: string reason,
+  20: i64 retry_after_ms,
 }
 
 struct StartRequest {
@@ -61,11 +64,15 @@
   9: bool idempotent,
   10: string ticket,
   11: string weights_digest,
+  20: i64 epoch,
+  21: string reader,
 }
 
 /*
- * state is accepted, or refused with a reason. An accepted ticket that is used
- * again names the run that it started the first time.
+ * state is accepted, refused with a reason (it never ran and never will) or
+ * unknown with a reason (it may have run before). An accepted ticket that is
+ * used again names the run that it started the first time. epoch is the one that
+ * later starts have to name.
  */
 struct StartReply {
   1: string state,
@@ -75,6 +82,7 @@
   5: i64 incarnation,
   6: Load load,
   7: bool leaving,
+  20: i64 epoch,
 }
 
 struct RunCursor {
@@ -121,7 +129,7 @@
   TicketReply issue_ticket(1: TicketRequest request),
   StartReply start(1: StartRequest request),
   ReadReply read(1: list<RunCursor> cursors, 2: i64 wait_ms),
-  RunSlice resolve(1: string run_id, 2: i64 incarnation),
+  RunSlice resolve(1: string run_id, 2: i64 incarnation, 3: i64 epoch),
   void cancel(1: string run_id),
   binary fetch_manifest(1: string weights_digest),
   ChunkReply fetch_chunk(1: string weights_digest, 2: i32 index, 3: i64 wait_ms),
