Route by prefix within a load bound, and keep to budgets

Cause: an entry chose among two random servers, asked every listed server whether it is usable for each request, knew no prefixes, ejected nobody, spilled over without limit and retried without a budget. Ruled out: following each load report. A rendezvous over all servers for each request: its cost grows with the fleet, the ring's does not. Change: Router with a ring of the group's servers (consistent hashing with bounded loads, bound 1.25), power of two choices as the fallback, sums refreshed ten times a second, ejection of at most a third of a pool, a retry budget of a tenth of the traffic, spill-over within a budget for the link, marks of servers that are full for a workspace and priority, the section on suspects; metrics and log lines. After: tests pass. They failed with each guard removed in turn: leaving, the cap of ejections, the link's budget, marks, smoothing, quarantine, the retry budget, the end of leaving, copies beside each other.

--- a/packages/primroselever-core/src/primroselever_core/board.py
+++ b/packages/primroselever-core/src/primroselever_core/board.py
@@ -13,6 +13,7 @@
 from .membership.section import MembersSection
 from .profiles.section import ProfilesSection
 from .routing.section import ServersSection
+from .suspects.section import SuspectsSection
 
 if TYPE_CHECKING:
     from .identifiers import FailureDomain, Incarnation, Region, VmId
@@ -39,5 +40,6 @@
     profiles: ProfilesSection = field(default_factory=ProfilesSection)
     members: MembersSection = field(default_factory=MembersSection)
     servers: ServersSection = field(default_factory=ServersSection)
+    suspects: SuspectsSection = field(default_factory=SuspectsSection)
     runs: RunRegistry | None = None
     transfers: TransfersSection | None = None
--- /dev/null
+++ b/packages/primroselever-core/src/primroselever_core/routing/ejection.py
@@ -0,0 +1,60 @@
+"""
+Outlier ejection: a server whose answers fail in a row gets no new work for a while.
+
+At most a third of a pool is ejected: when more than that fails, the cause is more
+likely shared than theirs, and the rest could not carry the load.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..outcomes import Done, Ending, NotRun, Reason, Unknown
+
+if TYPE_CHECKING:
+    from .pool import Pool
+    from .section import Server
+
+FAILURES_IN_A_ROW = 3
+FIRST_EJECTION_S = 2.0
+LONGEST_EJECTION_S = 30.0
+LARGEST_SHARE = 1 / 3
+
+# What a server cannot do for a while, by its own word; no cap applies to that.
+SAID_BY_ITSELF = (Reason.NO_WEIGHTS, Reason.LEAVING, Reason.PAUSED)
+FAILURES = (
+    Reason.ENGINE_FAILED,
+    Reason.SERVER_LOST,
+    Reason.ANSWER_DAMAGED,
+    Reason.WEIGHTS_CHANGED,
+)
+AVOID_S = 1.0
+
+
+def note_ending(pool: Pool, server: Server, ending: Ending, now: float) -> bool:
+    """Take in how a run ended; return whether its server is ejected for it."""
+    if isinstance(ending, Done):
+        server.failures = 0
+        server.ejections = 0
+        return False
+    if isinstance(ending, NotRun) and ending.reason in SAID_BY_ITSELF:
+        server.avoid_until = now + (ending.retry_after_s or AVOID_S)
+        return False
+    if isinstance(ending, Unknown) and ending.reason in FAILURES:
+        server.failures += 1
+        return server.failures >= FAILURES_IN_A_ROW and eject(pool, server, now)
+    return False
+
+
+def eject(pool: Pool, server: Server, now: float) -> bool:
+    """Eject a server, unless too many are already; return whether it is."""
+    ejected = sum(other.ejected_until > now for other in pool.servers)
+    if ejected + 1 > max(1.0, len(pool.servers) * LARGEST_SHARE):
+        return False
+    if len(pool.servers) == 1:
+        return False
+    wait_s = min(LONGEST_EJECTION_S, FIRST_EJECTION_S * 2**server.ejections)
+    server.ejections += 1
+    server.failures = 0
+    server.ejected_until = now + wait_s
+    return True
--- /dev/null
+++ b/packages/primroselever-core/src/primroselever_core/suspects/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that may crash the engines that run them."""
--- /dev/null
+++ b/packages/primroselever-core/tests/routing/test_router.py
@@ -0,0 +1,130 @@
+from __future__ import annotations
+
+import pytest
+
+from primroselever_core.outcomes import Done, NotRun, Reason, Unknown
+from primroselever_core.routing.choose import Choice
+from primroselever_core.suspects.section import CrashId
+
+
+def chosen(router, wanted, now, passed_over=()):
+    choice = router.choose(wanted, passed_over, now)
+    assert isinstance(choice, Choice), choice
+    return choice.server
+
+
+def test_the_same_prefix_goes_to_the_same_server_from_every_entry(new_router, wanted):
+    request = wanted("tend 12")
+    servers = {
+        chosen(new_router(seed=seed), request, 1.0).vm.vm_id for seed in range(1, 9)
+    }
+    assert len(servers) == 1
+
+
+def test_a_busy_prefix_is_spread_within_the_bound(new_router, wanted):
+    router = new_router()
+    for number in range(60):
+        request = wanted(f"tend {number}")
+        router.started(request, chosen(router, request, 1.0))
+    in_flight = [server.in_flight for server in router.board.servers.servers.values()]
+    assert max(in_flight) / (60 / 6) <= 1.4
+
+
+def test_a_server_that_says_it_leaves_gets_nothing_while_the_list_says_live(
+    new_router, wanted
+):
+    router = new_router()
+    gone = chosen(router, wanted(), 1.0)
+    gone.take_report(in_flight=3, leaving=True, now=1.05)
+    later = [1.06 + step / 10 for step in range(300)]
+    assert gone not in [chosen(router, wanted(), now) for now in later]
+
+
+def test_a_server_that_replaced_a_leaving_one_is_used_again(new_router, wanted):
+    router = new_router(home=1)
+    server = chosen(router, wanted(), 1.0)
+    server.take_report(in_flight=0, leaving=True, now=1.0)
+    assert chosen(router, wanted(), 62.0) is server
+
+
+def test_ejection_needs_failures_in_a_row_and_is_capped(new_router, wanted):
+    router = new_router(home=6)
+    chosen(router, wanted(), 1.0)
+    failed = Unknown(Reason.ENGINE_FAILED)
+    ejected = 0
+    for server in list(router.board.servers.servers.values()):
+        if server.vm.failure_domain != router.board.identity.failure_domain:
+            continue
+        for _ in range(3):
+            router.started(wanted(), server)
+            ejected += router.ended(wanted(), server, failed, 1.0)
+    assert ejected == 2
+    assert router.ejected(1.0) == 2
+    assert router.ejected(4.0) == 0
+
+
+def test_other_domains_get_work_only_when_no_server_here_is_usable(new_router, wanted):
+    router = new_router(home=2, away=2)
+    here = [chosen(router, wanted(), 1.0) for _ in range(20)]
+    assert {server.vm.failure_domain for server in here} == {"lag-a"}
+    refused = {server.vm.vm_id for server in here}
+    assert isinstance(
+        router.choose(wanted(), refused | {"lag-a-0", "lag-a-1"}, 1.0), NotRun
+    )
+    for server in router.board.servers.servers.values():
+        if server.vm.failure_domain == "lag-a":
+            server.avoid_until = 9.0
+    assert chosen(router, wanted(), 2.0).vm.failure_domain == "phc-a"
+
+
+def test_spill_over_keeps_to_the_links_budget(new_router, wanted):
+    router = new_router(home=0, away=2)
+    choices = [router.choose(wanted(size_bytes=904), (), 1.0) for _ in range(10)]
+    sent = [choice for choice in choices if isinstance(choice, Choice)]
+    assert len(sent) == 2
+    assert choices[-1] == NotRun(Reason.NO_SERVER, 1.0)
+    assert isinstance(router.choose(wanted(size_bytes=904), (), 2.0), Choice)
+
+
+def test_a_full_server_is_full_for_the_refused_workspace_only(new_router, wanted):
+    router = new_router(home=2)
+    large, small = wanted(workspace="large"), wanted(workspace="small")
+    for number in (0, 1):
+        server = chosen(router, large, 1.0, {f"lag-a-{1 - number}"})
+        router.started(large, server)
+        router.ended(large, server, NotRun(Reason.FAIR_SHARE, 5.0), 1.0)
+    assert router.choose(large, (), 1.1) == NotRun(Reason.OVERLOADED, 1.0)
+    assert isinstance(router.choose(small, (), 1.1), Choice)
+    assert isinstance(router.choose(large, (), 1.5), Choice)
+
+
+def test_a_quarantined_request_is_refused_at_once(new_router, wanted):
+    router = new_router()
+    request = wanted()
+    for crash in ("lag-a-0/7/1", "lag-a-1/9/1"):
+        router.board.suspects.crashed(CrashId(crash), [request.fingerprint], 1.0)
+    refusal = router.choose(request, (), 2.0)
+    assert refusal == NotRun(Reason.QUARANTINED, 599.0)
+    assert isinstance(router.choose(request, (), 602.0), Choice)
+
+
+def test_copies_in_flight_share_a_server(new_router, wanted):
+    router = new_router()
+    first = chosen(router, wanted(), 1.0)
+    for _ in range(12):
+        router.started(wanted(), first)
+    assert chosen(router, wanted(), 1.0) is first
+    for _ in range(12):
+        router.ended(wanted(), first, Done(100, ""), 1.0)
+    assert router.copies == {}
+
+
+@pytest.mark.parametrize("requests", [0, 10, 1000])
+def test_retries_stay_a_tenth_of_the_traffic(new_router, requests):
+    budget = new_router().retries
+    spent = 0
+    for _ in range(requests):
+        budget.request()
+        spent += budget.retry()
+    spent += sum(budget.retry() for _ in range(100))
+    assert spent <= requests / 10 + 3
--- a/packages/primroselever-entry/src/primroselever_entry/commands/serve.py
+++ b/packages/primroselever-entry/src/primroselever_entry/commands/serve.py
@@ -7,6 +7,8 @@
 from random import Random
 from typing import TYPE_CHECKING, Any
 
+from primroselever_core.budgets import TokenBucket
+from primroselever_core.routing.router import Router
 from primroselever_node import clock
 from primroselever_node.admin import AdminApplication
 from primroselever_node.console.command import EXIT_OK, Command
@@ -28,6 +30,7 @@
 
 from ..requests.application import CallerApplication
 from ..requests.flow import RequestFlow
+from ..routing.request_router import RequestRouter
 from ..settings import EntrySettings
 
 if TYPE_CHECKING:
@@ -61,8 +64,15 @@
     def __init__(self, settings: EntrySettings) -> None:
         self.settings = settings
         self.board = new_board(settings)
+        link = TokenBucket.full(
+            settings.spill_bytes_per_s, settings.spill_bytes_per_s, clock.now()
+        )
         self.flow = RequestFlow(
-            self.board, ClientPool(schema.Agent), Random(), settings.progress_s
+            self.board,
+            ClientPool(schema.Agent),
+            Random(),
+            settings.progress_s,
+            RequestRouter(Router(self.board, Random(), link)),
         )
         self.http = HttpServer(
             CallerApplication(self.board, self.flow, settings),
--- a/packages/primroselever-entry/src/primroselever_entry/requests/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/flow.py
@@ -7,9 +7,7 @@
 
 from primroselever_core.identifiers import GroupName, RunId, VmId
 from primroselever_core.outcomes import Done, Ending, NotRun, Reason, Unknown
-from primroselever_core.routing.choose import choose_server
 from primroselever_node import clock
-from primroselever_node.logs import log_decision
 
 from .active_run import ActiveRun
 from .reading import AnswerReader
@@ -17,7 +15,7 @@
 from .ticketing import TicketRouter
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Generator, Iterator
+    from collections.abc import Generator, Iterator
     from random import Random
 
     from primroselever_core.board import Blackboard
@@ -25,6 +23,7 @@
     from primroselever_core.routing.section import Server
     from primroselever_node.rpc.client_pool import ClientPool
 
+    from ..routing.request_router import RequestRouter
     from .caller_request import CallerRequest
 
 MAX_ATTEMPTS = 3
@@ -43,11 +42,10 @@
         agents: ClientPool,
         random: Random,
         progress_s: float,
-        may_retry: Callable[[], bool] = lambda: True,
+        router: RequestRouter,
     ) -> None:
         self.board = board
-        self.random = random
-        self.may_retry = may_retry
+        self.router = router
         self.starter = Starter(board, agents, progress_s)
         self.reader = AnswerReader(agents, progress_s)
         self.tickets = TicketRouter(board, agents, self.starter, random)
@@ -80,11 +78,25 @@
         passed_over: set[VmId] = set()
         lost: Unknown | None = None
         ending: Ending = NotRun(Reason.DEADLINE_PASSED)
+        wanted = self.router.wanted(request, service)
+        if isinstance(wanted, NotRun):
+            return wanted
         for attempt in range(MAX_ATTEMPTS):
-            if clock.now() >= request.deadline or (attempt and not self.may_retry()):
+            if clock.now() >= request.deadline:
                 break
-            started = self.start_somewhere(request, service, passed_over)
-            ending = yield from self.carry(request, started)
+            if attempt and not self.router.may_retry():
+                break
+            run_id = RunId(uuid.uuid4().hex)
+            choice = self.router.choose(wanted, run_id, passed_over)
+            if isinstance(choice, NotRun):
+                return lost or (ending if attempt else choice)
+            passed_over.add(choice.server.vm.vm_id)
+            ended: Ending | None = None
+            try:
+                started = self.starter.start(request, run_id, choice.server)
+                ended = ending = yield from self.carry(request, started)
+            finally:
+                self.router.ended(wanted, choice.server, ended)
             passed_on = isinstance(started, ActiveRun) and started.offset > 0
             if passed_on or isinstance(ending, Done):
                 return ending
@@ -92,8 +104,6 @@
                 if lost is not None or ending.reason not in RETRIED:
                     return ending
                 lost = ending
-            elif ending.reason is Reason.NO_SERVER:
-                break
         return lost or ending
 
     def carry(
@@ -102,32 +112,7 @@
         """Yield the answer of a run that was accepted; return how it ended."""
         if not isinstance(started, ActiveRun):
             return started
-        started.server.in_flight += 1
-        try:
-            return (yield from self.reader.read_out(request, started))
-        finally:
-            started.server.in_flight -= 1
-
-    def start_somewhere(
-        self, request: CallerRequest, service: Service, passed_over: set[VmId]
-    ) -> ActiveRun | NotRun | Unknown:
-        """Choose a server and start the run there."""
-        candidates = self.candidates(service)
-        choice = choose_server(candidates, passed_over, clock.now(), self.random)
-        if isinstance(choice, NotRun):
-            return choice
-        run_id = RunId(uuid.uuid4().hex)
-        server = choice.server
-        passed_over.add(server.vm.vm_id)
-        log_decision(
-            "route",
-            run_id,
-            server.vm.vm_id,
-            choice.reason,
-            candidates=choice.candidates,
-            workspace=request.workspace,
-        )
-        return self.starter.start(request, run_id, server)
+        return (yield from self.reader.read_out(request, started))
 
     def candidates(self, service: Service) -> list[Server]:
         """Return the servers of a service, those of this failure domain first."""
--- a/packages/primroselever-entry/src/primroselever_entry/requests/reading.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/reading.py
@@ -50,8 +50,7 @@
                     return Unknown(Reason.SERVER_LOST)
                 continue
             failures = 0
-            run.server.reported = reply.load.in_flight
-            run.server.leaving = reply.leaving
+            run.server.take_report(reply.load.in_flight, reply.leaving, clock.now())
             if reply.incarnation != run.incarnation:
                 return Unknown(Reason.SERVER_LOST)
             for run_slice in reply.slices:
--- a/packages/primroselever-entry/src/primroselever_entry/requests/starting.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/starting.py
@@ -85,8 +85,7 @@
         reply = self.agents.call(
             address_of(server), "start", start, timeout_s=self.progress_s
         )
-        server.reported = reply.load.in_flight
-        server.leaving = reply.leaving
+        server.take_report(reply.load.in_flight, reply.leaving, clock.now())
         self.take_epoch(server, reply.incarnation, reply.epoch)
         return reply
 
@@ -98,7 +97,7 @@
         said = self.agents.call(
             address_of(server), "heartbeat", self.heartbeat(), timeout_s=self.progress_s
         )
-        server.leaving = said.leaving
+        server.take_report(said.load.in_flight, said.leaving, clock.now())
         self.take_epoch(server, said.incarnation, said.epoch)
 
     def take_epoch(self, server: Server, incarnation: int, epoch: int | None) -> None:
