Make the property of not run hit short sequences

Cause: with the check of a started mark removed the property test still passed: its steps seldom met on one identifier. Ruled out: more examples; fewer identifiers do it. Change: one identifier an epoch, one step that ends and forgets a run. Before: mutant passed. After: mutant fails twice of two runs; 38 passed.

--- a/packages/primroselever-core/tests/runs/test_registry.py
+++ b/packages/primroselever-core/tests/runs/test_registry.py
@@ -112,37 +112,35 @@
 
 
 STEP = st.tuples(
-    st.sampled_from(("start", "resolve", "refuse", "end", "expire", "advance")),
-    st.sampled_from(("r1", "r2")),
-    st.integers(1, 4),
+    st.sampled_from(("start", "resolve", "refuse", "forget", "advance")),
+    st.integers(1, 2),
 )
 
 
-@given(st.lists(STEP, max_size=40))
-def test_not_run_is_true_and_at_most_once(steps: list[tuple[str, str, int]]) -> None:
+@given(st.lists(STEP, max_size=20))
+def test_not_run_is_true_and_at_most_once(steps: list[tuple[str, int]]) -> None:
     registry = RunRegistry(keep_s=0.0)
-    started: list[tuple[str, int]] = []
-    told_not_run: set[tuple[str, int]] = set()
-    for action, name, epoch in steps:
-        subject = (f"{name}-{epoch}", epoch)
+    started: list[RunId] = []
+    told_not_run: set[RunId] = set()
+    for action, epoch in steps:
+        run_id = RunId(f"r{epoch}")
         said: object = None
         if action == "start":
-            run = new_run(subject[0], deadline=1.0)
+            run = new_run(run_id, deadline=1.0)
             run.epoch = epoch
             said = registry.admit(run, now=0.0)
             if said is run:
-                started.append(subject)
+                started.append(run_id)
         elif action == "resolve":
-            said = registry.resolve(RunId(subject[0]), epoch)
+            said = registry.resolve(run_id, epoch)
         elif action == "refuse":
-            said = registry.refuse(RunId(subject[0]), epoch, NotRun(Reason.OVERLOADED))
-        elif action == "end" and (known := registry.runs.get(RunId(subject[0]))):
-            registry.end(known, RunState.DONE, None, now=0.0)
-        elif action == "expire":
+            said = registry.refuse(run_id, epoch, NotRun(Reason.OVERLOADED))
+        elif action == "forget" and run_id in registry.runs:
+            registry.end(registry.runs[run_id], RunState.DONE, None, now=0.0)
             registry.expire(now=0.0)
         elif action == "advance":
             registry.book.advance()
         if isinstance(said, NotRun):
-            told_not_run.add(subject)
+            told_not_run.add(run_id)
     assert len(started) == len(set(started))
     assert not told_not_run & set(started)
