--- a/packages/primroselever-agent/src/primroselever_agent/runs/handler.py
+++ b/packages/primroselever-agent/src/primroselever_agent/runs/handler.py
@@ -6,6 +6,7 @@
 
 from primroselever_core.identifiers import (
     Fingerprint,
+    Incarnation,
     RunId,
     ServiceName,
     WeightsDigest,
@@ -14,7 +15,7 @@
 from primroselever_core.outcomes import NotRun, Reason, Unknown
 from primroselever_core.runs.answer_buffer import AnswerBuffer
 from primroselever_core.runs.registry import Run, RunRegistry, RunState
-from primroselever_core.tickets.operation_ticket import OperationTicket
+from primroselever_core.runs.starting import StartState, resolve_run, start_run
 from primroselever_node import clock
 from primroselever_node.rpc.schema import schema
 
@@ -80,28 +81,27 @@
 
     def start(self, request: Any) -> Any:
         """Admit and start a run, or say what became of it."""
-        run_id, epoch = RunId(request.run_id), request.epoch or 0
-        if not request.idempotent or request.ticket:
-            ticket = self.tickets.check(request)
-            if not isinstance(ticket, OperationTicket):
-                return self.refuse(ticket)
-            run_id, epoch = ticket.run_id, ticket.epoch
-        elif request.incarnation != self.board.identity.incarnation:
-            return self.refuse(Unknown(Reason.SERVER_LOST))
-        known = self.registry.known(run_id, epoch)
-        if known is None:
+
+        def new_run(run_id: RunId, epoch: int) -> Run | NotRun:
             refusal = self.refusal(request)
             if refusal is not None:
-                return self.refuse(self.registry.refuse(run_id, epoch, refusal))
-            return self.admit(request, run_id, epoch)
-        if isinstance(known, Run):
-            return self.start_reply("accepted", run_id=run_id)
-        return self.refuse(known)
-
-    def admit(self, request: Any, run_id: RunId, epoch: int) -> Any:
-        """Start a run that is new here."""
+                return refusal
+            fresh.append(self.run_of(request, run_id, epoch))
+            return fresh[0]
+
+        fresh: list[Run] = []
+        start = self.tickets.read(request)
+        run = start_run(start, self.tickets.book, self.registry, new_run, clock.now())
+        if not isinstance(run, Run):
+            return self.refuse(run)
+        if fresh and run is fresh[0]:
+            self.runner.start(run, request.body, request.priority)
+        return self.start_reply(StartState.ACCEPTED, run_id=run.run_id)
+
+    def run_of(self, request: Any, run_id: RunId, epoch: int) -> Run:
+        """Return the record of a run that is new here."""
         transfers = self.board.transfers
-        run = Run(
+        return Run(
             run_id=run_id,
             service=ServiceName(request.service_name),
             workspace=WorkspaceName(request.workspace),
@@ -112,12 +112,6 @@
             weights_digest=(transfers and transfers.serving) or "",
             epoch=epoch,
         )
-        admitted = self.registry.admit(run, clock.now())
-        if not isinstance(admitted, Run):
-            return self.refuse(admitted)
-        if admitted is run:
-            self.runner.start(run, request.body, request.priority)
-        return self.start_reply("accepted", run_id=run.run_id)
 
     def refusal(self, request: Any) -> NotRun | None:
         """Return why a start is refused now, or None."""
@@ -132,7 +126,8 @@
 
     def refuse(self, refusal: NotRun | Unknown) -> Any:
         """Return the reply to a start that does not run now."""
-        state = "refused" if isinstance(refusal, NotRun) else "unknown"
+        refused = isinstance(refusal, NotRun)
+        state = StartState.REFUSED if refused else StartState.UNKNOWN
         return self.start_reply(
             state, refusal.reason, int((refusal.retry_after_s or 0) * 1000)
         )
@@ -173,7 +168,7 @@
         """Return the slice behind a cursor."""
         run = self.registry.runs.get(RunId(cursor.run_id))
         if run is None:
-            return self.slice_of(cursor.run_id, RunState.MISSING)
+            return self.slice_of(cursor.run_id, RunState.MISSING, offset=cursor.offset)
         return self.run_slice(run, cursor.offset)
 
     def run_slice(self, run: Run, offset: int) -> Any:
@@ -208,9 +203,13 @@
 
     def resolve(self, run_id: str, incarnation: int, epoch: int) -> Any:
         """Return a run's state; a run that never started never will."""
-        if incarnation != self.board.identity.incarnation:
-            return self.slice_of(run_id, RunState.MISSING)
-        found = self.registry.resolve(RunId(run_id), epoch)
+        found = resolve_run(
+            RunId(run_id),
+            Incarnation(incarnation),
+            epoch,
+            self.tickets.book,
+            self.registry,
+        )
         if isinstance(found, NotRun):
             return self.slice_of(run_id, RunState.NOT_RUN, found.reason)
         if isinstance(found, Unknown):
--- a/packages/primroselever-agent/src/primroselever_agent/runs/ticket_issuer.py
+++ b/packages/primroselever-agent/src/primroselever_agent/runs/ticket_issuer.py
@@ -4,14 +4,20 @@
 
 from typing import TYPE_CHECKING, Any
 
-from primroselever_core.identifiers import Fingerprint, ServiceName, WorkspaceName
-from primroselever_core.outcomes import NotRun, Reason, Unknown
+from primroselever_core.identifiers import (
+    Fingerprint,
+    Incarnation,
+    RunId,
+    ServiceName,
+    WorkspaceName,
+)
+from primroselever_core.outcomes import NotRun
 from primroselever_core.runs.fingerprint import fingerprint_of
+from primroselever_core.runs.starting import Start
 from primroselever_core.tickets.ticket_book import KeyScope
 from primroselever_node import clock
 
 if TYPE_CHECKING:
-    from primroselever_core.tickets.operation_ticket import OperationTicket
     from primroselever_core.tickets.signing import TicketSigner
     from primroselever_core.tickets.ticket_book import TicketBook
 
@@ -38,19 +44,21 @@
         ticket = self.book.issue(Fingerprint(request.fingerprint), scope)
         return ticket if isinstance(ticket, NotRun) else self.signer.sign(ticket)
 
-    def check(self, request: Any) -> OperationTicket | NotRun | Unknown:
-        """Return the ticket of a start, or why it starts nothing."""
-        if not request.ticket:
-            return NotRun(Reason.TICKET_REQUIRED)
-        ticket = self.signer.verify(request.ticket)
-        digest = fingerprint_of(
-            request.service_name, request.workspace, request.body or b""
+    def read(self, request: Any) -> Start:
+        """Return a start as it arrived, its ticket verified."""
+        fingerprint = Fingerprint(request.fingerprint)
+        needs_ticket = not request.idempotent
+        if needs_ticket:
+            body = request.body or b""
+            fingerprint = fingerprint_of(request.service_name, request.workspace, body)
+        return Start(
+            run_id=RunId(request.run_id),
+            incarnation=Incarnation(request.incarnation),
+            epoch=request.epoch or 0,
+            fingerprint=fingerprint,
+            needs_ticket=needs_ticket,
+            ticket=self.signer.verify(request.ticket) if needs_ticket else None,
         )
-        problem = self.book.check(ticket, digest)
-        if problem is not None:
-            return problem
-        assert ticket is not None
-        return ticket
 
     def step(self) -> None:
         """Move on to a new epoch when it is time, or when the marks are many."""
--- /dev/null
+++ b/packages/primroselever-core/src/primroselever_core/runs/starting.py
@@ -0,0 +1,110 @@
+"""Whether a start that arrives at an agent runs, and what is said of it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from ..outcomes import NotRun, Reason, Unknown
+from .registry import Run, RunState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..identifiers import Fingerprint, Incarnation, RunId
+    from ..tickets.operation_ticket import OperationTicket
+    from ..tickets.ticket_book import TicketBook
+    from .registry import RunRegistry
+
+
+class StartState(StrEnum):
+    """What an agent says to a start, as it is said on the wire."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    """
+    A start as it arrived.
+
+    ``needs_ticket`` is set for non-idempotent calls; ``ticket`` is None without
+    a ticket, and also when its signature is not good.
+    """
+
+    run_id: RunId
+    incarnation: Incarnation
+    epoch: int
+    fingerprint: Fingerprint
+    needs_ticket: bool = False
+    ticket: OperationTicket | None = None
+
+
+def start_run(
+    start: Start,
+    tickets: TicketBook,
+    registry: RunRegistry,
+    new_run: Callable[[RunId, int], Run | NotRun],
+    now: float,
+) -> Run | NotRun | Unknown:
+    """
+    Record a run that starts now, or return what became of it before.
+
+    ``new_run`` is called for a start that is new here; it returns the run to
+    record, or why it is refused, which is final for this identifier.
+    """
+    if start.needs_ticket:
+        problem = tickets.check(start.ticket, start.fingerprint)
+        if problem is not None:
+            return problem
+        assert start.ticket is not None
+        run_id, epoch = start.ticket.run_id, start.ticket.epoch
+    elif start.incarnation != tickets.incarnation:
+        return Unknown(Reason.SERVER_LOST)
+    else:
+        run_id, epoch = start.run_id, start.epoch
+    known = registry.known(run_id, epoch)
+    if known is not None:
+        return known
+    run = new_run(run_id, epoch)
+    if isinstance(run, NotRun):
+        return registry.refuse(run_id, epoch, run)
+    return registry.admit(run, now)
+
+
+def resolve_run(
+    run_id: RunId,
+    incarnation: Incarnation,
+    epoch: int,
+    tickets: TicketBook,
+    registry: RunRegistry,
+) -> Run | NotRun | Unknown:
+    """Return what became of a run; one that never started here never will."""
+    if incarnation != tickets.incarnation:
+        return Unknown(Reason.SERVER_LOST)
+    return registry.resolve(run_id, epoch)
+
+
+def said_of_start(
+    state: str, reason: str, retry_after_s: float | None
+) -> NotRun | Unknown | None:
+    """Return the ending that a reply to a start tells, or None if it runs."""
+    if state == StartState.ACCEPTED:
+        return None
+    if state == StartState.REFUSED:
+        return NotRun(Reason(reason), retry_after_s)
+    return Unknown(Reason(reason), retry_after_s)
+
+
+def said_of_resolve(
+    state: str, reason: str, retry_after_s: float | None
+) -> NotRun | Unknown | None:
+    """Return the ending that a resolution tells, or None if the run is held."""
+    if state == RunState.NOT_RUN:
+        return NotRun(Reason(reason or Reason.TOMBSTONE), retry_after_s)
+    if state == RunState.MISSING:
+        return Unknown(Reason(reason or Reason.SERVER_LOST), retry_after_s)
+    return None
--- a/packages/primroselever-entry/src/primroselever_entry/requests/active_run.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/active_run.py
@@ -2,25 +2,20 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
-
-import xxhash
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from primroselever_core.identifiers import Incarnation, RunId
     from primroselever_core.routing.section import Server
+    from primroselever_core.runs.cursor import AnswerCursor
 
 
 @dataclass(slots=True)
 class ActiveRun:
     """A run that an agent accepted, and how much of its answer was passed on."""
 
-    run_id: RunId
+    cursor: AnswerCursor
     server: Server
-    incarnation: Incarnation
-    offset: int = 0
-    digest: Any = field(default_factory=xxhash.xxh3_128)
 
     @property
     def address(self) -> tuple[str, int]:
--- a/packages/primroselever-entry/src/primroselever_entry/requests/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/flow.py
@@ -85,7 +85,7 @@
                 break
             started = self.start_somewhere(request, service, passed_over)
             ending = yield from self.carry(request, started)
-            passed_on = isinstance(started, ActiveRun) and started.offset > 0
+            passed_on = isinstance(started, ActiveRun) and started.cursor.offset > 0
             if passed_on or isinstance(ending, Done):
                 return ending
             if isinstance(ending, Unknown):
--- a/packages/primroselever-entry/src/primroselever_entry/requests/reading.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/reading.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
-from primroselever_core.outcomes import Done, Ending, NotRun, Reason, Unknown
+from primroselever_core.outcomes import Ending, Reason, Unknown
 from primroselever_core.runs.registry import RunState
 from primroselever_node import clock
 from primroselever_node.rpc.client_pool import LostReplyError, NeverSentError
@@ -33,12 +33,13 @@
     ) -> Generator[bytes, None, Ending]:
         """Yield a run's answer as it comes; return its ending."""
         failures = 0
+        taken = run.cursor
         while True:
             remaining_ms = clock.remaining_ms(request.deadline)
             if remaining_ms == 0:
                 return self.give_up(run)
             wait_ms = min(int(self.progress_s * 500), remaining_ms)
-            cursor = schema.RunCursor(run_id=run.run_id, offset=run.offset)
+            cursor = schema.RunCursor(run_id=taken.run_id, offset=taken.offset)
             try:
                 reply = self.agents.call(
                     run.address, "read", [cursor], wait_ms, timeout_s=self.progress_s
@@ -52,36 +53,25 @@
             failures = 0
             run.server.reported = reply.load.in_flight
             run.server.leaving = reply.leaving
-            if reply.incarnation != run.incarnation:
+            if reply.incarnation != taken.incarnation:
                 return Unknown(Reason.SERVER_LOST)
-            for run_slice in reply.slices:
-                if run_slice.data:
-                    run.offset += len(run_slice.data)
-                    run.digest.update(run_slice.data)
-                    yield run_slice.data
-                if run_slice.state != RunState.RUNNING:
-                    return ending_of(run, run_slice)
+            for piece in reply.slices:
+                new = taken.take(
+                    piece.run_id, reply.incarnation, piece.offset, piece.data
+                )
+                if new:
+                    yield new
+                if new is not None and piece.state != RunState.RUNNING:
+                    return taken.ending(
+                        piece.state, piece.reason, piece.length, piece.digest
+                    )
 
     def give_up(self, run: ActiveRun) -> Ending:
         """Cancel a run whose caller's deadline has passed."""
         try:
             self.agents.call(
-                run.address, "cancel", run.run_id, timeout_s=self.progress_s
+                run.address, "cancel", run.cursor.run_id, timeout_s=self.progress_s
             )
         except (NeverSentError, LostReplyError):
             self.agents.forget(run.address)
         return Unknown(Reason.DEADLINE_PASSED)
-
-
-def ending_of(run: ActiveRun, last: Any) -> Ending:
-    """Return the ending; ``Done`` only for the whole answer, checked."""
-    if last.state == RunState.DONE:
-        whole = last.length == run.offset
-        if whole and last.digest == run.digest.hexdigest():
-            return Done(last.length, last.digest)
-        return Unknown(Reason.ANSWER_DAMAGED)
-    if last.state == RunState.NOT_RUN:
-        return NotRun(Reason(last.reason))
-    if last.state == RunState.MISSING:
-        return Unknown(Reason.ANSWER_GONE)
-    return Unknown(Reason(last.reason))
--- a/packages/primroselever-entry/src/primroselever_entry/requests/resolving.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/resolving.py
@@ -12,14 +12,15 @@
 
 from primroselever_core.outcomes import NotRun, Reason, Unknown
 from primroselever_core.routing.section import UNKNOWN_INCARNATION
-from primroselever_core.runs.registry import RunState
+from primroselever_core.runs.cursor import AnswerCursor
+from primroselever_core.runs.starting import said_of_resolve
 from primroselever_node import clock
 from primroselever_node.rpc.client_pool import LostReplyError, NeverSentError
 
 from .active_run import ActiveRun
 
 if TYPE_CHECKING:
-    from primroselever_core.identifiers import RunId
+    from primroselever_core.identifiers import Incarnation, RunId
     from primroselever_core.routing.section import Server
     from primroselever_node.rpc.client_pool import ClientPool
 
@@ -35,7 +36,7 @@
         self.progress_s = progress_s
 
     def resolve(
-        self, run_id: RunId, epoch: int, server: Server
+        self, run_id: RunId, incarnation: Incarnation, epoch: int, server: Server
     ) -> ActiveRun | NotRun | Unknown:
         """Find out what became of a start whose reply was lost."""
         address = (server.vm.address, server.vm.rpc_port)
@@ -45,17 +46,16 @@
                     address,
                     "resolve",
                     run_id,
-                    server.incarnation,
+                    incarnation,
                     epoch,
                     timeout_s=self.progress_s,
                 )
             except (NeverSentError, LostReplyError):
                 continue
-            if found.state == RunState.NOT_RUN:
-                return NotRun(Reason(found.reason), AVOID_S)
-            if found.state == RunState.MISSING:
-                break
-            return ActiveRun(run_id, server, server.incarnation)
+            ending = said_of_resolve(found.state, found.reason, AVOID_S)
+            if ending is not None:
+                return ending
+            return ActiveRun(AnswerCursor(run_id, incarnation), server)
         pass_over(server)
         return Unknown(Reason.SERVER_LOST, AVOID_S)
 
--- a/packages/primroselever-entry/src/primroselever_entry/requests/starting.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/starting.py
@@ -7,6 +7,8 @@
 from primroselever_core.identifiers import Incarnation, RunId
 from primroselever_core.outcomes import NotRun, Reason, Unknown
 from primroselever_core.routing.section import UNKNOWN_INCARNATION
+from primroselever_core.runs.cursor import AnswerCursor
+from primroselever_core.runs.starting import said_of_start
 from primroselever_node import clock
 from primroselever_node.rpc.client_pool import LostReplyError, NeverSentError
 from primroselever_node.rpc.schema import schema
@@ -52,7 +54,7 @@
             return pass_over(server)
         except LostReplyError:
             self.agents.forget(address_of(server))
-            return self.resolver.resolve(run_id, epoch, server)
+            return self.resolver.resolve(run_id, incarnation, epoch, server)
         return started(reply, server, incarnation)
 
     def start_ticket(
@@ -153,12 +155,11 @@
     reply: Any, server: Server, incarnation: Incarnation
 ) -> ActiveRun | NotRun | Unknown:
     """Return what a reply to a start says."""
-    if reply.state == "accepted":
-        return ActiveRun(RunId(reply.run_id), server, incarnation)
     retry_after_s = reply.retry_after_ms / 1000 or None
-    if reply.state == "refused":
-        return NotRun(Reason(reply.reason), retry_after_s)
-    return Unknown(Reason(reply.reason), retry_after_s)
+    ending = said_of_start(reply.state, reply.reason, retry_after_s)
+    if ending is not None:
+        return ending
+    return ActiveRun(AnswerCursor(RunId(reply.run_id), incarnation), server)
 
 
 def address_of(server: Server) -> tuple[str, int]:
