Give both binaries check, explain and status

Cause: only serve existed; a contradiction between settings showed at the first request or as a failed bind. Ruled out: one command class with a table of names; each command has its own arguments, and a class each keeps the handlers thin. Change: a base class for each command in primroselever_node/console, /explain on the admin port, readiness with its reason, ages in /status, annotated examples, findings for contradictions between settings (singledispatch by settings type). Before: two listens on one port, a missing key variable and an unknown log level were accepted. Conclusion: an operator sees all findings at once, before a start.

--- a/packages/primroselever-agent/src/primroselever_agent/__main__.py
+++ b/packages/primroselever-agent/src/primroselever_agent/__main__.py
@@ -12,7 +12,10 @@
 eventlet.monkey_patch()
 
 from primroselever_node.console.application import run_application
+from primroselever_node.console.status import StatusCommand
 
+from .commands.check import CheckCommand
+from .commands.explain import ExplainCommand
 from .commands.serve import ServeCommand
 
 DESCRIPTION = (
@@ -23,7 +26,8 @@
 
 def main() -> int:
     """Run the command line."""
-    return run_application("primroselever-agent", DESCRIPTION, [ServeCommand()])
+    commands = [ServeCommand(), CheckCommand(), ExplainCommand(), StatusCommand()]
+    return run_application("primroselever-agent", DESCRIPTION, commands)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/packages/primroselever-agent/src/primroselever_agent/commands/check.py
@@ -0,0 +1,13 @@
+"""The ``check`` command of the agent."""
+
+from __future__ import annotations
+
+from primroselever_node.console.check import BaseCheckCommand
+
+from ..settings import AgentSettings
+
+
+class CheckCommand(BaseCheckCommand):
+    """Check an agent's settings, and profiles."""
+
+    settings_model = AgentSettings
--- a/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
+++ b/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 import eventlet
@@ -14,11 +13,10 @@
 from primroselever_core.transfer.section import TransfersSection
 from primroselever_node import clock
 from primroselever_node.admin import AdminApplication
-from primroselever_node.console.command import EXIT_OK, Command
+from primroselever_node.console.command import EXIT_OK
+from primroselever_node.console.serve import BaseServeCommand
 from primroselever_node.control import MembersController, ProfilesController
 from primroselever_node.http import HttpServer
-from primroselever_node.logs import set_up_logging
-from primroselever_node.metrics import set_up_metrics
 from primroselever_node.platform.configuration_service import ConfigurationService
 from primroselever_node.platform.vm_list_service import VmListService
 from primroselever_node.platform.weight_source import WeightSource
@@ -31,18 +29,19 @@
 from primroselever_node.rpc.client_pool import ClientPool
 from primroselever_node.rpc.schema import schema
 from primroselever_node.rpc.server import RpcServer
-from primroselever_node.settings.load import load_settings
+from primroselever_node.status import common_status
 
 from ..engine.engine_client import EngineClient
 from ..engine.plain_client import PlainClient
 from ..runs.handler import AgentHandler
 from ..runs.runner import Runner
 from ..settings import AgentSettings
+from ..transfer.explain import ChunkExplainer
 from ..transfer.rollout import RolloutController
 from ..transfer.serving import ChunkServing
 
 if TYPE_CHECKING:
-    from argparse import ArgumentParser, Namespace
+    from primroselever_node.settings.model import NodeSettings
 
 KEEP_RUN_S = 60.0
 KEEP_TOMBSTONE_S = 600.0
@@ -51,22 +50,16 @@
 logger = logging.getLogger(__name__)
 
 
-class ServeCommand(Command):
+class ServeCommand(BaseServeCommand):
     """Run an agent."""
 
-    name = "serve"
-    help = "run the agent until it is told to stop"
     description = "Run the agent. SIGTERM stops it once its runs have ended."
+    binary = "primroselever-agent"
+    settings_model = AgentSettings
 
-    def configure(self, parser: ArgumentParser) -> None:
-        """Add the path of the settings."""
-        parser.add_argument("settings", type=Path, help="settings, JSON with comments")
-
-    def handle(self, arguments: Namespace) -> int:
+    def serve(self, settings: NodeSettings) -> int:
         """Run until SIGTERM."""
-        settings = load_settings(arguments.settings, AgentSettings)
-        set_up_logging(settings.vm_id, settings.log_level)
-        set_up_metrics("primroselever-agent", settings.vm_id)
+        assert isinstance(settings, AgentSettings)
         return AgentProcess(settings).run()
 
 
@@ -96,8 +89,10 @@
         self.rpc = RpcServer(
             schema.Agent, self.handler, settings.rpc.host, settings.rpc.port
         )
+        group = GroupName(settings.group)
+        explainer = ChunkExplainer(self.board, self.section, group)
         self.admin = HttpServer(
-            AdminApplication(self.ready, self.status),
+            AdminApplication(self.not_ready, self.status, explainer.explain),
             settings.admin.host,
             settings.admin.port,
         )
@@ -139,25 +134,23 @@
             )
             run_controller(rollout.step, 0.1)
 
-    def ready(self) -> bool:
-        """Return whether new work may come."""
-        serving = not self.needs_weights or self.section.serving is not None
-        return serving and not self.board.leaving
+    def not_ready(self) -> str | None:
+        """Return why no new work may come, or None."""
+        if self.board.leaving:
+            return "leaving"
+        if self.needs_weights and self.section.serving is None:
+            return "no weights yet, or a switch is going on"
+        return None
 
     def status(self) -> dict[str, Any]:
         """Return what this agent knows."""
         wanted = self.section.wanted
         missing = self.section.store.missing(wanted) if wanted else []
         return {
-            "vm_id": self.settings.vm_id,
-            "incarnation": self.board.identity.incarnation,
-            "leaving": self.board.leaving,
-            "revision": self.board.profiles.revision.number,
-            "refused_revision": self.board.profiles.refused_revision.number,
+            **common_status(self.board),
             "serving": self.section.serving,
             "wanted": wanted.version if wanted else None,
             "chunks_missing": len(missing),
             "bytes_by_source": self.section.bytes_by_source,
             "in_flight": self.registry.in_flight(),
-            "vms": len(self.board.members.vms),
         }
--- /dev/null
+++ b/packages/primroselever-entry/src/primroselever_entry/commands/check.py
@@ -0,0 +1,13 @@
+"""The ``check`` command of the entry."""
+
+from __future__ import annotations
+
+from primroselever_node.console.check import BaseCheckCommand
+
+from ..settings import EntrySettings
+
+
+class CheckCommand(BaseCheckCommand):
+    """Check an entry's settings, and profiles."""
+
+    settings_model = EntrySettings
--- a/packages/primroselever-entry/src/primroselever_entry/commands/serve.py
+++ b/packages/primroselever-entry/src/primroselever_entry/commands/serve.py
@@ -3,17 +3,15 @@
 from __future__ import annotations
 
 import logging
-from pathlib import Path
 from random import Random
 from typing import TYPE_CHECKING, Any
 
 from primroselever_node import clock
 from primroselever_node.admin import AdminApplication
-from primroselever_node.console.command import EXIT_OK, Command
+from primroselever_node.console.command import EXIT_OK
+from primroselever_node.console.serve import BaseServeCommand
 from primroselever_node.control import MembersController, ProfilesController
 from primroselever_node.http import HttpServer
-from primroselever_node.logs import set_up_logging
-from primroselever_node.metrics import set_up_metrics
 from primroselever_node.platform.configuration_service import ConfigurationService
 from primroselever_node.platform.vm_list_service import VmListService
 from primroselever_node.process import (
@@ -24,34 +22,29 @@
 )
 from primroselever_node.rpc.client_pool import ClientPool
 from primroselever_node.rpc.schema import schema
-from primroselever_node.settings.load import load_settings
+from primroselever_node.status import common_status
 
 from ..requests.application import CallerApplication
+from ..requests.explain import RouteExplainer
 from ..requests.flow import RequestFlow
 from ..settings import EntrySettings
 
 if TYPE_CHECKING:
-    from argparse import ArgumentParser, Namespace
+    from primroselever_node.settings.model import NodeSettings
 
 logger = logging.getLogger(__name__)
 
 
-class ServeCommand(Command):
+class ServeCommand(BaseServeCommand):
     """Run an entry."""
 
-    name = "serve"
-    help = "run the entry until it is told to stop"
     description = "Run the entry. SIGTERM stops it once its requests have ended."
+    binary = "primroselever-entry"
+    settings_model = EntrySettings
 
-    def configure(self, parser: ArgumentParser) -> None:
-        """Add the path of the settings."""
-        parser.add_argument("settings", type=Path, help="settings, JSON with comments")
-
-    def handle(self, arguments: Namespace) -> int:
+    def serve(self, settings: NodeSettings) -> int:
         """Run until SIGTERM."""
-        settings = load_settings(arguments.settings, EntrySettings)
-        set_up_logging(settings.vm_id, settings.log_level)
-        set_up_metrics("primroselever-entry", settings.vm_id)
+        assert isinstance(settings, EntrySettings)
         return EntryProcess(settings).run()
 
 
@@ -70,7 +63,11 @@
             settings.http.port,
         )
         self.admin = HttpServer(
-            AdminApplication(self.ready, self.status),
+            AdminApplication(
+                self.not_ready,
+                self.status,
+                RouteExplainer(self.board, self.flow).explain,
+            ),
             settings.admin.host,
             settings.admin.port,
         )
@@ -94,19 +91,16 @@
         logger.info("stopped", extra={"drained": drained})
         return EXIT_OK
 
-    def ready(self) -> bool:
-        """Return whether new requests may come."""
-        known = self.board.profiles.accepted is not None
-        return known and bool(self.board.members.vms) and not self.board.leaving
+    def not_ready(self) -> str | None:
+        """Return why no new requests may come, or None."""
+        if self.board.leaving:
+            return "leaving"
+        if self.board.profiles.accepted is None:
+            return "no profiles yet"
+        if not self.board.members.vms:
+            return "no VM list yet"
+        return None
 
     def status(self) -> dict[str, Any]:
         """Return what this entry knows."""
-        return {
-            "vm_id": self.settings.vm_id,
-            "incarnation": self.board.identity.incarnation,
-            "leaving": self.board.leaving,
-            "revision": self.board.profiles.revision.number,
-            "refused_revision": self.board.profiles.refused_revision.number,
-            "in_flight": self.flow.in_flight,
-            "vms": len(self.board.members.vms),
-        }
+        return {**common_status(self.board), "in_flight": self.flow.in_flight}
--- a/packages/primroselever-entry/src/primroselever_entry/settings.py
+++ b/packages/primroselever-entry/src/primroselever_entry/settings.py
@@ -2,10 +2,20 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from pydantic import Field
 
+from primroselever_core.findings import Finding
+from primroselever_node.settings.contradictions import (
+    contradictions,
+    node_contradictions,
+)
 from primroselever_node.settings.model import Listen, NodeSettings
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Mapping
+
 
 class EntrySettings(NodeSettings):
     """
@@ -13,6 +23,8 @@
 
     ``progress_s`` is how long an agent may stay silent before its connection is
     given up, in seconds; ``body_limit_bytes`` bounds a caller's request.
+    ``turn_away_s`` is how long a leaving entry still serves new requests, in
+    seconds, until the balancer sends it none.
     """
 
     http: Listen
@@ -20,3 +32,16 @@
     body_limit_bytes: int = Field(default=1 << 20, ge=1)
     default_deadline_s: float = Field(default=30.0, gt=0)
     max_deadline_s: float = Field(default=600.0, gt=0)
+    turn_away_s: float = Field(default=5.0, ge=0)
+
+
+@contradictions.register(EntrySettings)
+def _(settings: EntrySettings, environ: Mapping[str, str]) -> Iterator[Finding]:
+    """Yield what is wrong with an entry's settings."""
+    yield from node_contradictions(settings, environ)
+    if settings.default_deadline_s > settings.max_deadline_s:
+        problem = f"the default is above max_deadline_s, {settings.max_deadline_s:g} s"
+        yield Finding("default_deadline_s", problem, "lower it, or raise the maximum")
+    if settings.turn_away_s >= settings.shutdown_s:
+        problem = f"it is not below shutdown_s, {settings.shutdown_s:g} s"
+        yield Finding("turn_away_s", problem, "leave time for runs in progress to end")
--- /dev/null
+++ b/packages/primroselever-node/src/primroselever_node/console/admin_client.py
@@ -0,0 +1,49 @@
+"""Asking the admin port of a running process."""
+
+from __future__ import annotations
+
+import argparse
+import json
+from typing import Any
+from urllib.parse import urlencode
+
+import urllib3
+
+from ..exceptions import AdminError
+
+TIMEOUT_S = 3.0
+MAX_PORT = 65535
+
+
+def admin_address(text: str) -> tuple[str, int]:
+    """
+    Return the host and port that an argument names.
+
+        >>> admin_address("10.0.0.7:9101")
+        ('10.0.0.7', 9101)
+    """
+    host, _, port = text.removeprefix("http://").rstrip("/").rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
+        raise argparse.ArgumentTypeError(f"{text!r} is not of the form HOST:PORT")
+    return host, int(port)
+
+
+def ask(address: tuple[str, int], path: str, query: dict[str, str]) -> Any:
+    """Return the JSON behind a path, or raise ``AdminError`` with the remedy."""
+    host, port = address
+    url = f"http://{host}:{port}{path}"
+    if query:
+        url += f"?{urlencode(query)}"
+    try:
+        reply = urllib3.request("GET", url, timeout=TIMEOUT_S, retries=False)
+    except urllib3.exceptions.HTTPError as exc:
+        message = f"nobody answers at {host}:{port}; is it the admin port, and open?"
+        raise AdminError(message) from exc
+    if reply.status != 200:
+        text = reply.data.decode("utf-8", "replace").strip()
+        raise AdminError(f"{host}:{port} answered {reply.status}: {text}")
+    try:
+        return json.loads(reply.data)
+    except ValueError as exc:
+        message = f"{host}:{port} gave no JSON; is it the admin port?"
+        raise AdminError(message) from exc
--- /dev/null
+++ b/packages/primroselever-node/src/primroselever_node/console/check.py
@@ -0,0 +1,77 @@
+"""The ``check`` command: every finding in settings and profiles, together."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from typing import TYPE_CHECKING, ClassVar
+
+from primroselever_core.exceptions import FindingsError
+from primroselever_core.findings import Finding
+from primroselever_core.profiles.parse import parse_profiles
+
+from ..settings.load import load_settings, read_text
+from .command import EXIT_OK, Command
+
+if TYPE_CHECKING:
+    from argparse import ArgumentParser, Namespace
+    from collections.abc import Callable
+
+    from ..settings.model import NodeSettings
+
+
+class BaseCheckCommand(Command):
+    """Check files without starting anything."""
+
+    name = "check"
+    help = "check settings and profiles without starting anything"
+    description = (
+        "Check a settings file and, with --profiles, a file of profiles before it "
+        "is published. Every finding is printed, sorted, with the file, the path "
+        "in the file, the problem and a remedy. The exit code is 2 if there is "
+        "any finding and 0 if there is none."
+    )
+    settings_model: ClassVar[type[NodeSettings]]
+
+    def configure(self, parser: ArgumentParser) -> None:
+        """Add the files to check."""
+        parser.add_argument(
+            "settings", type=Path, nargs="?", help="settings, JSON with comments"
+        )
+        parser.add_argument(
+            "--profiles", type=Path, metavar="FILE", help="profiles to be published"
+        )
+
+    def handle(self, arguments: Namespace) -> int:
+        """Collect the findings of all files; raise them together."""
+        settings, profiles = arguments.settings, arguments.profiles
+        findings: list[Finding] = []
+        if settings is None and profiles is None:
+            remedy = "name a settings file, --profiles FILE, or both"
+            findings.append(Finding("command line", "nothing to check", remedy))
+        if settings is not None:
+            findings += found(lambda: self.check_settings(settings))
+        if profiles is not None:
+            findings += found(lambda: check_profiles(profiles))
+        if findings:
+            raise FindingsError(findings)
+        print("no findings")
+        return EXIT_OK
+
+    def check_settings(self, path: Path) -> None:
+        """Raise ``FindingsError`` with what is wrong in a settings file."""
+        load_settings(path, self.settings_model, os.environ)
+
+
+def check_profiles(path: Path) -> None:
+    """Raise ``FindingsError`` with what is wrong in a file of profiles."""
+    parse_profiles(read_text(path), str(path))
+
+
+def found(check: Callable[[], None]) -> list[Finding]:
+    """Return the findings that a check raises."""
+    try:
+        check()
+    except FindingsError as exc:
+        return exc.findings
+    return []
--- /dev/null
+++ b/packages/primroselever-node/src/primroselever_node/console/serve.py
@@ -0,0 +1,40 @@
+"""The ``serve`` command that both binaries derive theirs from."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING, ClassVar
+
+from ..logs import set_up_logging
+from ..metrics import set_up_metrics
+from ..settings.load import load_settings
+from .command import Command
+
+if TYPE_CHECKING:
+    from argparse import ArgumentParser, Namespace
+
+    from ..settings.model import NodeSettings
+
+
+class BaseServeCommand(Command):
+    """Read the settings, set up logs and metrics, run the process."""
+
+    name = "serve"
+    help = "run the process until it is told to stop"
+    binary: ClassVar[str]
+    settings_model: ClassVar[type[NodeSettings]]
+
+    def configure(self, parser: ArgumentParser) -> None:
+        """Add the path of the settings."""
+        parser.add_argument("settings", type=Path, help="settings, JSON with comments")
+
+    def handle(self, arguments: Namespace) -> int:
+        """Run until SIGTERM; return the exit code."""
+        settings = load_settings(arguments.settings, self.settings_model)
+        set_up_logging(settings.vm_id, settings.log_level)
+        set_up_metrics(self.binary, settings.vm_id)
+        return self.serve(settings)
+
+    def serve(self, settings: NodeSettings) -> int:
+        """Run the process with its settings and return the exit code."""
+        raise NotImplementedError
--- a/packages/primroselever-node/src/primroselever_node/exceptions.py
+++ b/packages/primroselever-node/src/primroselever_node/exceptions.py
@@ -11,3 +11,11 @@
 
 class WeightSourceError(PrimroseleverError):
     """A chunk or a manifest could not be read from the store or the origin."""
+
+
+class AdminError(PrimroseleverError):
+    """The admin port of a running process gave no answer."""
+
+
+class ExplainError(PrimroseleverError):
+    """A question to /explain has no answer; the message says what to ask."""
--- a/packages/primroselever-node/src/primroselever_node/settings/load.py
+++ b/packages/primroselever-node/src/primroselever_node/settings/load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from typing import TYPE_CHECKING, TypeVar
 
 import jsonc
@@ -11,27 +12,43 @@
 from primroselever_core.findings import Finding
 from primroselever_core.profiles.parse import findings_of
 
+from .contradictions import contradictions
 from .model import NodeSettings
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
     from pathlib import Path
 
 Model = TypeVar("Model", bound=NodeSettings)
 
 
-def load_settings(path: Path, model: type[Model]) -> Model:
+def load_settings(
+    path: Path, model: type[Model], environ: Mapping[str, str] = os.environ
+) -> Model:
     """Return the settings in a file, or raise ``FindingsError`` with them all."""
     place = str(path)
     try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as exc:
-        finding = Finding(place, f"cannot be read: {exc}", "name a readable file")
-        raise FindingsError([finding]) from exc
-    try:
-        data = jsonc.loads(text)
+        data = jsonc.loads(read_text(path))
     except ValueError as exc:
         raise FindingsError([Finding(place, str(exc), "mend the JSON")]) from exc
     try:
-        return model.model_validate(data)
+        settings = model.model_validate(data)
     except ValidationError as exc:
         raise FindingsError(list(findings_of(exc, place))) from exc
+    findings = [
+        Finding(f"{place}: {found.place}", found.problem, found.remedy)
+        for found in contradictions(settings, environ)
+    ]
+    if findings:
+        raise FindingsError(findings)
+    return settings
+
+
+def read_text(path: Path) -> str:
+    """Return the text of a file, or raise ``FindingsError``."""
+    try:
+        return path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        problem = f"cannot be read: {exc}"
+        finding = Finding(str(path), problem, "name a readable file in UTF-8")
+        raise FindingsError([finding]) from exc
