Let a planned stop cut off nothing

Cause: an entry refused new requests as soon as it was told to stop, while the balancer still sent them, and ended before last records were written out; an agent slept one second for its answers to be read, whether they were or not. Ruled out: closing the listening socket first (connections refused), refusing at once (docs/decisions/shutdown.md). Change: entries serve on for turn_away_s with readiness off, then answer not_run until all answers are written; agents wait until the ends of all runs were told; a second signal ends at once; exit code 1 when the deadline came first.

--- a/bench/launcher.py
+++ b/bench/launcher.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -105,11 +106,26 @@
                 env={**os.environ, TICKET_KEY_VARIABLE: "bench-only-key"},
             )
 
+    def signal_vm(self, name: str, number: int = signal.SIGTERM) -> None:
+        """Send a signal to a process that this launcher started."""
+        self.processes[name].send_signal(number)
+
+    def wait_vm(self, name: str) -> int:
+        """Wait for the end of a process and return its exit code."""
+        return self.processes.pop(name).wait(STOP_S * 3)
+
     def stop_vm(self, name: str, number: int = signal.SIGTERM) -> int:
         """Send a signal to a process, wait for its end, return its exit code."""
-        process = self.processes.pop(name)
-        process.send_signal(number)
-        return process.wait(STOP_S * 3)
+        self.signal_vm(name, number)
+        return self.wait_vm(name)
+
+    def runs_by_body(self) -> Counter[str]:
+        """Return how often each body was run by any engine or plain service."""
+        ran: Counter[str] = Counter()
+        for vm in self.layout.agents():
+            counters = self.get(vm.backend_port, "/control")
+            ran.update(counters.get("bodies") or counters.get("calls") or {})
+        return ran
 
     def stop_all(self) -> None:
         """Stop every process that this launcher started."""
--- a/bench/layout.py
+++ b/bench/layout.py
@@ -8,6 +8,7 @@
 
 HOST = "127.0.0.1"
 TICKET_KEY_VARIABLE = "PRIMROSELEVER_TICKET_KEY"
+TURN_AWAY_S = 0.5
 
 
 def free_ports(count: int) -> list[int]:
@@ -89,6 +90,7 @@
         }
         if vm.role == "entry":
             settings["http"] = {"host": HOST, "port": vm.http_port}
+            settings["turn_away_s"] = TURN_AWAY_S
         else:
             settings["group"] = vm.group
             settings["backend"] = {
--- a/bench/standins/engine.py
+++ b/bench/standins/engine.py
@@ -4,6 +4,7 @@
 
 import json
 import re
+from collections import Counter
 from typing import TYPE_CHECKING, Any
 
 import eventlet
@@ -39,12 +40,18 @@
         self.handed: dict[str, dict[int, str]] = {}
         self.in_flight = 0
         self.runs: dict[str, int] = {}
+        self.bodies: Counter[str] = Counter()
         self.cancelled: set[str] = set()
         self.orders: list[dict[str, Any]] = []
 
     def counters(self) -> dict[str, Any]:
         """Return the runs by identifier, and the orders."""
-        return {"runs": self.runs, "orders": self.orders, "digest": self.digest}
+        return {
+            "runs": self.runs,
+            "bodies": self.bodies,
+            "orders": self.orders,
+            "digest": self.digest,
+        }
 
     def answer(self, request: Request) -> Reply:
         """Answer the engine's protocol."""
@@ -87,11 +94,13 @@
             return json_reply({"problem": "no weights"}, "503 Service Unavailable")
         run_id = fields["run_id"]
         self.runs[run_id] = self.runs.get(run_id, 0) + 1
+        self.bodies[fields["body"]] += 1
         return Reply(body=self.tokens(run_id, fields["body"]))
 
     def tokens(self, run_id: str, body: str) -> Iterator[bytes]:
         """Yield the records of an answer, with the digest at both ends."""
         self.in_flight += 1
+        mark = xxhash.xxh3_64_hexdigest(body.encode())[:8]
         try:
             yield record({"start": {"digest": self.digest}})
             eventlet.sleep(self.faults["first_token_s"])
@@ -99,7 +108,7 @@
             for number in range(count):
                 if run_id in self.cancelled:
                     return
-                yield record({"text": f"{self.digest[:8]}:{number} "})
+                yield record({"text": f"{self.digest[:8]}:{mark}:{number} "})
                 eventlet.sleep(self.faults["token_s"])
             yield record({"end": {"digest": self.digest, "tokens": count}})
         finally:
--- a/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
+++ b/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 from typing import TYPE_CHECKING, Any
 
 import eventlet
@@ -13,7 +12,6 @@
 from primroselever_core.transfer.section import TransfersSection
 from primroselever_node import clock
 from primroselever_node.admin import AdminApplication
-from primroselever_node.console.command import EXIT_OK
 from primroselever_node.console.serve import BaseServeCommand
 from primroselever_node.control import MembersController, ProfilesController
 from primroselever_node.http import HttpServer
@@ -23,6 +21,7 @@
 from primroselever_node.process import (
     ShutdownSignal,
     drain,
+    exit_code,
     new_board,
     run_controller,
 )
@@ -45,9 +44,8 @@
 
 KEEP_RUN_S = 60.0
 KEEP_TOMBSTONE_S = 600.0
-READ_OUT_S = 1.0
-
-logger = logging.getLogger(__name__)
+READ_OUT_S = 5.0
+LAST_REPLY_S = 0.2
 
 
 class ServeCommand(BaseServeCommand):
@@ -104,12 +102,21 @@
         self.admin.start()
         self.start_controllers()
         stop.wait()
-        self.board.leaving = True
+        return exit_code(self.shut_down())
+
+    def shut_down(self) -> bool:
+        """
+        Refuse new runs, let those in progress end and their answers be read.
+
+        An answer that nobody reads on, as after a caller's deadline, is waited for
+        only until ``READ_OUT_S`` has passed. Return whether all runs ended.
+        """
         deadline = clock.now() + self.settings.shutdown_s
+        self.board.leaving = True
         drained = drain(self.registry.in_flight, deadline)
-        eventlet.sleep(READ_OUT_S)
-        logger.info("stopped", extra={"drained": drained})
-        return EXIT_OK
+        drain(self.registry.unread, min(deadline, clock.now() + READ_OUT_S))
+        eventlet.sleep(LAST_REPLY_S)
+        return drained
 
     def start_controllers(self) -> None:
         """Start the controllers, each in a greenlet of its own."""
--- a/packages/primroselever-agent/src/primroselever_agent/runs/handler.py
+++ b/packages/primroselever-agent/src/primroselever_agent/runs/handler.py
@@ -158,6 +158,7 @@
         data = run.answer.read(offset, MAX_SLICE_BYTES)
         whole = offset + len(data) == len(run.answer.data)
         state = run.state if whole else RunState.RUNNING
+        run.read_out = run.read_out or state is not RunState.RUNNING
         run_slice = self.slice_of(run.run_id, state, run.reason, offset, data)
         if state is RunState.DONE:
             run_slice.length = len(run.answer.data)
--- a/packages/primroselever-core/src/primroselever_core/runs/registry.py
+++ b/packages/primroselever-core/src/primroselever_core/runs/registry.py
@@ -35,7 +35,8 @@
     """
     One run; ``deadline`` is the caller's, ``kept_until`` that of the record.
 
-    ``reason`` says why a run is failed or not run.
+    ``reason`` says why a run is failed or not run; ``read_out`` that its end was
+    told to whoever reads the answer.
     """
 
     run_id: RunId
@@ -49,6 +50,7 @@
     reason: Reason | None = None
     kept_until: float | None = None
     weights_digest: str = ""
+    read_out: bool = False
 
 
 @dataclass(slots=True)
@@ -101,6 +103,13 @@
         """Return how many runs are running."""
         return sum(run.state is RunState.RUNNING for run in self.runs.values())
 
+    def unread(self) -> int:
+        """Return how many runs have ended without their end being told."""
+        return sum(
+            run.state is not RunState.RUNNING and not run.read_out
+            for run in self.runs.values()
+        )
+
     def expire(self, now: float) -> None:
         """Drop ended runs and tombstones whose deadline has passed."""
         for run_id, run in list(self.runs.items()):
--- a/packages/primroselever-core/tests/runs/test_registry.py
+++ b/packages/primroselever-core/tests/runs/test_registry.py
@@ -65,3 +65,15 @@
     assert registry.runs
     registry.expire(now=61.0)
     assert not registry.runs
+
+
+def test_an_ended_run_is_unread_until_its_end_was_told(registry: RunRegistry) -> None:
+    run = new_run()
+    registry.admit(run, 0.0)
+    assert registry.unread() == 0
+
+    registry.end(run, RunState.DONE, None, 1.0)
+    assert registry.unread() == 1
+
+    run.read_out = True
+    assert registry.unread() == 0
--- a/packages/primroselever-entry/src/primroselever_entry/commands/serve.py
+++ b/packages/primroselever-entry/src/primroselever_entry/commands/serve.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import logging
 from random import Random
 from typing import TYPE_CHECKING, Any
 
+import eventlet
+
 from primroselever_node import clock
 from primroselever_node.admin import AdminApplication
-from primroselever_node.console.command import EXIT_OK
 from primroselever_node.console.serve import BaseServeCommand
 from primroselever_node.control import MembersController, ProfilesController
 from primroselever_node.http import HttpServer
@@ -17,6 +17,7 @@
 from primroselever_node.process import (
     ShutdownSignal,
     drain,
+    exit_code,
     new_board,
     run_controller,
 )
@@ -32,8 +33,6 @@
 if TYPE_CHECKING:
     from primroselever_node.settings.model import NodeSettings
 
-logger = logging.getLogger(__name__)
-
 
 class ServeCommand(BaseServeCommand):
     """Run an entry."""
@@ -54,6 +53,7 @@
     def __init__(self, settings: EntrySettings) -> None:
         self.settings = settings
         self.board = new_board(settings)
+        self.turning_away = False
         self.flow = RequestFlow(
             self.board, ClientPool(schema.Agent), Random(), settings.progress_s
         )
@@ -85,15 +85,24 @@
         self.admin.start()
         self.http.start()
         stop.wait()
-        self.board.leaving = True
+        return exit_code(self.shut_down())
+
+    def shut_down(self) -> bool:
+        """
+        Let the balancer turn away, then end; return whether all was answered.
+
+        Until ``turn_away_s`` is over new requests are served as ever; after that
+        they are answered ``not_run``, for as long as the others take to end.
+        """
         deadline = clock.now() + self.settings.shutdown_s
-        drained = drain(lambda: self.flow.in_flight, deadline)
-        logger.info("stopped", extra={"drained": drained})
-        return EXIT_OK
+        self.turning_away = True
+        eventlet.sleep(self.settings.turn_away_s)
+        self.board.leaving = True
+        return drain(lambda: self.http.in_flight, deadline)
 
     def not_ready(self) -> str | None:
         """Return why no new requests may come, or None."""
-        if self.board.leaving:
+        if self.turning_away:
             return "leaving"
         if self.board.profiles.accepted is None:
             return "no profiles yet"
@@ -103,4 +112,8 @@
 
     def status(self) -> dict[str, Any]:
         """Return what this entry knows."""
-        return {**common_status(self.board), "in_flight": self.flow.in_flight}
+        return {
+            **common_status(self.board),
+            "leaving": self.turning_away,
+            "in_flight": self.flow.in_flight,
+        }
--- a/packages/primroselever-node/src/primroselever_node/process.py
+++ b/packages/primroselever-node/src/primroselever_node/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import os
 import secrets
 import signal
 from typing import TYPE_CHECKING, Any
@@ -14,6 +15,7 @@
 from primroselever_core.identifiers import FailureDomain, Incarnation, Region, VmId
 
 from . import clock
+from .console.command import EXIT_FAILED, EXIT_OK
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -58,15 +60,24 @@
 
 
 class ShutdownSignal:
-    """Turns the first SIGTERM or SIGINT into an event to wait for."""
+    """
+    Turns the first SIGTERM or SIGINT into an event to wait for.
+
+    The second one ends the process at once, for an operator who cannot wait.
+    """
 
     def __init__(self) -> None:
         self.event = Event()
+        self.count = 0
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self.on_signal)
 
-    def on_signal(self, _number: int, _frame: object) -> None:
+    def on_signal(self, number: int, _frame: object) -> None:
         """Wake the waiter from the hub, where it is safe to switch."""
+        self.count += 1
+        if self.count > 1:
+            logger.warning("signal %d came again: ending at once", number)
+            os._exit(EXIT_FAILED)
         eventlet.hubs.get_hub().schedule_call_global(0, self.wake)
 
     def wake(self) -> None:
@@ -86,3 +97,12 @@
             return False
         eventlet.sleep(DRAIN_POLL_S)
     return True
+
+
+def exit_code(drained: bool) -> int:
+    """Log how a graceful shutdown ended and return the exit code for it."""
+    if drained:
+        logger.info("stopped; all work in progress had ended")
+        return EXIT_OK
+    logger.error("stopped at the deadline, with work still in progress")
+    return EXIT_FAILED
