Show what is in force and how old it is as metrics

Cause: /metrics held nothing but the resource. Ruled out: counters kept beside the blackboard, which can disagree with it. Change: observable gauges that read the blackboard whenever they are asked. Before: 1 series on /metrics. Conclusion: a process that does not hear the platform shows it by an age.

--- a/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
+++ b/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 import eventlet
+from opentelemetry.metrics import get_meter
 
 from primroselever_core.identifiers import GroupName
 from primroselever_core.runs.registry import RunRegistry
@@ -15,6 +16,7 @@
 from primroselever_node.console.serve import BaseServeCommand
 from primroselever_node.control import MembersController, ProfilesController
 from primroselever_node.http import HttpServer
+from primroselever_node.metrics import observe_board
 from primroselever_node.platform.configuration_service import ConfigurationService
 from primroselever_node.platform.vm_list_service import VmListService
 from primroselever_node.platform.weight_source import WeightSource
@@ -98,6 +100,7 @@
     def run(self) -> int:
         """Serve until told to stop, then drain; return the exit code."""
         stop = ShutdownSignal()
+        observe_board(self.board, get_meter("primroselever.node"))
         self.rpc.start()
         self.admin.start()
         self.start_controllers()
--- a/packages/primroselever-entry/src/primroselever_entry/commands/serve.py
+++ b/packages/primroselever-entry/src/primroselever_entry/commands/serve.py
@@ -6,12 +6,14 @@
 from typing import TYPE_CHECKING, Any
 
 import eventlet
+from opentelemetry.metrics import get_meter
 
 from primroselever_node import clock
 from primroselever_node.admin import AdminApplication
 from primroselever_node.console.serve import BaseServeCommand
 from primroselever_node.control import MembersController, ProfilesController
 from primroselever_node.http import HttpServer
+from primroselever_node.metrics import observe_board
 from primroselever_node.platform.configuration_service import ConfigurationService
 from primroselever_node.platform.vm_list_service import VmListService
 from primroselever_node.process import (
@@ -75,6 +77,7 @@
     def run(self) -> int:
         """Serve until told to stop, then drain; return the exit code."""
         stop = ShutdownSignal()
+        observe_board(self.board, get_meter("primroselever.node"))
         platform = self.settings.platform
         profiles = ProfilesController(
             self.board, ConfigurationService(platform.configuration_service)
--- a/packages/primroselever-node/src/primroselever_node/metrics.py
+++ b/packages/primroselever-node/src/primroselever_node/metrics.py
@@ -2,12 +2,26 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from opentelemetry import metrics
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.resources import Resource
 from prometheus_client import REGISTRY, generate_latest
 
+from .status import age_s
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from opentelemetry.metrics import CallbackOptions, Meter
+
+    from primroselever_core.board import Blackboard
+
+    Read = Callable[[], float | None]
+
 
 def set_up_metrics(binary: str, vm_id: str) -> None:
     """Install the meter provider; call it once, before instruments are made."""
@@ -21,3 +35,64 @@
 def exposition() -> bytes:
     """Return all metrics in Prometheus' text form."""
     return generate_latest(REGISTRY)
+
+
+def gauge(meter: Meter, name: str, unit: str, description: str, read: Read) -> None:
+    """
+    Show what ``read`` returns whenever metrics are asked for.
+
+    None is shown as no value at all: an age of something never heard is unknown.
+    """
+
+    def observe(_options: CallbackOptions) -> list[Observation]:
+        value = read()
+        return [] if value is None else [Observation(value)]
+
+    meter.create_observable_gauge(name, [observe], unit, description)
+
+
+def observe_board(board: Blackboard, meter: Meter) -> None:
+    """Show what both processes know and how old it is."""
+    profiles, members = board.profiles, board.members
+    gauge(
+        meter,
+        "primroselever.profiles.revision",
+        "{revision}",
+        "The revision in force",
+        lambda: profiles.revision.number,
+    )
+    gauge(
+        meter,
+        "primroselever.profiles.refused_revision",
+        "{revision}",
+        "The highest revision that was refused as invalid",
+        lambda: profiles.refused_revision.number,
+    )
+    gauge(
+        meter,
+        "primroselever.profiles.age",
+        "s",
+        "Since the revision in force was accepted",
+        lambda: age_s(profiles.accepted_at),
+    )
+    gauge(
+        meter,
+        "primroselever.vm_list.age",
+        "s",
+        "Since the VM list was last heard",
+        lambda: age_s(members.listed_at),
+    )
+    gauge(
+        meter,
+        "primroselever.vm_list.vms",
+        "{vm}",
+        "VMs that are known",
+        lambda: len(members.vms),
+    )
+    gauge(
+        meter,
+        "primroselever.leaving",
+        "1",
+        "1 while the process takes no new work, else 0",
+        lambda: int(board.leaving),
+    )
