--- a/packages/primroselever-core/tests/runs/test_registry.py
+++ b/packages/primroselever-core/tests/runs/test_registry.py
@@ -144,3 +144,15 @@
             told_not_run.add(run_id)
     assert len(started) == len(set(started))
     assert not told_not_run & set(started)
+
+
+def test_an_ended_run_is_unread_until_its_end_was_told(registry: RunRegistry) -> None:
+    run = new_run()
+    registry.admit(run, 0.0)
+    assert registry.unread() == 0
+
+    registry.end(run, RunState.DONE, None, 1.0)
+    assert registry.unread() == 1
+
+    run.read_out = True
+    assert registry.unread() == 0
