Measure how profiles propagate and what control costs

Cause: nothing showed how fast a change is in force, or what control costs. Ruled out: polling each process for the moment of a change; it would cost more than what is measured. A process says how old its revision is instead. Change: an experiment with real processes, a section of /status on control, and a count of the bytes that the platform's answers cost. The control module is a package. The stand-in wakes its watches instead of letting them poll. Before: not measured.

--- /dev/null
+++ b/bench/experiments/propagation.py
@@ -0,0 +1,182 @@
+"""
+How fast a published revision is in force everywhere, and what control costs.
+
+Real processes, one entry to four agents, in three failure domains. A process
+says how old its revision is; with the time of publishing that gives the seconds
+until the revision was in force there.
+"""
+
+from __future__ import annotations
+
+import os
+import statistics
+import time
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from bench.launcher import Launcher
+from bench.layout import Layout, VmPlan, build_layout
+
+if TYPE_CHECKING:
+    import argparse
+
+DOMAINS = {"lag-a": "west", "abj-a": "west", "phc-a": "east"}
+AGENTS_PER_ENTRY = 4
+START_LIMIT_S = 70.0
+IN_FORCE_LIMIT_S = 20.0
+SETTLE_S = 6.0
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+READERS = 32
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Add the experiment's arguments."""
+    parser.add_argument("--processes", type=int, default=9)
+    parser.add_argument("--changes", type=int, default=5, help="published revisions")
+    parser.add_argument("--quiet-s", type=float, default=20.0, help="without changes")
+
+
+def run(arguments: argparse.Namespace) -> dict[str, Any]:
+    """Run a fleet, leave it alone for a while, then publish revisions."""
+    layout = layout_of(arguments.processes)
+    started = time.monotonic()
+    with Launcher(layout) as fleet, ThreadPoolExecutor(READERS) as readers:
+        probe = Probe(fleet, readers)
+        revision = fleet.publish(value(0))
+        probe.wait_in_force(revision, START_LIMIT_S)
+        start_s = time.monotonic() - started
+        start_calls = probe.service()
+        time.sleep(SETTLE_S)
+        cost = probe.cost_of(arguments.quiet_s)
+        in_force_s: list[float] = []
+        for change in range(1, arguments.changes + 1):
+            published_at = time.monotonic()
+            revision = fleet.publish(value(change))
+            probe.wait_in_force(revision, IN_FORCE_LIMIT_S)
+            in_force_s += probe.in_force_since(published_at)
+            time.sleep(1.0)
+        return {
+            "processes": len(layout.vms),
+            "start_s": round(start_s, 1),
+            "start_service_calls": start_calls["calls"],
+            "start_refused_calls": start_calls["refused"],
+            **cost,
+            "in_force_s": spread(in_force_s),
+            "changes": arguments.changes,
+        }
+
+
+def layout_of(processes: int) -> Layout:
+    """Return a fleet of about so many processes."""
+    per_domain = processes // len(DOMAINS)
+    entries = max(1, per_domain // (AGENTS_PER_ENTRY + 1))
+    return build_layout(DOMAINS, entries, {"portal": ("plain", per_domain - entries)})
+
+
+def value(change: int) -> dict[str, Any]:
+    """Return a published value that differs with each change."""
+    return {
+        "services": [{"name": "renewals", "group": "portal", "idempotent": False}],
+        "workspaces": [{"name": f"ministry-{change}"}],
+    }
+
+
+class Probe:
+    """Reads what the processes say and what the machine says of them."""
+
+    def __init__(self, fleet: Launcher, readers: ThreadPoolExecutor) -> None:
+        self.fleet = fleet
+        self.readers = readers
+
+    def control_of(self, vm: VmPlan) -> dict[str, Any] | None:
+        """Return what a process says of control, or None."""
+        status = self.fleet.get(vm.admin_port, "/status")
+        return status["control"] if status else None
+
+    def all_controls(self) -> list[dict[str, Any] | None]:
+        """Return what all processes say of control."""
+        return list(self.readers.map(self.control_of, self.fleet.layout.vms))
+
+    def service(self) -> dict[str, Any]:
+        """Return the counters of the configuration service."""
+        return dict(self.fleet.get(self.fleet.layout.configuration_port, "/control"))
+
+    def wait_in_force(self, revision: int, limit_s: float) -> None:
+        """Wait until all processes have a revision in force."""
+        waiting = set(range(len(self.fleet.layout.vms)))
+
+        def holds() -> bool:
+            indexes = sorted(waiting)
+            vms = [self.fleet.layout.vms[index] for index in indexes]
+            said = self.readers.map(self.control_of, vms)
+            for index, control in zip(indexes, said, strict=True):
+                if control and control["revision"] >= revision:
+                    waiting.discard(index)
+            time.sleep(0.2)
+            return not waiting
+
+        self.fleet.wait_for(holds, limit_s, f"revision {revision} in force")
+
+    def in_force_since(self, published_at: float) -> list[float]:
+        """Return after how many seconds each process had the newest revision."""
+        since = []
+        for vm in self.fleet.layout.vms:
+            control = self.control_of(vm)
+            if control is not None:
+                accepted_at = time.monotonic() - control["revision_age_s"]
+                since.append(max(0.0, accepted_at - published_at))
+        return since
+
+    def cost_of(self, seconds: float) -> dict[str, Any]:
+        """Return what control costs while nothing changes."""
+        before = self.readings()
+        calls = self.service()
+        started = time.monotonic()
+        time.sleep(seconds)
+        waiting = self.service()["waiting"]
+        after_calls = self.service()["calls"]
+        elapsed = time.monotonic() - started
+        after = self.readings()
+        pairs = list(zip(before, after, strict=True))
+        return {
+            "service_calls_per_s": round((after_calls - calls["calls"]) / elapsed, 2),
+            "service_waiting_calls": waiting,
+            "bytes_per_s": spread([(b[0] - a[0]) / elapsed for a, b in pairs]),
+            "cpu_share": spread([(b[1] - a[1]) / elapsed for a, b in pairs]),
+            "rss_mb": spread([b[2] for _, b in pairs]),
+        }
+
+    def readings(self) -> list[tuple[int, float, float]]:
+        """Return bytes, processor seconds and resident MB of each process."""
+        controls = self.all_controls()
+        readings = []
+        for vm, control in zip(self.fleet.layout.vms, controls, strict=True):
+            pid = self.fleet.processes[vm.vm_id].pid
+            sent = control["control_bytes"] if control else 0
+            readings.append((sent, processor_s(pid), resident_mb(pid)))
+        return readings
+
+
+def processor_s(pid: int) -> float:
+    """Return the processor seconds that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+def resident_mb(pid: int) -> float:
+    """Return the resident memory of a process in MB."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+def spread(values: list[float]) -> dict[str, float]:
+    """Return the median, the 95th percentile and the greatest value."""
+    ordered = sorted(values)
+    return {
+        "p50": round(statistics.median(ordered), 4),
+        "p95": round(ordered[int(0.95 * (len(ordered) - 1))], 4),
+        "max": round(ordered[-1], 4),
+    }
--- a/bench/standins/configuration_service.py
+++ b/bench/standins/configuration_service.py
@@ -5,31 +5,39 @@
 import time
 from typing import Any
 
-import eventlet
+from eventlet import Timeout
+from eventlet.event import Event
 
 from primroselever_core.budgets import TokenBucket
 
 from .base import Reply, Request, StandIn, json_reply, not_found
 
 CALLS_PER_S = 2000.0
-POLL_S = 0.01
 
 
 class ConfigurationService(StandIn):
     """
     Holds values; ``publish`` in a control request publishes a new one.
 
-    Faults: ``down``, and ``stale``: the revision at which it goes on answering.
+    Faults: ``down``; ``stale``: the revision at which it goes on answering; and
+    ``calls_per_s``: the call limit, above which it answers 429.
     """
 
     def __init__(self, **faults: Any) -> None:
-        super().__init__(**{"down": False, "stale": 0, **faults})
+        known = {"down": False, "stale": 0, "calls_per_s": CALLS_PER_S}
+        super().__init__(**{**known, **faults})
         self.values: dict[str, list[tuple[int, str]]] = {}
         self.revision = 0
         self.calls = 0
         self.waiting = 0
         self.refused = 0
-        self.bucket = TokenBucket.full(CALLS_PER_S, CALLS_PER_S, time.monotonic())
+        self.changed = Event()
+        self.limit_calls()
+
+    def limit_calls(self) -> None:
+        """Start a full budget of calls."""
+        rate = float(self.faults["calls_per_s"])
+        self.bucket = TokenBucket.full(rate, rate, time.monotonic())
 
     def counters(self) -> dict[str, Any]:
         """Return the calls so far, and how many wait now."""
@@ -47,6 +55,10 @@
             self.revision += 1
             self.values.setdefault(name, []).append((self.revision, text))
         self.faults.update(fields)
+        if "calls_per_s" in fields:
+            self.limit_calls()
+        self.changed.send()
+        self.changed = Event()
         return json_reply({"faults": self.faults, **self.counters()})
 
     def answer(self, request: Request) -> Reply:
@@ -80,9 +92,10 @@
                 found = self.current(name)
                 if found is not None and found[0] > after:
                     return value_reply(*found)
+                with Timeout(max(0.0, deadline - time.monotonic()), False):
+                    self.changed.wait()
                 if time.monotonic() >= deadline:
                     return Reply("204 No Content", [], [("Content-Length", "0")])
-                eventlet.sleep(POLL_S)
         finally:
             self.waiting -= 1
         return json_reply({"problem": "down"}, "503 Service Unavailable")
--- a/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
+++ b/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
@@ -15,7 +15,9 @@
 from primroselever_node import clock
 from primroselever_node.admin import AdminApplication
 from primroselever_node.console.command import EXIT_OK, Command
-from primroselever_node.control import MembersController, ProfilesController
+from primroselever_node.control.members import MembersController
+from primroselever_node.control.profiles import ProfilesController
+from primroselever_node.control.status import control_status
 from primroselever_node.http import HttpServer
 from primroselever_node.logs import set_up_logging
 from primroselever_node.metrics import set_up_metrics
@@ -160,4 +162,5 @@
             "bytes_by_source": self.section.bytes_by_source,
             "in_flight": self.registry.in_flight(),
             "vms": len(self.board.members.vms),
+            "control": control_status(self.board),
         }
--- a/packages/primroselever-entry/src/primroselever_entry/commands/serve.py
+++ b/packages/primroselever-entry/src/primroselever_entry/commands/serve.py
@@ -10,7 +10,9 @@
 from primroselever_node import clock
 from primroselever_node.admin import AdminApplication
 from primroselever_node.console.command import EXIT_OK, Command
-from primroselever_node.control import MembersController, ProfilesController
+from primroselever_node.control.members import MembersController
+from primroselever_node.control.profiles import ProfilesController
+from primroselever_node.control.status import control_status
 from primroselever_node.http import HttpServer
 from primroselever_node.logs import set_up_logging
 from primroselever_node.metrics import set_up_metrics
@@ -109,4 +111,5 @@
             "refused_revision": self.board.profiles.refused_revision.number,
             "in_flight": self.flow.in_flight,
             "vms": len(self.board.members.vms),
+            "control": control_status(self.board),
         }
--- a/packages/primroselever-node/src/primroselever_node/control.py
+++ b/packages/primroselever-node/src/primroselever_node/control/profiles.py
@@ -1,8 +1,4 @@
-"""
-Keeping the sections on profiles and members up to date.
-
-Each process reads the configuration service and the VM list itself.
-"""
+"""Keeping the section on profiles up to date."""
 
 from __future__ import annotations
 
@@ -13,15 +9,14 @@
 from primroselever_core.profiles.parse import parse_profiles
 from primroselever_core.profiles.revision import AcceptedProfiles, Revision
 
-from . import clock
-from .exceptions import PlatformError
-from .logs import log_decision
+from .. import clock
+from ..exceptions import PlatformError
+from ..logs import log_decision
 
 if TYPE_CHECKING:
     from primroselever_core.board import Blackboard
 
-    from .platform.configuration_service import ConfigurationService, PublishedValue
-    from .platform.vm_list_service import VmListService
+    from ..platform.configuration_service import ConfigurationService, PublishedValue
 
 PROFILES = "profiles"
 WATCH_S = 20.0
@@ -64,22 +59,3 @@
         section.accepted = AcceptedProfiles(revision, value.text, profiles)
         section.accepted_at = clock.now()
         log_decision("profiles", str(revision.number), "accepted", "newer and valid")
-
-
-class MembersController:
-    """Writes the section on members from the VM list."""
-
-    def __init__(self, board: Blackboard, service: VmListService) -> None:
-        self.board = board
-        self.service = service
-
-    def step(self) -> None:
-        """Read the list once; keep the last one when it is not to be had."""
-        try:
-            vms = self.service.read()
-        except PlatformError as exc:
-            logger.warning("the VM list cannot be read: %s", exc)
-            return
-        if vms:
-            self.board.members.vms = {vm.vm_id: vm for vm in vms}
-            self.board.members.listed_at = clock.now()
--- a/packages/primroselever-node/src/primroselever_node/platform/configuration_service.py
+++ b/packages/primroselever-node/src/primroselever_node/platform/configuration_service.py
@@ -6,6 +6,7 @@
 
 import urllib3
 
+from ..control.traffic import HTTP_OVERHEAD_BYTES, traffic
 from ..exceptions import PlatformError
 from .http_client import new_http_pool, timeout
 
@@ -50,6 +51,7 @@
             reply = self.http.request("GET", url, timeout=timeout(read_s))
         except urllib3.exceptions.HTTPError as exc:
             raise PlatformError(f"{url} does not answer: {exc}") from exc
+        traffic.add(len(reply.data), HTTP_OVERHEAD_BYTES)
         if reply.status in (204, 404):
             return None
         if reply.status != 200:
--- a/packages/primroselever-node/src/primroselever_node/platform/vm_list_service.py
+++ b/packages/primroselever-node/src/primroselever_node/platform/vm_list_service.py
@@ -8,6 +8,7 @@
 
 from primroselever_core.membership.vm_list import parse_vm_list
 
+from ..control.traffic import HTTP_OVERHEAD_BYTES, traffic
 from ..exceptions import PlatformError
 from .http_client import new_http_pool, timeout
 
@@ -31,6 +32,7 @@
             reply = self.http.request("GET", url, timeout=timeout(READ_TIMEOUT_S))
         except urllib3.exceptions.HTTPError as exc:
             raise PlatformError(f"{url} does not answer: {exc}") from exc
+        traffic.add(len(reply.data), HTTP_OVERHEAD_BYTES)
         if reply.status != 200:
             raise PlatformError(f"{url} answered {reply.status}")
         return parse_vm_list(reply.data.decode("utf-8", "replace"))
