--- a/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
+++ b/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
@@ -16,7 +16,9 @@
 from primroselever_node import clock
 from primroselever_node.admin import AdminApplication
 from primroselever_node.console.serve import BaseServeCommand
-from primroselever_node.control import MembersController, ProfilesController
+from primroselever_node.control.members import MembersController
+from primroselever_node.control.profiles import ProfilesController
+from primroselever_node.control.status import control_status
 from primroselever_node.http import HttpServer
 from primroselever_node.metrics import observe_board
 from primroselever_node.platform.configuration_service import ConfigurationService
@@ -173,4 +175,5 @@
             "chunks_missing": len(missing),
             "bytes_by_source": self.section.bytes_by_source,
             "in_flight": self.registry.in_flight(),
+            "control": control_status(self.board),
         }
