Measure a rollout's time and origin copies on paced links

Cause: time to N replicas and origin bytes were not measured. Ruled out: polling status pages during the run, which costs the agents time. The launcher may spread back ends over several processes. The weight source can corrupt, truncate, change some chunks, hold nothing or be down.

--- /dev/null
+++ b/bench/experiments/rollout.py
@@ -0,0 +1,91 @@
+"""Time to N replicas and origin bytes of one rollout to VMs that hold nothing."""
+
+from __future__ import annotations
+
+import sys
+import time
+from typing import TYPE_CHECKING, Any
+
+from ..launcher import Launcher
+from ..rollout_fleet import (
+    GROUP,
+    add_link_arguments,
+    baseline_s,
+    copies_by_source,
+    fleet_of,
+    links_of,
+    profiles,
+    rss_mb,
+    sent_copies,
+    serving_times,
+    source_faults,
+    wait_started,
+)
+
+if TYPE_CHECKING:
+    import argparse
+
+OBJECTIVES = ("time_to_replicas", "origin_bytes")
+LIMIT_IN_BOUNDS = 4
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Add the experiment's arguments."""
+    add_link_arguments(parser)
+    parser.add_argument("--objective", choices=OBJECTIVES, default=OBJECTIVES[0])
+    parser.add_argument("--no-baseline", action="store_true")
+
+
+def run(arguments: argparse.Namespace) -> dict[str, Any]:
+    """Run one rollout and return its figures."""
+    links = links_of(arguments)
+    copies = arguments.domains if arguments.objective == OBJECTIVES[0] else 1
+    bound = links.bound_s(copies)
+    layout = fleet_of(links, arguments.vms, arguments.domains)
+    agents = [vm.vm_id for vm in layout.agents()]
+    with Launcher(layout, source_faults(links), engines_per_process=40) as fleet:
+        started_s = wait_started(fleet)
+        print(f"{len(agents)} agents up in {started_s:.1f} s", file=sys.stderr)
+        since = time.time()
+        fleet.publish(profiles("1", objective=arguments.objective))
+        times = serving_times(fleet, "1", since, bound * LIMIT_IN_BOUNDS, set())
+        origin = sent_copies(fleet, layout.origin_port, links.length)
+        store = sent_copies(fleet, layout.store_port, links.length)
+        by_source = copies_by_source(fleet, links.length, set())
+        memory = rss_mb(fleet, agents)
+        everyone = sum(rss_mb(fleet, list(fleet.processes)))
+        baseline = None
+        if not arguments.no_baseline:
+            baseline = round(baseline_s(fleet, links, len(agents)), 1)
+    whole = len(times) == len(agents)
+    return {
+        "group": GROUP,
+        "vms": len(agents),
+        "domains": arguments.domains,
+        "objective": arguments.objective,
+        "version_mb": links.length / 1e6,
+        "chunk_kb": links.chunk_bytes / 1e3,
+        "vm_link_kb_per_s": links.vm_bytes_per_s / 1e3,
+        "served": len(times),
+        "time_to_n_s": {
+            "n/2": at(times, len(agents) / 2),
+            "0.95 n": at(times, 0.95 * len(agents)),
+            "n": at(times, len(agents)),
+        },
+        "bound_s": round(bound, 2),
+        "ratio_to_bound": round(times[-1] / bound, 3) if whole else None,
+        "origin_copies": origin,
+        "store_copies": store,
+        "cross_domain_copies": by_source["cross_domain"],
+        "copies_by_source": by_source,
+        "agent_rss_mb_max": round(max(memory), 1),
+        "all_rss_mb": round(everyone),
+        "baseline_time_s": baseline,
+        "start_s": round(started_s, 1),
+    }
+
+
+def at(times: list[float], count: float) -> float | None:
+    """Return when that many VMs served, or None when they never did."""
+    position = max(1, -int(-count // 1))
+    return round(times[position - 1], 2) if position <= len(times) else None
--- a/bench/launcher.py
+++ b/bench/launcher.py
@@ -37,10 +37,14 @@
     """
 
     def __init__(
-        self, layout: Layout, faults: dict[str, dict[str, Any]] | None = None
+        self,
+        layout: Layout,
+        faults: dict[str, dict[str, Any]] | None = None,
+        engines_per_process: int = 0,
     ) -> None:
         self.layout = layout
         self.faults = faults or {}
+        self.engines_per_process = engines_per_process
         self.directory = Path(tempfile.mkdtemp(prefix="primroselever-bench-"))
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.http = urllib3.PoolManager(retries=False, maxsize=32)
@@ -59,7 +63,7 @@
         self.stop_all()
 
     def start_standins(self) -> None:
-        """Start one process with all stand-ins."""
+        """Start the stand-ins: in one process, or the back ends in some more."""
         layout = self.layout
         vms = [vm.listed() for vm in layout.vms]
         plan = [
@@ -68,12 +72,26 @@
             self.standin("weight_source", layout.store_port, "weight_store"),
             self.standin("weight_source", layout.origin_port, "origin"),
         ]
-        for vm in layout.agents():
-            kind = "engine" if vm.backend_kind == "engine" else "plain_service"
-            plan.append(self.standin(kind, vm.backend_port))
-        self.start("standins", [sys.executable, "-m", "bench.standins"], plan)
+        backends = [
+            self.standin(
+                "engine" if vm.backend_kind == "engine" else "plain_service",
+                vm.backend_port,
+            )
+            for vm in layout.agents()
+        ]
+        size = self.engines_per_process
+        if size:
+            for start in range(0, len(backends), size):
+                self.start_plan(f"backends-{start}", backends[start : start + size])
+        else:
+            plan += backends
+        self.start_plan("standins", plan)
         self.wait_for(self.standins_answer, 15.0, "stand-ins")
 
+    def start_plan(self, name: str, plan: list[dict[str, Any]]) -> None:
+        """Start one process of stand-ins."""
+        self.start(name, [sys.executable, "-m", "bench.standins"], plan)
+
     def standin(
         self, kind: str, port: int, name: str = "", **more: Any
     ) -> dict[str, Any]:
@@ -84,7 +102,8 @@
     def standins_answer(self) -> bool:
         """Return whether the last stand-in of the plan answers."""
         last = self.layout.agents()[-1].backend_port
-        return self.get(last, "/control") is not None
+        ports = (last, self.layout.origin_port)
+        return all(self.get(port, "/control") is not None for port in ports)
 
     def start_vm(self, vm: VmPlan) -> None:
         """Start the process of one VM."""
--- a/bench/standins/weight_source.py
+++ b/bench/standins/weight_source.py
@@ -28,8 +28,11 @@
     """
     Serves any version that is asked for, its bytes made from its name.
 
-    Faults: ``length``, ``chunk_bytes``, ``bytes_per_s`` (0: no limit), and
-    ``salt``, which changes the content of all versions.
+    Faults: ``length``, ``chunk_bytes``, ``bytes_per_s`` (0: no limit), ``salt``,
+    which changes the content of all versions, ``salted_chunks``, which limits
+    that to the first ones, ``holds``: false for a source without any version,
+    ``corrupt`` and ``truncate``: how many of the next chunks are damaged, and
+    ``down``.
     """
 
     def __init__(self, **faults: Any) -> None:
@@ -38,6 +41,11 @@
             "chunk_bytes": 1 << 18,
             "bytes_per_s": 0,
             "salt": "",
+            "salted_chunks": 1 << 30,
+            "holds": True,
+            "corrupt": 0,
+            "truncate": 0,
+            "down": False,
         }
         super().__init__(**{**defaults, **faults})
         self.sent_bytes = 0
@@ -52,16 +60,28 @@
     def answer(self, request: Request) -> Reply:
         """Serve a manifest or a chunk."""
         match = PATH.match(request.path)
-        if match is None:
+        if self.faults["down"]:
+            return json_reply({"problem": "down"}, "503 Service Unavailable")
+        if match is None or not self.faults["holds"]:
             return not_found()
         name = f"{match['model']}/{match['adapter']}/{match['version']}"
         if match["index"] is None:
             return json_reply(self.manifest(match))
-        data = self.chunk(name, int(match["index"]))
+        data = self.damaged(self.chunk(name, int(match["index"])))
         self.chunks_read += 1
         headers = [("Content-Length", str(len(data)))]
         return Reply(body=self.paced(data), headers=headers)
 
+    def damaged(self, data: bytes) -> bytes:
+        """Return a chunk as the faults have it."""
+        if self.faults["corrupt"] > 0:
+            self.faults["corrupt"] -= 1
+            return bytes([data[0] ^ 1]) + data[1:]
+        if self.faults["truncate"] > 0:
+            self.faults["truncate"] -= 1
+            return data[: len(data) // 2]
+        return data
+
     def manifest(self, match: re.Match[str]) -> dict[str, Any]:
         """Return a version's manifest."""
         name = f"{match['model']}/{match['adapter']}/{match['version']}"
@@ -78,7 +98,8 @@
 
     def chunk(self, name: str, index: int) -> bytes:
         """Return the bytes of a chunk, the same each time."""
-        key = (f"{self.faults['salt']}{name}", index)
+        salt = self.faults["salt"] if index < self.faults["salted_chunks"] else ""
+        key = (f"{salt}{name}", index)
         if key not in self.made:
             size = min(
                 self.faults["chunk_bytes"],
