Wait for the wanted weights, not for any weights

Ruled out: lost byte counts at the origin; copies came out whole once waited for. Change: status says the wanted digest; the launcher compares it with the served.

--- a/bench/launcher.py
+++ b/bench/launcher.py
@@ -219,6 +219,13 @@
 
         def holds() -> bool:
             states = [self.get(vm.admin_port, "/status") for vm in agents]
-            return all(s and s["serving"] and s["wanted"] == version for s in states)
+            return all(serves(state, version) for state in states)
 
         return self.wait_for(holds, limit_s, f"{group} at {version}")
+
+
+def serves(status: dict[str, Any] | None, version: str) -> bool:
+    """Return whether an agent's status says that its engine has a version."""
+    if status is None or status["wanted"] != version:
+        return False
+    return bool(status["serving"] == status["wanted_digest"])
--- a/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
+++ b/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
@@ -172,6 +172,7 @@
             **common_status(self.board),
             "serving": self.section.serving,
             "wanted": wanted.version if wanted else None,
+            "wanted_digest": wanted.digest if wanted else None,
             "chunks_missing": len(missing),
             "bytes_by_source": self.section.bytes_by_source,
             "in_flight": self.registry.in_flight(),
