--- a/bench/launcher.py
+++ b/bench/launcher.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -37,10 +38,14 @@
     """
 
     def __init__(
-        self, layout: Layout, faults: dict[str, dict[str, Any]] | None = None
+        self,
+        layout: Layout,
+        faults: dict[str, dict[str, Any]] | None = None,
+        engines_per_process: int = 0,
     ) -> None:
         self.layout = layout
         self.faults = faults or {}
+        self.engines_per_process = engines_per_process
         self.directory = Path(tempfile.mkdtemp(prefix="primroselever-bench-"))
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.http = urllib3.PoolManager(retries=False, maxsize=32)
@@ -59,7 +64,7 @@
         self.stop_all()
 
     def start_standins(self) -> None:
-        """Start one process with all stand-ins."""
+        """Start the stand-ins: in one process, or the back ends in some more."""
         layout = self.layout
         vms = [vm.listed() for vm in layout.vms]
         plan = [
@@ -68,12 +73,26 @@
             self.standin("weight_source", layout.store_port, "weight_store"),
             self.standin("weight_source", layout.origin_port, "origin"),
         ]
-        for vm in layout.agents():
-            kind = "engine" if vm.backend_kind == "engine" else "plain_service"
-            plan.append(self.standin(kind, vm.backend_port))
-        self.start("standins", [sys.executable, "-m", "bench.standins"], plan)
+        backends = [
+            self.standin(
+                "engine" if vm.backend_kind == "engine" else "plain_service",
+                vm.backend_port,
+            )
+            for vm in layout.agents()
+        ]
+        size = self.engines_per_process
+        if size:
+            for start in range(0, len(backends), size):
+                self.start_plan(f"backends-{start}", backends[start : start + size])
+        else:
+            plan += backends
+        self.start_plan("standins", plan)
         self.wait_for(self.standins_answer, 15.0, "stand-ins")
 
+    def start_plan(self, name: str, plan: list[dict[str, Any]]) -> None:
+        """Start one process of stand-ins."""
+        self.start(name, [sys.executable, "-m", "bench.standins"], plan)
+
     def standin(
         self, kind: str, port: int, name: str = "", **more: Any
     ) -> dict[str, Any]:
@@ -84,7 +103,8 @@
     def standins_answer(self) -> bool:
         """Return whether the last stand-in of the plan answers."""
         last = self.layout.agents()[-1].backend_port
-        return self.get(last, "/control") is not None
+        ports = (last, self.layout.origin_port)
+        return all(self.get(port, "/control") is not None for port in ports)
 
     def start_vm(self, vm: VmPlan) -> None:
         """Start the process of one VM."""
@@ -105,11 +125,26 @@
                 env={**os.environ, TICKET_KEY_VARIABLE: "bench-only-key"},
             )
 
+    def signal_vm(self, name: str, number: int = signal.SIGTERM) -> None:
+        """Send a signal to a process that this launcher started."""
+        self.processes[name].send_signal(number)
+
+    def wait_vm(self, name: str) -> int:
+        """Wait for the end of a process and return its exit code."""
+        return self.processes.pop(name).wait(STOP_S * 3)
+
     def stop_vm(self, name: str, number: int = signal.SIGTERM) -> int:
         """Send a signal to a process, wait for its end, return its exit code."""
-        process = self.processes.pop(name)
-        process.send_signal(number)
-        return process.wait(STOP_S * 3)
+        self.signal_vm(name, number)
+        return self.wait_vm(name)
+
+    def runs_by_body(self) -> Counter[str]:
+        """Return how often each body was run by any engine or plain service."""
+        ran: Counter[str] = Counter()
+        for vm in self.layout.agents():
+            counters = self.get(vm.backend_port, "/control")
+            ran.update(counters.get("bodies") or counters.get("calls") or {})
+        return ran
 
     def stop_all(self) -> None:
         """Stop every process that this launcher started."""
@@ -184,6 +219,13 @@
 
         def holds() -> bool:
             states = [self.get(vm.admin_port, "/status") for vm in agents]
-            return all(s and s["serving"] and s["wanted"] == version for s in states)
+            return all(serves(state, version) for state in states)
 
         return self.wait_for(holds, limit_s, f"{group} at {version}")
+
+
+def serves(status: dict[str, Any] | None, version: str) -> bool:
+    """Return whether an agent's status says that its engine has a version."""
+    if status is None or status["wanted"] != version:
+        return False
+    return bool(status["serving"] == status["wanted_digest"])
--- a/bench/standins/engine.py
+++ b/bench/standins/engine.py
@@ -5,7 +5,7 @@
 import json
 import re
 import time
-from collections import deque
+from collections import Counter, deque
 from typing import TYPE_CHECKING, Any
 
 import eventlet
@@ -51,13 +51,15 @@
         self.handed: dict[str, dict[int, str]] = {}
         self.in_flight = 0
         self.runs: dict[str, int] = {}
+        self.bodies: Counter[str] = Counter()
         self.cancelled: set[str] = set()
         self.orders: list[dict[str, Any]] = []
 
     def counters(self) -> dict[str, Any]:
-        """Return the runs by identifier, the orders and the cache's use."""
+        """Return the runs by identifier and body, orders and the cache's use."""
         return {
             "runs": self.runs,
+            "bodies": self.bodies,
             "orders": self.orders,
             "digest": self.digest,
             "in_flight": self.in_flight,
@@ -124,15 +126,17 @@
             return json_reply({"problem": "no weights"}, "503 Service Unavailable")
         run_id = fields["run_id"]
         self.runs[run_id] = self.runs.get(run_id, 0) + 1
+        self.bodies[fields["body"]] += 1
         hit = self.cache.use(fields["workspace"], fields["body"])
         first_token_s = self.faults["first_token_s"]
         if not hit:
             first_token_s += self.faults["miss_s"]
-        return Reply(body=self.tokens(run_id, first_token_s))
+        return Reply(body=self.tokens(run_id, fields["body"], first_token_s))
 
-    def tokens(self, run_id: str, first_token_s: float) -> Iterator[bytes]:
+    def tokens(self, run_id: str, body: str, first_token_s: float) -> Iterator[bytes]:
         """Yield the records of an answer, with the digest at both ends."""
         self.count(1)
+        mark = xxhash.xxh3_64_hexdigest(body.encode())[:8]
         try:
             yield record({"start": {"digest": self.digest}})
             eventlet.sleep(first_token_s * self.slowdown())
@@ -140,7 +144,7 @@
             for number in range(count):
                 if run_id in self.cancelled:
                     return
-                yield record({"text": f"{self.digest[:8]}:{number} "})
+                yield record({"text": f"{self.digest[:8]}:{mark}:{number} "})
                 eventlet.sleep(self.faults["token_s"] * self.slowdown())
             yield record({"end": {"digest": self.digest, "tokens": count}})
         finally:
--- a/packages/primroselever-entry/src/primroselever_entry/requests/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/flow.py
@@ -97,7 +97,7 @@
                 ended = ending = yield from self.carry(request, started)
             finally:
                 self.router.ended(wanted, choice.server, ended)
-            passed_on = isinstance(started, ActiveRun) and started.offset > 0
+            passed_on = isinstance(started, ActiveRun) and started.cursor.offset > 0
             if passed_on or isinstance(ending, Done):
                 return ending
             if isinstance(ending, Unknown):
