Decide admission, queueing and suspicion in the core

Cause: an agent refused by a fixed number in flight, knew neither deadline, workspace nor priority, and forgot what an engine crashed on. Priorities across workspaces: any workspace could then starve the others. Change: ConcurrencyLimit, FairQueue, Admission and the merge of suspicions; pure. Before: no such decisions.

--- /dev/null
+++ b/packages/primroselever-core/tests/admission/conftest.py
@@ -0,0 +1,80 @@
+from __future__ import annotations
+
+import heapq
+from collections import Counter
+from dataclasses import dataclass, field
+from random import Random
+
+import pytest
+
+from primroselever_core.admission.admission import Admission, Admitted
+from primroselever_core.admission.fair_queue import Waiting
+from primroselever_core.admission.limit import ConcurrencyLimit
+from primroselever_core.identifiers import Fingerprint, RunId, WorkspaceName
+from primroselever_core.outcomes import NotRun
+
+SERVICE_S = 0.5
+SLOTS = 8
+
+
+@dataclass(slots=True)
+class Server:
+    """A server whose runs take ``SERVICE_S`` each, driven by a fake clock."""
+
+    admission: Admission
+    ends: list[tuple[float, int, Waiting]] = field(default_factory=list)
+    sent: Counter[tuple[str, int]] = field(default_factory=Counter)
+    in_time: Counter[tuple[str, int]] = field(default_factory=Counter)
+    late: int = 0
+    refused_later: int = 0
+    refusals: list[NotRun] = field(default_factory=list)
+
+    def send(
+        self, now: float, workspace: str, priority: int, deadline: float
+    ) -> Admitted | NotRun:
+        """Offer a run at a time."""
+        self.run_until(now)
+        number = self.sent.total()
+        run = Waiting(
+            priority,
+            deadline,
+            number,
+            RunId(f"run {number}"),
+            WorkspaceName(workspace),
+            Fingerprint(f"body {number}"),
+        )
+        self.sent[workspace, priority] += 1
+        verdict = self.admission.offer(run, 1.0, False, now)
+        if verdict is Admitted.STARTS:
+            heapq.heappush(self.ends, (now + SERVICE_S, number, run))
+        elif isinstance(verdict, NotRun):
+            self.refusals.append(verdict)
+        return verdict
+
+    def run_until(self, now: float) -> None:
+        """Let runs end and start until a time."""
+        while self.ends and self.ends[0][0] <= now:
+            at, _, run = heapq.heappop(self.ends)
+            self.admission.ended(run.run_id, True, at)
+            if at <= run.deadline:
+                self.in_time[run.workspace, run.priority] += 1
+            else:
+                self.late += 1
+            for started in self.admission.startable(at):
+                heapq.heappush(self.ends, (at + SERVICE_S, started.number, started))
+            self.refused_later += len(self.admission.take_refused())
+
+    def done(self, workspace: str) -> int:
+        """Return how many runs of a workspace ended in time."""
+        return sum(n for (name, _), n in self.in_time.items() if name == workspace)
+
+
+@pytest.fixture
+def server() -> Server:
+    limit = ConcurrencyLimit(highest=SLOTS, lowest=SLOTS, value=SLOTS)
+    return Server(Admission(limit))
+
+
+@pytest.fixture
+def arrivals() -> Random:
+    return Random(11)
--- /dev/null
+++ b/packages/primroselever-core/tests/suspects/test_section.py
@@ -0,0 +1,72 @@
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, strategies as st
+
+from primroselever_core.identifiers import Fingerprint
+from primroselever_core.suspects.section import (
+    CrashId,
+    Standing,
+    SuspectsSection,
+    Suspicion,
+)
+
+BAD, BESIDE = Fingerprint("bad"), Fingerprint("beside")
+FIRST, SECOND = CrashId("lag-a-0/7/1"), CrashId("lag-a-1/9/1")
+
+sets = st.sets(st.sampled_from([FIRST, SECOND, CrashId("lag-a-2/3/1")]))
+suspicions = st.builds(
+    Suspicion,
+    st.sampled_from([BAD, BESIDE]),
+    st.floats(10, 100),
+    crashes=sets,
+    cleared=sets,
+)
+
+
+@pytest.fixture
+def section() -> SuspectsSection:
+    return SuspectsSection()
+
+
+def test_twice_present_is_quarantined_until_the_deadline(section):
+    section.crashed(FIRST, [BAD, BESIDE], 0.0)
+    assert section.standing(BAD, 1.0) is Standing.SUSPECT
+    section.crashed(SECOND, [BAD], 2.0)
+    assert section.standing(BAD, 3.0) is Standing.QUARANTINED
+    assert section.standing(BESIDE, 3.0) is Standing.SUSPECT
+    assert section.standing(BAD, 600.0) is Standing.CLEAR
+
+
+def test_the_same_crash_heard_twice_counts_once(section):
+    section.crashed(FIRST, [BAD], 0.0)
+    for _ in range(2):
+        section.merge(Suspicion(BAD, 500.0, {FIRST}), 1.0)
+    assert section.standing(BAD, 2.0) is Standing.SUSPECT
+
+
+def test_a_success_clears_a_bystander_but_not_a_crash_meanwhile(section):
+    section.crashed(FIRST, [BESIDE], 0.0)
+    known = section.known_crashes(BESIDE)
+    section.crashed(SECOND, [BESIDE], 1.0)
+    assert section.succeeded(BESIDE, known)
+    assert section.standing(BESIDE, 2.0) is Standing.SUSPECT
+
+
+def test_a_deadline_that_travels_does_not_grow(section):
+    section.crashed(FIRST, [BAD], 0.0)
+    for step in range(1, 100):
+        section.merge(Suspicion(BAD, 600.0 + step, {FIRST}), step)
+    assert section.standing(BAD, 600.0) is Standing.CLEAR
+
+
+@given(st.lists(suspicions, max_size=6), st.randoms())
+def test_merging_in_any_order_and_twice_gives_the_same(heard, random):
+    one, other = SuspectsSection(), SuspectsSection()
+    for suspicion in heard:
+        one.merge(suspicion, 0.0)
+    again = heard * 2
+    random.shuffle(again)
+    for suspicion in again:
+        other.merge(suspicion, 0.0)
+    assert one.records == other.records
