Admit by limit, deadline and share, and name suspects at a crash

Cause: an agent took a fixed number of runs and refused the rest blindly; a request that crashed one engine could crash them all. Ruled out: holding back the start's reply while a run waits: a waiting run is accepted, and ends as not run, at once, when its turn cannot come in time. Change: AdmissionController between handler and runner, CrashWatch that asks the engine after a failed run and tells the domain's agents who was there, suspicions in starts, replies and heartbeats, the quarantine at entry and agent, retry times with later refusals; metrics and log lines.

--- /dev/null
+++ b/packages/primroselever-agent/src/primroselever_agent/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission in an agent: decisions of the core, carried out and counted."""
--- /dev/null
+++ b/packages/primroselever-agent/src/primroselever_agent/admission/controller.py
@@ -0,0 +1,194 @@
+"""Admits, queues and refuses runs, and says which were there at a crash."""
+
+from __future__ import annotations
+
+from itertools import count
+from typing import TYPE_CHECKING, Any
+
+from opentelemetry import metrics
+from opentelemetry.metrics import CallbackOptions, Observation
+
+from primroselever_core.admission.fair_queue import Waiting
+from primroselever_core.outcomes import NotRun, Reason
+from primroselever_core.runs.registry import RunState
+from primroselever_core.suspects.section import Standing
+from primroselever_node import clock
+from primroselever_node.logs import log_decision
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from primroselever_core.admission.admission import Admission
+    from primroselever_core.board import Blackboard
+    from primroselever_core.identifiers import RunId, WorkspaceName
+    from primroselever_core.runs.registry import Run
+    from primroselever_core.suspects.section import CrashId
+
+    from ..runs.runner import Runner
+    from .crash_watch import CrashWatch
+
+CRASH_RETRY_S = 1.0
+DEFAULT_SHARE = 1.0
+
+
+class AdmissionController:
+    """Stands between the handler, which is asked for runs, and the runner."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        runner: Runner,
+        admission: Admission,
+        crashes: CrashWatch,
+    ) -> None:
+        self.board = board
+        self.runner = runner
+        self.admission = admission
+        self.crashes = crashes
+        self.numbers = count()
+        self.held: dict[RunId, tuple[Run, bytes, int]] = {}
+        self.known_crashes: dict[RunId, frozenset[CrashId]] = {}
+        runner.observer = self
+        meter = metrics.get_meter("primroselever.admission")
+        self.decisions = meter.create_counter(
+            "primroselever.admission.decisions",
+            unit="{run}",
+            description="Runs started, queued and refused, by reason",
+        )
+        self.crash_count = meter.create_counter(
+            "primroselever.admission.engine_crashes",
+            unit="{crash}",
+            description="Crashes of the engine with runs in flight",
+        )
+        for name, unit, value in (
+            ("limit", "{run}", admission.limit.current),
+            ("waiting", "{run}", lambda: len(admission.waiting)),
+            ("in_flight", "{run}", lambda: len(admission.in_flight)),
+            ("service", "s", lambda: admission.service_s),
+            ("suspects", "{request}", lambda: len(board.suspects.records)),
+        ):
+            meter.create_observable_gauge(
+                f"primroselever.admission.{name}", [observer(value)], unit=unit
+            )
+
+    def offer(self, run: Run, priority: int) -> NotRun | None:
+        """Return why a new run is refused, or None and let it start or wait."""
+        now = clock.now()
+        standing = self.board.suspects.standing(run.fingerprint, now)
+        if standing is Standing.QUARANTINED:
+            record = self.board.suspects.records[run.fingerprint]
+            return self.refuse(run, NotRun(Reason.QUARANTINED, record.deadline - now))
+        waiting = Waiting(
+            priority,
+            run.deadline,
+            next(self.numbers),
+            run.run_id,
+            run.workspace,
+            run.fingerprint,
+        )
+        suspect = standing is Standing.SUSPECT
+        share = self.share_of(run.workspace)
+        verdict = self.admission.offer(waiting, share, suspect, now)
+        self.carry_out_refusals()
+        if isinstance(verdict, NotRun):
+            return self.refuse(run, verdict)
+        self.decisions.add(1, {"decision": verdict, "reason": ""})
+        if suspect:
+            log_decision("admit", run.run_id, verdict, "suspects run one by one")
+        return None
+
+    def forget(self, run: Run) -> None:
+        """Take back an offer whose run is not to begin after all."""
+        self.admission.ended(run.run_id, False, clock.now())
+
+    def begin(self, run: Run, body: bytes, priority: int) -> None:
+        """Start a run that was not refused, or hold it until its turn."""
+        if run.run_id in self.admission.in_flight:
+            self.start(run, body, priority)
+        else:
+            self.held[run.run_id] = run, body, priority
+
+    def start(self, run: Run, body: bytes, priority: int) -> None:
+        """Hand a run to the runner."""
+        known = self.board.suspects.known_crashes(run.fingerprint)
+        if known:
+            self.known_crashes[run.run_id] = known
+        self.runner.start(run, body, priority)
+
+    def step(self) -> None:
+        """Start what has its turn; refuse what can no longer be in time."""
+        for waiting in self.admission.startable(clock.now()):
+            run, body, priority = self.held.pop(waiting.run_id)
+            self.start(run, body, priority)
+        self.carry_out_refusals()
+
+    def carry_out_refusals(self) -> None:
+        """End the waiting runs that the decisions refused."""
+        for refused in self.admission.take_refused():
+            run, _, _ = self.held.pop(refused.run.run_id)
+            self.end_unrun(run, refused.refusal)
+
+    def end_unrun(self, run: Run, refusal: NotRun) -> None:
+        """End a run that waited and never started."""
+        self.refuse(run, refusal)
+        run.retry_after_s = refusal.retry_after_s
+        self.runner.end(run, RunState.NOT_RUN, refusal.reason)
+
+    def refuse(self, run: Run, refusal: NotRun) -> NotRun:
+        """Log and count a refusal, and return it."""
+        self.decisions.add(1, {"decision": "refused", "reason": refusal.reason})
+        log_decision(
+            "admit", run.run_id, "refused", refusal.reason, workspace=run.workspace
+        )
+        return refusal
+
+    def cancel(self, run: Run) -> bool:
+        """Take a waiting run out for its caller; return whether it waited."""
+        if self.held.pop(run.run_id, None) is None:
+            return False
+        self.admission.ended(run.run_id, False, clock.now())
+        self.runner.end(run, RunState.NOT_RUN, Reason.CANCELLED)
+        return True
+
+    def first_data(self, run: Run) -> None:
+        """Take in that a run's answer has begun."""
+        self.admission.first_token(run.run_id, clock.now())
+
+    def failed(self, run: Run, reason: Reason) -> None:
+        """Find out whether the engine crashed, before the run's end is told."""
+        if reason is not Reason.ENGINE_FAILED:
+            return
+        present = [w.fingerprint for w, _ in self.admission.in_flight.values()]
+        if self.crashes.check(present):
+            self.crash_count.add(1)
+            for held, _, _ in list(self.held.values()):
+                del self.held[held.run_id]
+                self.admission.ended(held.run_id, False, clock.now())
+                self.end_unrun(held, NotRun(Reason.NO_WEIGHTS, CRASH_RETRY_S))
+
+    def ended(self, run: Run, state: RunState) -> None:
+        """Take in a run's end; a success clears its request."""
+        done = state is RunState.DONE
+        self.admission.ended(run.run_id, done, clock.now())
+        known = self.known_crashes.pop(run.run_id, None)
+        if done and known and self.board.suspects.succeeded(run.fingerprint, known):
+            log_decision("suspect", run.fingerprint, "cleared", "ran to its end")
+        self.step()
+
+    def share_of(self, workspace: WorkspaceName) -> float:
+        """Return the weight of a workspace's share."""
+        accepted = self.board.profiles.accepted
+        if accepted is not None:
+            for published in accepted.profiles.workspaces:
+                if published.name == workspace:
+                    return published.share
+        return DEFAULT_SHARE
+
+
+def observer(value: Any) -> Any:
+    """Return a callback that observes one value."""
+
+    def observe(_options: CallbackOptions) -> Iterable[Observation]:
+        return [Observation(value())]
+
+    return observe
--- a/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
+++ b/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
@@ -7,6 +7,8 @@
 import eventlet
 from opentelemetry.metrics import get_meter
 
+from primroselever_core.admission.admission import Admission
+from primroselever_core.admission.limit import ConcurrencyLimit
 from primroselever_core.identifiers import GroupName
 from primroselever_core.runs.registry import RunRegistry
 from primroselever_core.tickets.signing import TicketSigner
@@ -37,6 +39,8 @@
 from primroselever_node.settings.secrets import ticket_key
 from primroselever_node.status import common_status
 
+from ..admission.controller import AdmissionController
+from ..admission.crash_watch import CrashWatch
 from ..engine.engine_client import EngineClient
 from ..engine.plain_client import PlainClient
 from ..runs.handler import AgentHandler
@@ -53,6 +57,7 @@
 KEEP_RUN_S = 300.0
 READ_OUT_S = 5.0
 LAST_REPLY_S = 0.2
+ADMISSION_STEP_S = 0.05
 
 
 class ServeCommand(BaseServeCommand):
@@ -89,6 +94,17 @@
             TicketBook(identity.vm_id, identity.incarnation, self.registry.book),
             TicketSigner(ticket_key(settings.secrets)),
         )
+        admission = Admission(ConcurrencyLimit(settings.max_in_flight))
+        crashes = CrashWatch(
+            self.board,
+            self.engine,
+            ClientPool(schema.Agent),
+            lambda: self.handler.own_heartbeat(),
+            self.needs_weights,
+        )
+        self.admission = AdmissionController(
+            self.board, self.runner, admission, crashes
+        )
         self.handler = AgentHandler(
             self.board,
             self.registry,
@@ -96,6 +112,7 @@
             self.tickets,
             ChunkServing(self.section),
             settings,
+            self.admission,
         )
         self.rpc = RpcServer(
             schema.Agent, self.handler, settings.rpc.host, settings.rpc.port
@@ -143,6 +160,8 @@
         run_controller(members.step, 1.0)
         run_controller(lambda: self.registry.expire(clock.now()), 1.0)
         run_controller(self.tickets.step, 1.0)
+        run_controller(self.admission.step, ADMISSION_STEP_S)
+        run_controller(lambda: self.board.suspects.expire(clock.now()), 1.0)
         source = platform.origin or platform.weight_store
         if self.needs_weights and source is not None:
             rollout = RolloutController(
--- a/packages/primroselever-agent/src/primroselever_agent/engine/engine_client.py
+++ b/packages/primroselever-agent/src/primroselever_agent/engine/engine_client.py
@@ -51,6 +51,14 @@
             in_flight=int(reply.get("in_flight") or 0),
         )
 
+    def answers(self) -> bool:
+        """Return whether anything answers at the address."""
+        try:
+            self.http.request("GET", self.url + "/", timeout=timeout(STATE_TIMEOUT_S))
+        except urllib3.exceptions.HTTPError:
+            return False
+        return True
+
     def put_chunk(self, digest: WeightsDigest, index: int, data: bytes) -> None:
         """Hand one verified chunk to the engine."""
         self.order("PUT", f"/v1/weights/{digest}/chunks/{index}", data, ORDER_TIMEOUT_S)
--- a/packages/primroselever-agent/src/primroselever_agent/runs/handler.py
+++ b/packages/primroselever-agent/src/primroselever_agent/runs/handler.py
@@ -18,17 +18,19 @@
 from primroselever_core.runs.starting import StartState, resolve_run, start_run
 from primroselever_node import clock
 from primroselever_node.rpc.schema import schema
+from primroselever_node.rpc.suspicions import learn, to_wire
 
 if TYPE_CHECKING:
     from primroselever_core.board import Blackboard
 
+    from ..admission.controller import AdmissionController
     from ..settings import AgentSettings
     from ..transfer.serving import ChunkServing
     from .runner import Runner
     from .ticket_issuer import TicketIssuer
 
 MAX_SLICE_BYTES = 1 << 18
-OVERLOADED_RETRY_MS = 1000
+NO_WEIGHTS_RETRY_MS = 1000
 LEAVING_RETRY_MS = 100
 
 
@@ -43,6 +45,7 @@
         tickets: TicketIssuer,
         chunks: ChunkServing,
         settings: AgentSettings,
+        admission: AdmissionController,
     ) -> None:
         self.board = board
         self.registry = registry
@@ -50,20 +53,26 @@
         self.tickets = tickets
         self.chunks = chunks
         self.settings = settings
+        self.admission = admission
         self.needs_weights = settings.backend.kind == "engine"
 
     def load(self) -> Any:
         """Return this server's load for a reply."""
         return schema.Load(
             in_flight=self.registry.in_flight(),
-            queued=0,
-            limit=self.settings.max_in_flight,
+            queued=len(self.admission.admission.waiting),
+            limit=self.admission.admission.limit.current(),
             engine_load=0.0,
             engine_age_ms=0,
         )
 
     def heartbeat(self, sender: Any) -> Any:
         """Return what this process says of itself."""
+        learn(self.board.suspects, sender.suspicions)
+        return self.own_heartbeat()
+
+    def own_heartbeat(self) -> Any:
+        """Return what this process says of itself, unasked."""
         revision = self.board.profiles.revision
         transfers = self.board.transfers
         return schema.Heartbeat(
@@ -75,7 +84,7 @@
             leaving=self.board.leaving,
             load=self.load(),
             weights_digest=(transfers and transfers.serving) or "",
-            suspicions=[],
+            suspicions=to_wire(self.board.suspects),
             epoch=self.registry.book.epoch,
         )
 
@@ -86,16 +95,22 @@
             refusal = self.refusal(request)
             if refusal is not None:
                 return refusal
-            fresh.append(self.run_of(request, run_id, epoch))
-            return fresh[0]
+            run = self.run_of(request, run_id, epoch)
+            refusal = self.admission.offer(run, request.priority)
+            if refusal is None:
+                fresh.append(run)
+            return refusal or run
 
+        learn(self.board.suspects, request.suspicions)
         fresh: list[Run] = []
         start = self.tickets.read(request)
         run = start_run(start, self.tickets.book, self.registry, new_run, clock.now())
+        if fresh and run is not fresh[0]:
+            self.admission.forget(fresh[0])
         if not isinstance(run, Run):
             return self.refuse(run)
         if fresh and run is fresh[0]:
-            self.runner.start(run, request.body, request.priority)
+            self.admission.begin(run, request.body, request.priority)
         return self.start_reply(StartState.ACCEPTED, run_id=run.run_id)
 
     def run_of(self, request: Any, run_id: RunId, epoch: int) -> Run:
@@ -119,9 +134,7 @@
             return NotRun(Reason.LEAVING, LEAVING_RETRY_MS / 1000)
         transfers = self.board.transfers
         if self.needs_weights and not (transfers and transfers.serving):
-            return NotRun(Reason.NO_WEIGHTS, OVERLOADED_RETRY_MS / 1000)
-        if self.registry.in_flight() >= self.settings.max_in_flight:
-            return NotRun(Reason.OVERLOADED, OVERLOADED_RETRY_MS / 1000)
+            return NotRun(Reason.NO_WEIGHTS, NO_WEIGHTS_RETRY_MS / 1000)
         return None
 
     def refuse(self, refusal: NotRun | Unknown) -> Any:
@@ -145,6 +158,7 @@
             load=self.load(),
             leaving=self.board.leaving,
             epoch=self.registry.book.epoch,
+            suspicions=to_wire(self.board.suspects),
         )
 
     def read(self, cursors: list[Any], wait_ms: int) -> Any:
@@ -158,6 +172,7 @@
             slices=[s for s in slices if self.says_something(s)],
             load=self.load(),
             leaving=self.board.leaving,
+            suspicions=to_wire(self.board.suspects),
         )
 
     def says_something(self, run_slice: Any) -> bool:
@@ -178,6 +193,8 @@
         state = run.state if whole else RunState.RUNNING
         run.read_out = run.read_out or state is not RunState.RUNNING
         run_slice = self.slice_of(run.run_id, state, run.reason, offset, data)
+        if run.retry_after_s is not None:
+            run_slice.retry_after_ms = int(run.retry_after_s * 1000)
         if state is RunState.DONE:
             run_slice.length = len(run.answer.data)
             run_slice.digest = run.answer.digest()
@@ -220,7 +237,7 @@
     def cancel(self, run_id: str) -> None:
         """Stop a run."""
         run = self.registry.runs.get(RunId(run_id))
-        if run is not None:
+        if run is not None and not self.admission.cancel(run):
             self.runner.cancel(run)
 
     def issue_ticket(self, request: Any) -> Any:
--- a/packages/primroselever-agent/src/primroselever_agent/runs/runner.py
+++ b/packages/primroselever-agent/src/primroselever_agent/runs/runner.py
@@ -6,7 +6,7 @@
 
 import logging
 from collections import defaultdict
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
 import eventlet
 from eventlet.event import Event
@@ -28,12 +28,29 @@
 logger = logging.getLogger(__name__)
 
 
+class RunObserver(Protocol):
+    """Who is told how runs go, before their readers are."""
+
+    def first_data(self, run: Run) -> None:
+        """Take in that a run's answer has begun."""
+        ...
+
+    def failed(self, run: Run, reason: Reason) -> None:
+        """Take in that a run failed and will be ended for it."""
+        ...
+
+    def ended(self, run: Run, state: RunState) -> None:
+        """Take in a run's end."""
+        ...
+
+
 class Runner:
     """Starts and cancels runs, and wakes whoever waits for their answers."""
 
     def __init__(self, registry: RunRegistry, backend: Backend) -> None:
         self.registry = registry
         self.backend = backend
+        self.observer: RunObserver | None = None
         self.greenlets: dict[RunId, Any] = {}
         self.waiting: dict[RunId, set[Event]] = defaultdict(set)
 
@@ -47,6 +64,8 @@
         try:
             with eventlet.Timeout(max(0.0, run.deadline - clock.now())):
                 for data in self.backend.run(run, body, priority):
+                    if self.observer is not None and not run.answer.data:
+                        self.observer.first_data(run)
                     if not run.answer.append(data):
                         raise BackendError(Reason.ANSWER_DAMAGED, "answer too long")
                     self.wake(run.run_id)
@@ -55,6 +74,8 @@
         except BackendError as exc:
             reason = exc.reason
             logger.warning("run %s failed: %s", run.run_id, exc)
+            if self.observer is not None:
+                self.observer.failed(run, reason)
         except eventlet.Timeout:
             reason = Reason.DEADLINE_PASSED
             self.backend.cancel(run)
@@ -75,6 +96,8 @@
         self.greenlets.pop(run.run_id, None)
         self.registry.end(run, state, reason, clock.now())
         self.wake(run.run_id)
+        if self.observer is not None:
+            self.observer.ended(run, state)
 
     def wake(self, run_id: RunId) -> None:
         """Wake the readers of a run."""
--- a/packages/primroselever-core/src/primroselever_core/runs/registry.py
+++ b/packages/primroselever-core/src/primroselever_core/runs/registry.py
@@ -51,6 +51,7 @@
     answer: AnswerBuffer
     state: RunState = RunState.RUNNING
     reason: Reason | None = None
+    retry_after_s: float | None = None
     kept_until: float | None = None
     weights_digest: str = ""
     epoch: int = 1
--- a/packages/primroselever-core/tests/admission/test_limit.py
+++ b/packages/primroselever-core/tests/admission/test_limit.py
@@ -28,3 +28,12 @@
     for step in range(1000):
         limit.sample(FIRST_TOKEN_S, 1, step * 0.1)
     assert limit.current() == 8
+
+
+def test_requests_that_grow_longer_do_not_cost_the_limit_for_good():
+    limit = ConcurrencyLimit(highest=200)
+    for step in range(40_000):
+        in_flight = limit.current()
+        first_token_s = FIRST_TOKEN_S if step < 10_000 else 4 * FIRST_TOKEN_S
+        limit.sample(first_token_s * max(1.0, in_flight / 12), in_flight, step * 0.02)
+    assert limit.current() >= 10
--- a/packages/primroselever-entry/src/primroselever_entry/requests/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/flow.py
@@ -47,7 +47,7 @@
         self.board = board
         self.router = router
         self.starter = Starter(board, agents, progress_s)
-        self.reader = AnswerReader(agents, progress_s)
+        self.reader = AnswerReader(board, agents, progress_s)
         self.tickets = TicketRouter(board, agents, self.starter, random)
         self.in_flight = 0
 
--- a/packages/primroselever-entry/src/primroselever_entry/requests/reading.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/reading.py
@@ -4,17 +4,19 @@
 
 from typing import TYPE_CHECKING
 
-from primroselever_core.outcomes import Ending, Reason, Unknown
+from primroselever_core.outcomes import Ending, NotRun, Reason, Unknown
 from primroselever_core.runs.registry import RunState
 from primroselever_node import clock
 from primroselever_node.rpc.client_pool import LostReplyError, NeverSentError
 from primroselever_node.rpc.schema import schema
+from primroselever_node.rpc.suspicions import learn
 
 from .resolving import RESOLVE_TRIES
 
 if TYPE_CHECKING:
     from collections.abc import Generator
 
+    from primroselever_core.board import Blackboard
     from primroselever_node.rpc.client_pool import ClientPool
 
     from .active_run import ActiveRun
@@ -24,7 +26,10 @@
 class AnswerReader:
     """Reads answers from agents; any read may go over any connection."""
 
-    def __init__(self, agents: ClientPool, progress_s: float) -> None:
+    def __init__(
+        self, board: Blackboard, agents: ClientPool, progress_s: float
+    ) -> None:
+        self.board = board
         self.agents = agents
         self.progress_s = progress_s
 
@@ -52,6 +57,7 @@
                 continue
             failures = 0
             run.server.take_report(reply.load.in_flight, reply.leaving, clock.now())
+            learn(self.board.suspects, reply.suspicions)
             if reply.incarnation != taken.incarnation:
                 return Unknown(Reason.SERVER_LOST)
             for piece in reply.slices:
@@ -61,9 +67,10 @@
                 if new:
                     yield new
                 if new is not None and piece.state != RunState.RUNNING:
-                    return taken.ending(
+                    ending = taken.ending(
                         piece.state, piece.reason, piece.length, piece.digest
                     )
+                    return with_retry(ending, piece.retry_after_ms or 0)
 
     def give_up(self, run: ActiveRun) -> Ending:
         """Cancel a run whose caller's deadline has passed."""
@@ -74,3 +81,10 @@
         except (NeverSentError, LostReplyError):
             self.agents.forget(run.address)
         return Unknown(Reason.DEADLINE_PASSED)
+
+
+def with_retry(ending: Ending, retry_after_ms: int) -> Ending:
+    """Return an ending that says when to come back, if the agent said so."""
+    if isinstance(ending, NotRun) and retry_after_ms:
+        return NotRun(ending.reason, retry_after_ms / 1000)
+    return ending
--- a/packages/primroselever-entry/src/primroselever_entry/requests/starting.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/starting.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from primroselever_core.identifiers import Incarnation, RunId
+from primroselever_core.identifiers import Fingerprint, Incarnation, RunId
 from primroselever_core.outcomes import NotRun, Reason, Unknown
 from primroselever_core.routing.section import UNKNOWN_INCARNATION
 from primroselever_core.runs.cursor import AnswerCursor
@@ -12,6 +12,7 @@
 from primroselever_node import clock
 from primroselever_node.rpc.client_pool import LostReplyError, NeverSentError
 from primroselever_node.rpc.schema import schema
+from primroselever_node.rpc.suspicions import learn, to_wire, to_wire_of
 
 from .active_run import ActiveRun
 from .resolving import AVOID_S, RESOLVE_TRIES, Resolver, pass_over
@@ -84,10 +85,13 @@
 
     def send(self, server: Server, start: Any) -> Any:
         """Send a start and take in what the reply says of the server."""
+        known = to_wire_of(self.board.suspects, Fingerprint(start.fingerprint))
+        start.suspicions = known
         reply = self.agents.call(
             address_of(server), "start", start, timeout_s=self.progress_s
         )
         server.take_report(reply.load.in_flight, reply.leaving, clock.now())
+        learn(self.board.suspects, reply.suspicions)
         self.take_epoch(server, reply.incarnation, reply.epoch)
         return reply
 
@@ -100,6 +104,7 @@
             address_of(server), "heartbeat", self.heartbeat(), timeout_s=self.progress_s
         )
         server.take_report(said.load.in_flight, said.leaving, clock.now())
+        learn(self.board.suspects, said.suspicions)
         self.take_epoch(server, said.incarnation, said.epoch)
 
     def take_epoch(self, server: Server, incarnation: int, epoch: int | None) -> None:
@@ -122,7 +127,7 @@
                 in_flight=0, queued=0, limit=0, engine_load=0.0, engine_age_ms=0
             ),
             weights_digest="",
-            suspicions=[],
+            suspicions=to_wire(self.board.suspects),
         )
 
 
--- a/packages/primroselever-node/src/primroselever_node/rpc/primroselever.thrift
+++ b/packages/primroselever-node/src/primroselever_node/rpc/primroselever.thrift
@@ -17,6 +17,8 @@
   1: string fingerprint,
   2: i32 crashes,
   3: i64 remaining_ms,
+  30: list<string> crash_ids,
+  31: list<string> cleared_ids,
 }
 
 struct Heartbeat {
@@ -66,6 +68,7 @@
   11: string weights_digest,
   20: i64 epoch,
   21: string reader,
+  30: list<Suspicion> suspicions,
 }
 
 /*
@@ -83,6 +86,7 @@
   6: Load load,
   7: bool leaving,
   20: i64 epoch,
+  30: list<Suspicion> suspicions,
 }
 
 struct RunCursor {
@@ -103,6 +107,7 @@
   5: string reason,
   6: i64 length,
   7: string digest,
+  30: i64 retry_after_ms,
 }
 
 struct ReadReply {
@@ -110,6 +115,7 @@
   2: list<RunSlice> slices,
   3: Load load,
   4: bool leaving,
+  30: list<Suspicion> suspicions,
 }
 
 /* state is held (data follows), pending (ask again then), elsewhere or unknown. */
