--- a/bench/standins/engine.py
+++ b/bench/standins/engine.py
@@ -4,6 +4,7 @@
 
 import json
 import re
+import time
 from typing import TYPE_CHECKING, Any
 
 import eventlet
@@ -20,7 +21,8 @@
 
 class Engine(StandIn):
     """
-    Faults: ``honours_fencing``, ``token_s``, ``first_token_s``, ``tokens``.
+    Faults: ``honours_fencing``, ``token_s``, ``first_token_s``, ``tokens``, and
+    ``stamps``: each token says when it was sent.
 
     Chunks that are handed over are counted and their digests kept, not their
     bytes.
@@ -32,6 +34,7 @@
             "token_s": 0.005,
             "first_token_s": 0.02,
             "tokens": 10,
+            "stamps": False,
         }
         super().__init__(**{**defaults, **faults})
         self.digest = ""
@@ -89,6 +92,11 @@
         self.runs[run_id] = self.runs.get(run_id, 0) + 1
         return Reply(body=self.tokens(run_id, fields["body"]))
 
+    def token(self, number: int) -> str:
+        """Return the text of one token."""
+        stamp = f"@{time.monotonic():.6f}" if self.faults["stamps"] else ""
+        return f"{self.digest[:8]}:{number}{stamp} "
+
     def tokens(self, run_id: str, body: str) -> Iterator[bytes]:
         """Yield the records of an answer, with the digest at both ends."""
         self.in_flight += 1
@@ -99,7 +107,7 @@
             for number in range(count):
                 if run_id in self.cancelled:
                     return
-                yield record({"text": f"{self.digest[:8]}:{number} "})
+                yield record({"text": self.token(number)})
                 eventlet.sleep(self.faults["token_s"])
             yield record({"end": {"digest": self.digest, "tokens": count}})
         finally:
