--- a/packages/primroselever-core/src/primroselever_core/runs/registry.py
+++ b/packages/primroselever-core/src/primroselever_core/runs/registry.py
@@ -39,7 +39,7 @@
     One run; ``deadline`` is the caller's, ``kept_until`` that of the record.
 
     ``reason`` says why a run is failed or not run. ``epoch`` is the one that its
-    start named.
+    start named. ``read_out`` says that its end was told to a reader of the answer.
     """
 
     run_id: RunId
@@ -54,6 +54,7 @@
     kept_until: float | None = None
     weights_digest: str = ""
     epoch: int = 1
+    read_out: bool = False
 
 
 @dataclass(slots=True)
@@ -134,6 +135,13 @@
         self.ended_bytes -= len(run.answer.data)
         del self.runs[run.run_id]
 
+    def unread(self) -> int:
+        """Return how many runs have ended without their end being told."""
+        return sum(
+            run.state is not RunState.RUNNING and not run.read_out
+            for run in self.runs.values()
+        )
+
     def expire(self, now: float) -> None:
         """Drop ended runs whose deadline has passed."""
         while self.ended and (self.ended[0].kept_until or 0.0) <= now:
