Send small writes at once on accepted connections

Cause: a request of one token took about 50 ms one at a time: thrift replies and HTTP chunks are several small writes, and Nagle's algorithm held the second back until the first was acknowledged. Ruled out: buffering whole replies, which the WSGI server does not offer. Change: listening sockets set TCP_NODELAY, which accepted ones inherit.

--- a/packages/primroselever-node/src/primroselever_node/rpc/server.py
+++ b/packages/primroselever-node/src/primroselever_node/rpc/server.py
@@ -10,6 +10,8 @@
 from thriftpy2.thrift import TException, TProcessor
 from thriftpy2.transport import TCyBufferedTransportFactory, TSocket
 
+from ..listen import listen
+
 if TYPE_CHECKING:
     from eventlet.greenio import GreenSocket
 
@@ -23,7 +25,7 @@
 
     def __init__(self, service: Any, handler: Any, host: str, port: int) -> None:
         self.processor = TProcessor(service, handler)
-        self.socket = eventlet.listen((host, port), backlog=1024)
+        self.socket = listen(host, port)
         self.host, self.port = self.socket.getsockname()
         self.greenlet: Any = None
 
