Plan transfers with fallback owners, holders and long-polls

Cause: one dead or slow owner held a chunk back for 5 s and then sent every VM to the origin; nothing paced uploads; a replacement VM read from the origin. Ruled out: gossip about who has what, which costs messages for each chunk. Change: a pure planner (owners, fallback owners, suspects, patience, bounded extra reads, origin_bytes through the store's domain); uploads are paced, and a busy VM names a holder of the same failure domain; calls are held open for chunks on their way; manifests come from peers; switches are fenced, wait for min_serving, are dropped after a pause or for a newer revision, and are read back; old chunks have a deadline and make room under the memory limit.

--- a/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
+++ b/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
@@ -8,7 +8,6 @@
 
 import eventlet
 
-from primroselever_core.identifiers import GroupName
 from primroselever_core.runs.registry import RunRegistry
 from primroselever_core.transfer.chunk_store import ChunkStore
 from primroselever_core.transfer.section import TransfersSection
@@ -21,14 +20,12 @@
 from primroselever_node.metrics import set_up_metrics
 from primroselever_node.platform.configuration_service import ConfigurationService
 from primroselever_node.platform.vm_list_service import VmListService
-from primroselever_node.platform.weight_source import WeightSource
 from primroselever_node.process import (
     ShutdownSignal,
     drain,
     new_board,
     run_controller,
 )
-from primroselever_node.rpc.client_pool import ClientPool
 from primroselever_node.rpc.schema import schema
 from primroselever_node.rpc.server import RpcServer
 from primroselever_node.settings.load import load_settings
@@ -38,8 +35,8 @@
 from ..runs.handler import AgentHandler
 from ..runs.runner import Runner
 from ..settings import AgentSettings
-from ..transfer.rollout import RolloutController
-from ..transfer.serving import ChunkServing
+from ..transfer.parts import TransferParts
+from ..transfer.rollout import TICK_S
 
 if TYPE_CHECKING:
     from argparse import ArgumentParser, Namespace
@@ -86,11 +83,14 @@
             self.engine if self.needs_weights else PlainClient(settings.backend.url)
         )
         self.runner = Runner(self.registry, backend)
+        self.transfer = TransferParts(
+            self.board, self.section, self.registry, self.engine, settings
+        )
         self.handler = AgentHandler(
             self.board,
             self.registry,
             self.runner,
-            ChunkServing(self.section),
+            self.transfer.serving,
             settings,
         )
         self.rpc = RpcServer(
@@ -126,18 +126,9 @@
         run_controller(profiles.step, 0.2)
         run_controller(members.step, 1.0)
         run_controller(lambda: self.registry.expire(clock.now()), 1.0)
-        source = platform.origin or platform.weight_store
-        if self.needs_weights and source is not None:
-            rollout = RolloutController(
-                self.board,
-                self.section,
-                self.registry,
-                GroupName(self.settings.group),
-                WeightSource(source),
-                ClientPool(schema.Agent),
-                self.engine,
-            )
-            run_controller(rollout.step, 0.1)
+        if self.needs_weights:
+            run_controller(self.transfer.rollout.step, TICK_S)
+            run_controller(self.transfer.switch.watch, 1.0)
 
     def ready(self) -> bool:
         """Return whether new work may come."""
@@ -146,18 +137,13 @@
 
     def status(self) -> dict[str, Any]:
         """Return what this agent knows."""
-        wanted = self.section.wanted
-        missing = self.section.store.missing(wanted) if wanted else []
         return {
             "vm_id": self.settings.vm_id,
             "incarnation": self.board.identity.incarnation,
             "leaving": self.board.leaving,
             "revision": self.board.profiles.revision.number,
             "refused_revision": self.board.profiles.refused_revision.number,
-            "serving": self.section.serving,
-            "wanted": wanted.version if wanted else None,
-            "chunks_missing": len(missing),
-            "bytes_by_source": self.section.bytes_by_source,
+            **self.transfer.status(),
             "in_flight": self.registry.in_flight(),
             "vms": len(self.board.members.vms),
         }
--- a/packages/primroselever-agent/src/primroselever_agent/runs/handler.py
+++ b/packages/primroselever-agent/src/primroselever_agent/runs/handler.py
@@ -214,6 +214,13 @@
         """Return a manifest that this agent knows, or nothing."""
         return self.chunks.manifest(WeightsDigest(weights_digest))
 
-    def fetch_chunk(self, weights_digest: str, index: int, wait_ms: int) -> Any:
+    def find_manifest(self, model: str, adapter: str, version: str) -> bytes:
+        """Return the manifest that this agent wants for a version, or nothing."""
+        return self.chunks.find_manifest(model, adapter, version)
+
+    def fetch_chunk(
+        self, weights_digest: str, index: int, wait_ms: int, asker: str
+    ) -> Any:
         """Return a chunk, or say where or when to ask for it."""
-        return self.chunks.chunk(WeightsDigest(weights_digest), index, wait_ms)
+        digest = WeightsDigest(weights_digest)
+        return self.chunks.chunk(digest, index, wait_ms, asker or "")
--- a/packages/primroselever-agent/src/primroselever_agent/settings.py
+++ b/packages/primroselever-agent/src/primroselever_agent/settings.py
@@ -21,6 +21,9 @@
     The settings of an agent.
 
     Memory is in bytes, budgets in bytes a second; 0 leaves a budget unlimited.
+    ``cross_domain_bytes_per_s`` is the share of the link between failure domains
+    that rollouts may take, for all VMs of the domain together; live requests have
+    the rest.
     """
 
     group: str = Field(min_length=1)
@@ -28,5 +31,6 @@
     chunk_memory_bytes: int = Field(default=1 << 30, ge=1)
     upload_bytes_per_s: int = Field(default=0, ge=0)
     download_bytes_per_s: int = Field(default=0, ge=0)
+    cross_domain_bytes_per_s: int = Field(default=0, ge=0)
     max_in_flight: int = Field(default=64, ge=1)
     answer_limit_bytes: int = Field(default=1 << 20, ge=1)
--- a/packages/primroselever-agent/src/primroselever_agent/transfer/rollout.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/rollout.py
@@ -1,41 +1,41 @@
-"""
-Bringing the version that the profile asks for to this VM's engine.
-
-Owned chunks come from the origin, all others from their owners; nothing is
-ordered before each chunk and the whole are verified.
-"""
+"""Bringing the version that the profile asks for to this VM's engine."""
 
 from __future__ import annotations
 
 import logging
+from random import Random
 from typing import TYPE_CHECKING
 
 import eventlet
 
 from primroselever_core.exceptions import PrimroseleverError
-from primroselever_core.transfer.owners import owners
+from primroselever_core.transfer.manifest import VersionName
+from primroselever_core.transfer.neighbourhood import Neighbourhood
+from primroselever_core.transfer.planner import TransferPlanner
+from primroselever_core.transfer.read_outcomes import apply
+from primroselever_core.transfer.sources import Held, Silent, Source, SourceKind
 from primroselever_node import clock
-from primroselever_node.exceptions import WeightSourceError
-from primroselever_node.logs import log_decision
-from primroselever_node.process import drain
-from primroselever_node.rpc.client_pool import LostReplyError, NeverSentError
+
+from .fetcher import bucket_of
 
 if TYPE_CHECKING:
     from primroselever_core.board import Blackboard
-    from primroselever_core.identifiers import GroupName, VmId
+    from primroselever_core.identifiers import FailureDomain
     from primroselever_core.profiles.model import Profile
-    from primroselever_core.runs.registry import RunRegistry
     from primroselever_core.transfer.manifest import Manifest
     from primroselever_core.transfer.section import TransfersSection
-    from primroselever_node.platform.weight_source import WeightSource
-    from primroselever_node.rpc.client_pool import ClientPool
+    from primroselever_core.transfer.sources import Read, ReadEvent
 
-    from ..engine.engine_client import EngineClient
+    from .engine_switch import EngineSwitch
+    from .fetcher import Fetcher
+    from .manifests import ManifestFinder
 
-PARALLEL_READS = 8
-PEER_PATIENCE_S = 5.0
-CHUNK_TIMEOUT_S = 5.0
-DRAIN_S = 20.0
+PARALLEL_READS = 64
+TICK_S = 0.05
+KEEP_OLD_S = 120.0
+DOUBT_AGAIN_S = 1.0
+RECHECK_S = 15.0
+SWITCH_AGAIN_S = 0.3
 
 logger = logging.getLogger(__name__)
 
@@ -47,124 +47,193 @@
         self,
         board: Blackboard,
         section: TransfersSection,
-        registry: RunRegistry,
-        group: GroupName,
-        source: WeightSource,
-        peers: ClientPool,
-        engine: EngineClient,
+        finder: ManifestFinder,
+        fetcher: Fetcher,
+        switch: EngineSwitch,
+        store_domain: FailureDomain | None,
+        cross_domain_bytes_per_s: int,
     ) -> None:
         self.board = board
         self.section = section
-        self.registry = registry
-        self.group = group
-        self.source = source
-        self.peers = peers
-        self.engine = engine
+        self.finder = finder
+        self.fetcher = fetcher
+        self.switch = switch
+        self.store_domain = store_domain
+        self.cross_domain_bytes_per_s = cross_domain_bytes_per_s
+        self.random = Random()
+        self.reading = 0
+        self.recheck_at = 0.0
+        self.doubt_at = 0.0
+        self.switch_at = 0.0
 
     def step(self) -> None:
-        """Bring the engine to what the profile in force asks for, if need be."""
-        accepted = self.board.profiles.accepted
-        if accepted is None or not self.board.members.vms:
-            return
-        profile = accepted.profiles.profile_of_group(self.group)
-        if profile is None or self.up_to_date(profile):
+        """Go on with the rollout of what the profile in force asks for."""
+        now = clock.now()
+        self.section.store.expire(now)
+        profile = self.profile()
+        if profile is None or not self.board.members.vms:
             return
         try:
-            manifest = self.source.manifest(
-                profile.model, profile.adapter, profile.version
-            )
-            self.section.manifests[manifest.digest] = manifest
-            self.section.wanted = manifest
-            self.fetch(manifest)
-            if not self.section.store.missing(manifest):
-                self.switch(manifest, accepted.revision.number)
+            self.follow(profile)
+            self.go_on(profile)
         except PrimroseleverError as exc:
+            self.section.problem = str(exc)
             logger.warning("rollout of %s goes on later: %s", profile.version, exc)
 
-    def up_to_date(self, profile: Profile) -> bool:
-        """Return whether the engine serves what a profile asks for."""
+    def profile(self) -> Profile | None:
+        """Return the profile in force for this VM's group."""
+        accepted = self.board.profiles.accepted
+        if accepted is None:
+            return None
+        return accepted.profiles.profile_of_group(self.finder.peers.group)
+
+    def follow(self, profile: Profile) -> None:
+        """Want what the profile asks for, with the content that it has now."""
+        name = name_of(profile)
+        wanted = self.section.wanted
+        if wanted is None or wanted.name != name:
+            found = self.known(name)
+            found = found or self.finder.find(name, lambda: self.asked_for(name))
+            if found is not None and self.asked_for(name):
+                self.want(found, profile)
+            return
+        now = clock.now()
+        planner = self.section.planner
+        if planner is not None and planner.doubted and now >= self.doubt_at:
+            planner.doubted = False
+            self.doubt_at = now + DOUBT_AGAIN_S
+            self.adopt(self.finder.read(name), profile)
+        elif now >= self.recheck_at:
+            self.recheck_at = now + RECHECK_S * (0.75 + self.random.random() / 2)
+            self.adopt(self.finder.check(name), profile)
+
+    def known(self, name: VersionName) -> Manifest | None:
+        """Return a manifest that is still known here, as after a rollback."""
+        known = self.section.manifests.values()
+        return next((m for m in known if m.name == name), None)
+
+    def asked_for(self, name: VersionName) -> bool:
+        """Return whether the profile in force still asks for a version."""
+        profile = self.profile()
+        return profile is not None and name_of(profile) == name
+
+    def adopt(self, found: Manifest | None, profile: Profile) -> None:
+        """Want another content if a version has changed at its source."""
         wanted = self.section.wanted
-        return (
-            wanted is not None
-            and wanted.digest == self.section.serving
-            and (wanted.model, wanted.adapter, wanted.version)
-            == (profile.model, profile.adapter, profile.version)
+        if found is None or wanted is None or found.digest == wanted.digest:
+            return
+        if self.asked_for(found.name):
+            logger.warning("%s changed at its source", found.version)
+            self.want(found, profile)
+
+    def want(self, manifest: Manifest, profile: Profile) -> None:
+        """Start the transfer of a version; equal chunks of others are kept."""
+        now = clock.now()
+        store = self.section.store
+        if manifest.length > store.limit_bytes:
+            self.section.problem = (
+                f"{manifest.version} needs {manifest.length} bytes and the limit is "
+                f"{store.limit_bytes}; raise chunk_memory_bytes"
+            )
+            return
+        store.want_only(manifest, now + KEEP_OLD_S)
+        self.section.wanted = manifest
+        self.section.manifests[manifest.digest] = manifest
+        self.forget_manifests()
+        self.switch.forget_others(manifest)
+        self.recheck_at = now + RECHECK_S
+        self.section.planner = TransferPlanner(
+            manifest,
+            store.missing(manifest),
+            profile.objective,
+            self.neighbourhood(),
+            [Source(SourceKind(kind)) for kind in self.finder.sources],
+            self.random,
+            now,
         )
 
-    def fetch(self, manifest: Manifest) -> None:
-        """Fetch the missing chunks, owned ones first."""
-        mine = self.board.identity.vm_id
-        vms = self.board.members.agents(self.group, self.board.identity.failure_domain)
-        names: list[VmId] = [vm.vm_id for vm in vms] or [mine]
-        plan = [
-            (owners(manifest.digest, index, names), index)
-            for index in self.section.store.missing(manifest)
-        ]
-        plan.sort(key=lambda item: item[0][0] != mine)
-        pool = eventlet.GreenPool(PARALLEL_READS)
-        for ranking, index in plan:
-            pool.spawn_n(self.fetch_chunk, manifest, index, ranking)
-        pool.waitall()
-
-    def fetch_chunk(self, manifest: Manifest, index: int, ranking: list[VmId]) -> None:
-        """Fetch one chunk from its owner, or from outside when that is needed."""
-        mine = self.board.identity.vm_id
-        if ranking[0] != mine and self.from_peer(manifest, index, ranking[0]):
-            return
-        reason = "owned" if ranking[0] == mine else "the owner does not give it"
-        try:
-            data = self.source.chunk(manifest, index)
-        except WeightSourceError as exc:
-            logger.warning("chunk %d: %s", index, exc)
+    def forget_manifests(self) -> None:
+        """Forget manifests of which no chunk is held any more."""
+        wanted = self.section.wanted
+        chunks = self.section.store.chunks
+        self.section.manifests = {
+            digest: manifest
+            for digest, manifest in self.section.manifests.items()
+            if manifest is wanted or any(c in chunks for c in manifest.chunks)
+        }
+
+    def neighbourhood(self) -> Neighbourhood:
+        """Return the VMs of the group as the VM list has them now."""
+        identity = self.board.identity
+        return Neighbourhood.of(
+            identity.vm_id,
+            identity.failure_domain,
+            self.board.members.agents(self.finder.peers.group),
+            self.store_domain,
+        )
+
+    def go_on(self, profile: Profile) -> None:
+        """Read what is missing, and switch once all is there."""
+        manifest, planner = self.section.wanted, self.section.planner
+        if manifest is None or planner is None or manifest.name != name_of(profile):
             return
-        self.take_in(manifest, index, data, "origin", reason)
-
-    def from_peer(self, manifest: Manifest, index: int, vm_id: VmId) -> bool:
-        """Fetch a chunk from a peer; return whether it is held now."""
-        vm = self.board.members.vms[vm_id]
-        deadline = clock.now() + PEER_PATIENCE_S
-        while clock.now() < deadline:
-            try:
-                reply = self.peers.call(
-                    (vm.address, vm.rpc_port),
-                    "fetch_chunk",
-                    manifest.digest,
-                    index,
-                    0,
-                    timeout_s=CHUNK_TIMEOUT_S,
-                )
-            except (NeverSentError, LostReplyError):
-                return False
-            if reply.state == "held":
-                return self.take_in(manifest, index, reply.data, vm_id, "its owner")
-            eventlet.sleep(max(0.02, reply.retry_after_ms / 1000))
-        return False
-
-    def take_in(
-        self, manifest: Manifest, index: int, data: bytes, source: str, reason: str
-    ) -> bool:
-        """Verify and hold a chunk; return whether it is held."""
-        held = self.section.store.put(manifest.chunks[index], data)
-        subject = f"{manifest.digest[:8]}/{index}"
-        log_decision("chunk", subject, source, reason if held else "refused")
-        if held:
-            counts = self.section.bytes_by_source
-            counts[source] = counts.get(source, 0) + len(data)
-        return held
-
-    def switch(self, manifest: Manifest, fencing: int) -> None:
-        """Stop admission, drain, order the engine, read back, admit again."""
-        for index, digest in enumerate(manifest.chunks):
-            data = self.section.store.get(digest)
-            if data is not None:
-                self.engine.put_chunk(manifest.digest, index, data)
-        self.section.serving = None
-        if not drain(self.registry.in_flight, clock.now() + DRAIN_S):
-            logger.warning("runs in flight did not end; the switch goes on later")
+        if planner.chunks:
+            planner.meet(self.neighbourhood())
+            self.set_cross_domain_budget(len(planner.neighbourhood.near))
+            self.fill(manifest, planner)
+        elif not self.section.store.whole(manifest):
+            self.want(manifest, profile)
+        elif self.section.serving != manifest.digest:
+            self.try_switch(manifest, profile)
+
+    def try_switch(self, manifest: Manifest, profile: Profile) -> None:
+        """Switch the engine, if it is time to try."""
+        accepted = self.board.profiles.accepted
+        if accepted is None or clock.now() < self.switch_at:
             return
-        self.engine.load(manifest, fencing)
-        state = self.engine.state()
-        if state.digest == manifest.digest:
-            self.section.serving = manifest.digest
-        reason = "read back" if self.section.serving else f"engine has {state.digest}"
-        log_decision("switch", self.group, manifest.version, reason)
+        number = accepted.revision.number
+        if not self.switch.switch(manifest, number, profile.min_serving):
+            self.switch_at = clock.now() + SWITCH_AGAIN_S * (0.5 + self.random.random())
+
+    def set_cross_domain_budget(self, sharers: int) -> None:
+        """Take this VM's share of the link that its failure domain shares."""
+        rate = self.cross_domain_bytes_per_s // sharers
+        bucket = self.fetcher.cross_domain
+        if bucket is None or bucket.rate != rate:
+            self.fetcher.cross_domain = bucket_of(rate)
+
+    def fill(self, manifest: Manifest, planner: TransferPlanner) -> None:
+        """Start reads until as many as allowed are going on."""
+        while self.reading < PARALLEL_READS:
+            read = planner.next_read(clock.now())
+            if read is None:
+                return
+            self.reading += 1
+            eventlet.spawn_n(self.carry, manifest, planner, read)
+
+    def carry(self, manifest: Manifest, planner: TransferPlanner, read: Read) -> None:
+        """Carry out a read, tell the planner, and start the next ones."""
+        event: ReadEvent = Silent(read)
+        try:
+            event = self.fetcher.perform(manifest, read)
+        except Exception:
+            logger.exception("a read failed")
+        finally:
+            self.reading -= 1
+        apply(event, planner, clock.now())
+        if isinstance(event, Held):
+            self.hand_over(manifest, read.index)
+        if planner is self.section.planner:
+            self.fill(manifest, planner)
+
+    def hand_over(self, manifest: Manifest, index: int) -> None:
+        """Hand a chunk to the engine; one that fails is handed over later."""
+        try:
+            self.switch.hand_over(manifest, index)
+        except PrimroseleverError as exc:
+            logger.info("chunk %d is handed over later: %s", index, exc)
+
+
+def name_of(profile: Profile) -> VersionName:
+    """Return the version that a profile asks for."""
+    return VersionName(profile.model, profile.adapter, profile.version)
--- a/packages/primroselever-agent/src/primroselever_agent/transfer/serving.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/serving.py
@@ -1,40 +1,126 @@
-"""Serving chunks to other agents."""
+"""Serving chunks and manifests to other agents."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Any
 
+import eventlet
+from eventlet.event import Event
+
+from primroselever_core.identifiers import VmId
+from primroselever_core.transfer.manifest import VersionName
+from primroselever_core.transfer.uploads import Busy, Send, SendElsewhere
+from primroselever_node import clock
 from primroselever_node.rpc.schema import schema
 
 if TYPE_CHECKING:
-    from primroselever_core.identifiers import WeightsDigest
+    from primroselever_core.board import Blackboard
+    from primroselever_core.identifiers import ChunkDigest, WeightsDigest
     from primroselever_core.transfer.section import TransfersSection
+    from primroselever_core.transfer.uploads import UploadPlanner
+
+    from .instruments import TransferInstruments
 
-PENDING_RETRY_MS = 20
+MAX_WAIT_S = 2.0
 
 
 class ChunkServing:
     """Answers other agents from the verified chunks held here."""
 
-    def __init__(self, section: TransfersSection) -> None:
+    def __init__(
+        self,
+        board: Blackboard,
+        section: TransfersSection,
+        uploads: UploadPlanner,
+        instruments: TransferInstruments,
+    ) -> None:
+        self.board = board
         self.section = section
+        self.uploads = uploads
+        self.instruments = instruments
+        self.waiting: dict[ChunkDigest, Event] = {}
 
     def manifest(self, weights_digest: WeightsDigest) -> bytes:
-        """Return nothing: manifests are read from their source."""
-        return b""
+        """Return the text of a manifest that is known here, or nothing."""
+        manifest = self.section.manifests.get(weights_digest)
+        return manifest.text if manifest is not None else b""
 
-    def chunk(self, weights_digest: WeightsDigest, index: int, wait_ms: int) -> Any:
-        """Return a chunk that is held, or ``pending`` for one that is wanted."""
+    def find_manifest(self, model: str, adapter: str, version: str) -> bytes:
+        """Return the text of the manifest that is wanted for a version."""
+        wanted = self.section.wanted
+        name = VersionName(model, adapter or None, version)
+        return wanted.text if wanted is not None and wanted.name == name else b""
+
+    def chunk(
+        self, weights_digest: WeightsDigest, index: int, wait_ms: int, asker: str
+    ) -> Any:
+        """
+        Return a chunk, a holder to ask, or when to ask again.
+
+        The call is held open for a chunk that is still on its way.
+        """
         manifest = self.section.manifests.get(weights_digest)
         if manifest is None or not 0 <= index < len(manifest.chunks):
             return self.reply("unknown")
-        data = self.section.store.get(manifest.chunks[index])
-        if data is None:
-            return self.reply("pending", retry_after_ms=PENDING_RETRY_MS)
+        digest = manifest.chunks[index]
+        data = self.section.store.get(digest)
+        if data is None and self.wanted(weights_digest) and wait_ms > 0:
+            self.wait(digest, min(MAX_WAIT_S, wait_ms / 1000))
+            data = self.section.store.get(digest)
+        if data is not None:
+            return self.send(digest, data, VmId(asker))
+        if not self.wanted(weights_digest):
+            return self.reply("unknown")
+        planner = self.section.planner
+        reading = planner is not None and planner.reading_outside(index)
+        return self.reply("reading" if reading else "pending")
+
+    def wanted(self, weights_digest: WeightsDigest) -> bool:
+        """Return whether this agent is after a version itself."""
+        wanted = self.section.wanted
+        return wanted is not None and wanted.digest == weights_digest
+
+    def send(self, digest: ChunkDigest, data: bytes, asker: VmId) -> Any:
+        """Return a chunk once the link is free for it, or whom to ask."""
+        now = clock.now()
+        near = self.is_near(asker)
+        answer = self.uploads.decide(digest, len(data), asker, near, now)
+        if isinstance(answer, SendElsewhere):
+            return self.reply("elsewhere", ask_vm_id=answer.vm_id)
+        if isinstance(answer, Busy):
+            wait_ms = int((answer.retry_at - now) * 1000)
+            return self.reply("reading", retry_after_ms=wait_ms)
+        assert isinstance(answer, Send)
+        eventlet.sleep(max(0.0, answer.at - now))
+        self.instruments.sent.add(len(data))
         return self.reply("held", data)
 
-    def reply(self, state: str, data: bytes = b"", retry_after_ms: int = 0) -> Any:
+    def is_near(self, vm_id: VmId) -> bool:
+        """Return whether a VM stands in this failure domain."""
+        vm = self.board.members.vms.get(vm_id)
+        home = self.board.identity.failure_domain
+        return vm is not None and vm.failure_domain == home
+
+    def wait(self, digest: ChunkDigest, timeout_s: float) -> None:
+        """Block until a chunk is held, or the time is over."""
+        event = self.waiting.setdefault(digest, Event())
+        with eventlet.Timeout(timeout_s, False):
+            event.wait()
+
+    def arrived(self, digest: ChunkDigest) -> None:
+        """Wake whoever waits for a chunk."""
+        event = self.waiting.pop(digest, None)
+        if event is not None:
+            event.send()
+
+    def reply(
+        self,
+        state: str,
+        data: bytes = b"",
+        retry_after_ms: int = 0,
+        ask_vm_id: str = "",
+    ) -> Any:
         """Return a reply."""
         return schema.ChunkReply(
-            state=state, data=data, retry_after_ms=retry_after_ms, ask_vm_id=""
+            state=state, data=data, retry_after_ms=retry_after_ms, ask_vm_id=ask_vm_id
         )
--- a/packages/primroselever-core/src/primroselever_core/transfer/chunk_store.py
+++ b/packages/primroselever-core/src/primroselever_core/transfer/chunk_store.py
@@ -18,35 +18,68 @@
     Verified chunks by digest; ``limit_bytes`` bounds their total size.
 
     A chunk whose bytes do not match its digest, or that does not fit, is not
-    taken in.
+    taken in. Chunks of a version that is no longer wanted have a deadline in
+    ``deadlines``: they serve peers until then, and make room earlier if need be.
     """
 
     limit_bytes: int
     held_bytes: int = 0
     chunks: dict[ChunkDigest, bytes] = field(default_factory=dict)
+    deadlines: dict[ChunkDigest, float] = field(default_factory=dict)
 
     def put(self, digest: ChunkDigest, data: bytes) -> bool:
         """Take a chunk in if it is whole and fits; return whether it is held."""
         if digest in self.chunks:
             return True
-        if self.held_bytes + len(data) > self.limit_bytes:
-            return False
-        if chunk_digest(data) != digest:
+        if chunk_digest(data) != digest or not self.make_room(len(data)):
             return False
         self.chunks[digest] = data
         self.held_bytes += len(data)
         return True
 
+    def make_room(self, size: int) -> bool:
+        """Drop unwanted chunks, the earliest deadline first; return if it fits."""
+        for digest in sorted(self.deadlines, key=lambda d: self.deadlines[d]):
+            if self.held_bytes + size <= self.limit_bytes:
+                break
+            self.discard(digest)
+        return self.held_bytes + size <= self.limit_bytes
+
     def get(self, digest: ChunkDigest) -> bytes | None:
         """Return the bytes of a chunk, or None."""
         return self.chunks.get(digest)
 
     def discard(self, digest: ChunkDigest) -> None:
         """Drop a chunk if it is held."""
+        self.deadlines.pop(digest, None)
         data = self.chunks.pop(digest, None)
         if data is not None:
             self.held_bytes -= len(data)
 
+    def want_only(self, manifest: Manifest, deadline: float) -> None:
+        """Give all chunks that a manifest does not need a deadline."""
+        needed = set(manifest.chunks)
+        for digest in needed:
+            self.deadlines.pop(digest, None)
+        for digest in self.chunks:
+            if digest not in needed:
+                self.deadlines.setdefault(digest, deadline)
+
+    def expire(self, now: float) -> None:
+        """Drop chunks whose deadline has passed."""
+        for digest in [d for d, at in self.deadlines.items() if at <= now]:
+            self.discard(digest)
+
     def missing(self, manifest: Manifest) -> list[int]:
         """Return the indexes of the chunks that a manifest needs, in order."""
         return [i for i, d in enumerate(manifest.chunks) if d not in self.chunks]
+
+    def whole(self, manifest: Manifest) -> bool:
+        """Return whether all chunks are held and have the length in all."""
+        total = 0
+        for index, digest in enumerate(manifest.chunks):
+            data = self.chunks.get(digest)
+            if data is None or len(data) != manifest.size_of(index):
+                return False
+            total += len(data)
+        return total == manifest.length
--- a/packages/primroselever-core/src/primroselever_core/transfer/manifest.py
+++ b/packages/primroselever-core/src/primroselever_core/transfer/manifest.py
@@ -28,9 +28,22 @@
     chunks: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class VersionName:
+    """What operators call a version; its content may change at the source."""
+
+    model: str
+    adapter: str | None
+    version: str
+
+
 @dataclass(frozen=True, slots=True)
 class Manifest:
-    """A verified manifest; ``length`` and ``chunk_bytes`` are in bytes."""
+    """
+    A verified manifest; ``length`` and ``chunk_bytes`` are in bytes.
+
+    ``text`` is the canonical form, from which peers get the same digest.
+    """
 
     model: str
     adapter: str | None
@@ -39,6 +52,7 @@
     chunk_bytes: int
     chunks: tuple[ChunkDigest, ...]
     digest: WeightsDigest
+    text: bytes = b""
 
     @classmethod
     def from_published(cls, published: PublishedManifest) -> Manifest:
@@ -63,8 +77,19 @@
             chunk_bytes=published.chunk_bytes,
             chunks=tuple(ChunkDigest(digest) for digest in published.chunks),
             digest=WeightsDigest(xxhash.xxh3_128_hexdigest(canonical)),
+            text=canonical,
         )
 
+    @classmethod
+    def parse(cls, text: bytes) -> Manifest:
+        """Return the manifest in a text; raise ``ValueError`` if there is none."""
+        return cls.from_published(PublishedManifest.model_validate_json(text))
+
+    @property
+    def name(self) -> VersionName:
+        """Return what the manifest is a version of."""
+        return VersionName(self.model, self.adapter, self.version)
+
     def size_of(self, index: int) -> int:
         """Return the size in bytes of the chunk at ``index``."""
         start = index * self.chunk_bytes
--- /dev/null
+++ b/packages/primroselever-core/src/primroselever_core/transfer/ownership.py
@@ -0,0 +1,70 @@
+"""The owners of each chunk, by rendezvous hash, and which of them are suspect."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ..rendezvous import ranked
+
+if TYPE_CHECKING:
+    from ..identifiers import VmId, WeightsDigest
+    from .neighbourhood import Neighbourhood
+    from .sources import Source
+
+OWNERS_PER_CHUNK = 3
+
+
+@dataclass(slots=True)
+class Ownership:
+    """
+    Owners and fallback owners, in this failure domain and in the store's.
+
+    ``suspects`` maps the names of sources that failed to their deadlines; until
+    then nothing is asked of them.
+    """
+
+    digest: WeightsDigest
+    neighbourhood: Neighbourhood
+    suspects: dict[str, float] = field(default_factory=dict)
+    rankings: dict[tuple[int, bool], list[VmId]] = field(default_factory=dict)
+
+    def meet(self, neighbourhood: Neighbourhood) -> bool:
+        """Take in a VM list; return whether it changed anything."""
+        if neighbourhood == self.neighbourhood:
+            return False
+        self.neighbourhood = neighbourhood
+        self.rankings.clear()
+        return True
+
+    def ranking(self, index: int, home: bool = False) -> list[VmId]:
+        """Return all VMs in the order in which they own a chunk."""
+        key = (index, home)
+        if key not in self.rankings:
+            where = self.neighbourhood
+            vms = where.vms[where.home] if home else where.near
+            self.rankings[key] = ranked(f"{self.digest}/{index}", vms)
+        return self.rankings[key]
+
+    def owners(self, index: int, now: float, home: bool = False) -> list[VmId]:
+        """Return the first few VMs of a ranking that are not suspect."""
+        found: list[VmId] = []
+        for vm_id in self.ranking(index, home):
+            if self.trusted(vm_id, now):
+                found.append(vm_id)
+                if len(found) == OWNERS_PER_CHUNK:
+                    break
+        return found
+
+    def owned(self, index: int) -> bool:
+        """Return whether this VM is the first owner of a chunk."""
+        return self.ranking(index)[0] == self.neighbourhood.mine
+
+    def trusted(self, name: str, now: float) -> bool:
+        """Return whether a source is not suspect now."""
+        return self.suspects.get(name, 0.0) <= now
+
+    def suspect(self, source: Source, deadline: float) -> None:
+        """Ask a source for nothing until a deadline."""
+        name = source.name
+        self.suspects[name] = max(deadline, self.suspects.get(name, 0.0))
--- a/packages/primroselever-core/src/primroselever_core/transfer/section.py
+++ b/packages/primroselever-core/src/primroselever_core/transfer/section.py
@@ -5,10 +5,13 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from .progress import Progress
+
 if TYPE_CHECKING:
     from ..identifiers import WeightsDigest
     from .chunk_store import ChunkStore
     from .manifest import Manifest
+    from .planner import TransferPlanner
 
 
 @dataclass(slots=True)
@@ -17,11 +20,20 @@
     What is wanted, held and served; written by the transfer controller.
 
     ``wanted`` is the manifest that the profile in force asks for, ``serving``
-    the digest that the engine was last read back to hold, or empty.
+    the digest that the engine was last read back to hold, or None. ``planner``
+    plans the transfer of the wanted version, and ``problem`` says what keeps a
+    rollout from going on, for operators.
     """
 
     store: ChunkStore
     wanted: Manifest | None = None
     serving: WeightsDigest | None = None
     manifests: dict[WeightsDigest, Manifest] = field(default_factory=dict)
-    bytes_by_source: dict[str, int] = field(default_factory=dict)
+    planner: TransferPlanner | None = None
+    progress: Progress = field(default_factory=Progress)
+    problem: str = ""
+
+    @property
+    def bytes_by_source(self) -> dict[str, int]:
+        """Return how many verified bytes came from where."""
+        return self.progress.bytes_by_source
--- /dev/null
+++ b/packages/primroselever-core/src/primroselever_core/transfer/uploads.py
@@ -0,0 +1,104 @@
+"""
+Whether to send a chunk to a peer, or to name a holder that it should ask.
+
+Whoever is given a chunk becomes a holder for those that ask later, so that a
+chunk spreads over a tree that grows where the link is busy, and the load does not
+depend on who owns how many chunks.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict, deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ..budgets import TokenBucket
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from ..identifiers import ChunkDigest, VmId
+
+QUEUE_S = 0.5
+MAX_QUEUE_S = 1.0
+HOLDERS_PER_CHUNK = 16
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Send the chunk; the link is free for it at ``at``."""
+
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class SendElsewhere:
+    """Name a holder; the link is busy."""
+
+    vm_id: VmId
+
+
+@dataclass(frozen=True, slots=True)
+class Busy:
+    """No holder is known; ask again at ``retry_at``."""
+
+    retry_at: float
+
+
+Upload = Send | SendElsewhere | Busy
+
+
+@dataclass(slots=True)
+class UploadPlanner:
+    """
+    The upload budget of one VM, and to whom it has given which chunk.
+
+    ``bucket`` is None without a limit.
+    """
+
+    bucket: TokenBucket | None
+    random: Random
+    given: dict[ChunkDigest, deque[VmId]] = field(
+        default_factory=lambda: defaultdict(lambda: deque(maxlen=HOLDERS_PER_CHUNK))
+    )
+
+    @classmethod
+    def with_limit(
+        cls, bytes_per_s: int, burst_bytes: int, random: Random, now: float
+    ) -> UploadPlanner:
+        """Return a planner for a link; a rate of 0 means no limit."""
+        bucket = TokenBucket.full(bytes_per_s, burst_bytes, now)
+        return cls(bucket if bytes_per_s else None, random)
+
+    def backlog_s(self, now: float) -> float:
+        """Return for how many seconds the link is taken already."""
+        if self.bucket is None:
+            return 0.0
+        self.bucket.refill(now)
+        return max(0.0, -self.bucket.level / self.bucket.rate)
+
+    def decide(
+        self, digest: ChunkDigest, size: int, asker: VmId, near: bool, now: float
+    ) -> Upload:
+        """
+        Return what to answer to an asker for a chunk that is held here.
+
+        Only askers that are ``near``, in this failure domain, become holders:
+        naming a holder elsewhere would cost the link between domains more copies.
+        """
+        backlog_s = self.backlog_s(now)
+        if backlog_s > QUEUE_S:
+            holders = [vm for vm in self.given[digest] if vm != asker]
+            if holders:
+                return SendElsewhere(self.random.choice(holders))
+            if backlog_s > MAX_QUEUE_S:
+                return Busy(now + backlog_s - QUEUE_S)
+        if near:
+            self.given[digest].append(asker)
+        if self.bucket is None:
+            return Send(now)
+        return Send(self.bucket.reserve(size, now))
+
+    def forget(self, digest: ChunkDigest) -> None:
+        """Forget to whom a chunk was given."""
+        self.given.pop(digest, None)
--- a/packages/primroselever-node/src/primroselever_node/exceptions.py
+++ b/packages/primroselever-node/src/primroselever_node/exceptions.py
@@ -11,3 +11,7 @@
 
 class WeightSourceError(PrimroseleverError):
     """A chunk or a manifest could not be read from the store or the origin."""
+
+
+class SourceRefusedError(WeightSourceError):
+    """The store or the origin answered, but not with what was asked for."""
--- a/packages/primroselever-node/src/primroselever_node/platform/weight_source.py
+++ b/packages/primroselever-node/src/primroselever_node/platform/weight_source.py
@@ -9,11 +9,13 @@
 
 from primroselever_core.transfer.manifest import Manifest, PublishedManifest
 
-from ..exceptions import WeightSourceError
+from ..exceptions import SourceRefusedError, WeightSourceError
 from .http_client import new_http_pool, timeout
 
 NO_ADAPTER = "none"
 READ_TIMEOUT_S = 5.0
+CHUNK_TIMEOUT_S = 20.0
+CONNECTIONS = 32
 
 
 class WeightSource:
@@ -21,7 +23,7 @@
 
     def __init__(self, url: str) -> None:
         self.url = url
-        self.http = new_http_pool()
+        self.http = new_http_pool(CONNECTIONS)
 
     def version_url(self, model: str, adapter: str | None, version: str) -> str:
         """Return the URL below which a version's manifest and chunks stand."""
@@ -40,14 +42,14 @@
     def chunk(self, manifest: Manifest, index: int) -> bytes:
         """Return the bytes of a chunk, not yet verified."""
         version = self.version_url(manifest.model, manifest.adapter, manifest.version)
-        return self.get(f"{version}/chunks/{index}")
+        return self.get(f"{version}/chunks/{index}", CHUNK_TIMEOUT_S)
 
-    def get(self, url: str) -> bytes:
+    def get(self, url: str, read_s: float = READ_TIMEOUT_S) -> bytes:
         """Return the body behind a URL or raise ``WeightSourceError``."""
         try:
-            reply = self.http.request("GET", url, timeout=timeout(READ_TIMEOUT_S))
+            reply = self.http.request("GET", url, timeout=timeout(read_s))
         except urllib3.exceptions.HTTPError as exc:
             raise WeightSourceError(f"{url} does not answer: {exc}") from exc
         if reply.status != 200:
-            raise WeightSourceError(f"{url} answered {reply.status}")
+            raise SourceRefusedError(f"{url} answered {reply.status}")
         return reply.data
--- a/packages/primroselever-node/src/primroselever_node/rpc/primroselever.thrift
+++ b/packages/primroselever-node/src/primroselever_node/rpc/primroselever.thrift
@@ -104,7 +104,11 @@
   4: bool leaving,
 }
 
-/* state is held (data follows), pending (ask again then), elsewhere or unknown. */
+/*
+ * state is held (data follows), elsewhere (ask that holder), pending (this agent
+ * waits for the chunk too), reading (it reads it from outside its failure domain,
+ * or holds it and is busy) or unknown.
+ */
 struct ChunkReply {
   1: string state,
   2: binary data,
@@ -124,5 +128,6 @@
   RunSlice resolve(1: string run_id, 2: i64 incarnation),
   void cancel(1: string run_id),
   binary fetch_manifest(1: string weights_digest),
-  ChunkReply fetch_chunk(1: string weights_digest, 2: i32 index, 3: i64 wait_ms),
+  ChunkReply fetch_chunk(1: string weights_digest, 2: i32 index, 3: i64 wait_ms, 4: string asker),
+  binary find_manifest(1: string model, 2: string adapter, 3: string version),
 }
--- a/packages/primroselever-node/src/primroselever_node/settings/model.py
+++ b/packages/primroselever-node/src/primroselever_node/settings/model.py
@@ -19,11 +19,16 @@
 
 
 class Platform(Settings):
-    """The addresses of the platform's services, as URLs without a final slash."""
+    """
+    The addresses of the platform's services, as URLs without a final slash.
+
+    ``weight_store_domain`` is the failure domain in which the weight store stands.
+    """
 
     configuration_service: str
     vm_list: str
     weight_store: str | None = None
+    weight_store_domain: str | None = None
     origin: str | None = None
 
 
