--- a/bench/launcher.py
+++ b/bench/launcher.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -124,11 +125,26 @@
                 env={**os.environ, TICKET_KEY_VARIABLE: "bench-only-key"},
             )
 
+    def signal_vm(self, name: str, number: int = signal.SIGTERM) -> None:
+        """Send a signal to a process that this launcher started."""
+        self.processes[name].send_signal(number)
+
+    def wait_vm(self, name: str) -> int:
+        """Wait for the end of a process and return its exit code."""
+        return self.processes.pop(name).wait(STOP_S * 3)
+
     def stop_vm(self, name: str, number: int = signal.SIGTERM) -> int:
         """Send a signal to a process, wait for its end, return its exit code."""
-        process = self.processes.pop(name)
-        process.send_signal(number)
-        return process.wait(STOP_S * 3)
+        self.signal_vm(name, number)
+        return self.wait_vm(name)
+
+    def runs_by_body(self) -> Counter[str]:
+        """Return how often each body was run by any engine or plain service."""
+        ran: Counter[str] = Counter()
+        for vm in self.layout.agents():
+            counters = self.get(vm.backend_port, "/control")
+            ran.update(counters.get("bodies") or counters.get("calls") or {})
+        return ran
 
     def stop_all(self) -> None:
         """Stop every process that this launcher started."""
@@ -203,6 +219,13 @@
 
         def holds() -> bool:
             states = [self.get(vm.admin_port, "/status") for vm in agents]
-            return all(s and s["serving"] and s["wanted"] == version for s in states)
+            return all(serves(state, version) for state in states)
 
         return self.wait_for(holds, limit_s, f"{group} at {version}")
+
+
+def serves(status: dict[str, Any] | None, version: str) -> bool:
+    """Return whether an agent's status says that its engine has a version."""
+    if status is None or status["wanted"] != version:
+        return False
+    return bool(status["serving"] == status["wanted_digest"])
--- /dev/null
+++ b/packages/primroselever-agent/src/primroselever_agent/runs/ticket_issuer.py
@@ -0,0 +1,67 @@
+"""Tickets as they go over the wire: signed when issued, verified at a start."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from primroselever_core.identifiers import (
+    Fingerprint,
+    Incarnation,
+    RunId,
+    ServiceName,
+    WorkspaceName,
+)
+from primroselever_core.outcomes import NotRun
+from primroselever_core.runs.fingerprint import fingerprint_of
+from primroselever_core.runs.starting import Start
+from primroselever_core.tickets.ticket_book import KeyScope
+from primroselever_node import clock
+
+if TYPE_CHECKING:
+    from primroselever_core.tickets.signing import TicketSigner
+    from primroselever_core.tickets.ticket_book import TicketBook
+
+EPOCH_S = 600.0
+
+
+class TicketIssuer:
+    """Issues and checks the tickets of this agent, and moves the epochs on."""
+
+    def __init__(self, book: TicketBook, signer: TicketSigner) -> None:
+        self.book = book
+        self.signer = signer
+        self.epoch_until = clock.now() + EPOCH_S
+
+    def issue(self, request: Any) -> str | NotRun:
+        """Return a signed ticket, or why there is none."""
+        scope = None
+        if request.idempotency_key:
+            scope = KeyScope(
+                ServiceName(request.service_name),
+                WorkspaceName(request.workspace),
+                request.idempotency_key,
+            )
+        ticket = self.book.issue(Fingerprint(request.fingerprint), scope)
+        return ticket if isinstance(ticket, NotRun) else self.signer.sign(ticket)
+
+    def read(self, request: Any) -> Start:
+        """Return a start as it arrived, its ticket verified."""
+        fingerprint = Fingerprint(request.fingerprint)
+        needs_ticket = not request.idempotent
+        if needs_ticket:
+            body = request.body or b""
+            fingerprint = fingerprint_of(request.service_name, request.workspace, body)
+        return Start(
+            run_id=RunId(request.run_id),
+            incarnation=Incarnation(request.incarnation),
+            epoch=request.epoch or 0,
+            fingerprint=fingerprint,
+            needs_ticket=needs_ticket,
+            ticket=self.signer.verify(request.ticket) if needs_ticket else None,
+        )
+
+    def step(self) -> None:
+        """Move on to a new epoch when it is time, or when the marks are many."""
+        if clock.now() >= self.epoch_until or self.book.starts.full():
+            self.book.close_epoch()
+            self.epoch_until = clock.now() + EPOCH_S
--- a/packages/primroselever-core/src/primroselever_core/transfer/ownership.py
+++ b/packages/primroselever-core/src/primroselever_core/transfer/ownership.py
@@ -8,6 +8,8 @@
 from ..rendezvous import ranked
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from ..identifiers import VmId, WeightsDigest
     from .neighbourhood import Neighbourhood
     from .sources import Source
@@ -15,6 +17,11 @@
 OWNERS_PER_CHUNK = 3
 
 
+def owners(digest: WeightsDigest, index: int, vm_ids: Iterable[VmId]) -> list[VmId]:
+    """Return the owner of a chunk and its fallback owners, in order."""
+    return ranked(f"{digest}/{index}", vm_ids)
+
+
 @dataclass(slots=True)
 class Ownership:
     """
@@ -43,7 +50,7 @@
         if key not in self.rankings:
             where = self.neighbourhood
             vms = where.vms[where.home] if home else where.near
-            self.rankings[key] = ranked(f"{self.digest}/{index}", vms)
+            self.rankings[key] = owners(self.digest, index, vms)
         return self.rankings[key]
 
     def owners(self, index: int, now: float, home: bool = False) -> list[VmId]:
--- a/packages/primroselever-entry/src/primroselever_entry/commands/serve.py
+++ b/packages/primroselever-entry/src/primroselever_entry/commands/serve.py
@@ -2,56 +2,52 @@
 
 from __future__ import annotations
 
-import logging
-from pathlib import Path
 from random import Random
 from typing import TYPE_CHECKING, Any
 
+import eventlet
+from opentelemetry.metrics import get_meter
+
 from primroselever_node import clock
 from primroselever_node.admin import AdminApplication
-from primroselever_node.console.command import EXIT_OK, Command
-from primroselever_node.control import MembersController, ProfilesController
+from primroselever_node.console.serve import BaseServeCommand
+from primroselever_node.control.members import MembersController
+from primroselever_node.control.profiles import ProfilesController
+from primroselever_node.control.status import control_status
 from primroselever_node.http import HttpServer
-from primroselever_node.logs import set_up_logging
-from primroselever_node.metrics import set_up_metrics
+from primroselever_node.metrics import observe_board
 from primroselever_node.platform.configuration_service import ConfigurationService
 from primroselever_node.platform.vm_list_service import VmListService
 from primroselever_node.process import (
     ShutdownSignal,
     drain,
+    exit_code,
     new_board,
     run_controller,
 )
 from primroselever_node.rpc.client_pool import ClientPool
 from primroselever_node.rpc.schema import schema
-from primroselever_node.settings.load import load_settings
+from primroselever_node.status import common_status
 
 from ..requests.application import CallerApplication
+from ..requests.explain import RouteExplainer
 from ..requests.flow import RequestFlow
 from ..settings import EntrySettings
 
 if TYPE_CHECKING:
-    from argparse import ArgumentParser, Namespace
-
-logger = logging.getLogger(__name__)
+    from primroselever_node.settings.model import NodeSettings
 
 
-class ServeCommand(Command):
+class ServeCommand(BaseServeCommand):
     """Run an entry."""
 
-    name = "serve"
-    help = "run the entry until it is told to stop"
     description = "Run the entry. SIGTERM stops it once its requests have ended."
+    binary = "primroselever-entry"
+    settings_model = EntrySettings
 
-    def configure(self, parser: ArgumentParser) -> None:
-        """Add the path of the settings."""
-        parser.add_argument("settings", type=Path, help="settings, JSON with comments")
-
-    def handle(self, arguments: Namespace) -> int:
+    def serve(self, settings: NodeSettings) -> int:
         """Run until SIGTERM."""
-        settings = load_settings(arguments.settings, EntrySettings)
-        set_up_logging(settings.vm_id, settings.log_level)
-        set_up_metrics("primroselever-entry", settings.vm_id)
+        assert isinstance(settings, EntrySettings)
         return EntryProcess(settings).run()
 
 
@@ -61,6 +57,7 @@
     def __init__(self, settings: EntrySettings) -> None:
         self.settings = settings
         self.board = new_board(settings)
+        self.turning_away = False
         self.flow = RequestFlow(
             self.board, ClientPool(schema.Agent), Random(), settings.progress_s
         )
@@ -70,7 +67,11 @@
             settings.http.port,
         )
         self.admin = HttpServer(
-            AdminApplication(self.ready, self.status),
+            AdminApplication(
+                self.not_ready,
+                self.status,
+                RouteExplainer(self.board, self.flow).explain,
+            ),
             settings.admin.host,
             settings.admin.port,
         )
@@ -78,6 +79,7 @@
     def run(self) -> int:
         """Serve until told to stop, then drain; return the exit code."""
         stop = ShutdownSignal()
+        observe_board(self.board, get_meter("primroselever.node"))
         platform = self.settings.platform
         profiles = ProfilesController(
             self.board, ConfigurationService(platform.configuration_service)
@@ -88,25 +90,36 @@
         self.admin.start()
         self.http.start()
         stop.wait()
-        self.board.leaving = True
-        deadline = clock.now() + self.settings.shutdown_s
-        drained = drain(lambda: self.flow.in_flight, deadline)
-        logger.info("stopped", extra={"drained": drained})
-        return EXIT_OK
+        return exit_code(self.shut_down())
+
+    def shut_down(self) -> bool:
+        """
+        Let the balancer turn away, then end; return whether all was answered.
 
-    def ready(self) -> bool:
-        """Return whether new requests may come."""
-        known = self.board.profiles.accepted is not None
-        return known and bool(self.board.members.vms) and not self.board.leaving
+        Until ``turn_away_s`` is over new requests are served as ever; after that
+        they are answered ``not_run``, for as long as the others take to end.
+        """
+        deadline = clock.now() + self.settings.shutdown_s
+        self.turning_away = True
+        eventlet.sleep(self.settings.turn_away_s)
+        self.board.leaving = True
+        return drain(lambda: self.http.in_flight, deadline)
+
+    def not_ready(self) -> str | None:
+        """Return why no new requests may come, or None."""
+        if self.turning_away:
+            return "leaving"
+        if self.board.profiles.accepted is None:
+            return "no profiles yet"
+        if not self.board.members.vms:
+            return "no VM list yet"
+        return None
 
     def status(self) -> dict[str, Any]:
         """Return what this entry knows."""
         return {
-            "vm_id": self.settings.vm_id,
-            "incarnation": self.board.identity.incarnation,
-            "leaving": self.board.leaving,
-            "revision": self.board.profiles.revision.number,
-            "refused_revision": self.board.profiles.refused_revision.number,
+            **common_status(self.board),
+            "leaving": self.turning_away,
             "in_flight": self.flow.in_flight,
-            "vms": len(self.board.members.vms),
+            "control": control_status(self.board),
         }
--- a/packages/primroselever-node/src/primroselever_node/exceptions.py
+++ b/packages/primroselever-node/src/primroselever_node/exceptions.py
@@ -15,3 +15,11 @@
 
 class SourceRefusedError(WeightSourceError):
     """The store or the origin answered, but not with what was asked for."""
+
+
+class AdminError(PrimroseleverError):
+    """The admin port of a running process gave no answer."""
+
+
+class ExplainError(PrimroseleverError):
+    """A question to /explain has no answer; the message says what to ask."""
