Bring one copy through a chain of failure domains

Cause: under origin_bytes the store's domain sent a copy to every other domain on top of its own, and busy holders sent askers round in circles. Ruled out: a star with more holders, which costs the link between regions a copy for each domain. Change: domains stand in a chain, the store's region first; owners in other domains are served first; an asker that was sent on twice is served where it is; a VM on its way to a holder still counts as reading.

--- a/bench/experiments/rollout.py
+++ b/bench/experiments/rollout.py
@@ -15,6 +15,7 @@
     fleet_of,
     links_of,
     profiles,
+    read_outcomes,
     rss_mb,
     sent_copies,
     serving_times,
@@ -52,6 +53,7 @@
         origin = sent_copies(fleet, layout.origin_port, links.length)
         store = sent_copies(fleet, layout.store_port, links.length)
         by_source = copies_by_source(fleet, links.length, set())
+        reads = read_outcomes(fleet, set())
         memory = rss_mb(fleet, agents)
         everyone = sum(rss_mb(fleet, list(fleet.processes)))
         baseline = None
@@ -78,6 +80,7 @@
         "store_copies": store,
         "cross_domain_copies": by_source["cross_domain"],
         "copies_by_source": by_source,
+        "reads": reads,
         "agent_rss_mb_max": round(max(memory), 1),
         "all_rss_mb": round(everyone),
         "baseline_time_s": baseline,
--- a/bench/rollout_fleet.py
+++ b/bench/rollout_fleet.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import json
+import re
 import threading
 import time
+from collections import Counter
 from dataclasses import dataclass
 from datetime import UTC, datetime
 from typing import TYPE_CHECKING, Any
@@ -26,6 +28,11 @@
 ENGINES_PER_PROCESS = 40
 START_LIMIT_S = 120.0
 POLL_S = 0.25
+READS = re.compile(
+    r'^primroselever_transfer_reads_total\{.*?outcome="(?P<outcome>\w+)"'
+    r'.*?source="(?P<source>\w+)".*?\} (?P<count>[\d.e+]+)$',
+    re.MULTILINE,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -166,6 +173,20 @@
     return {name: round(count / length, 3) for name, count in totals.items()}
 
 
+def read_outcomes(fleet: Launcher, lost: set[str]) -> dict[str, int]:
+    """Return how many reads there were by source and outcome, over all agents."""
+    totals: Counter[str] = Counter()
+    for vm in fleet.layout.agents():
+        if vm.vm_id in lost:
+            continue
+        reply = fleet.http.request("GET", url(vm.admin_port) + "/metrics", timeout=5)
+        for match in READS.finditer(reply.data.decode()):
+            totals[f"{match['source']} {match['outcome']}"] += int(
+                float(match["count"])
+            )
+    return dict(sorted(totals.items()))
+
+
 def sent_copies(fleet: Launcher, port: int, length: int) -> float:
     """Return how many copies a weight source says that it has sent."""
     return round(int(fleet.get(port, "/control")["sent_bytes"]) / length, 3)
--- a/packages/primroselever-agent/src/primroselever_agent/runs/handler.py
+++ b/packages/primroselever-agent/src/primroselever_agent/runs/handler.py
@@ -253,8 +253,8 @@
         return self.chunks.find_manifest(model, adapter, version)
 
     def fetch_chunk(
-        self, weights_digest: str, index: int, wait_ms: int, asker: str
+        self, weights_digest: str, index: int, wait_ms: int, asker: str, hops: int
     ) -> Any:
         """Return a chunk, or say where or when to ask for it."""
         digest = WeightsDigest(weights_digest)
-        return self.chunks.chunk(digest, index, wait_ms, asker or "")
+        return self.chunks.chunk(digest, index, wait_ms, asker or "", hops or 0)
--- a/packages/primroselever-agent/src/primroselever_agent/transfer/peers.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/peers.py
@@ -15,6 +15,7 @@
     from primroselever_core.identifiers import GroupName, VmId
     from primroselever_core.membership.vm import Vm
     from primroselever_core.transfer.manifest import VersionName
+    from primroselever_core.transfer.sources import Read
     from primroselever_node.rpc.client_pool import ClientPool
 
 HEARTBEAT_TIMEOUT_S = 1.0
@@ -49,16 +50,17 @@
             self.pool.forget(address)
             return None
 
-    def chunk(self, vm_id: VmId, digest: str, index: int, wait_s: float) -> Any:
+    def chunk(self, vm_id: VmId, digest: str, read: Read) -> Any:
         """Return the reply to a request for a chunk, or None."""
         return self.call(
             vm_id,
             "fetch_chunk",
             digest,
-            index,
-            int(wait_s * 1000),
+            read.index,
+            int(read.wait_s * 1000),
             self.board.identity.vm_id,
-            timeout_s=wait_s + REPLY_MARGIN_S,
+            read.hops,
+            timeout_s=read.wait_s + REPLY_MARGIN_S,
         )
 
     def manifest(self, vm_id: VmId, name: VersionName) -> bytes | None:
--- a/packages/primroselever-agent/src/primroselever_agent/transfer/serving.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/serving.py
@@ -52,7 +52,12 @@
         return wanted.text if wanted is not None and wanted.name == name else b""
 
     def chunk(
-        self, weights_digest: WeightsDigest, index: int, wait_ms: int, asker: str
+        self,
+        weights_digest: WeightsDigest,
+        index: int,
+        wait_ms: int,
+        asker: str,
+        hops: int = 0,
     ) -> Any:
         """
         Return a chunk, a holder to ask, or when to ask again.
@@ -68,7 +73,7 @@
             self.wait(digest, min(MAX_WAIT_S, wait_ms / 1000))
             data = self.section.store.get(digest)
         if data is not None:
-            return self.send(digest, data, VmId(asker))
+            return self.send(digest, data, VmId(asker), hops)
         if not self.wanted(weights_digest):
             return self.reply("unknown")
         planner = self.section.planner
@@ -80,11 +85,11 @@
         wanted = self.section.wanted
         return wanted is not None and wanted.digest == weights_digest
 
-    def send(self, digest: ChunkDigest, data: bytes, asker: VmId) -> Any:
+    def send(self, digest: ChunkDigest, data: bytes, asker: VmId, hops: int) -> Any:
         """Return a chunk once the link is free for it, or whom to ask."""
         now = clock.now()
         near = self.is_near(asker)
-        answer = self.uploads.decide(digest, len(data), asker, near, now)
+        answer = self.uploads.decide(digest, len(data), asker, near, hops, now)
         if isinstance(answer, SendElsewhere):
             return self.reply("elsewhere", ask_vm_id=answer.vm_id)
         if isinstance(answer, Busy):
--- a/packages/primroselever-core/src/primroselever_core/transfer/neighbourhood.py
+++ b/packages/primroselever-core/src/primroselever_core/transfer/neighbourhood.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from ..identifiers import FailureDomain, VmId
+    from ..identifiers import FailureDomain, Region, VmId
     from ..membership.vm import Vm
 
 
@@ -15,13 +15,15 @@
     """
     The VMs of the group by failure domain, this one among them.
 
-    ``home`` is the failure domain of the weight store, through which one copy
-    enters the fleet under the objective ``origin_bytes``.
+    ``chain`` are the failure domains in the order in which one copy goes through
+    the fleet under the objective ``origin_bytes``: that of the weight store first,
+    then the others of its region, then the rest, so that the link between regions
+    carries one copy and no domain sends more than one.
     """
 
     mine: VmId
     domain: FailureDomain
-    home: FailureDomain
+    chain: tuple[FailureDomain, ...]
     vms: dict[FailureDomain, tuple[VmId, ...]]
 
     @classmethod
@@ -39,13 +41,26 @@
         processes agree.
         """
         found: dict[FailureDomain, set[VmId]] = {domain: {mine}}
+        regions: dict[FailureDomain, Region] = {}
         for vm in agents:
+            regions[vm.failure_domain] = vm.region
             if not vm.leaving:
                 found.setdefault(vm.failure_domain, set()).add(vm.vm_id)
         home = store_domain if store_domain in found else min(found)
-        return cls(mine, domain, home, {d: tuple(sorted(v)) for d, v in found.items()})
+        near = regions.get(home)
+        chain = sorted(found, key=lambda d: (d != home, regions.get(d) != near, d))
+        vms = {d: tuple(sorted(v)) for d, v in found.items()}
+        return cls(mine, domain, tuple(chain), vms)
 
     @property
     def near(self) -> tuple[VmId, ...]:
         """Return the VMs of this failure domain."""
         return self.vms[self.domain]
+
+    @property
+    def upstream(self) -> tuple[FailureDomain, ...]:
+        """Return the domain before this one in the chain, and the first one."""
+        position = self.chain.index(self.domain)
+        if position == 0:
+            return ()
+        return tuple(dict.fromkeys((self.chain[position - 1], self.chain[0])))
--- a/packages/primroselever-core/src/primroselever_core/transfer/ownership.py
+++ b/packages/primroselever-core/src/primroselever_core/transfer/ownership.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from ..identifiers import VmId, WeightsDigest
+    from ..identifiers import FailureDomain, VmId, WeightsDigest
     from .neighbourhood import Neighbourhood
     from .sources import Source
 
@@ -25,7 +25,7 @@
 @dataclass(slots=True)
 class Ownership:
     """
-    Owners and fallback owners, in this failure domain and in the store's.
+    Owners and fallback owners, in this failure domain and in others.
 
     ``suspects`` maps the names of sources that failed to their deadlines; until
     then nothing is asked of them.
@@ -34,7 +34,7 @@
     digest: WeightsDigest
     neighbourhood: Neighbourhood
     suspects: dict[str, float] = field(default_factory=dict)
-    rankings: dict[tuple[int, bool], list[VmId]] = field(default_factory=dict)
+    rankings: dict[tuple[int, FailureDomain], list[VmId]] = field(default_factory=dict)
 
     def meet(self, neighbourhood: Neighbourhood) -> bool:
         """Take in a VM list; return whether it changed anything."""
@@ -44,19 +44,21 @@
         self.rankings.clear()
         return True
 
-    def ranking(self, index: int, home: bool = False) -> list[VmId]:
-        """Return all VMs in the order in which they own a chunk."""
-        key = (index, home)
+    def ranking(self, index: int, domain: FailureDomain | None = None) -> list[VmId]:
+        """Return the VMs of a domain, or this one, in the order of ownership."""
+        domain = domain or self.neighbourhood.domain
+        key = (index, domain)
         if key not in self.rankings:
-            where = self.neighbourhood
-            vms = where.vms[where.home] if home else where.near
+            vms = self.neighbourhood.vms[domain]
             self.rankings[key] = owners(self.digest, index, vms)
         return self.rankings[key]
 
-    def owners(self, index: int, now: float, home: bool = False) -> list[VmId]:
+    def owners(
+        self, index: int, now: float, domain: FailureDomain | None = None
+    ) -> list[VmId]:
         """Return the first few VMs of a ranking that are not suspect."""
         found: list[VmId] = []
-        for vm_id in self.ranking(index, home):
+        for vm_id in self.ranking(index, domain):
             if self.trusted(vm_id, now):
                 found.append(vm_id)
                 if len(found) == OWNERS_PER_CHUNK:
--- a/packages/primroselever-core/src/primroselever_core/transfer/planner.py
+++ b/packages/primroselever-core/src/primroselever_core/transfer/planner.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from ..budgets import TokenBucket
@@ -26,6 +27,7 @@
     from .neighbourhood import Neighbourhood
 
 PEER_WAIT_S = 1.0
+FAR_OWNERS = 2
 OUTSIDE_AGAIN_S = 1.0
 EXTRA_READS_PER_S = 2.0
 EXTRA_READS_AT_ONCE = 4.0
@@ -75,9 +77,13 @@
             self.sort()
 
     def reading_outside(self, index: int) -> bool:
-        """Return whether this VM is reading a chunk from outside its domain."""
+        """
+        Return whether this VM brings a chunk into its failure domain.
+
+        It still does so between two asks of an owner in another domain.
+        """
         chunk = self.chunks.get(index)
-        return chunk is not None and chunk.active is not None and chunk.stepping
+        return chunk is not None and chunk.stepping
 
     def next_read(self, now: float) -> Read | None:
         """
@@ -99,11 +105,12 @@
 
     def choose(self, chunk: ChunkState, now: float) -> Read | None:
         """Return where to read a chunk now, or None when it has to wait."""
-        chunk.stepping = False
         if chunk.holder is not None:
             if self.ownership.trusted(chunk.holder, now):
-                return self.ask(chunk.index, chunk.holder, PEER_WAIT_S, "a holder")
+                read = self.ask(chunk.index, chunk.holder, PEER_WAIT_S, "a holder")
+                return replace(read, hops=chunk.hops)
             chunk.back_to_owner()
+        chunk.stepping = False
         candidates = self.ownership.owners(chunk.index, now)
         current = next((vm for vm in candidates if vm not in chunk.passed), None)
         if current is None:
@@ -160,8 +167,8 @@
         Return an owner's sources in order.
 
         Fallback owners come first: they hold the chunk when this VM is a
-        replacement. Then come the owners in the store's domain, which are waited
-        for only when the objective is to save origin bytes.
+        replacement. Then come the owners in the domains before this one, which are
+        waited for only when the objective is to save origin bytes.
         """
         where = self.neighbourhood
         steps = [
@@ -169,12 +176,12 @@
             for vm in candidates
             if vm != where.mine
         ]
-        if where.home != where.domain:
-            saving = self.objective is Objective.ORIGIN_BYTES
-            owners = self.ownership.owners(index, now, home=True)
-            for vm in owners if saving else owners[:1]:
-                wait_s = PEER_WAIT_S if saving else 0.0
-                steps.append(self.ask(index, vm, wait_s, "its owner at the store"))
+        saving = self.objective is Objective.ORIGIN_BYTES
+        wait_s = PEER_WAIT_S if saving else 0.0
+        for domain in where.upstream if saving else where.upstream[:1]:
+            owners = self.ownership.owners(index, now, domain)
+            for vm in owners[: FAR_OWNERS if saving else 1]:
+                steps.append(self.ask(index, vm, wait_s, f"its owner in {domain}"))
         steps += [
             Read(index, source, 0.0, "owned")
             for source in self.sources
--- a/packages/primroselever-core/src/primroselever_core/transfer/sources.py
+++ b/packages/primroselever-core/src/primroselever_core/transfer/sources.py
@@ -38,12 +38,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Read:
-    """A read that is due now; ``wait_s`` is how long a peer may hold it open."""
+    """
+    A read that is due now; ``wait_s`` is how long a peer may hold it open.
+
+    ``hops`` is how often this VM was sent on to another holder.
+    """
 
     index: int
     source: Source
     wait_s: float
     reason: str
+    hops: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/primroselever-core/src/primroselever_core/transfer/uploads.py
+++ b/packages/primroselever-core/src/primroselever_core/transfer/uploads.py
@@ -22,6 +22,7 @@
 QUEUE_S = 0.5
 MAX_QUEUE_S = 1.0
 HOLDERS_PER_CHUNK = 16
+MAX_HOPS = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,11 +54,13 @@
     """
     The upload budget of one VM, and to whom it has given which chunk.
 
-    ``bucket`` is None without a limit.
+    ``bucket`` is None without a limit; ``first_free_at`` is when the bytes that go
+    to other failure domains have gone out.
     """
 
     bucket: TokenBucket | None
     random: Random
+    first_free_at: float = 0.0
     given: dict[ChunkDigest, deque[VmId]] = field(
         default_factory=lambda: defaultdict(lambda: deque(maxlen=HOLDERS_PER_CHUNK))
     )
@@ -77,24 +80,46 @@
         self.bucket.refill(now)
         return max(0.0, -self.bucket.level / self.bucket.rate)
 
+    def reserve_first(self, size: int, now: float) -> float:
+        """
+        Return when bytes may go out before those that were promised to near VMs.
+
+        They are taken from the budget, so that near VMs wait longer afterwards.
+        """
+        if self.bucket is None:
+            return now
+        self.bucket.reserve(size, now)
+        start = max(now, self.first_free_at)
+        self.first_free_at = start + size / self.bucket.rate
+        return self.first_free_at
+
     def decide(
-        self, digest: ChunkDigest, size: int, asker: VmId, near: bool, now: float
+        self,
+        digest: ChunkDigest,
+        size: int,
+        asker: VmId,
+        near: bool,
+        hops: int,
+        now: float,
     ) -> Upload:
         """
         Return what to answer to an asker for a chunk that is held here.
 
-        Only askers that are ``near``, in this failure domain, become holders:
+        ``hops`` is how often the asker was sent on already; past a few it waits
+        here. Only askers that are ``near``, in this failure domain, become holders:
         naming a holder elsewhere would cost the link between domains more copies.
+        Those of other domains are served first, for whole domains wait for them.
         """
+        if not near:
+            return Send(self.reserve_first(size, now))
         backlog_s = self.backlog_s(now)
-        if backlog_s > QUEUE_S:
+        if backlog_s > QUEUE_S and hops < MAX_HOPS:
             holders = [vm for vm in self.given[digest] if vm != asker]
             if holders:
                 return SendElsewhere(self.random.choice(holders))
-            if backlog_s > MAX_QUEUE_S:
-                return Busy(now + backlog_s - QUEUE_S)
-        if near:
-            self.given[digest].append(asker)
+        if backlog_s > MAX_QUEUE_S:
+            return Busy(now + backlog_s - QUEUE_S)
+        self.given[digest].append(asker)
         if self.bucket is None:
             return Send(now)
         return Send(self.bucket.reserve(size, now))
--- a/packages/primroselever-core/tests/transfer/conftest.py
+++ b/packages/primroselever-core/tests/transfer/conftest.py
@@ -56,7 +56,7 @@
             for d in domains
         }
         here = FailureDomain(mine[0])
-        where = Neighbourhood(VmId(mine), here, FailureDomain("a"), vms)
+        where = Neighbourhood(VmId(mine), here, tuple(vms), vms)
         missing = list(range(CHUNKS))
         return TransferPlanner(
             manifest, missing, objective, where, [STORE, ORIGIN], Random(7), 0.0
