Hand profiles and the VM list on within a failure domain

Cause: every process watched the configuration service and read the VM list, so that calls, waiting calls and bytes grew with the fleet, and a stale service could give a restarted process an old revision. Ruled out: gossip alone, which needs more messages for the same seconds; one watcher, whose death nobody would notice for a while; a wall-clock order of VM lists. Change: two watchers by rank in each failure domain, a tree of fan-out 4 with fallback parents and patches, heartbeats that carry revision and digest, an inquiry among peers before the service is believed, random probes when it seems silent to all, evidence before the VM list, detection of own pauses, and even subsets of servers. Both binaries serve the same node handler. The tests were shown failing by removing each guard in turn in a scratch copy: order of revisions, digest in the order, refusal, few watchers, suspicion, fallback parents, probes, heartbeats to other domains, backoff, hand-on at start, leaving.

--- a/bench/experiments/propagation.py
+++ b/bench/experiments/propagation.py
@@ -153,11 +153,16 @@
         readings = []
         for vm, control in zip(self.fleet.layout.vms, controls, strict=True):
             pid = self.fleet.processes[vm.vm_id].pid
-            sent = control["control_bytes"] if control else 0
+            sent = traffic_of(control) if control else 0
             readings.append((sent, processor_s(pid), resident_mb(pid)))
         return readings
 
 
+def traffic_of(control: dict[str, Any]) -> int:
+    """Return the bytes of the platform's calls and of thrift so far."""
+    return int(control["platform_bytes"]) + int(control["rpc_bytes"])
+
+
 def processor_s(pid: int) -> float:
     """Return the processor seconds that a process has used."""
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
--- a/bench/standins/vm_list.py
+++ b/bench/standins/vm_list.py
@@ -44,4 +44,9 @@
             return json_reply({"problem": "down"}, "503 Service Unavailable")
         until = time.monotonic() - self.faults["lag_s"]
         shown = [vms for since, vms in self.history if since <= until]
-        return json_reply({"vms": shown[-1] if shown else []})
+        reply = json_reply({"vms": shown[-1] if shown else []})
+        etag = f'"{len(shown)}"'
+        if request.headers.get("If-None-Match") == etag:
+            return Reply("304 Not Modified", [], [("ETag", etag)])
+        reply.headers.append(("ETag", etag))
+        return reply
--- a/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
+++ b/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
@@ -15,14 +15,11 @@
 from primroselever_node import clock
 from primroselever_node.admin import AdminApplication
 from primroselever_node.console.command import EXIT_OK, Command
-from primroselever_node.control.members import MembersController
-from primroselever_node.control.profiles import ProfilesController
+from primroselever_node.control.plane import ControlPlane
 from primroselever_node.control.status import control_status
 from primroselever_node.http import HttpServer
 from primroselever_node.logs import set_up_logging
 from primroselever_node.metrics import set_up_metrics
-from primroselever_node.platform.configuration_service import ConfigurationService
-from primroselever_node.platform.vm_list_service import VmListService
 from primroselever_node.platform.weight_source import WeightSource
 from primroselever_node.process import (
     ShutdownSignal,
@@ -88,12 +85,14 @@
             self.engine if self.needs_weights else PlainClient(settings.backend.url)
         )
         self.runner = Runner(self.registry, backend)
+        self.control = ControlPlane(self.board, settings.platform)
         self.handler = AgentHandler(
             self.board,
             self.registry,
             self.runner,
             ChunkServing(self.section),
             settings,
+            self.control.handler,
         )
         self.rpc = RpcServer(
             schema.Agent, self.handler, settings.rpc.host, settings.rpc.port
@@ -112,6 +111,7 @@
         self.start_controllers()
         stop.wait()
         self.board.leaving = True
+        self.control.announce_leaving()
         deadline = clock.now() + self.settings.shutdown_s
         drained = drain(self.registry.in_flight, deadline)
         eventlet.sleep(READ_OUT_S)
@@ -121,12 +121,7 @@
     def start_controllers(self) -> None:
         """Start the controllers, each in a greenlet of its own."""
         platform = self.settings.platform
-        profiles = ProfilesController(
-            self.board, ConfigurationService(platform.configuration_service)
-        )
-        members = MembersController(self.board, VmListService(platform.vm_list))
-        run_controller(profiles.step, 0.2)
-        run_controller(members.step, 1.0)
+        self.control.start()
         run_controller(lambda: self.registry.expire(clock.now()), 1.0)
         source = platform.origin or platform.weight_store
         if self.needs_weights and source is not None:
--- a/packages/primroselever-agent/src/primroselever_agent/runs/handler.py
+++ b/packages/primroselever-agent/src/primroselever_agent/runs/handler.py
@@ -11,6 +11,7 @@
     WeightsDigest,
     WorkspaceName,
 )
+from primroselever_core.membership.contact import refuses_starts
 from primroselever_core.outcomes import NotRun, Reason
 from primroselever_core.runs.answer_buffer import AnswerBuffer
 from primroselever_core.runs.registry import Run, RunRegistry, RunState
@@ -19,6 +20,7 @@
 
 if TYPE_CHECKING:
     from primroselever_core.board import Blackboard
+    from primroselever_node.rpc.handler import NodeHandler
 
     from ..settings import AgentSettings
     from ..transfer.serving import ChunkServing
@@ -39,8 +41,11 @@
         runner: Runner,
         chunks: ChunkServing,
         settings: AgentSettings,
+        node: NodeHandler,
     ) -> None:
         self.board = board
+        self.node = node
+        node.load = self.load
         self.registry = registry
         self.runner = runner
         self.chunks = chunks
@@ -59,19 +64,7 @@
 
     def heartbeat(self, sender: Any) -> Any:
         """Return what this process says of itself."""
-        revision = self.board.profiles.revision
-        transfers = self.board.transfers
-        return schema.Heartbeat(
-            vm_id=self.board.identity.vm_id,
-            incarnation=self.board.identity.incarnation,
-            revision=revision.number,
-            revision_digest=revision.digest,
-            vm_list_revision=0,
-            leaving=self.board.leaving,
-            load=self.load(),
-            weights_digest=(transfers and transfers.serving) or "",
-            suspicions=[],
-        )
+        return self.node.heartbeat(sender)
 
     def start(self, request: Any) -> Any:
         """Admit and start a run, or refuse it, which means that it never ran."""
@@ -100,6 +93,8 @@
         """Return why a start is refused now, or None."""
         if request.incarnation != self.board.identity.incarnation:
             return NotRun(Reason.SERVER_LOST, LEAVING_RETRY_MS / 1000)
+        if refuses_starts(self.board, clock.now()):
+            return NotRun(Reason.PAUSED, OVERLOADED_RETRY_MS / 1000)
         if self.board.leaving:
             return NotRun(Reason.LEAVING, LEAVING_RETRY_MS / 1000)
         transfers = self.board.transfers
@@ -202,13 +197,11 @@
         """Return no ticket: this agent issues none."""
         return schema.TicketReply(ticket="", reason=Reason.TICKET_GONE)
 
-    def fetch_publication(self, name: str, known_revision: int, wait_ms: int) -> Any:
-        """Return the profiles in force, if they are newer than what is known."""
-        accepted = self.board.profiles.accepted
-        if accepted is None or accepted.revision.number <= known_revision:
-            return schema.Publication(revision=0, text=b"")
-        text = accepted.text.encode()
-        return schema.Publication(revision=accepted.revision.number, text=text)
+    def fetch_publication(
+        self, name: str, known_revision: int, wait_ms: int, known_digest: str
+    ) -> Any:
+        """Hand on the profiles in force or the VM list."""
+        return self.node.fetch_publication(name, known_revision, wait_ms, known_digest)
 
     def fetch_manifest(self, weights_digest: str) -> bytes:
         """Return a manifest that this agent knows, or nothing."""
--- /dev/null
+++ b/packages/primroselever-core/src/primroselever_core/profiles/adopt.py
@@ -0,0 +1,47 @@
+"""Deciding on an offered value: accepted, refused, or no newer than what is held."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from ..exceptions import FindingsError
+from .parse import parse_profiles
+from .revision import AcceptedProfiles, Revision
+
+if TYPE_CHECKING:
+    from .section import ProfilesSection
+
+
+class Adoption(StrEnum):
+    """What became of an offered value."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    NOT_NEWER = "not_newer"
+
+
+def adopt(
+    section: ProfilesSection, number: int, text: str, source: str, now: float
+) -> Adoption:
+    """
+    Put an offered value in force if it is newer and valid.
+
+    What is in force never goes back. A refused value leaves the last good one in
+    force, and is not parsed again when the next one offers it.
+    """
+    revision = Revision.of(number, text)
+    if revision <= section.revision or revision == section.refused_revision:
+        return Adoption.NOT_NEWER
+    try:
+        profiles = parse_profiles(text, f"profiles at {number}")
+    except FindingsError as exc:
+        if revision > section.refused_revision:
+            section.refused_revision = revision
+            section.refused_findings = exc.findings
+        return Adoption.REFUSED
+    section.previous = section.accepted
+    section.accepted = AcceptedProfiles(revision, text, profiles)
+    section.accepted_at = now
+    section.accepted_from = source
+    return Adoption.ACCEPTED
--- a/packages/primroselever-core/src/primroselever_core/profiles/section.py
+++ b/packages/primroselever-core/src/primroselever_core/profiles/section.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from .revision import NO_REVISION, Revision
+from .watch import ServiceContact
 
 if TYPE_CHECKING:
     from ..findings import Finding
@@ -17,13 +18,18 @@
     """
     What is in force, and what was refused; written by the profiles controller.
 
-    ``refused_revision`` is the highest revision that was refused, with why.
+    ``accepted_from`` names who offered it, ``previous`` is what it replaced.
+    ``refused_revision`` is the highest revision that was refused, with why;
+    ``service`` is what is known of the service that publishes.
     """
 
     accepted: AcceptedProfiles | None = None
+    previous: AcceptedProfiles | None = None
     accepted_at: float = 0.0
+    accepted_from: str = ""
     refused_revision: Revision = NO_REVISION
     refused_findings: list[Finding] = field(default_factory=list)
+    service: ServiceContact = field(default_factory=ServiceContact)
 
     @property
     def revision(self) -> Revision:
--- /dev/null
+++ b/packages/primroselever-core/tests/membership/test_contact.py
@@ -0,0 +1,82 @@
+from __future__ import annotations
+
+import pytest
+
+from primroselever_core.board import Blackboard, Identity
+from primroselever_core.identifiers import FailureDomain, Incarnation, Region, VmId
+from primroselever_core.membership.contact import (
+    CUT_OFF_FAILURES,
+    PAUSE_S,
+    Contact,
+    beat,
+    heard,
+    may_give_orders,
+    missed,
+    refuses_starts,
+)
+
+
+@pytest.fixture
+def board() -> Blackboard:
+    return Blackboard(
+        Identity(VmId("a"), FailureDomain("lag-a"), Region("west"), Incarnation(1))
+    )
+
+
+@pytest.fixture
+def contact(board: Blackboard) -> Contact:
+    contact = board.members.contact
+    beat(contact, 100.0)
+    heard(contact, 100.1)
+    beat(contact, 100.25)
+    return contact
+
+
+def test_no_order_before_somebody_was_heard(board: Blackboard) -> None:
+    assert not may_give_orders(board, 100.0)
+    beat(board.members.contact, 100.0)
+    assert not may_give_orders(board, 100.1)
+    assert not refuses_starts(board, 100.1)
+    heard(board.members.contact, 100.2)
+    assert may_give_orders(board, 100.2)
+
+
+def test_a_pause_shows_before_the_next_beat(
+    board: Blackboard, contact: Contact
+) -> None:
+    woken = 100.25 + PAUSE_S + 0.1
+    assert refuses_starts(board, woken)
+    assert not may_give_orders(board, woken)
+
+
+def test_a_reply_that_waited_out_the_pause_is_no_contact(
+    board: Blackboard, contact: Contact
+) -> None:
+    heard(contact, 160.0)
+    assert beat(contact, 160.01)
+    assert not may_give_orders(board, 160.02)
+    assert refuses_starts(board, 160.02)
+    heard(contact, 160.2)
+    assert may_give_orders(board, 160.2)
+    assert not refuses_starts(board, 160.2)
+
+
+def test_a_process_that_knows_it_is_cut_off_goes_on(
+    board: Blackboard, contact: Contact
+) -> None:
+    beat(contact, 160.0)
+    for number in range(CUT_OFF_FAILURES):
+        missed(contact, 160.1 + number / 10)
+    assert not may_give_orders(board, 161.0)
+    for late in (161.5, 163.0, 164.0):
+        beat(contact, late)
+    assert may_give_orders(board, 164.1)
+    assert not refuses_starts(board, 164.1)
+
+
+@pytest.mark.parametrize("late", [0.3, 1.0, 1.9])
+def test_a_busy_process_is_not_taken_for_paused(
+    board: Blackboard, contact: Contact, late: float
+) -> None:
+    assert not beat(contact, 100.25 + late)
+    assert may_give_orders(board, 100.25 + late)
--- a/packages/primroselever-entry/src/primroselever_entry/commands/serve.py
+++ b/packages/primroselever-entry/src/primroselever_entry/commands/serve.py
@@ -10,22 +10,19 @@
 from primroselever_node import clock
 from primroselever_node.admin import AdminApplication
 from primroselever_node.console.command import EXIT_OK, Command
-from primroselever_node.control.members import MembersController
-from primroselever_node.control.profiles import ProfilesController
+from primroselever_node.control.plane import ControlPlane
 from primroselever_node.control.status import control_status
 from primroselever_node.http import HttpServer
 from primroselever_node.logs import set_up_logging
 from primroselever_node.metrics import set_up_metrics
-from primroselever_node.platform.configuration_service import ConfigurationService
-from primroselever_node.platform.vm_list_service import VmListService
 from primroselever_node.process import (
     ShutdownSignal,
     drain,
     new_board,
-    run_controller,
 )
 from primroselever_node.rpc.client_pool import ClientPool
 from primroselever_node.rpc.schema import schema
+from primroselever_node.rpc.server import RpcServer
 from primroselever_node.settings.load import load_settings
 
 from ..requests.application import CallerApplication
@@ -66,6 +63,10 @@
         self.flow = RequestFlow(
             self.board, ClientPool(schema.Agent), Random(), settings.progress_s
         )
+        self.control = ControlPlane(self.board, settings.platform)
+        self.rpc = RpcServer(
+            schema.Node, self.control.handler, settings.rpc.host, settings.rpc.port
+        )
         self.http = HttpServer(
             CallerApplication(self.board, self.flow, settings),
             settings.http.host,
@@ -80,17 +81,13 @@
     def run(self) -> int:
         """Serve until told to stop, then drain; return the exit code."""
         stop = ShutdownSignal()
-        platform = self.settings.platform
-        profiles = ProfilesController(
-            self.board, ConfigurationService(platform.configuration_service)
-        )
-        members = MembersController(self.board, VmListService(platform.vm_list))
-        run_controller(profiles.step, 0.2)
-        run_controller(members.step, 1.0)
+        self.rpc.start()
+        self.control.start(visit_servers=True)
         self.admin.start()
         self.http.start()
         stop.wait()
         self.board.leaving = True
+        self.control.announce_leaving()
         deadline = clock.now() + self.settings.shutdown_s
         drained = drain(lambda: self.flow.in_flight, deadline)
         logger.info("stopped", extra={"drained": drained})
--- a/packages/primroselever-node/src/primroselever_node/control/status.py
+++ b/packages/primroselever-node/src/primroselever_node/control/status.py
@@ -4,8 +4,11 @@
 
 from typing import TYPE_CHECKING, Any
 
+from primroselever_core.membership.contact import confirmed, cut_off
+from primroselever_core.membership.peers import place_of
+
 from .. import clock
-from .traffic import traffic
+from ..traffic import platform_traffic, rpc_traffic
 
 if TYPE_CHECKING:
     from primroselever_core.board import Blackboard
@@ -15,14 +18,27 @@
     """Return what is in force, what was refused, and how old it is, in seconds."""
     now = clock.now()
     profiles = board.profiles
+    members = board.members
+    place = place_of(board, now)
+    evidence = members.evidence.items()
     return {
         "revision": profiles.revision.number,
         "revision_digest": profiles.revision.digest,
         "revision_age_s": now - profiles.accepted_at,
+        "revision_from": profiles.accepted_from,
         "refused_revision": profiles.refused_revision.number,
         "refused_findings": [str(finding) for finding in profiles.refused_findings],
-        "vm_list_age_s": now - board.members.listed_at,
-        "vms": len(board.members.vms),
-        "control_bytes": traffic.bytes,
-        "control_calls": traffic.calls,
+        "service_age_s": now - profiles.service.heard_at,
+        "vm_list_age_s": now - members.listed_at,
+        "vms": len(members.vms),
+        "position": place.position,
+        "watches": place.watches,
+        "parents": list(place.parents),
+        "suspects": [v for v, found in evidence if found.suspect_until > now],
+        "leaving": [v for v, found in evidence if found.leaving],
+        "in_touch": confirmed(members.contact, now),
+        "cut_off": cut_off(members.contact, now),
+        "pauses": members.contact.pauses,
+        "platform_bytes": platform_traffic.bytes,
+        "rpc_bytes": rpc_traffic.bytes,
     }
--- a/packages/primroselever-node/src/primroselever_node/platform/configuration_service.py
+++ b/packages/primroselever-node/src/primroselever_node/platform/configuration_service.py
@@ -6,8 +6,8 @@
 
 import urllib3
 
-from ..control.traffic import HTTP_OVERHEAD_BYTES, traffic
 from ..exceptions import PlatformError
+from ..traffic import HTTP_OVERHEAD_BYTES, platform_traffic
 from .http_client import new_http_pool, timeout
 
 READ_TIMEOUT_S = 2.0
@@ -51,7 +51,7 @@
             reply = self.http.request("GET", url, timeout=timeout(read_s))
         except urllib3.exceptions.HTTPError as exc:
             raise PlatformError(f"{url} does not answer: {exc}") from exc
-        traffic.add(len(reply.data), HTTP_OVERHEAD_BYTES)
+        platform_traffic.add(len(reply.data), HTTP_OVERHEAD_BYTES)
         if reply.status in (204, 404):
             return None
         if reply.status != 200:
--- a/packages/primroselever-node/src/primroselever_node/platform/vm_list_service.py
+++ b/packages/primroselever-node/src/primroselever_node/platform/vm_list_service.py
@@ -8,8 +8,8 @@
 
 from primroselever_core.membership.vm_list import parse_vm_list
 
-from ..control.traffic import HTTP_OVERHEAD_BYTES, traffic
 from ..exceptions import PlatformError
+from ..traffic import HTTP_OVERHEAD_BYTES, platform_traffic
 from .http_client import new_http_pool, timeout
 
 if TYPE_CHECKING:
@@ -24,15 +24,28 @@
     def __init__(self, url: str) -> None:
         self.url = url
         self.http = new_http_pool()
+        self.etag = ""
+        self.last: list[Vm] = []
 
     def read(self) -> list[Vm]:
-        """Return the VMs; raise ``PlatformError`` when the list is not to be had."""
+        """
+        Return the VMs; raise ``PlatformError`` when the list is not to be had.
+
+        A list that has not changed since the last call does not travel again.
+        """
         url = f"{self.url}/v1/vms"
+        headers = {"If-None-Match": self.etag} if self.etag else {}
         try:
-            reply = self.http.request("GET", url, timeout=timeout(READ_TIMEOUT_S))
+            reply = self.http.request(
+                "GET", url, headers=headers, timeout=timeout(READ_TIMEOUT_S)
+            )
         except urllib3.exceptions.HTTPError as exc:
             raise PlatformError(f"{url} does not answer: {exc}") from exc
-        traffic.add(len(reply.data), HTTP_OVERHEAD_BYTES)
+        platform_traffic.add(len(reply.data), HTTP_OVERHEAD_BYTES)
+        if reply.status == 304:
+            return self.last
         if reply.status != 200:
             raise PlatformError(f"{url} answered {reply.status}")
-        return parse_vm_list(reply.data.decode("utf-8", "replace"))
+        self.last = parse_vm_list(reply.data.decode("utf-8", "replace"))
+        self.etag = reply.headers.get("ETag", "")
+        return self.last
--- a/packages/primroselever-node/src/primroselever_node/rpc/client_pool.py
+++ b/packages/primroselever-node/src/primroselever_node/rpc/client_pool.py
@@ -14,10 +14,12 @@
 
 from thriftpy2.protocol import TCyBinaryProtocolFactory
 from thriftpy2.thrift import TApplicationException, TClient, TException
-from thriftpy2.transport import TCyBufferedTransportFactory, TSocket
+from thriftpy2.transport import TCyBufferedTransportFactory
 
 from primroselever_core.exceptions import PrimroseleverError
 
+from .counting_socket import CountingSocket
+
 CONNECT_TIMEOUT_S = 1.0
 IDLE_CONNECTIONS_PER_ADDRESS = 8
 IDLE_CONNECTION_S = 30.0
@@ -35,7 +37,7 @@
 class Connection:
     """An open connection that nobody uses until ``usable_until``."""
 
-    socket: TSocket
+    socket: CountingSocket
     transport: Any
     client: Any
     usable_until: float
@@ -87,7 +89,7 @@
 
     def open(self, address: tuple[str, int]) -> Connection:
         """Open a connection, or raise ``NeverSentError``."""
-        socket = TSocket(*address, connect_timeout=CONNECT_TIMEOUT_S * 1000)
+        socket = CountingSocket(*address, connect_timeout=CONNECT_TIMEOUT_S * 1000)
         transport = TCyBufferedTransportFactory().get_transport(socket)
         try:
             transport.open()
--- /dev/null
+++ b/packages/primroselever-node/src/primroselever_node/rpc/counting_socket.py
@@ -0,0 +1,24 @@
+"""A thrift socket that counts what passes through it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from thriftpy2.transport import TSocket
+
+from ..traffic import SEGMENT_OVERHEAD_BYTES, rpc_traffic
+
+
+class CountingSocket(TSocket):
+    """Counts bytes both ways, with the headers of about one segment a call."""
+
+    def read(self, size: int) -> Any:
+        """Receive up to ``size`` bytes."""
+        data = super().read(size)
+        rpc_traffic.add(len(data), SEGMENT_OVERHEAD_BYTES)
+        return data
+
+    def write(self, data: bytes) -> None:
+        """Send all bytes."""
+        super().write(data)
+        rpc_traffic.add(len(data), SEGMENT_OVERHEAD_BYTES)
--- /dev/null
+++ b/packages/primroselever-node/src/primroselever_node/rpc/handler.py
@@ -0,0 +1,94 @@
+"""The thrift calls that both binaries answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from primroselever_core.identifiers import Incarnation, VmId
+from primroselever_core.membership.events import PeerHeard, apply
+
+from .. import clock
+from .schema import schema
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from primroselever_core.board import Blackboard
+
+    from .publications import Publications
+
+LONGEST_AGE_MS = 1 << 40
+
+
+class NodeHandler:
+    """
+    Answers heartbeats and hands on publications.
+
+    A binary sets ``load`` and ``suspicions`` to say more of itself, and
+    ``on_heartbeat`` to hear each sender.
+    """
+
+    def __init__(self, board: Blackboard, publications: Publications) -> None:
+        self.board = board
+        self.publications = publications
+        self.load: Callable[[], Any] = empty_load
+        self.suspicions: Callable[[], list[Any]] = list
+        self.on_heartbeat: Callable[[Any], None] = ignore
+        self.senders: dict[VmId, float] = {}
+
+    def own_heartbeat(self) -> Any:
+        """Return what this process says of itself."""
+        board = self.board
+        revision = board.profiles.revision
+        transfers = board.transfers
+        copy = board.members.copy
+        listed = board.members.vms.get(board.identity.vm_id)
+        age_ms = int((clock.now() - board.profiles.service.heard_at) * 1000)
+        return schema.Heartbeat(
+            vm_id=board.identity.vm_id,
+            incarnation=board.identity.incarnation,
+            revision=revision.number,
+            revision_digest=revision.digest,
+            vm_list_revision=copy.version.counter if copy.version else 0,
+            leaving=board.leaving,
+            load=self.load(),
+            weights_digest=(transfers and transfers.serving) or "",
+            suspicions=self.suspicions(),
+            service_age_ms=min(age_ms, LONGEST_AGE_MS),
+            failure_domain=board.identity.failure_domain,
+            address=listed.address if listed else "",
+            rpc_port=listed.rpc_port if listed else 0,
+        )
+
+    def heartbeat(self, sender: Any) -> Any:
+        """Take in what a sender says of itself and answer with the same."""
+        self.take_in(sender)
+        self.senders[VmId(sender.vm_id)] = clock.now()
+        return self.own_heartbeat()
+
+    def take_in(self, said: Any) -> None:
+        """Take in a heartbeat, sent or answered."""
+        now = clock.now()
+        heard = PeerHeard(VmId(said.vm_id), Incarnation(said.incarnation), said.leaving)
+        apply(heard, self.board.members, now)
+        if said.service_age_ms is not None:
+            age_s = said.service_age_ms / 1000
+            self.board.profiles.service.heard_elsewhere(age_s, now)
+        self.on_heartbeat(said)
+
+    def fetch_publication(
+        self, name: str, known_revision: int, wait_ms: int, known_digest: str
+    ) -> Any:
+        """Hand on a value that is newer than what the caller knows."""
+        return self.publications.fetch(
+            name, known_revision, wait_ms, known_digest or ""
+        )
+
+
+def empty_load() -> Any:
+    """Return the load of a process that runs nothing."""
+    return schema.Load(in_flight=0, queued=0, limit=0, engine_load=0.0, engine_age_ms=0)
+
+
+def ignore(_said: Any) -> None:
+    """Do nothing with a heartbeat."""
--- a/packages/primroselever-node/src/primroselever_node/rpc/primroselever.thrift
+++ b/packages/primroselever-node/src/primroselever_node/rpc/primroselever.thrift
@@ -29,12 +29,28 @@
   7: Load load,
   8: string weights_digest,
   9: list<Suspicion> suspicions,
+  10: i64 service_age_ms,
+  11: string failure_domain,
+  12: string address,
+  13: i32 rpc_port,
 }
 
-/* A published value as it is handed on: revision 0 means none newer. */
+/*
+ * A published value as it is handed on: revision 0 means none newer. digest is
+ * that of the whole value. When patched, text is the stretch between the front
+ * and back that it has in common with the value whose digest the caller named.
+ * A VM list names the VM that read it from the platform; its revision is that
+ * reader's counter, and text holds what changed since the list of that digest.
+ */
 struct Publication {
   1: i64 revision,
   2: binary text,
+  3: string digest,
+  4: bool patched,
+  5: i32 front,
+  6: i32 back,
+  7: string reader,
+  8: i64 reader_incarnation,
 }
 
 struct TicketRequest {
@@ -114,7 +130,7 @@
 
 service Node {
   Heartbeat heartbeat(1: Heartbeat sender),
-  Publication fetch_publication(1: string name, 2: i64 known_revision, 3: i64 wait_ms),
+  Publication fetch_publication(1: string name, 2: i64 known_revision, 3: i64 wait_ms, 4: string known_digest),
 }
 
 service Agent extends Node {
--- a/packages/primroselever-node/src/primroselever_node/rpc/server.py
+++ b/packages/primroselever-node/src/primroselever_node/rpc/server.py
@@ -8,7 +8,9 @@
 import eventlet
 from thriftpy2.protocol import TCyBinaryProtocolFactory
 from thriftpy2.thrift import TException, TProcessor
-from thriftpy2.transport import TCyBufferedTransportFactory, TSocket
+from thriftpy2.transport import TCyBufferedTransportFactory
+
+from .counting_socket import CountingSocket
 
 if TYPE_CHECKING:
     from eventlet.greenio import GreenSocket
@@ -41,7 +43,7 @@
 
     def serve_connection(self, connection: GreenSocket, _peer: object) -> None:
         """Answer calls on one connection until the other side closes it."""
-        handle = TSocket()
+        handle = CountingSocket()
         handle.set_handle(connection)
         transport = TCyBufferedTransportFactory().get_transport(handle)
         protocol = TCyBinaryProtocolFactory().get_protocol(transport)
--- a/packages/primroselever-node/src/primroselever_node/control/traffic.py
+++ b/packages/primroselever-node/src/primroselever_node/traffic.py
@@ -1,4 +1,4 @@
-"""Counting the bytes that control costs this process."""
+"""Counting the bytes that a process sends and receives, by what they are for."""
 
 from __future__ import annotations
 
@@ -8,13 +8,13 @@
 
 # An HTTP call costs its request, the reply's headers and the segments' headers.
 HTTP_OVERHEAD_BYTES = 500
-# A thrift call and its reply are two segments and their acknowledgements.
-RPC_OVERHEAD_BYTES = 220
+# The headers of Ethernet, IP and TCP with timestamps.
+SEGMENT_OVERHEAD_BYTES = 66
 
 counter = get_meter(__name__).create_counter(
-    "primroselever.control.bytes",
+    "primroselever.traffic",
     unit="By",
-    description="Bytes sent and received for control, with headers.",
+    description="Bytes sent and received, with headers, by what they are for.",
 )
 
 
@@ -22,14 +22,16 @@
 class Traffic:
     """The bytes and calls so far, sent and received."""
 
+    purpose: str
     bytes: int = 0
     calls: int = 0
 
     def add(self, payload_bytes: int, overhead_bytes: int) -> None:
-        """Count one call."""
+        """Count one call or segment."""
         self.bytes += payload_bytes + overhead_bytes
         self.calls += 1
-        counter.add(payload_bytes + overhead_bytes)
+        counter.add(payload_bytes + overhead_bytes, {"purpose": self.purpose})
 
 
-traffic = Traffic()
+platform_traffic = Traffic("platform")
+rpc_traffic = Traffic("rpc")
--- /dev/null
+++ b/packages/primroselever-node/tests/control/conftest.py
@@ -0,0 +1,197 @@
+"""
+A fleet of control planes without sockets and with a fake clock.
+
+Calls go straight from one process's client to another's handler, unless a fault
+forbids it; waiting is cut to nothing.
+"""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+import pytest
+
+from primroselever_core.board import Blackboard, Identity
+from primroselever_core.identifiers import (
+    FailureDomain,
+    GroupName,
+    Incarnation,
+    Region,
+    VmId,
+)
+from primroselever_core.membership.vm import Role, Vm
+from primroselever_node import clock
+from primroselever_node.control.heartbeats import HeartbeatController
+from primroselever_node.control.members import MembersController
+from primroselever_node.control.peer_client import PeerClient
+from primroselever_node.control.profiles import ProfilesController
+from primroselever_node.exceptions import PlatformError
+from primroselever_node.platform.configuration_service import PublishedValue
+from primroselever_node.rpc.client_pool import LostReplyError, NeverSentError
+from primroselever_node.rpc.handler import NodeHandler
+from primroselever_node.rpc.publications import Publications
+
+
+def value(name: str) -> str:
+    return json.dumps({"workspaces": [{"name": name}]})
+
+
+@dataclass
+class FakePlatform:
+    """Both services; ``published`` holds what was published, newest last."""
+
+    published: list[PublishedValue] = field(default_factory=list)
+    vms: dict[str, Vm] = field(default_factory=dict)
+    refused: set[str] = field(default_factory=set)
+    down: bool = False
+    calls: int = 0
+    calls_left: int = 1 << 30
+
+    def publish(self, number: int, text: str) -> None:
+        self.published.append(PublishedValue(number, text))
+
+    def admit(self, vm_id: str) -> None:
+        self.calls += 1
+        self.calls_left -= 1
+        if self.down or vm_id in self.refused or self.calls_left < 0:
+            raise PlatformError("the platform does not answer")
+
+
+@dataclass
+class Services:
+    """The platform's services as one VM sees them."""
+
+    platform: FakePlatform
+    vm_id: str
+
+    def watch(self, _name: str, after: int, _wait_s: float) -> PublishedValue | None:
+        self.platform.admit(self.vm_id)
+        newest = self.platform.published[-1] if self.platform.published else None
+        return newest if newest is not None and newest.revision > after else None
+
+    def read(self) -> list[Vm]:
+        self.platform.admit(self.vm_id)
+        return list(self.platform.vms.values())
+
+
+class Process:
+    """One process: its board and controllers."""
+
+    def __init__(self, fleet: Fleet, vm: Vm, incarnation: int) -> None:
+        self.fleet = fleet
+        self.vm = vm
+        self.board = Blackboard(
+            Identity(vm.vm_id, vm.failure_domain, vm.region, Incarnation(incarnation))
+        )
+        random = Random(vm.vm_id)
+        publications = Publications(self.board)
+        self.handler = NodeHandler(self.board, publications)
+        self.peers = PeerClient(self.handler, self)  # type: ignore[arg-type]
+        services: Any = Services(fleet.platform, vm.vm_id)
+        self.profiles = ProfilesController(self.peers, publications, services, random)
+        self.members = MembersController(self.peers, publications, services, random)
+        self.heartbeats = HeartbeatController(self.peers, self.profiles, random)
+        self.handler.on_heartbeat = self.heard
+
+    @property
+    def number(self) -> int:
+        return self.board.profiles.revision.number
+
+    @property
+    def digest(self) -> str:
+        return self.board.profiles.revision.digest
+
+    def heard(self, said: Any) -> None:
+        self.members.learn_from(said)
+        self.profiles.pull_if_behind(said)
+
+    def call(
+        self, address: tuple[str, int], method: str, *args: Any, timeout_s: float
+    ) -> Any:
+        return self.fleet.deliver(self.vm, address, method, args)
+
+    def forget(self, _address: tuple[str, int]) -> None:
+        pass
+
+    def step(self) -> None:
+        self.heartbeats.beat()
+        self.members.step()
+        self.profiles.step()
+        self.heartbeats.exchange()
+
+
+class Fleet:
+    """Processes by VM, and what stands between them."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.now = 1000.0
+        self.platform = FakePlatform()
+        self.processes: dict[str, Process] = {}
+        self.dead: set[str] = set()
+        self.silent: set[str] = set()
+        self.cut_off: set[str] = set()
+        self.starts = 0
+        monkeypatch.setattr(clock, "now", lambda: self.now)
+
+    def add(self, domain: str, count: int) -> None:
+        first = len(self.platform.vms)
+        for number in range(first, first + count):
+            vm = Vm(
+                vm_id=VmId(f"{domain}-{number}"),
+                role=Role.AGENT,
+                address=f"{domain}-{number}",
+                rpc_port=1,
+                failure_domain=FailureDomain(domain),
+                region=Region("west"),
+                group=GroupName("alerts"),
+            )
+            self.platform.vms[vm.vm_id] = vm
+            self.start(vm.vm_id)
+
+    def start(self, vm_id: str) -> Process:
+        self.starts += 1
+        vm = self.platform.vms[vm_id]
+        self.processes[vm_id] = Process(self, vm, self.starts)
+        self.dead.discard(vm_id)
+        return self.processes[vm_id]
+
+    def deliver(
+        self, sender: Vm, address: tuple[str, int], method: str, args: Any
+    ) -> Any:
+        target = address[0]
+        if target in self.dead or target not in self.processes:
+            raise NeverSentError(target)
+        domains = {sender.failure_domain, self.processes[target].vm.failure_domain}
+        if target in self.silent or (len(domains) > 1 and domains & self.cut_off):
+            raise LostReplyError(target)
+        handler = self.processes[target].handler
+        if method == "fetch_publication":
+            args = (args[0], args[1], 0, args[3])
+        return getattr(handler, method)(*args)
+
+    def alive(self) -> list[Process]:
+        return [p for vm_id, p in self.processes.items() if vm_id not in self.dead]
+
+    def run(self, seconds: float, step_s: float = 0.5) -> None:
+        until = self.now + seconds
+        while self.now < until:
+            self.now += step_s
+            for process in self.alive():
+                process.step()
+
+    def numbers(self) -> set[int]:
+        return {process.number for process in self.alive()}
+
+    def watchers(self, domain: str) -> list[str]:
+        names = [p.vm.vm_id for p in self.alive() if p.vm.failure_domain == domain]
+        one = self.processes[names[0]].board.members
+        ranking = [v for v in one.ranking(FailureDomain(domain)) if v in names]
+        return [str(v) for v in ranking[:2]]
+
+
+@pytest.fixture
+def fleet(monkeypatch: pytest.MonkeyPatch) -> Fleet:
+    return Fleet(monkeypatch)
