--- a/packages/primroselever-agent/src/primroselever_agent/runs/handler.py
+++ b/packages/primroselever-agent/src/primroselever_agent/runs/handler.py
@@ -6,15 +6,17 @@
 
 from primroselever_core.identifiers import (
     Fingerprint,
+    Incarnation,
     RunId,
     ServiceName,
     WeightsDigest,
     WorkspaceName,
 )
 from primroselever_core.membership.contact import refuses_starts
-from primroselever_core.outcomes import NotRun, Reason
+from primroselever_core.outcomes import NotRun, Reason, Unknown
 from primroselever_core.runs.answer_buffer import AnswerBuffer
 from primroselever_core.runs.registry import Run, RunRegistry, RunState
+from primroselever_core.runs.starting import StartState, resolve_run, start_run
 from primroselever_node import clock
 from primroselever_node.rpc.schema import schema
 
@@ -25,6 +27,7 @@
     from ..settings import AgentSettings
     from ..transfer.serving import ChunkServing
     from .runner import Runner
+    from .ticket_issuer import TicketIssuer
 
 MAX_SLICE_BYTES = 1 << 18
 OVERLOADED_RETRY_MS = 1000
@@ -39,6 +42,7 @@
         board: Blackboard,
         registry: RunRegistry,
         runner: Runner,
+        tickets: TicketIssuer,
         chunks: ChunkServing,
         settings: AgentSettings,
         node: NodeHandler,
@@ -48,6 +52,7 @@
         node.load = self.load
         self.registry = registry
         self.runner = runner
+        self.tickets = tickets
         self.chunks = chunks
         self.settings = settings
         self.needs_weights = settings.backend.kind == "engine"
@@ -64,16 +69,34 @@
 
     def heartbeat(self, sender: Any) -> Any:
         """Return what this process says of itself."""
-        return self.node.heartbeat(sender)
+        said = self.node.heartbeat(sender)
+        said.epoch = self.registry.book.epoch
+        return said
 
     def start(self, request: Any) -> Any:
-        """Admit and start a run, or refuse it, which means that it never ran."""
-        refusal = self.refusal(request)
-        if refusal is not None:
-            return self.refuse(refusal)
+        """Admit and start a run, or say what became of it."""
+
+        def new_run(run_id: RunId, epoch: int) -> Run | NotRun:
+            refusal = self.refusal(request)
+            if refusal is not None:
+                return refusal
+            fresh.append(self.run_of(request, run_id, epoch))
+            return fresh[0]
+
+        fresh: list[Run] = []
+        start = self.tickets.read(request)
+        run = start_run(start, self.tickets.book, self.registry, new_run, clock.now())
+        if not isinstance(run, Run):
+            return self.refuse(run)
+        if fresh and run is fresh[0]:
+            self.runner.start(run, request.body, request.priority)
+        return self.start_reply(StartState.ACCEPTED, run_id=run.run_id)
+
+    def run_of(self, request: Any, run_id: RunId, epoch: int) -> Run:
+        """Return the record of a run that is new here."""
         transfers = self.board.transfers
-        run = Run(
-            run_id=RunId(request.run_id),
+        return Run(
+            run_id=run_id,
             service=ServiceName(request.service_name),
             workspace=WorkspaceName(request.workspace),
             fingerprint=Fingerprint(request.fingerprint),
@@ -81,18 +104,11 @@
             deadline=clock.deadline_in(request.remaining_ms),
             answer=AnswerBuffer(self.settings.answer_limit_bytes),
             weights_digest=(transfers and transfers.serving) or "",
+            epoch=epoch,
         )
-        admitted = self.registry.admit(run, clock.now())
-        if isinstance(admitted, NotRun):
-            return self.refuse(admitted)
-        if admitted is run:
-            self.runner.start(run, request.body, request.priority)
-        return self.start_reply("accepted", run_id=run.run_id)
 
     def refusal(self, request: Any) -> NotRun | None:
         """Return why a start is refused now, or None."""
-        if request.incarnation != self.board.identity.incarnation:
-            return NotRun(Reason.SERVER_LOST, LEAVING_RETRY_MS / 1000)
         if refuses_starts(self.board, clock.now()):
             return NotRun(Reason.PAUSED, OVERLOADED_RETRY_MS / 1000)
         if self.board.leaving:
@@ -104,10 +120,12 @@
             return NotRun(Reason.OVERLOADED, OVERLOADED_RETRY_MS / 1000)
         return None
 
-    def refuse(self, refusal: NotRun) -> Any:
-        """Return the reply to a start that did not run and never will."""
+    def refuse(self, refusal: NotRun | Unknown) -> Any:
+        """Return the reply to a start that does not run now."""
+        refused = isinstance(refusal, NotRun)
+        state = StartState.REFUSED if refused else StartState.UNKNOWN
         return self.start_reply(
-            "refused", refusal.reason, int((refusal.retry_after_s or 0) * 1000)
+            state, refusal.reason, int((refusal.retry_after_s or 0) * 1000)
         )
 
     def start_reply(
@@ -122,6 +140,7 @@
             incarnation=self.board.identity.incarnation,
             load=self.load(),
             leaving=self.board.leaving,
+            epoch=self.registry.book.epoch,
         )
 
     def read(self, cursors: list[Any], wait_ms: int) -> Any:
@@ -145,7 +164,7 @@
         """Return the slice behind a cursor."""
         run = self.registry.runs.get(RunId(cursor.run_id))
         if run is None:
-            return self.slice_of(cursor.run_id, RunState.MISSING)
+            return self.slice_of(cursor.run_id, RunState.MISSING, offset=cursor.offset)
         return self.run_slice(run, cursor.offset)
 
     def run_slice(self, run: Run, offset: int) -> Any:
@@ -153,6 +172,7 @@
         data = run.answer.read(offset, MAX_SLICE_BYTES)
         whole = offset + len(data) == len(run.answer.data)
         state = run.state if whole else RunState.RUNNING
+        run.read_out = run.read_out or state is not RunState.RUNNING
         run_slice = self.slice_of(run.run_id, state, run.reason, offset, data)
         if state is RunState.DONE:
             run_slice.length = len(run.answer.data)
@@ -178,13 +198,19 @@
             digest="",
         )
 
-    def resolve(self, run_id: str, incarnation: int) -> Any:
+    def resolve(self, run_id: str, incarnation: int, epoch: int) -> Any:
         """Return a run's state; a run that never started never will."""
-        if incarnation != self.board.identity.incarnation:
-            return self.slice_of(run_id, RunState.MISSING)
-        found = self.registry.resolve(RunId(run_id), clock.now())
+        found = resolve_run(
+            RunId(run_id),
+            Incarnation(incarnation),
+            epoch,
+            self.tickets.book,
+            self.registry,
+        )
         if isinstance(found, NotRun):
             return self.slice_of(run_id, RunState.NOT_RUN, found.reason)
+        if isinstance(found, Unknown):
+            return self.slice_of(run_id, RunState.MISSING, found.reason)
         return self.slice_of(run_id, found.state, found.reason)
 
     def cancel(self, run_id: str) -> None:
@@ -194,8 +220,17 @@
             self.runner.cancel(run)
 
     def issue_ticket(self, request: Any) -> Any:
-        """Return no ticket: this agent issues none."""
-        return schema.TicketReply(ticket="", reason=Reason.TICKET_GONE)
+        """Return a ticket for a non-idempotent call, or why there is none."""
+        if self.board.leaving:
+            issued: str | NotRun = NotRun(Reason.LEAVING, LEAVING_RETRY_MS / 1000)
+        else:
+            issued = self.tickets.issue(request)
+        if isinstance(issued, str):
+            return schema.TicketReply(ticket=issued, reason="", retry_after_ms=0)
+        retry_after_ms = int((issued.retry_after_s or 0) * 1000)
+        return schema.TicketReply(
+            ticket="", reason=issued.reason, retry_after_ms=retry_after_ms
+        )
 
     def fetch_publication(
         self, name: str, known_revision: int, wait_ms: int, known_digest: str
--- a/packages/primroselever-core/src/primroselever_core/membership/peers.py
+++ b/packages/primroselever-core/src/primroselever_core/membership/peers.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from ..rendezvous import best
 from .subset import SUBSET_SIZE, Assignment
 from .tree import TreePlace, tree_place
 from .vm import Role
@@ -84,16 +85,13 @@
     """
     me = board.identity.vm_id
     entries, here, away = subset_candidates(board, group)
-    found: list[VmId] = []
-    for servers, size in ((here, SUBSET_SIZE), (away, SPILL_SUBSET_SIZE)):
-        if len(servers) <= size:
-            found = found + sorted(servers)
-            continue
-        assignment = Assignment.of({*entries, me}, servers, size)
-        for _ in assignment.turns():
-            yield found
-        found = found + assignment.chosen[me]
-    yield found
+    far = best(f"spill/{me}", away, SPILL_SUBSET_SIZE)
+    if len(here) <= SUBSET_SIZE:
+        yield sorted(here) + far
+        return
+    assignment = Assignment.of({*entries, me}, here, SUBSET_SIZE)
+    for _ in assignment.turns():
+        yield assignment.chosen[me] + far
 
 
 def subset_of(board: Blackboard, group: GroupName) -> list[Vm]:
--- a/packages/primroselever-core/src/primroselever_core/membership/vm_list_copy.py
+++ b/packages/primroselever-core/src/primroselever_core/membership/vm_list_copy.py
@@ -142,7 +142,9 @@
 
 def digest_of(vms: Mapping[VmId, Vm]) -> str:
     """Return the digest of a list, whatever its order."""
-    whole = xxhash.xxh3_128()
-    for vm_id in sorted(vms):
-        whole.update(repr(vms[vm_id]).encode())
-    return whole.hexdigest()
+    lines = [
+        f"{vm.vm_id} {vm.role} {vm.address} {vm.rpc_port} {vm.failure_domain} "
+        f"{vm.region} {vm.group} {vm.leaving}"
+        for vm in vms.values()
+    ]
+    return xxhash.xxh3_128_hexdigest("\n".join(sorted(lines)).encode())
--- a/packages/primroselever-node/src/primroselever_node/control/members.py
+++ b/packages/primroselever-node/src/primroselever_node/control/members.py
@@ -81,11 +81,12 @@
             return
         now = clock.now()
         heard(self.section.contact, now)
-        self.reading.answered(now)
-        self.reading.retry_at = now + READ_INTERVAL_S
         listed = {vm.vm_id: vm for vm in vms}
         if not listed:
+            self.reading.failed(now, self.random)
             return
+        self.reading.answered(now)
+        self.reading.retry_at = now + READ_INTERVAL_S
         apply(VmListHeard(listed), self.section, now)
         if hand_on:
             self.hand_on(listed, now)
--- a/packages/primroselever-node/src/primroselever_node/control/profiles.py
+++ b/packages/primroselever-node/src/primroselever_node/control/profiles.py
@@ -34,6 +34,7 @@
 PARENT_WAIT_MS = 5000
 STEP_S = 0.2
 CANDIDATES = 12
+READ_ALONE_S = 10.0
 
 logger = logging.getLogger(__name__)
 offers = get_meter(__name__).create_counter(
@@ -70,6 +71,9 @@
             self.ask_peers(self.inquiry)
             return
         place = place_of(self.board, now)
+        if not self.board.members.vms:
+            self.read_alone(now)
+            return
         if place.watches:
             if now >= self.section.service.retry_at:
                 self.watch(WATCH_S)
@@ -81,6 +85,19 @@
             if self.pull(self.board.members.vms[parent], PARENT_WAIT_MS):
                 return
 
+    def read_alone(self, now: float) -> None:
+        """
+        Read the service now and then, without a VM list.
+
+        No process can tell then whether it is one of the few that should watch, so
+        none waits there.
+        """
+        service = self.section.service
+        if now >= service.retry_at:
+            self.watch(0.0)
+            jitter_s = self.random.uniform(0.5, 1.0) * READ_ALONE_S
+            service.retry_at = max(service.retry_at, clock.now() + jitter_s)
+
     def ask_peers(self, inquiry: StartInquiry) -> None:
         """Ask a few peers what is in force, before the service is believed."""
         candidates = self.candidates()
--- a/packages/primroselever-node/src/primroselever_node/control/status.py
+++ b/packages/primroselever-node/src/primroselever_node/control/status.py
@@ -15,7 +15,11 @@
 
 
 def control_status(board: Blackboard) -> dict[str, Any]:
-    """Return what is in force, what was refused, and how old it is, in seconds."""
+    """
+    Return where control's knowledge comes from and how old it is, in seconds.
+
+    It stands beside what both processes say of themselves in common.
+    """
     now = clock.now()
     profiles = board.profiles
     members = board.members
@@ -26,11 +30,7 @@
         "revision_digest": profiles.revision.digest,
         "revision_age_s": now - profiles.accepted_at,
         "revision_from": profiles.accepted_from,
-        "refused_revision": profiles.refused_revision.number,
-        "refused_findings": [str(finding) for finding in profiles.refused_findings],
         "service_age_s": now - profiles.service.heard_at,
-        "vm_list_age_s": now - members.listed_at,
-        "vms": len(members.vms),
         "position": place.position,
         "watches": place.watches,
         "parents": list(place.parents),
--- a/packages/primroselever-node/tests/control/test_propagation.py
+++ b/packages/primroselever-node/tests/control/test_propagation.py
@@ -46,12 +46,9 @@
     settled.platform.published = [PublishedValue(4, value("four"))]
     for vm_id in settled.watchers("lag-a"):
         restarted = settled.start(vm_id)
-        seen = set()
-        for _ in range(10):
-            settled.run(0.5)
-            seen.add(restarted.number)
-        assert seen <= {0, 5}
+        settled.run(5)
         assert restarted.number == 5
+        assert restarted.board.profiles.previous is None
 
 
 def test_an_invalid_value_is_refused_and_a_restart_finds_the_last_good_one(
@@ -161,6 +158,17 @@
     assert fleet.platform.calls - before <= WATCHERS * (20 + 5)
 
 
+def test_without_a_vm_list_nobody_waits_at_the_service(fleet: Fleet) -> None:
+    fleet.platform.publish(1, value("one"))
+    fleet.add("lag-a", 30)
+    fleet.platform.vms.clear()
+    fleet.run(8)
+    assert fleet.numbers() == {1}
+    before = fleet.platform.calls
+    fleet.run(10)
+    assert fleet.platform.calls - before <= 30 * 6
+
+
 def test_a_leaving_process_is_not_counted_on(settled: Fleet) -> None:
     watcher = settled.processes[settled.watchers("lag-a")[0]]
     watcher.board.leaving = True
