Record sessions of a partition and of a platform outage

Cause: the decisions of control were tested one by one, never as a story. Ruled out: recording log lines of real processes; they differ at each run. Change: two golden sessions over the pure decisions, and metrics of control. After: make test passes with both sessions; the outage shows that a stale answer and an invalid value change nothing and that a paused process gives no order until it has heard a peer.

--- /dev/null
+++ b/packages/primroselever-core/tests/golden/test_control_sessions.py
@@ -0,0 +1,219 @@
+"""
+Sessions of control: a partition with its heal, and an outage of the platform.
+
+Four processes in two failure domains exchange heartbeats as the node package does,
+by the same pure decisions; only the calls themselves are left out.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from primroselever_core.board import Blackboard, Identity
+from primroselever_core.identifiers import (
+    FailureDomain,
+    GroupName,
+    Incarnation,
+    Region,
+    VmId,
+)
+from primroselever_core.membership.contact import (
+    beat,
+    cut_off,
+    heard,
+    may_give_orders,
+    missed,
+)
+from primroselever_core.membership.events import (
+    PeerHeard,
+    PeerMissed,
+    VmListHeard,
+    apply,
+)
+from primroselever_core.membership.peers import place_of
+from primroselever_core.membership.vm import Role, Vm
+from primroselever_core.profiles.adopt import Adoption, adopt
+from primroselever_core.profiles.watch import SERVICE_SILENT_S
+
+if TYPE_CHECKING:
+    from syrupy.assertion import SnapshotAssertion
+
+DOMAINS = {"lag-a": "west", "phc-a": "east"}
+INVALID = '{"workspaces": [{"nmae": "ministry"}]}'
+
+
+def value(name: str) -> str:
+    return f'{{"workspaces": [{{"name": "{name}"}}]}}'
+
+
+def vm(domain: str, number: int) -> Vm:
+    return Vm(
+        VmId(f"{domain}-{number}"),
+        Role.AGENT,
+        "127.0.0.1",
+        7000 + number,
+        FailureDomain(domain),
+        Region(DOMAINS[domain]),
+        GroupName("alerts"),
+    )
+
+
+@dataclass
+class Processes:
+    """Boards by VM; what happens to them is written into the session."""
+
+    session: Any
+    boards: dict[str, Blackboard] = field(default_factory=dict)
+    parted: bool = False
+
+    def start(self, vms: dict[VmId, Vm]) -> None:
+        for number, member in enumerate(vms.values()):
+            identity = Identity(
+                member.vm_id,
+                member.failure_domain,
+                member.region,
+                Incarnation(number + 1),
+            )
+            board = self.boards[member.vm_id] = Blackboard(identity)
+            beat(board.members.contact, self.session.now)
+            apply(VmListHeard(vms), board.members, self.session.now)
+
+    def run_until(self, until: float) -> None:
+        """Beat every second, as a process that is not paused does."""
+        now = self.session.now
+        while now < until:
+            now = min(now + 1.0, until)
+            for board in self.boards.values():
+                beat(board.members.contact, now)
+        self.session.at(until)
+
+    def offer(self, name: str, number: int, text: str, source: str) -> None:
+        board = self.boards[name]
+        result = adopt(board.profiles, number, text, source, self.session.now)
+        if result is not Adoption.NOT_NEWER:
+            self.session.decision(
+                "profiles", at=name, revision=number, result=result, source=source
+            )
+
+    def service_answers(self, name: str, number: int, text: str) -> None:
+        self.session.event("service answered", to=name, revision=number)
+        board = self.boards[name]
+        board.profiles.service.answered(self.session.now)
+        heard(board.members.contact, self.session.now)
+        self.offer(name, number, text, "configuration service")
+
+    def service_fails(self, name: str) -> None:
+        self.session.event("service failed", to=name)
+        board = self.boards[name]
+        board.profiles.service.failed(self.session.now, Random(1))
+        missed(board.members.contact, self.session.now)
+        wait_s = board.profiles.service.retry_at - self.session.now
+        self.session.decision("retry the service", at=name, wait_s=round(wait_s, 2))
+
+    def heartbeat(self, name: str, other: str) -> None:
+        sender, receiver = self.boards[name], self.boards[other]
+        domains = {b.identity.failure_domain for b in (sender, receiver)}
+        now = self.session.now
+        if self.parted and len(domains) > 1:
+            self.session.event("heartbeat lost", sender=name, receiver=other)
+            apply(PeerMissed(VmId(other)), sender.members, now)
+            missed(sender.members.contact, now)
+            until = sender.members.evidence[VmId(other)].suspect_until
+            self.session.decision("suspect", at=name, vm=other, until=until)
+            return
+        self.session.event("heartbeat", sender=name, receiver=other)
+        for one, two in ((sender, receiver), (receiver, sender)):
+            me = one.identity
+            apply(PeerHeard(me.vm_id, me.incarnation, one.leaving), two.members, now)
+            heard(two.members.contact, now)
+            accepted = one.profiles.accepted
+            if accepted is not None and accepted.revision > two.profiles.revision:
+                number, text = accepted.revision.number, accepted.text
+                self.offer(two.identity.vm_id, number, text, me.vm_id)
+
+    def show(self, *names: str) -> None:
+        for name in names or self.boards:
+            board, now = self.boards[name], self.session.now
+            place = place_of(board, now)
+            self.session.decision(
+                "state",
+                at=name,
+                revision=board.profiles.revision.number,
+                refused=board.profiles.refused_revision.number,
+                watches=place.watches,
+                may_give_orders=may_give_orders(board, now),
+                cut_off=cut_off(board.members.contact, now),
+            )
+
+
+@pytest.fixture
+def processes(session: Any) -> Processes:
+    session.at(100.0)
+    processes = Processes(session)
+    members = [vm(domain, number) for domain in DOMAINS for number in range(2)]
+    processes.start({member.vm_id: member for member in members})
+    processes.show()
+    for name in processes.boards:
+        processes.service_answers(name, 5, value("five"))
+    return processes
+
+
+def test_a_partition_and_its_heal(
+    processes: Processes, session: Any, snapshot: SnapshotAssertion
+) -> None:
+    processes.run_until(110.0)
+    session.event("partition", between="lag-a phc-a")
+    processes.parted = True
+    processes.service_answers("lag-a-0", 6, value("six"))
+    processes.heartbeat("lag-a-0", "lag-a-1")
+    processes.heartbeat("lag-a-0", "phc-a-0")
+    processes.service_fails("phc-a-0")
+    processes.heartbeat("phc-a-0", "lag-a-1")
+    processes.heartbeat("phc-a-0", "phc-a-1")
+    processes.show()
+    processes.run_until(120.0)
+    session.event("heal")
+    processes.parted = False
+    processes.heartbeat("phc-a-0", "lag-a-1")
+    processes.heartbeat("phc-a-1", "phc-a-0")
+    processes.show()
+    assert session.text() == snapshot
+
+
+def test_an_outage_of_the_platform(
+    processes: Processes, session: Any, snapshot: SnapshotAssertion
+) -> None:
+    processes.run_until(110.0)
+    session.event("outage of the platform")
+    for now in (110.0, 111.0, 113.0, 117.0, 125.0, 3600.0, 7200.0):
+        processes.run_until(now)
+        processes.service_fails("lag-a-0")
+    processes.heartbeat("lag-a-0", "lag-a-1")
+    silent = processes.boards["lag-a-1"].profiles.service.silent(session.now)
+    session.decision(
+        "service silent", at="lag-a-1", limit_s=SERVICE_SILENT_S, is_=silent
+    )
+    processes.show("lag-a-0", "lag-a-1")
+
+    session.event("pause", vm="lag-a-1", seconds=60)
+    session.at(7260.0)
+    beat(processes.boards["lag-a-0"].members.contact, 7260.0)
+    paused = processes.boards["lag-a-1"]
+    session.decision(
+        "pause seen", at="lag-a-1", is_=beat(paused.members.contact, 7260.0)
+    )
+    processes.show("lag-a-1")
+    processes.heartbeat("lag-a-1", "lag-a-0")
+    processes.show("lag-a-1")
+
+    session.event("platform back, stale")
+    processes.service_answers("lag-a-0", 4, value("four"))
+    processes.service_answers("lag-a-0", 6, INVALID)
+    processes.service_answers("lag-a-0", 7, value("seven"))
+    processes.heartbeat("lag-a-1", "lag-a-0")
+    processes.show("lag-a-0", "lag-a-1")
+    assert session.text() == snapshot
--- /dev/null
+++ b/packages/primroselever-node/src/primroselever_node/control/metrics.py
@@ -0,0 +1,64 @@
+"""The metrics of control."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from opentelemetry.metrics import get_meter
+
+from primroselever_core.membership.contact import confirmed
+from primroselever_core.membership.peers import place_of
+
+from .. import clock
+from ..metrics import gauge
+
+if TYPE_CHECKING:
+    from primroselever_core.board import Blackboard
+
+
+def observe_control(board: Blackboard) -> None:
+    """Show where control's knowledge comes from and whether others are heard."""
+    meter = get_meter(__name__)
+    members, profiles = board.members, board.profiles
+    gauge(
+        meter,
+        "primroselever.control.service_age",
+        "s",
+        "Since the configuration service was heard, here or by a peer",
+        lambda: clock.now() - profiles.service.heard_at,
+    )
+    gauge(
+        meter,
+        "primroselever.control.watching",
+        "1",
+        "1 when this process watches the configuration service itself",
+        lambda: int(place_of(board, clock.now()).watches),
+    )
+    gauge(
+        meter,
+        "primroselever.control.in_touch",
+        "1",
+        "0 while this process may give no orders, having heard nobody",
+        lambda: int(confirmed(members.contact, clock.now())),
+    )
+    gauge(
+        meter,
+        "primroselever.control.suspects",
+        "{vm}",
+        "VMs that this process does not count on",
+        lambda: suspects(board),
+    )
+    gauge(
+        meter,
+        "primroselever.control.pauses",
+        "{pause}",
+        "How often this process found that it had been paused",
+        lambda: members.contact.pauses,
+    )
+
+
+def suspects(board: Blackboard) -> int:
+    """Return how many VMs are suspect now."""
+    now = clock.now()
+    evidence = board.members.evidence.values()
+    return sum(found.suspect_until > now for found in evidence)
--- a/packages/primroselever-node/src/primroselever_node/control/plane.py
+++ b/packages/primroselever-node/src/primroselever_node/control/plane.py
@@ -23,6 +23,7 @@
     HeartbeatController,
 )
 from .members import MembersController
+from .metrics import observe_control
 from .peer_client import PeerClient
 from .profiles import ProfilesController
 
@@ -68,6 +69,7 @@
 
     def start(self, visit_servers: bool = False) -> None:
         """Start the controllers; an entry also visits its subset of servers."""
+        observe_control(self.board)
         run_controller(self.heartbeats.beat, BEAT_INTERVAL_S)
         run_controller(self.members.step, members.STEP_S)
         run_controller(self.profiles.step, profiles.STEP_S)
