Notice a silent parent within three seconds

Cause: a process waited up to 6.5 s at a parent that had gone silent. Ruled out: a heartbeat to the parent beside the waiting call; shorter waits say the same with fewer messages. The experiment can stop watchers with SIGSTOP. All watchers silent at once in all domains stays slower.

--- a/bench/experiments/propagation.py
+++ b/bench/experiments/propagation.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import os
+import signal
 import statistics
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -34,6 +35,12 @@
     """Add the experiment's arguments."""
     parser.add_argument("--processes", type=int, default=9)
     parser.add_argument("--changes", type=int, default=5, help="published revisions")
+    parser.add_argument(
+        "--silent",
+        type=int,
+        default=0,
+        help="watchers of each domain that are stopped before the last change",
+    )
     parser.add_argument("--quiet-s", type=float, default=20.0, help="without changes")
 
 
@@ -56,6 +63,7 @@
             probe.wait_in_force(revision, IN_FORCE_LIMIT_S)
             in_force_s += probe.in_force_since(published_at)
             time.sleep(1.0)
+        silent = silence(probe, arguments.silent) if arguments.silent else {}
         return {
             "processes": len(layout.vms),
             "start_s": round(start_s, 1),
@@ -64,9 +72,39 @@
             **cost,
             "in_force_s": spread(in_force_s),
             "changes": arguments.changes,
+            **silent,
         }
 
 
+def silence(probe: Probe, count: int) -> dict[str, Any]:
+    """Stop watchers without ending them, publish, and let them wake up late."""
+    fleet = probe.fleet
+    controls = zip(fleet.layout.vms, probe.all_controls(), strict=True)
+    ranked = sorted((c["position"], vm.vm_id) for vm, c in controls if c)
+    stopped = {vm_id for position, vm_id in ranked if position < count}
+    for vm_id in stopped:
+        fleet.processes[vm_id].send_signal(signal.SIGSTOP)
+    awake = [vm for vm in fleet.layout.vms if vm.vm_id not in stopped]
+    published_at = time.monotonic()
+    revision = fleet.publish(value(1_000_000))
+    probe.wait_in_force(revision, IN_FORCE_LIMIT_S, awake)
+    in_force_s = probe.in_force_since(published_at, awake)
+    waiting = probe.service()["waiting"]
+    for vm_id in stopped:
+        fleet.processes[vm_id].send_signal(signal.SIGCONT)
+    woken_at = time.monotonic()
+    probe.wait_in_force(revision, IN_FORCE_LIMIT_S)
+    late = [vm for vm in fleet.layout.vms if vm.vm_id in stopped]
+    pauses = [c["pauses"] for vm in late if (c := probe.control_of(vm))]
+    return {
+        "silent_watchers": len(stopped),
+        "silent_in_force_s": spread(in_force_s),
+        "silent_waiting_calls": waiting,
+        "woken_in_force_s": spread(probe.in_force_since(woken_at, late)),
+        "woken_pauses_seen": pauses,
+    }
+
+
 def layout_of(processes: int) -> Layout:
     """Return a fleet of about so many processes."""
     per_domain = processes // len(DOMAINS)
@@ -102,13 +140,16 @@
         """Return the counters of the configuration service."""
         return dict(self.fleet.get(self.fleet.layout.configuration_port, "/control"))
 
-    def wait_in_force(self, revision: int, limit_s: float) -> None:
-        """Wait until all processes have a revision in force."""
-        waiting = set(range(len(self.fleet.layout.vms)))
+    def wait_in_force(
+        self, revision: int, limit_s: float, among: list[VmPlan] | None = None
+    ) -> None:
+        """Wait until all processes, or those among some, have a revision in force."""
+        planned = self.fleet.layout.vms if among is None else among
+        waiting = set(range(len(planned)))
 
         def holds() -> bool:
             indexes = sorted(waiting)
-            vms = [self.fleet.layout.vms[index] for index in indexes]
+            vms = [planned[index] for index in indexes]
             said = self.readers.map(self.control_of, vms)
             for index, control in zip(indexes, said, strict=True):
                 if control and control["revision"] >= revision:
@@ -118,10 +159,12 @@
 
         self.fleet.wait_for(holds, limit_s, f"revision {revision} in force")
 
-    def in_force_since(self, published_at: float) -> list[float]:
+    def in_force_since(
+        self, published_at: float, among: list[VmPlan] | None = None
+    ) -> list[float]:
         """Return after how many seconds each process had the newest revision."""
         since = []
-        for vm in self.fleet.layout.vms:
+        for vm in self.fleet.layout.vms if among is None else among:
             control = self.control_of(vm)
             if control is not None:
                 accepted_at = time.monotonic() - control["revision_age_s"]
--- a/packages/primroselever-node/src/primroselever_node/control/peer_client.py
+++ b/packages/primroselever-node/src/primroselever_node/control/peer_client.py
@@ -16,7 +16,7 @@
     from ..rpc.client_pool import ClientPool
     from ..rpc.handler import NodeHandler
 
-CALL_TIMEOUT_S = 1.5
+CALL_TIMEOUT_S = 1.0
 
 
 class PeerClient:
--- a/packages/primroselever-node/src/primroselever_node/control/profiles.py
+++ b/packages/primroselever-node/src/primroselever_node/control/profiles.py
@@ -31,7 +31,7 @@
     from .peer_client import PeerClient
 
 WATCH_S = 5.0
-PARENT_WAIT_MS = 5000
+PARENT_WAIT_MS = 2000
 STEP_S = 0.2
 CANDIDATES = 12
 READ_ALONE_S = 10.0
