--- a/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
+++ b/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
@@ -16,13 +16,10 @@
 from primroselever_node import clock
 from primroselever_node.admin import AdminApplication
 from primroselever_node.console.serve import BaseServeCommand
-from primroselever_node.control.members import MembersController
-from primroselever_node.control.profiles import ProfilesController
+from primroselever_node.control.plane import ControlPlane
 from primroselever_node.control.status import control_status
 from primroselever_node.http import HttpServer
 from primroselever_node.metrics import observe_board
-from primroselever_node.platform.configuration_service import ConfigurationService
-from primroselever_node.platform.vm_list_service import VmListService
 from primroselever_node.process import (
     ShutdownSignal,
     drain,
@@ -84,6 +81,7 @@
         )
         self.answers = Answers(self.registry)
         self.runner = Runner(self.registry, backend, self.answers)
+        self.control = ControlPlane(self.board, settings.platform)
         identity = self.board.identity
         self.tickets = TicketIssuer(
             TicketBook(identity.vm_id, identity.incarnation, self.registry.book),
@@ -99,6 +97,7 @@
             self.tickets,
             self.transfer.serving,
             settings,
+            self.control.handler,
         )
         self.rpc = RpcServer(
             schema.Agent, self.handler, settings.rpc.host, settings.rpc.port
@@ -130,6 +129,7 @@
         """
         deadline = clock.now() + self.settings.shutdown_s
         self.board.leaving = True
+        self.control.announce_leaving()
         drained = drain(self.registry.in_flight, deadline)
         drain(self.registry.unread, min(deadline, clock.now() + READ_OUT_S))
         eventlet.sleep(LAST_REPLY_S)
@@ -137,13 +137,7 @@
 
     def start_controllers(self) -> None:
         """Start the controllers, each in a greenlet of its own."""
-        platform = self.settings.platform
-        profiles = ProfilesController(
-            self.board, ConfigurationService(platform.configuration_service)
-        )
-        members = MembersController(self.board, VmListService(platform.vm_list))
-        run_controller(profiles.step, 0.2)
-        run_controller(members.step, 1.0)
+        self.control.start()
         run_controller(lambda: self.registry.expire(clock.now()), 1.0)
         run_controller(self.tickets.step, 1.0)
         run_controller(lambda: self.answers.expire(clock.now()), 1.0)
--- a/packages/primroselever-core/src/primroselever_core/profiles/parse.py
+++ b/packages/primroselever-core/src/primroselever_core/profiles/parse.py
@@ -7,8 +7,9 @@
 
 from __future__ import annotations
 
+import json
 from collections import Counter
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import jsonc
 from pydantic import ValidationError
@@ -34,7 +35,7 @@
         problem = f"the value is longer than {MAX_VALUE_BYTES} bytes"
         raise FindingsError([Finding(place, problem, "publish a shorter one")])
     try:
-        data = jsonc.loads(text)
+        data = load_json(text)
     except ValueError as exc:
         raise FindingsError([Finding(place, str(exc), "mend the JSON")]) from exc
     try:
@@ -47,6 +48,19 @@
     return profiles
 
 
+def load_json(text: str) -> Any:
+    """
+    Return the data in JSON with comments.
+
+    Text without comments goes the fast way: stripping the comments of a megabyte
+    costs many times what reading it does.
+    """
+    try:
+        return json.loads(text)
+    except ValueError:
+        return jsonc.loads(text)
+
+
 def findings_of(error: ValidationError, place: str) -> Iterator[Finding]:
     """Yield a finding for each problem that pydantic saw."""
     for item in error.errors():
