--- a/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
+++ b/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
@@ -9,12 +9,16 @@
 
 from primroselever_core.identifiers import GroupName
 from primroselever_core.runs.registry import RunRegistry
+from primroselever_core.tickets.signing import TicketSigner
+from primroselever_core.tickets.ticket_book import TicketBook
 from primroselever_core.transfer.chunk_store import ChunkStore
 from primroselever_core.transfer.section import TransfersSection
 from primroselever_node import clock
 from primroselever_node.admin import AdminApplication
 from primroselever_node.console.serve import BaseServeCommand
-from primroselever_node.control import MembersController, ProfilesController
+from primroselever_node.control.members import MembersController
+from primroselever_node.control.profiles import ProfilesController
+from primroselever_node.control.status import control_status
 from primroselever_node.http import HttpServer
 from primroselever_node.metrics import observe_board
 from primroselever_node.platform.configuration_service import ConfigurationService
@@ -30,12 +34,14 @@
 from primroselever_node.rpc.client_pool import ClientPool
 from primroselever_node.rpc.schema import schema
 from primroselever_node.rpc.server import RpcServer
+from primroselever_node.settings.secrets import ticket_key
 from primroselever_node.status import common_status
 
 from ..engine.engine_client import EngineClient
 from ..engine.plain_client import PlainClient
 from ..runs.handler import AgentHandler
 from ..runs.runner import Runner
+from ..runs.ticket_issuer import TicketIssuer
 from ..settings import AgentSettings
 from ..transfer.explain import ChunkExplainer
 from ..transfer.rollout import RolloutController
@@ -44,8 +50,7 @@
 if TYPE_CHECKING:
     from primroselever_node.settings.model import NodeSettings
 
-KEEP_RUN_S = 60.0
-KEEP_TOMBSTONE_S = 600.0
+KEEP_RUN_S = 300.0
 READ_OUT_S = 5.0
 LAST_REPLY_S = 0.2
 
@@ -69,7 +74,7 @@
     def __init__(self, settings: AgentSettings) -> None:
         self.settings = settings
         self.board = new_board(settings)
-        self.registry = RunRegistry(KEEP_RUN_S, KEEP_TOMBSTONE_S)
+        self.registry = RunRegistry(KEEP_RUN_S)
         self.section = TransfersSection(ChunkStore(settings.chunk_memory_bytes))
         self.board.runs = self.registry
         self.board.transfers = self.section
@@ -79,10 +84,16 @@
             self.engine if self.needs_weights else PlainClient(settings.backend.url)
         )
         self.runner = Runner(self.registry, backend)
+        identity = self.board.identity
+        self.tickets = TicketIssuer(
+            TicketBook(identity.vm_id, identity.incarnation, self.registry.book),
+            TicketSigner(ticket_key(settings.secrets)),
+        )
         self.handler = AgentHandler(
             self.board,
             self.registry,
             self.runner,
+            self.tickets,
             ChunkServing(self.section),
             settings,
         )
@@ -131,6 +142,7 @@
         run_controller(profiles.step, 0.2)
         run_controller(members.step, 1.0)
         run_controller(lambda: self.registry.expire(clock.now()), 1.0)
+        run_controller(self.tickets.step, 1.0)
         source = platform.origin or platform.weight_store
         if self.needs_weights and source is not None:
             rollout = RolloutController(
@@ -160,7 +172,9 @@
             **common_status(self.board),
             "serving": self.section.serving,
             "wanted": wanted.version if wanted else None,
+            "wanted_digest": wanted.digest if wanted else None,
             "chunks_missing": len(missing),
             "bytes_by_source": self.section.bytes_by_source,
             "in_flight": self.registry.in_flight(),
+            "control": control_status(self.board),
         }
--- a/packages/primroselever-entry/src/primroselever_entry/commands/serve.py
+++ b/packages/primroselever-entry/src/primroselever_entry/commands/serve.py
@@ -11,7 +11,9 @@
 from primroselever_node import clock
 from primroselever_node.admin import AdminApplication
 from primroselever_node.console.serve import BaseServeCommand
-from primroselever_node.control import MembersController, ProfilesController
+from primroselever_node.control.members import MembersController
+from primroselever_node.control.profiles import ProfilesController
+from primroselever_node.control.status import control_status
 from primroselever_node.http import HttpServer
 from primroselever_node.metrics import observe_board
 from primroselever_node.platform.configuration_service import ConfigurationService
@@ -119,4 +121,5 @@
             **common_status(self.board),
             "leaving": self.turning_away,
             "in_flight": self.flow.in_flight,
+            "control": control_status(self.board),
         }
