Put links between failure domains on the bench

Cause: the bench could not cut a failure domain off, nor let open connections go silent; every process saw one VM list on one loopback address. Before: none of these could be caused. Conclusion: faults between failure domains can be caused and undone. Also: a ticket key that is too short is a finding of check as it is of serve.

--- a/bench/launcher.py
+++ b/bench/launcher.py
@@ -11,7 +11,7 @@
 import time
 from collections import Counter
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Self
 
 import urllib3
 
@@ -50,7 +50,7 @@
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.http = urllib3.PoolManager(retries=False, maxsize=32)
 
-    def __enter__(self) -> Launcher:
+    def __enter__(self) -> Self:
         try:
             self.start_standins()
             for vm in self.layout.vms:
--- a/bench/standins/__main__.py
+++ b/bench/standins/__main__.py
@@ -25,6 +25,7 @@
 
 from .configuration_service import ConfigurationService
 from .engine import Engine
+from .link import Links
 from .plain_service import PlainService
 from .vm_list import VmList
 from .weight_source import WeightSource
@@ -35,6 +36,7 @@
 KINDS: dict[str, type[StandIn]] = {
     "configuration_service": ConfigurationService,
     "engine": Engine,
+    "links": Links,
     "plain_service": PlainService,
     "vm_list": VmList,
     "weight_source": WeightSource,
--- a/bench/standins/engine.py
+++ b/bench/standins/engine.py
@@ -22,6 +22,8 @@
 class Engine(StandIn):
     """
     Faults: ``honours_fencing``, ``token_s``, ``first_token_s``, ``tokens``.
+    ``crash`` in a control request ends all runs and loses the weights, as a crash
+    and restart of the engine does.
 
     Chunks that are handed over are counted and their digests kept, not their
     bytes.
@@ -39,6 +41,7 @@
         self.fencing = 0
         self.handed: dict[str, dict[int, str]] = {}
         self.in_flight = 0
+        self.crashes = 0
         self.runs: dict[str, int] = {}
         self.bodies: Counter[str] = Counter()
         self.cancelled: set[str] = set()
@@ -53,6 +56,16 @@
             "digest": self.digest,
         }
 
+    def control(self, request: Request) -> Reply:
+        """Set faults, or crash."""
+        if request.method == "POST" and request.json().get("crash"):
+            self.crashes += 1
+            self.digest = ""
+            self.fencing = 0
+            self.handed.clear()
+            return json_reply({"crashes": self.crashes})
+        return super().control(request)
+
     def answer(self, request: Request) -> Reply:
         """Answer the engine's protocol."""
         chunk = CHUNK_PATH.match(request.path)
@@ -100,6 +113,7 @@
     def tokens(self, run_id: str, body: str) -> Iterator[bytes]:
         """Yield the records of an answer, with the digest at both ends."""
         self.in_flight += 1
+        crashes = self.crashes
         mark = xxhash.xxh3_64_hexdigest(body.encode())[:8]
         try:
             yield record({"start": {"digest": self.digest}})
@@ -108,6 +122,8 @@
             for number in range(count):
                 if run_id in self.cancelled:
                     return
+                if crashes != self.crashes:
+                    raise ConnectionError("the engine crashed")
                 yield record({"text": f"{self.digest[:8]}:{mark}:{number} "})
                 eventlet.sleep(self.faults["token_s"])
             yield record({"end": {"digest": self.digest, "tokens": count}})
--- a/packages/primroselever-node/src/primroselever_node/settings/contradictions.py
+++ b/packages/primroselever-node/src/primroselever_node/settings/contradictions.py
@@ -16,12 +16,12 @@
 from primroselever_core.findings import Finding
 
 from .model import Listen, NodeSettings
+from .secrets import MIN_KEY_BYTES
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
 
 WILDCARDS = ("0.0.0.0", "::")
-MIN_KEY_BYTES = 8
 
 
 @singledispatch
@@ -102,8 +102,8 @@
     if path is not None and variable is not None:
         problem = "a file and an environment variable are both named"
         yield Finding("secrets", problem, "name one of the two")
-    if variable is not None and not environ.get(variable):
-        problem = f"the environment variable {variable} is not set"
+    if variable is not None and len(environ.get(variable, "").encode()) < MIN_KEY_BYTES:
+        problem = f"the variable {variable} is not set, or under {MIN_KEY_BYTES} bytes"
         remedy = "set it for this process, or name a file"
         yield Finding("secrets.ticket_key_variable", problem, remedy)
     if path is not None:
