--- a/bench/judge.py
+++ b/bench/judge.py
@@ -8,16 +8,18 @@
 
 import json
 from collections import Counter
-from dataclasses import asdict, dataclass, field
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import xxhash
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable, Mapping
+    from collections.abc import Callable, Iterable, Mapping
 
     from .traffic import Answer, Sent
 
+KINDS = ("wrong_not_run", "doubles", "lost", "partial", "mixed", "crossed")
+
 
 @dataclass(slots=True)
 class Verdict:
@@ -46,26 +48,26 @@
 
     def broken(self) -> int:
         """Return how many promises were broken."""
-        kinds = ("wrong_not_run", "doubles", "lost", "partial", "mixed", "crossed")
-        return sum(getattr(self, kind) for kind in kinds)
+        return sum(getattr(self, kind) for kind in KINDS)
 
     def figures(self) -> dict[str, object]:
         """Return the verdict for JSON."""
-        return {**asdict(self), "examples": self.examples[:10]}
+        broken = {kind: getattr(self, kind) for kind in KINDS}
+        return {**broken, "told": dict(self.told), "examples": self.examples[:10]}
 
 
 def judge(
     requests: Iterable[Sent],
     ran: Mapping[str, int],
     tokens: int,
-    disturbed: Collection[str] = (),
+    excused: Callable[[Answer], bool] = lambda _answer: False,
 ) -> Verdict:
     """
     Return the verdict on all requests.
 
     ``ran`` says how often each body was run, ``tokens`` how long the answers of the
-    engines are. A caller of a ``disturbed`` entry, one that was killed or frozen,
-    may be left without an answer: it sees its connection break.
+    engines are. An ``excused`` answer, one from an entry that was killed meanwhile,
+    may be missing: its caller sees the connection break.
     """
     verdict = Verdict()
     for sent in requests:
@@ -77,7 +79,7 @@
             verdict.blame("doubles", sent)
         if outcome == "not_run" and runs and earlier_all_not_run(sent):
             verdict.blame("wrong_not_run", sent)
-        if not outcome and (last is None or last.entry not in disturbed):
+        if not outcome and (last is None or not excused(last)):
             verdict.blame("lost", sent)
         if outcome == "done" and last is not None:
             judge_done(verdict, sent, last, runs, tokens)
--- a/bench/launcher.py
+++ b/bench/launcher.py
@@ -21,6 +21,7 @@
     from collections.abc import Callable
 
 STOP_S = 15.0
+CALL_S = 20.0
 POLL_S = 0.05
 
 
@@ -171,7 +172,9 @@
     def request(self, method: str, port: int, path: str, body: bytes = b"") -> Any:
         """Return the JSON of a reply, or None."""
         try:
-            reply = self.http.request(method, url(port) + path, body=body, timeout=5)
+            reply = self.http.request(
+                method, url(port) + path, body=body, timeout=CALL_S
+            )
         except urllib3.exceptions.HTTPError:
             return None
         return json.loads(reply.data) if reply.status == 200 else None
--- a/bench/layout.py
+++ b/bench/layout.py
@@ -4,26 +4,42 @@
 
 import socket
 from dataclasses import dataclass, field
+from random import SystemRandom
 from typing import Any
 
 HOST = "127.0.0.1"
+PORTS = range(10000, 32000)
 TICKET_KEY_VARIABLE = "PRIMROSELEVER_TICKET_KEY"
 TURN_AWAY_S = 0.5
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    sockets = []
-    for _ in range(count):
-        sock = socket.socket()
-        sock.bind((HOST, 0))
-        sockets.append(sock)
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
+    """
+    Return ports that were free a moment ago.
+
+    They lie below the range from which the system takes the ports of outgoing
+    connections, so that none of these is in the way when a process starts later.
+    """
+    ports: list[int] = []
+    candidates = iter(SystemRandom().sample(PORTS, len(PORTS)))
+    while len(ports) < count:
+        port = next(candidates)
+        if is_free(port):
+            ports.append(port)
     return ports
 
 
+def is_free(port: int) -> bool:
+    """Return whether nobody listens on a port of the loopback address."""
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind((HOST, port))
+        except OSError:
+            return False
+    return True
+
+
 @dataclass(slots=True)
 class VmPlan:
     """One VM to launch; ``http_port`` is 0 for agents, ``backend`` for entries."""
--- a/bench/tests/test_judge.py
+++ b/bench/tests/test_judge.py
@@ -11,7 +11,7 @@
 
 
 def told(outcome: str, text: str = "", idempotent: bool = True) -> Sent:
-    return Sent("s", "a", idempotent, [Answer("entry", outcome, text=text)])
+    return Sent("s", "a", idempotent, [Answer("entry", outcome=outcome, text=text)])
 
 
 @pytest.mark.parametrize(
@@ -48,4 +48,9 @@
 
 
 def test_a_caller_of_a_killed_entry_may_see_its_connection_break() -> None:
-    assert judge([told("")], {}, TOKENS, disturbed={"entry"}).broken() == 0
+    assert (
+        judge(
+            [told("")], {}, TOKENS, excused=lambda answer: answer.entry == "entry"
+        ).broken()
+        == 0
+    )
--- a/bench/traffic.py
+++ b/bench/traffic.py
@@ -10,6 +10,7 @@
 import json
 import threading
 import time
+import uuid
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 from itertools import cycle
@@ -32,6 +33,8 @@
     """What came back for one sending; ``outcome`` is empty when nothing whole did."""
 
     entry: str
+    sent_at: float = 0.0
+    ended_at: float = 0.0
     outcome: str = ""
     reason: str = ""
     text: str = ""
@@ -82,6 +85,7 @@
         self.http = urllib3.PoolManager(
             retries=False, maxsize=WORKERS, num_pools=len(targets)
         )
+        self.label = uuid.uuid4().hex[:8]
         self.sent: list[Sent] = []
         self.stopped = threading.Event()
         self.pool = ThreadPoolExecutor(WORKERS)
@@ -105,7 +109,8 @@
         due = time.monotonic()
         while not self.stopped.is_set():
             service, idempotent = next(self.services)
-            sent = Sent(service, f"{service}-{len(self.sent):06d}", idempotent)
+            body = f"{service}-{self.label}-{len(self.sent):06d}"
+            sent = Sent(service, body, idempotent)
             self.sent.append(sent)
             self.pool.submit(self.carry, sent, next(self.targets))
             due += self.interval_s
@@ -129,7 +134,7 @@
 
     def send(self, sent: Sent, target: Target, ticket: str) -> Answer:
         """Send a request once and read what comes back."""
-        answer = Answer(target.name)
+        answer = Answer(target.name, sent_at=time.monotonic())
         headers = {"Workspace": "ministry", "Request-Timeout": str(DEADLINE_S)}
         if ticket:
             headers["Operation-Ticket"] = ticket
@@ -143,8 +148,9 @@
             )
         except urllib3.exceptions.HTTPError as exc:
             answer.reason = type(exc).__name__
-            return answer
-        read_into(answer, reply)
+        else:
+            read_into(answer, reply)
+        answer.ended_at = time.monotonic()
         return answer
 
 
