--- a/bench/standins/engine.py
+++ b/bench/standins/engine.py
@@ -23,10 +23,12 @@
 
 class Engine(StandIn):
     """
-    Faults: ``honours_fencing``, ``token_s``, ``first_token_s``, ``tokens``;
-    ``capacity``, the runs beyond which all slow down (0: none); ``load_lag_s``, the
-    age of the load that it reports; ``prefixes``, how many it holds, and ``miss_s``,
-    what a prefix that it does not hold costs.
+    Faults: ``honours_fencing``, ``token_s``, ``first_token_s``, ``tokens``, and
+    ``stamps``: each token says when it was sent; ``capacity``, the runs beyond which
+    all slow down (0: none); ``load_lag_s``, the age of the load that it reports;
+    ``prefixes``, how many it holds, and ``miss_s``, what a prefix that it does not
+    hold costs; ``crash_on``, a text whose requests crash it. ``crash`` in a control
+    request ends all runs and loses the weights, as a crash and restart does.
 
     Chunks that are handed over are counted and their digests kept, not their
     bytes.
@@ -42,6 +44,8 @@
             "load_lag_s": 0.0,
             "prefixes": 16,
             "miss_s": 0.0,
+            "stamps": False,
+            "crash_on": "",
         }
         super().__init__(**{**defaults, **faults})
         self.cache = PrefixCache(int(self.faults["prefixes"]))
@@ -50,6 +54,7 @@
         self.fencing = 0
         self.handed: dict[str, dict[int, str]] = {}
         self.in_flight = 0
+        self.crashes = 0
         self.runs: dict[str, int] = {}
         self.bodies: Counter[str] = Counter()
         self.cancelled: set[str] = set()
@@ -63,10 +68,25 @@
             "orders": self.orders,
             "digest": self.digest,
             "in_flight": self.in_flight,
+            "crashes": self.crashes,
             "hits": self.cache.hits,
             "misses": self.cache.misses,
         }
 
+    def control(self, request: Request) -> Reply:
+        """Set faults, or crash."""
+        if request.method == "POST" and request.json().get("crash"):
+            self.crash()
+            return json_reply({"crashes": self.crashes})
+        return super().control(request)
+
+    def crash(self) -> None:
+        """End all runs and lose the weights."""
+        self.crashes += 1
+        self.digest = ""
+        self.fencing = 0
+        self.handed.clear()
+
     def count(self, change: int) -> None:
         """Count runs in flight, and remember when how many were."""
         self.in_flight += change
@@ -133,9 +153,16 @@
             first_token_s += self.faults["miss_s"]
         return Reply(body=self.tokens(run_id, fields["body"], first_token_s))
 
+    def token(self, mark: str, number: int) -> str:
+        """Return the text of one token."""
+        stamp = f"@{time.monotonic():.6f}" if self.faults["stamps"] else ""
+        return f"{self.digest[:8]}:{mark}:{number}{stamp} "
+
     def tokens(self, run_id: str, body: str, first_token_s: float) -> Iterator[bytes]:
         """Yield the records of an answer, with the digest at both ends."""
         self.count(1)
+        crashes = self.crashes
+        crash_on = self.faults["crash_on"]
         mark = xxhash.xxh3_64_hexdigest(body.encode())[:8]
         try:
             yield record({"start": {"digest": self.digest}})
@@ -144,7 +171,11 @@
             for number in range(count):
                 if run_id in self.cancelled:
                     return
-                yield record({"text": f"{self.digest[:8]}:{mark}:{number} "})
+                if crash_on and crash_on in body and crashes == self.crashes:
+                    self.crash()
+                if crashes != self.crashes:
+                    raise ConnectionError("the engine crashed")
+                yield record({"text": self.token(mark, number)})
                 eventlet.sleep(self.faults["token_s"] * self.slowdown())
             yield record({"end": {"digest": self.digest, "tokens": count}})
         finally:
--- a/packages/primroselever-agent/src/primroselever_agent/admission/controller.py
+++ b/packages/primroselever-agent/src/primroselever_agent/admission/controller.py
@@ -24,6 +24,7 @@
     from primroselever_core.runs.registry import Run
     from primroselever_core.suspects.section import CrashId
 
+    from ..exceptions import BackendError
     from ..runs.runner import Runner
     from .crash_watch import CrashWatch
 
@@ -154,12 +155,15 @@
         """Take in that a run's answer has begun."""
         self.admission.first_token(run.run_id, clock.now())
 
-    def failed(self, run: Run, reason: Reason) -> None:
+    def failed(self, run: Run, error: BackendError) -> None:
         """Find out whether the engine crashed, before the run's end is told."""
-        if reason is not Reason.ENGINE_FAILED:
+        if error.reason is not Reason.ENGINE_FAILED:
             return
-        present = [w.fingerprint for w, _ in self.admission.in_flight.values()]
-        if self.crashes.check(present):
+        present = [w for w, _ in self.admission.in_flight.values()]
+        if error.never_ran:
+            present = [w for w in present if w.run_id != run.run_id]
+        names = [w.fingerprint for w in present]
+        if self.crashes.check(run.weights_digest, names):
             self.crash_count.add(1)
             for held, _, _ in list(self.held.values()):
                 del self.held[held.run_id]
--- a/packages/primroselever-agent/src/primroselever_agent/admission/crash_watch.py
+++ b/packages/primroselever-agent/src/primroselever_agent/admission/crash_watch.py
@@ -47,18 +47,18 @@
         engine: EngineClient,
         peers: ClientPool,
         heartbeat: Callable[[], Any],
-        needs_weights: bool,
+        stop_serving: Callable[[str], None] | None,
     ) -> None:
         self.board = board
         self.engine = engine
         self.peers = peers
         self.heartbeat = heartbeat
-        self.needs_weights = needs_weights
+        self.stop_serving = stop_serving
         self.crashes = 0
         self.same_crash_until = 0.0
         self.asking: Event | None = None
 
-    def check(self, present: list[Fingerprint]) -> bool:
+    def check(self, digest: str, present: list[Fingerprint]) -> bool:
         """Return whether the engine has crashed just now, for the first to ask."""
         if self.asking is not None:
             self.asking.wait()
@@ -67,7 +67,7 @@
             return False
         self.asking = Event()
         try:
-            crashed = self.engine_lost()
+            crashed = self.engine_lost(digest)
             if crashed:
                 self.record(present)
         finally:
@@ -75,14 +75,12 @@
             asking.send()
         return crashed
 
-    def engine_lost(self) -> bool:
-        """Ask the engine for its state."""
-        if not self.needs_weights:
+    def engine_lost(self, digest: str) -> bool:
+        """Return whether the engine is gone, or lost the weights that a run had."""
+        if self.stop_serving is None:
             return not self.engine.answers()
-        transfers = self.board.transfers
-        serving = transfers and transfers.serving
         try:
-            return self.engine.state().digest != serving
+            return self.engine.state().digest != digest
         except OrderError:
             return True
 
@@ -94,8 +92,8 @@
         me = self.board.identity
         crash = CrashId(f"{me.vm_id}/{me.incarnation}/{self.crashes}")
         self.board.suspects.crashed(crash, present, now)
-        if self.board.transfers is not None:
-            self.board.transfers.serving = None
+        if self.stop_serving is not None:
+            self.stop_serving("the engine crashed")
         for fingerprint in present:
             standing = self.board.suspects.standing(fingerprint, now)
             log_decision("suspect", fingerprint, standing, "present at a crash")
--- a/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
+++ b/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
@@ -18,14 +18,10 @@
 from primroselever_node import clock
 from primroselever_node.admin import AdminApplication
 from primroselever_node.console.serve import BaseServeCommand
-from primroselever_node.control.members import MembersController
-from primroselever_node.control.profiles import ProfilesController
+from primroselever_node.control.plane import ControlPlane
 from primroselever_node.control.status import control_status
 from primroselever_node.http import HttpServer
 from primroselever_node.metrics import observe_board
-from primroselever_node.platform.configuration_service import ConfigurationService
-from primroselever_node.platform.vm_list_service import VmListService
-from primroselever_node.platform.weight_source import WeightSource
 from primroselever_node.process import (
     ShutdownSignal,
     drain,
@@ -43,13 +39,14 @@
 from ..admission.crash_watch import CrashWatch
 from ..engine.engine_client import EngineClient
 from ..engine.plain_client import PlainClient
+from ..runs.answers import Answers
 from ..runs.handler import AgentHandler
 from ..runs.runner import Runner
 from ..runs.ticket_issuer import TicketIssuer
 from ..settings import AgentSettings
 from ..transfer.explain import ChunkExplainer
-from ..transfer.rollout import RolloutController
-from ..transfer.serving import ChunkServing
+from ..transfer.parts import TransferParts
+from ..transfer.rollout import TICK_S
 
 if TYPE_CHECKING:
     from primroselever_node.settings.model import NodeSettings
@@ -88,30 +85,38 @@
         backend = (
             self.engine if self.needs_weights else PlainClient(settings.backend.url)
         )
-        self.runner = Runner(self.registry, backend)
+        self.answers = Answers(self.registry)
+        self.runner = Runner(self.registry, backend, self.answers)
+        self.control = ControlPlane(self.board, settings.platform)
         identity = self.board.identity
         self.tickets = TicketIssuer(
             TicketBook(identity.vm_id, identity.incarnation, self.registry.book),
             TicketSigner(ticket_key(settings.secrets)),
         )
-        admission = Admission(ConcurrencyLimit(settings.max_in_flight))
+        self.transfer = TransferParts(
+            self.board, self.section, self.registry, self.engine, settings
+        )
         crashes = CrashWatch(
             self.board,
             self.engine,
             ClientPool(schema.Agent),
-            lambda: self.handler.own_heartbeat(),
-            self.needs_weights,
+            self.control.handler.own_heartbeat,
+            self.transfer.switch.stop_serving if self.needs_weights else None,
         )
         self.admission = AdmissionController(
-            self.board, self.runner, admission, crashes
+            self.board,
+            self.runner,
+            Admission(ConcurrencyLimit(settings.max_in_flight)),
+            crashes,
         )
         self.handler = AgentHandler(
             self.board,
             self.registry,
             self.runner,
             self.tickets,
-            ChunkServing(self.section),
+            self.transfer.serving,
             settings,
+            self.control.handler,
             self.admission,
         )
         self.rpc = RpcServer(
@@ -144,6 +149,7 @@
         """
         deadline = clock.now() + self.settings.shutdown_s
         self.board.leaving = True
+        self.control.announce_leaving()
         drained = drain(self.registry.in_flight, deadline)
         drain(self.registry.unread, min(deadline, clock.now() + READ_OUT_S))
         eventlet.sleep(LAST_REPLY_S)
@@ -151,29 +157,15 @@
 
     def start_controllers(self) -> None:
         """Start the controllers, each in a greenlet of its own."""
-        platform = self.settings.platform
-        profiles = ProfilesController(
-            self.board, ConfigurationService(platform.configuration_service)
-        )
-        members = MembersController(self.board, VmListService(platform.vm_list))
-        run_controller(profiles.step, 0.2)
-        run_controller(members.step, 1.0)
+        self.control.start()
         run_controller(lambda: self.registry.expire(clock.now()), 1.0)
         run_controller(self.tickets.step, 1.0)
+        run_controller(lambda: self.answers.expire(clock.now()), 1.0)
         run_controller(self.admission.step, ADMISSION_STEP_S)
         run_controller(lambda: self.board.suspects.expire(clock.now()), 1.0)
-        source = platform.origin or platform.weight_store
-        if self.needs_weights and source is not None:
-            rollout = RolloutController(
-                self.board,
-                self.section,
-                self.registry,
-                GroupName(self.settings.group),
-                WeightSource(source),
-                ClientPool(schema.Agent),
-                self.engine,
-            )
-            run_controller(rollout.step, 0.1)
+        if self.needs_weights:
+            run_controller(self.transfer.rollout.step, TICK_S)
+            run_controller(self.transfer.switch.watch, 1.0)
 
     def not_ready(self) -> str | None:
         """Return why no new work may come, or None."""
@@ -185,15 +177,9 @@
 
     def status(self) -> dict[str, Any]:
         """Return what this agent knows."""
-        wanted = self.section.wanted
-        missing = self.section.store.missing(wanted) if wanted else []
         return {
             **common_status(self.board),
-            "serving": self.section.serving,
-            "wanted": wanted.version if wanted else None,
-            "wanted_digest": wanted.digest if wanted else None,
-            "chunks_missing": len(missing),
-            "bytes_by_source": self.section.bytes_by_source,
+            **self.transfer.status(),
             "in_flight": self.registry.in_flight(),
             "control": control_status(self.board),
         }
--- a/packages/primroselever-entry/src/primroselever_entry/requests/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/flow.py
@@ -10,6 +10,7 @@
 from primroselever_node import clock
 
 from .active_run import ActiveRun
+from .feed import Feeds
 from .reading import AnswerReader
 from .starting import Starter
 from .ticketing import TicketRouter
@@ -46,8 +47,9 @@
     ) -> None:
         self.board = board
         self.router = router
-        self.starter = Starter(board, agents, progress_s)
-        self.reader = AnswerReader(board, agents, progress_s)
+        feeds = Feeds(agents, board, progress_s)
+        self.starter = Starter(board, agents, feeds, progress_s)
+        self.reader = AnswerReader(agents, feeds, progress_s)
         self.tickets = TicketRouter(board, agents, self.starter, random)
         self.in_flight = 0
 
@@ -97,7 +99,7 @@
                 ended = ending = yield from self.carry(request, started)
             finally:
                 self.router.ended(wanted, choice.server, ended)
-            passed_on = isinstance(started, ActiveRun) and started.cursor.offset > 0
+            passed_on = isinstance(started, ActiveRun) and started.passed_on
             if passed_on or isinstance(ending, Done):
                 return ending
             if isinstance(ending, Unknown):
--- a/packages/primroselever-node/src/primroselever_node/exceptions.py
+++ b/packages/primroselever-node/src/primroselever_node/exceptions.py
@@ -13,6 +13,10 @@
     """A chunk or a manifest could not be read from the store or the origin."""
 
 
+class SourceRefusedError(WeightSourceError):
+    """The store or the origin answered, but not with what was asked for."""
+
+
 class AdminError(PrimroseleverError):
     """The admin port of a running process gave no answer."""
 
