--- a/packages/primroselever-core/src/primroselever_core/admission/admission.py
+++ b/packages/primroselever-core/src/primroselever_core/admission/admission.py
@@ -84,8 +84,17 @@
                 self.withdraw(run)
                 return refusal
             self.drop(victim, refusal)
+        self.refuse_displaced(run, weight, now)
         return Admitted.WAITS
 
+    def refuse_displaced(self, run: Waiting, weight: float, now: float) -> None:
+        """Refuse the last runs of a workspace when a new one takes their time."""
+        while (last := self.queue.last(run.workspace)) is not None:
+            wait_s = self.expected_wait_s(last, weight)
+            if last is run or not self.too_late(last, now + wait_s):
+                return
+            self.drop(last, self.refusal(last, weight, wait_s))
+
     def offer_suspect(
         self, run: Waiting, weight: float, now: float
     ) -> Admitted | NotRun:
--- a/packages/primroselever-core/src/primroselever_core/admission/fair_queue.py
+++ b/packages/primroselever-core/src/primroselever_core/admission/fair_queue.py
@@ -135,6 +135,11 @@
         own = turn.running + len(turn.waiting)
         return own > self.share(workspace, weight) * (self.size + self.running)
 
+    def last(self, workspace: WorkspaceName) -> Waiting | None:
+        """Return the run of a workspace that is to go last."""
+        turn = self.turns.get(workspace)
+        return turn.waiting[-1] if turn and turn.waiting else None
+
     def longest(self) -> Waiting:
         """Return the last run of the workspace with most waiting for its weight."""
         turn = max(
--- a/packages/primroselever-core/src/primroselever_core/routing/retry_budget.py
+++ b/packages/primroselever-core/src/primroselever_core/routing/retry_budget.py
@@ -2,7 +2,7 @@
 Retries as a share of traffic, so that they cannot multiply an overload.
 
     >>> budget = RetryBudget(level=0.0)
-    >>> for _ in range(10):
+    >>> for _ in range(12):
     ...     budget.request()
     >>> budget.retry(), budget.retry()
     (True, False)
@@ -12,7 +12,7 @@
 
 from dataclasses import dataclass
 
-RETRY_SHARE = 0.1
+RETRY_SHARE = 0.09
 FIRST_RETRIES = 3.0
 MOST_SAVED = 10.0
 ROUNDING = 1e-9
@@ -20,7 +20,7 @@
 
 @dataclass(slots=True)
 class RetryBudget:
-    """Each request earns a tenth of a retry; few are saved up."""
+    """Each request earns less than a tenth of a retry; few are saved up."""
 
     level: float = FIRST_RETRIES
 
