--- a/packages/primroselever-core/src/primroselever_core/routing/router.py
+++ b/packages/primroselever-core/src/primroselever_core/routing/router.py
@@ -145,7 +145,9 @@
         choice = choose_server(pool, wanted.prefix, passed_over, now, self.random)
         if isinstance(choice, NotRun):
             return choice
-        if not self.link.take(wanted.size_bytes + self.answer_bytes, now):
+        # What is larger than the whole budget goes when the budget is untouched.
+        size = min(wanted.size_bytes + self.answer_bytes, self.link.capacity)
+        if not self.link.take(size, now):
             return NotRun(Reason.NO_SERVER, LINK_RETRY_S)
         reason = "no server of the own failure domain"
         return Choice(choice.server, reason, choice.candidates)
--- /dev/null
+++ b/packages/primroselever-core/tests/routing/test_partition.py
@@ -0,0 +1,93 @@
+"""A failure domain loses its servers, or its link, and gets them back."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import pytest
+
+from primroselever_core.outcomes import Done, NotRun, Reason
+from primroselever_core.routing.choose import Choice
+
+if TYPE_CHECKING:
+    from primroselever_core.identifiers import VmId
+    from primroselever_core.routing.router import Router
+
+RATE_PER_S = 10
+AVOID_S = 1.0
+ANSWER_BYTES = 100
+REQUEST_BYTES = 100
+
+
+@dataclass(slots=True)
+class Callers:
+    """An entry's callers, whose requests reach every server but the cut ones."""
+
+    router: Router
+    wanted: object
+    sent: list[str] = field(default_factory=list)
+    starts: list[tuple[float, str, bool]] = field(default_factory=list)
+    done: int = 0
+
+    def run(self, begin: int, end: int, cut: str) -> None:
+        """Send requests from one second to another while a domain is cut off."""
+        for number in range(begin * RATE_PER_S, end * RATE_PER_S):
+            self.request(number / RATE_PER_S, cut)
+
+    def request(self, now: float, cut: str) -> None:
+        """Send a request, and again while the budget allows."""
+        router, wanted = self.router, self.wanted
+        router.retries.request()
+        self.sent.append("")
+        passed_over: set[VmId] = set()
+        while True:
+            choice = router.choose(wanted, passed_over, now)
+            if not isinstance(choice, Choice):
+                return
+            server = choice.server
+            domain = server.vm.failure_domain
+            reached = domain != cut
+            self.starts.append((now, domain, reached))
+            router.started(wanted, server)
+            if reached:
+                self.done += 1
+                router.ended(wanted, server, Done(ANSWER_BYTES, ""), now)
+                return
+            server.avoid_until = now + AVOID_S
+            passed_over.add(server.vm.vm_id)
+            router.ended(wanted, server, NotRun(Reason.SERVER_LOST, AVOID_S), now)
+            if not router.retries.retry():
+                return
+
+
+@pytest.fixture
+def callers(new_router, wanted) -> Callers:
+    return Callers(new_router(home=4, away=4), wanted(size_bytes=REQUEST_BYTES))
+
+
+def test_no_retry_storm_during_a_cut_or_after_the_heal(callers):
+    callers.run(0, 10, cut="")
+    callers.run(10, 40, cut="lag-a")
+    before = len(callers.starts)
+    callers.run(40, 60, cut="")
+    assert len(callers.starts) <= 1.1 * len(callers.sent) + 3
+    assert len(callers.starts) - before <= 20 * RATE_PER_S
+
+
+def test_spill_over_stays_within_the_link_and_ends_with_the_heal(callers):
+    callers.router.link.rate = callers.router.link.capacity = 1000.0
+    callers.router.link.level = 1000.0
+    callers.run(0, 30, cut="lag-a")
+    spilled = [at for at, domain, _ in callers.starts if domain == "phc-a"]
+    assert len(spilled) * (REQUEST_BYTES + ANSWER_BYTES) <= 1000.0 * 31
+    # Each second a request tries the servers here again before one goes elsewhere.
+    assert len(spilled) >= 20
+    callers.run(30, 40, cut="")
+    later = {domain for at, domain, _ in callers.starts if at > 30 + AVOID_S}
+    assert later == {"lag-a"}
+
+
+def test_a_domain_cut_off_from_the_others_serves_its_own_callers(callers):
+    callers.run(0, 10, cut="phc-a")
+    assert callers.done == len(callers.sent)
