Prove the agent's admission and crash watch with failure tests

Cause: only the decisions were tested, not the agent that carries them out. Change: tests of AdmissionController and CrashWatch with a fake engine and runner. Before: none.

--- /dev/null
+++ b/packages/primroselever-agent/tests/admission/test_controller.py
@@ -0,0 +1,156 @@
+"""Admission and crashes, with an engine and a runner that do as they are told."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+
+import pytest
+
+from primroselever_agent.admission.controller import AdmissionController
+from primroselever_agent.admission.crash_watch import CrashWatch
+from primroselever_agent.exceptions import BackendError, OrderError
+from primroselever_core.admission.admission import Admission
+from primroselever_core.admission.limit import ConcurrencyLimit
+from primroselever_core.board import Blackboard, Identity
+from primroselever_core.identifiers import (
+    FailureDomain,
+    Fingerprint,
+    Incarnation,
+    Region,
+    RunId,
+    ServiceName,
+    VmId,
+    WorkspaceName,
+)
+from primroselever_core.outcomes import Reason
+from primroselever_core.runs.answer_buffer import AnswerBuffer
+from primroselever_core.runs.registry import Run, RunState
+from primroselever_core.suspects.section import CrashId, Standing
+from primroselever_node import clock
+
+ENGINE_FAILED = BackendError(Reason.ENGINE_FAILED, "connection broken")
+
+
+@dataclass
+class Engine:
+    """An engine that serves a digest, or does not answer at all."""
+
+    digest: str | None = "v1"
+
+    def state(self):
+        if self.digest is None:
+            raise OrderError("no answer")
+        return SimpleNamespace(digest=self.digest)
+
+
+@dataclass
+class Runner:
+    """Keeps what it is told to start and to end."""
+
+    observer: AdmissionController | None = None
+    started: list[Run] = field(default_factory=list)
+    ends: dict[RunId, tuple[RunState, Reason | None]] = field(default_factory=dict)
+
+    def start(self, run, body, priority):
+        self.started.append(run)
+
+    def end(self, run, state, reason):
+        self.ends[run.run_id] = state, reason
+        self.observer.ended(run, state)
+
+    def fail(self, run, error=ENGINE_FAILED):
+        self.observer.failed(run, error)
+        self.end(run, RunState.FAILED, error.reason)
+
+
+@pytest.fixture
+def engine() -> Engine:
+    return Engine()
+
+
+@pytest.fixture
+def admission(engine) -> AdmissionController:
+    board = Blackboard(
+        Identity(VmId("a-0"), FailureDomain("a"), Region("west"), Incarnation(7))
+    )
+    stopped = []
+    watch = CrashWatch(board, engine, None, lambda: None, stopped.append)
+    limit = ConcurrencyLimit(highest=3, lowest=3, value=3)
+    return AdmissionController(board, Runner(), Admission(limit), watch)
+
+
+def offered(admission, name):
+    """Offer a run and begin it if it is not refused; return the run or refusal."""
+    run = Run(
+        RunId(f"{name} {len(admission.runner.started)} {len(admission.held)}"),
+        ServiceName("summaries"),
+        WorkspaceName("ministry"),
+        Fingerprint(name),
+        True,
+        clock.now() + 60.0,
+        AnswerBuffer(100),
+        weights_digest="v1",
+    )
+    refusal = admission.offer(run, 5)
+    if refusal is not None:
+        return refusal
+    admission.begin(run, b"", 5)
+    return run
+
+
+def test_a_crash_names_who_was_there_and_ends_who_waited_at_once(admission, engine):
+    bad, beside, other = (offered(admission, n) for n in ("bad", "beside", "other"))
+    waiting = offered(admission, "waiting")
+    engine.digest = None
+    for run in (bad, beside, other):
+        admission.runner.fail(run)
+    suspects = admission.board.suspects
+    assert set(suspects.records) == {"bad", "beside", "other"}
+    assert {r.standing() for r in suspects.records.values()} == {Standing.SUSPECT}
+    assert admission.runner.ends[waiting.run_id] == (
+        RunState.NOT_RUN,
+        Reason.NO_WEIGHTS,
+    )
+    assert waiting.retry_after_s > 0
+    assert waiting not in admission.runner.started
+
+
+@pytest.mark.parametrize(
+    "error", [ENGINE_FAILED, BackendError(Reason.WEIGHTS_CHANGED, "other digest")]
+)
+def test_a_run_that_fails_alone_is_no_crash(admission, error):
+    admission.runner.fail(offered(admission, "bad"), error)
+    assert admission.board.suspects.records == {}
+
+
+def test_suspects_run_one_at_a_time_beside_others(admission):
+    suspects = admission.board.suspects
+    names = [Fingerprint("one"), Fingerprint("two")]
+    suspects.crashed(CrashId("b-0/1/1"), names, clock.now())
+    one, two = offered(admission, "one"), offered(admission, "two")
+    plain = offered(admission, "plain")
+    assert admission.runner.started == [one, plain]
+    admission.runner.end(one, RunState.DONE, None)
+    assert admission.runner.started == [one, plain, two]
+    assert suspects.standing(Fingerprint("one"), clock.now()) is Standing.CLEAR
+
+
+def test_a_quarantined_request_is_refused_until_its_deadline(admission):
+    for crash in ("b-0/1/1", "c-0/1/1"):
+        admission.board.suspects.crashed(
+            CrashId(crash), [Fingerprint("bad")], clock.now()
+        )
+    refusal = offered(admission, "bad")
+    assert refusal.reason is Reason.QUARANTINED
+    assert 590 < refusal.retry_after_s <= 600
+    assert admission.runner.started == []
+
+
+def test_a_waiting_run_that_its_caller_cancels_never_starts(admission):
+    runs = [offered(admission, name) for name in ("a", "b", "c", "d")]
+    assert admission.cancel(runs[3])
+    for run in runs[:3]:
+        admission.runner.end(run, RunState.DONE, None)
+    assert admission.runner.ends[runs[3].run_id][0] is RunState.NOT_RUN
+    assert runs[3] not in admission.runner.started
