Test requests over a wire that loses, repeats, delays and crosses

Ruled out: sockets and timeouts in these tests; the wire is a fake that calls the agent's real handler.

--- /dev/null
+++ b/packages/primroselever-entry/tests/requests/conftest.py
@@ -0,0 +1,230 @@
+"""Entries and real agent handlers in one process, with a wire that fails."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+import eventlet
+import pytest
+
+from primroselever_agent.exceptions import BackendError
+from primroselever_agent.runs.answers import Answers
+from primroselever_agent.runs.handler import AgentHandler
+from primroselever_agent.runs.runner import Runner
+from primroselever_agent.runs.ticket_issuer import TicketIssuer
+from primroselever_agent.settings import AgentSettings
+from primroselever_core.board import Blackboard, Identity
+from primroselever_core.identifiers import (
+    FailureDomain,
+    GroupName,
+    Incarnation,
+    Region,
+    ServiceName,
+    VmId,
+    WorkspaceName,
+)
+from primroselever_core.membership.vm import Role, Vm
+from primroselever_core.outcomes import Ending, Reason
+from primroselever_core.profiles.model import Service
+from primroselever_core.profiles.parse import parse_profiles
+from primroselever_core.profiles.revision import AcceptedProfiles, Revision
+from primroselever_core.runs.fingerprint import fingerprint_of
+from primroselever_core.runs.registry import RunRegistry
+from primroselever_core.tickets.signing import TicketSigner
+from primroselever_core.tickets.ticket_book import TicketBook
+from primroselever_entry.requests.caller_request import CallerRequest
+from primroselever_entry.requests.flow import RequestFlow
+from primroselever_node import clock
+from primroselever_node.rpc.client_pool import LostReplyError, NeverSentError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from primroselever_core.runs.registry import Run
+
+PROFILES = """{"services": [
+    {"name": "summaries", "group": "portal", "idempotent": true},
+    {"name": "renewals", "group": "portal", "idempotent": false}
+]}"""
+HOST = "127.0.0.1"
+DOMAIN, REGION = FailureDomain("lag-a"), Region("west")
+
+
+@dataclass
+class FakeBackend:
+    """Runs calls at once; ``fail`` says how, ``before_end`` runs in mid-answer."""
+
+    pieces: tuple[bytes, ...] = (b"one ", b"two ", b"three")
+    ran: list[bytes] = field(default_factory=list)
+    cancelled: list[str] = field(default_factory=list)
+    fail: BackendError | None = None
+    before_end: Callable[[], None] = lambda: None
+
+    def run(self, run: Run, body: bytes, priority: int) -> Iterator[bytes]:
+        if self.fail is None or not self.fail.never_ran:
+            self.ran.append(body)
+        if self.fail is not None:
+            raise self.fail
+        yield from self.pieces[:-1]
+        self.before_end()
+        yield self.pieces[-1]
+
+    def cancel(self, run: Run) -> None:
+        self.cancelled.append(run.run_id)
+
+
+class FakeAgent:
+    """A VM with an agent's real handler before a fake back end."""
+
+    def __init__(self, vm_id: str, port: int) -> None:
+        self.vm = Vm(
+            VmId(vm_id), Role.AGENT, HOST, port, DOMAIN, REGION, GroupName("portal")
+        )
+        self.backend = FakeBackend()
+        self.incarnation = 0
+        self.restart()
+
+    def restart(self) -> None:
+        """Start anew: another incarnation, at the same address."""
+        self.incarnation += 1
+        incarnation = Incarnation(self.incarnation)
+        board = Blackboard(Identity(self.vm.vm_id, DOMAIN, REGION, incarnation))
+        self.board = board
+        self.registry = board.runs = RunRegistry(keep_s=60.0)
+        book = TicketBook(self.vm.vm_id, incarnation, self.registry.book)
+        settings = AgentSettings.model_validate(
+            {
+                "vm_id": self.vm.vm_id,
+                "failure_domain": DOMAIN,
+                "region": REGION,
+                "rpc": {"port": 0},
+                "admin": {"port": 0},
+                "platform": {"configuration_service": "", "vm_list": ""},
+                "group": "portal",
+                "backend": {"kind": "plain", "url": ""},
+            }
+        )
+        self.handler = AgentHandler(
+            board,
+            self.registry,
+            Runner(self.registry, self.backend, Answers(self.registry)),
+            TicketIssuer(book, TicketSigner(b"a key of the tests")),
+            None,  # type: ignore[arg-type]
+            settings,
+        )
+
+
+class FakeWire:
+    """
+    Calls handlers in this process; each method's next calls may fail.
+
+    ``faults`` maps a method to what happens to its next calls: ``never_sent``,
+    ``request_lost`` (kept in ``late``) or ``reply_lost``. ``before`` holds what is
+    done once, before a method's next call.
+    """
+
+    def __init__(self, agents: list[FakeAgent]) -> None:
+        self.agents = {(a.vm.address, a.vm.rpc_port): a for a in agents}
+        self.faults: dict[str, list[str]] = defaultdict(list)
+        self.late: list[Callable[[], Any]] = []
+        self.calls: list[str] = []
+        self.before: dict[str, Callable[[], None]] = {}
+        self.tamper: Callable[[str, Any], None] = lambda method, reply: None
+
+    def call(
+        self, address: tuple[str, int], method: str, *args: Any, timeout_s: float
+    ) -> Any:
+        eventlet.sleep(0)
+        self.calls.append(method)
+        if method in self.before:
+            self.before.pop(method)()
+        agent = self.agents[address]
+        fault = self.faults[method].pop(0) if self.faults[method] else ""
+        if fault == "never_sent":
+            raise NeverSentError(method)
+        if fault == "request_lost":
+            self.late.append(lambda: getattr(agent.handler, method)(*args))
+            raise LostReplyError(method)
+        reply = getattr(agent.handler, method)(*args)
+        if fault == "reply_lost":
+            raise LostReplyError(method)
+        self.tamper(method, reply)
+        return reply
+
+    def forget(self, address: tuple[str, int]) -> None:
+        """Keep no connections."""
+
+
+@dataclass
+class Fleet:
+    """Agents, the wire to them, and entries."""
+
+    agents: list[FakeAgent]
+    wire: FakeWire
+
+    def entry(self) -> RequestFlow:
+        """Return the request flow of one more entry."""
+        identity = Identity(VmId("entry"), DOMAIN, REGION, Incarnation(99))
+        board = Blackboard(identity)
+        board.profiles.accepted = AcceptedProfiles(
+            Revision.of(1, PROFILES), PROFILES, parse_profiles(PROFILES, "profiles")
+        )
+        board.members.vms = {agent.vm.vm_id: agent.vm for agent in self.agents}
+        return RequestFlow(board, self.wire, Random(7), 1.0)  # type: ignore[arg-type]
+
+    def ran(self) -> int:
+        """Return how many calls the back ends began."""
+        return sum(len(agent.backend.ran) for agent in self.agents)
+
+
+@pytest.fixture
+def fleet() -> Fleet:
+    agents = [FakeAgent("portal-1", 1), FakeAgent("portal-2", 2)]
+    return Fleet(agents, FakeWire(agents))
+
+
+@pytest.fixture
+def one_agent(fleet: Fleet) -> FakeAgent:
+    """Leave one agent only."""
+    del fleet.agents[1:]
+    return fleet.agents[0]
+
+
+def new_request(
+    service: str = "summaries",
+    body: bytes = b"tender 12",
+    ticket: str = "",
+    key: str = "",
+    workspace: str = "ministry",
+    deadline: float | None = None,
+) -> CallerRequest:
+    """Return a caller's request."""
+    return CallerRequest(
+        service=ServiceName(service),
+        workspace=WorkspaceName(workspace),
+        body=body,
+        deadline=clock.now() + 5.0 if deadline is None else deadline,
+        priority=5,
+        idempotency_key=key,
+        ticket=ticket,
+        fingerprint=fingerprint_of(service, workspace, body),
+    )
+
+
+def service_named(name: str) -> Service:
+    """Return the published service of that name."""
+    return Service(name=name, group="portal", idempotent=name == "summaries")
+
+
+def answer_of(flow: RequestFlow, request: CallerRequest) -> tuple[bytes, Ending]:
+    """Return the whole answer that was passed on, and the ending."""
+    *pieces, ending = flow.answer(request, service_named(request.service))
+    return b"".join(pieces), ending
+
+
+def engine_failed(never_ran: bool = False) -> BackendError:
+    """Return the failure of a back end whose connection broke."""
+    return BackendError(Reason.ENGINE_FAILED, "the connection broke", never_ran)
