--- a/packages/primroselever-agent/src/primroselever_agent/transfer/explain.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/explain.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from primroselever_core.transfer.owners import owners
+from primroselever_core.transfer.ownership import owners
 from primroselever_node.exceptions import ExplainError
 
 if TYPE_CHECKING:
--- a/packages/primroselever-entry/src/primroselever_entry/commands/serve.py
+++ b/packages/primroselever-entry/src/primroselever_entry/commands/serve.py
@@ -11,22 +11,19 @@
 from primroselever_node import clock
 from primroselever_node.admin import AdminApplication
 from primroselever_node.console.serve import BaseServeCommand
-from primroselever_node.control.members import MembersController
-from primroselever_node.control.profiles import ProfilesController
+from primroselever_node.control.plane import ControlPlane
 from primroselever_node.control.status import control_status
 from primroselever_node.http import HttpServer
 from primroselever_node.metrics import observe_board
-from primroselever_node.platform.configuration_service import ConfigurationService
-from primroselever_node.platform.vm_list_service import VmListService
 from primroselever_node.process import (
     ShutdownSignal,
     drain,
     exit_code,
     new_board,
-    run_controller,
 )
 from primroselever_node.rpc.client_pool import ClientPool
 from primroselever_node.rpc.schema import schema
+from primroselever_node.rpc.server import RpcServer
 from primroselever_node.status import common_status
 
 from ..requests.application import CallerApplication
@@ -61,6 +58,10 @@
         self.flow = RequestFlow(
             self.board, ClientPool(schema.Agent), Random(), settings.progress_s
         )
+        self.control = ControlPlane(self.board, settings.platform)
+        self.rpc = RpcServer(
+            schema.Node, self.control.handler, settings.rpc.host, settings.rpc.port
+        )
         self.http = HttpServer(
             CallerApplication(self.board, self.flow, settings),
             settings.http.host,
@@ -80,13 +81,8 @@
         """Serve until told to stop, then drain; return the exit code."""
         stop = ShutdownSignal()
         observe_board(self.board, get_meter("primroselever.node"))
-        platform = self.settings.platform
-        profiles = ProfilesController(
-            self.board, ConfigurationService(platform.configuration_service)
-        )
-        members = MembersController(self.board, VmListService(platform.vm_list))
-        run_controller(profiles.step, 0.2)
-        run_controller(members.step, 1.0)
+        self.rpc.start()
+        self.control.start(visit_servers=True)
         self.admin.start()
         self.http.start()
         stop.wait()
@@ -103,6 +99,7 @@
         self.turning_away = True
         eventlet.sleep(self.settings.turn_away_s)
         self.board.leaving = True
+        self.control.announce_leaving()
         return drain(lambda: self.http.in_flight, deadline)
 
     def not_ready(self) -> str | None:
