Follow the agent handler's new argument in the request tests

Cause: main gives the handler its part of heartbeats and publications. Change: the tests hand one over.

--- a/packages/primroselever-entry/tests/requests/conftest.py
+++ b/packages/primroselever-entry/tests/requests/conftest.py
@@ -39,6 +39,8 @@
 from primroselever_entry.requests.flow import RequestFlow
 from primroselever_node import clock
 from primroselever_node.rpc.client_pool import LostReplyError, NeverSentError
+from primroselever_node.rpc.handler import NodeHandler
+from primroselever_node.rpc.publications import Publications
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -114,6 +116,7 @@
             TicketIssuer(book, TicketSigner(b"a key of the tests")),
             None,  # type: ignore[arg-type]
             settings,
+            NodeHandler(board, Publications(board)),
         )
 
 
