--- a/packages/primroselever-entry/src/primroselever_entry/commands/serve.py
+++ b/packages/primroselever-entry/src/primroselever_entry/commands/serve.py
@@ -8,6 +8,8 @@
 import eventlet
 from opentelemetry.metrics import get_meter
 
+from primroselever_core.budgets import TokenBucket
+from primroselever_core.routing.router import Router
 from primroselever_node import clock
 from primroselever_node.admin import AdminApplication
 from primroselever_node.console.serve import BaseServeCommand
@@ -29,6 +31,7 @@
 from ..requests.application import CallerApplication
 from ..requests.explain import RouteExplainer
 from ..requests.flow import RequestFlow
+from ..routing.request_router import RequestRouter
 from ..settings import EntrySettings
 
 if TYPE_CHECKING:
@@ -54,9 +57,16 @@
     def __init__(self, settings: EntrySettings) -> None:
         self.settings = settings
         self.board = new_board(settings)
+        link = TokenBucket.full(
+            settings.spill_bytes_per_s, settings.spill_bytes_per_s, clock.now()
+        )
         self.turning_away = False
         self.flow = RequestFlow(
-            self.board, ClientPool(schema.Agent), Random(), settings.progress_s
+            self.board,
+            ClientPool(schema.Agent),
+            Random(),
+            settings.progress_s,
+            RequestRouter(Router(self.board, Random(), link)),
         )
         self.control = ControlPlane(self.board, settings.platform)
         self.rpc = RpcServer(
--- a/packages/primroselever-entry/src/primroselever_entry/requests/explain.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/explain.py
@@ -5,8 +5,11 @@
 from random import Random
 from typing import TYPE_CHECKING, Any
 
+from primroselever_core.identifiers import WorkspaceName
 from primroselever_core.outcomes import NotRun
 from primroselever_core.routing.choose import choose_server
+from primroselever_core.routing.pool import Pool
+from primroselever_core.routing.router import prefix_of
 from primroselever_node import clock
 from primroselever_node.exceptions import ExplainError
 
@@ -35,7 +38,9 @@
             names = ", ".join(s.name for s in accepted.profiles.services)
             raise ExplainError(f"there is no service {name!r}; name one of: {names}")
         servers = self.flow.candidates(service)
-        choice = choose_server(servers, (), clock.now(), Random())
+        workspace = WorkspaceName(query.get("workspace", ""))
+        prefix = prefix_of(workspace, query.get("body", "").encode())
+        choice = choose_server(Pool.of(servers), prefix, (), clock.now(), Random())
         if isinstance(choice, NotRun):
             chosen: dict[str, Any] = {"choice": None, "reason": choice.reason}
         else:
@@ -58,4 +63,5 @@
             "avoided_for_s": max(0.0, server.avoid_until - now),
             "in_flight": server.in_flight,
             "reported": server.reported,
+            "ejected_for_s": max(0.0, server.ejected_until - now),
         }
