Count outcomes, and say when to come back

Cause: no metric told operators how requests end; refusals without a time to come back left callers guessing; a stream whose caller left was closed only when it was collected. Change: counter primroselever.requests.outcomes by outcome and reason; a default Retry-After where what stands in the way passes by itself; streams close their run at once. A leaving entry says unknown of a call that has a ticket. Before: the new test of the leaving entry fails without unconfirmed().

--- a/packages/primroselever-entry/src/primroselever_entry/requests/application.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/application.py
@@ -10,10 +10,11 @@
 from primroselever_core.outcomes import Done, Ending, NotRun, Outcome, Reason
 
 from .caller_request import CallerRequest, parse_request
+from .outcome_counter import OutcomeCounter
 from .problem import Problem, problem_of
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Generator, Iterable, Iterator
 
     from primroselever_core.board import Blackboard
     from primroselever_core.profiles.model import Service
@@ -38,6 +39,7 @@
         self.board = board
         self.flow = flow
         self.settings = settings
+        self.outcomes = OutcomeCounter()
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
@@ -87,20 +89,25 @@
         self, problem: Problem, start_response: StartResponse
     ) -> Iterable[bytes]:
         """Answer with a problem."""
+        self.outcomes.count(problem.outcome, problem.reason)
         body = problem.body()
         headers = [*problem.headers(), ("Content-Length", str(len(body)))]
         start_response(problem.status_line, headers)
         return [body]
 
     def stream(
-        self, first: bytes | Ending, parts: Iterator[bytes | Ending]
+        self, first: bytes | Ending, parts: Generator[bytes | Ending, None, None]
     ) -> Iterator[bytes]:
         """Yield the answer's records and a last one with the outcome."""
         part: bytes | Ending | None = first
-        while isinstance(part, bytes):
-            yield part
-            part = next(parts, None)
-        yield trailer(part)
+        try:
+            while isinstance(part, bytes):
+                yield part
+                part = next(parts, None)
+            yield trailer(part)
+        finally:
+            self.outcomes.count_ending(part)
+            parts.close()
 
     def whole(
         self,
@@ -122,6 +129,7 @@
             ("Content-Length", str(len(body))),
             ("Request-Outcome", part.outcome),
         ]
+        self.outcomes.count_ending(part)
         start_response("200 OK", headers)
         return [body]
 
@@ -134,7 +142,8 @@
     say "not run".
     """
     if TICKET_HEADER in environ:
-        return replace(problem, outcome=Outcome.UNKNOWN)
+        detail = f"{problem.detail}; with its ticket it may have run before"
+        return replace(problem, outcome=Outcome.UNKNOWN, detail=detail)
     return problem
 
 
--- a/packages/primroselever-entry/src/primroselever_entry/requests/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/flow.py
@@ -16,7 +16,7 @@
 from .ticketing import TicketRouter
 
 if TYPE_CHECKING:
-    from collections.abc import Generator, Iterator
+    from collections.abc import Generator
     from random import Random
 
     from primroselever_core.board import Blackboard
@@ -55,7 +55,7 @@
 
     def answer(
         self, request: CallerRequest, service: Service
-    ) -> Iterator[bytes | Ending]:
+    ) -> Generator[bytes | Ending, None, None]:
         """Yield the answer's bytes and, last of all, the ending."""
         self.in_flight += 1
         try:
--- a/packages/primroselever-entry/src/primroselever_entry/requests/problem.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/problem.py
@@ -72,6 +72,29 @@
         return json.dumps(fields).encode() + b"\n"
 
 
+# What stands in the way of these passes by itself, so coming back makes sense.
+PASSING = (
+    Reason.DEADLINE_PASSED,
+    Reason.FAIR_SHARE,
+    Reason.LEAVING,
+    Reason.NO_SERVER,
+    Reason.NO_WEIGHTS,
+    Reason.OVERLOADED,
+    Reason.PAUSED,
+    Reason.SERVER_LOST,
+    Reason.TOMBSTONE,
+)
+DEFAULT_RETRY_S = 1.0
+
+
+def retry_after_of(ending: NotRun | Unknown) -> float | None:
+    """Return when to come back, in seconds, or None where it makes no sense."""
+    if ending.retry_after_s is not None:
+        return ending.retry_after_s
+    may_pass = isinstance(ending, NotRun) and ending.reason in PASSING
+    return DEFAULT_RETRY_S if may_pass else None
+
+
 def problem_of(ending: NotRun | Unknown) -> Problem:
     """Return the problem that tells a caller of an ending."""
     ticket = ""
@@ -88,6 +111,6 @@
         detail=detail,
         outcome=ending.outcome,
         reason=ending.reason,
-        retry_after_s=ending.retry_after_s,
+        retry_after_s=retry_after_of(ending),
         ticket=ticket,
     )
--- a/packages/primroselever-entry/src/primroselever_entry/requests/ticketing.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/ticketing.py
@@ -90,7 +90,9 @@
             self.agents.forget(address_of(server))
             return NotRun(Reason.SERVER_LOST, AVOID_S)
         if not reply.ticket:
-            return NotRun(Reason(reply.reason), (reply.retry_after_ms or 0) / 1000)
+            return NotRun(
+                Reason(reply.reason), (reply.retry_after_ms or 0) / 1000 or None
+            )
         log_decision(
             "ticket",
             request.fingerprint,
--- a/packages/primroselever-entry/tests/requests/conftest.py
+++ b/packages/primroselever-entry/tests/requests/conftest.py
@@ -17,6 +17,7 @@
 from primroselever_agent.runs.ticket_issuer import TicketIssuer
 from primroselever_agent.settings import AgentSettings
 from primroselever_core.board import Blackboard, Identity
+from primroselever_core.budgets import TokenBucket
 from primroselever_core.identifiers import (
     FailureDomain,
     GroupName,
@@ -31,12 +32,14 @@
 from primroselever_core.profiles.model import Service
 from primroselever_core.profiles.parse import parse_profiles
 from primroselever_core.profiles.revision import AcceptedProfiles, Revision
+from primroselever_core.routing.router import Router
 from primroselever_core.runs.fingerprint import fingerprint_of
 from primroselever_core.runs.registry import RunRegistry
 from primroselever_core.tickets.signing import TicketSigner
 from primroselever_core.tickets.ticket_book import TicketBook
 from primroselever_entry.requests.caller_request import CallerRequest
 from primroselever_entry.requests.flow import RequestFlow
+from primroselever_entry.routing.request_router import RequestRouter
 from primroselever_node import clock
 from primroselever_node.rpc.client_pool import LostReplyError, NeverSentError
 from primroselever_node.rpc.handler import NodeHandler
@@ -176,7 +179,10 @@
             Revision.of(1, PROFILES), PROFILES, parse_profiles(PROFILES, "profiles")
         )
         board.members.vms = {agent.vm.vm_id: agent.vm for agent in self.agents}
-        return RequestFlow(board, self.wire, Random(7), 1.0)  # type: ignore[arg-type]
+        link = TokenBucket.full(1e9, 1e9, clock.now())
+        router = RequestRouter(Router(board, Random(7), link))
+        wire: Any = self.wire
+        return RequestFlow(board, wire, Random(7), 1.0, router)
 
     def ran(self) -> int:
         """Return how many calls the back ends began."""
--- /dev/null
+++ b/packages/primroselever-entry/tests/requests/test_application.py
@@ -0,0 +1,76 @@
+"""What callers are told over HTTP."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from primroselever_core.outcomes import NotRun, Reason, Unknown
+from primroselever_entry.requests.application import CallerApplication
+from primroselever_entry.requests.problem import problem_of
+from primroselever_entry.settings import EntrySettings
+
+if TYPE_CHECKING:
+    from .conftest import Fleet
+
+
+class Body:
+    def read(self, length: int) -> bytes:
+        return b"renew 7"[:length]
+
+
+def post(fleet: Fleet, ticket: str | None = None, leaving: bool = False) -> Any:
+    """Send a call that must run once; return status, headers and body."""
+    flow = fleet.entry()
+    flow.board.leaving = leaving
+    settings = EntrySettings.model_construct(
+        default_deadline_s=30.0, max_deadline_s=60.0, body_limit_bytes=100
+    )
+    environ = {
+        "PATH_INFO": "/v1/services/renewals/requests",
+        "REQUEST_METHOD": "POST",
+        "CONTENT_LENGTH": "7",
+        "HTTP_WORKSPACE": "ministry",
+        "wsgi.input": Body(),
+    }
+    if ticket is not None:
+        environ["HTTP_OPERATION_TICKET"] = ticket
+    told: list[Any] = []
+    application = CallerApplication(flow.board, flow, settings)
+    body = application(environ, lambda status, headers: told.extend([status, headers]))
+    return told[0][:3], dict(told[1]), b"".join(body)
+
+
+def test_a_call_without_a_ticket_gets_one_and_runs_with_it(fleet: Fleet) -> None:
+    status, headers, _ = post(fleet)
+    assert (status, headers["Request-Outcome"]) == ("428", "not_run")
+    status, headers, body = post(fleet, headers["Operation-Ticket"])
+    assert (status, headers["Request-Outcome"]) == ("200", "done")
+    assert body == b"one two three"
+
+
+def test_a_leaving_entry_does_not_say_not_run_of_a_ticket(fleet: Fleet) -> None:
+    ticket = post(fleet)[1]["Operation-Ticket"]
+    post(fleet, ticket)
+    status, headers, body = post(fleet, ticket, leaving=True)
+    assert (status, headers["Request-Outcome"]) == ("503", "unknown")
+    assert json.loads(body)["outcome"] == "unknown"
+
+
+@pytest.mark.parametrize(
+    ("ending", "status", "retry_after"),
+    [
+        (NotRun(Reason.NO_SERVER), 503, "1"),
+        (NotRun(Reason.OVERLOADED, 2.5), 429, "3"),
+        (NotRun(Reason.DEADLINE_PASSED), 504, "1"),
+        (NotRun(Reason.TICKET_INVALID), 400, None),
+        (Unknown(Reason.ENGINE_FAILED), 502, None),
+        (Unknown(Reason.SERVER_LOST, 1.0), 502, "1"),
+    ],
+)
+def test_status_and_when_to_come_back(ending, status, retry_after) -> None:
+    problem = problem_of(ending)
+    assert problem.status == status
+    assert dict(problem.headers()).get("Retry-After") == retry_after
