Show the cost of control by role

Change: propagation groups its costs by role, decisions adds the memory of a parsed value and the cost of comments; who sent heartbeats is bounded to 64. Before: one spread over all.

--- a/bench/experiments/decisions.py
+++ b/bench/experiments/decisions.py
@@ -78,6 +78,10 @@
             if d.on_request_path and grows_faster_than_log(timed[d.name])
         ],
         "board_bytes": {fleet.size: board_bytes(fleet.size) for fleet in fleets},
+        "profiles_bytes_1mb": profiles_bytes(1_000_000),
+        "parse_1mb_with_comments_ms": round(
+            seconds_of(parse_of_bytes(1_000_000, "// grants\n")) * 1e3, 1
+        ),
         "parse_1mb_ms": round(seconds_of(parse_of_bytes(1_000_000)) * 1e3, 1),
         "parse_100kb_ms": round(seconds_of(parse_of_bytes(100_000)) * 1e3, 1),
         "patch_1mb_ms": round(seconds_of(patch_of_bytes(1_000_000)) * 1e3, 2),
@@ -202,9 +206,9 @@
 )
 
 
-def parse_of_bytes(size: int) -> Callable[[], object]:
+def parse_of_bytes(size: int, comment: str = "") -> Callable[[], object]:
     """Parse a published value of about so many bytes."""
-    text = published(size)
+    text = comment + published(size)
     return lambda: parse_profiles(text, "profiles")
 
 
@@ -248,3 +252,14 @@
     used = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
     return used
+
+
+def profiles_bytes(size: int) -> int:
+    """Return the memory of a published value of so many bytes, once parsed."""
+    text = published(size)
+    tracemalloc.start()
+    parsed = parse_profiles(text, "profiles")
+    used = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert parsed.profiles
+    return used + len(text)
--- a/bench/experiments/propagation.py
+++ b/bench/experiments/propagation.py
@@ -13,6 +13,7 @@
 import statistics
 import time
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -120,6 +121,15 @@
     }
 
 
+@dataclass(frozen=True, slots=True)
+class Cost:
+    """What one process costs: bytes a second, a share of a core, MB."""
+
+    bytes_per_s: float
+    cpu_share: float
+    rss_mb: float
+
+
 class Probe:
     """Reads what the processes say and what the machine says of them."""
 
@@ -181,15 +191,31 @@
         after_calls = self.service()["calls"]
         elapsed = time.monotonic() - started
         after = self.readings()
+        roles = self.roles()
         pairs = list(zip(before, after, strict=True))
+        costs = [
+            Cost((b[0] - a[0]) / elapsed, (b[1] - a[1]) / elapsed, b[2])
+            for a, b in pairs
+        ]
+        by_role = {
+            role: spread_of([c for c, r in zip(costs, roles, strict=True) if r == role])
+            for role in sorted(set(roles))
+        }
         return {
             "service_calls_per_s": round((after_calls - calls["calls"]) / elapsed, 2),
             "service_waiting_calls": waiting,
-            "bytes_per_s": spread([(b[0] - a[0]) / elapsed for a, b in pairs]),
-            "cpu_share": spread([(b[1] - a[1]) / elapsed for a, b in pairs]),
-            "rss_mb": spread([b[2] for _, b in pairs]),
+            **spread_of(costs),
+            "by_role": by_role,
         }
 
+    def roles(self) -> list[str]:
+        """Return entry or agent, or watcher when it also watches."""
+        controls = self.all_controls()
+        return [
+            "watcher" if control and control.get("watches") else vm.role
+            for vm, control in zip(self.fleet.layout.vms, controls, strict=True)
+        ]
+
     def readings(self) -> list[tuple[int, float, float]]:
         """Return bytes, processor seconds and resident MB of each process."""
         controls = self.all_controls()
@@ -201,6 +227,15 @@
         return readings
 
 
+def spread_of(costs: list[Cost]) -> dict[str, Any]:
+    """Return the spread of each kind of cost."""
+    return {
+        "bytes_per_s": spread([cost.bytes_per_s for cost in costs]),
+        "cpu_share": spread([cost.cpu_share for cost in costs]),
+        "rss_mb": spread([cost.rss_mb for cost in costs]),
+    }
+
+
 def traffic_of(control: dict[str, Any]) -> int:
     """Return the bytes of the platform's calls and of thrift so far."""
     return int(control["platform_bytes"]) + int(control["rpc_bytes"])
--- a/packages/primroselever-node/src/primroselever_node/control/heartbeats.py
+++ b/packages/primroselever-node/src/primroselever_node/control/heartbeats.py
@@ -30,7 +30,6 @@
 PEER_INTERVAL_S = 1.0
 SUBSET_HEARTBEATS_PER_S = 4
 SUBSET_ROUND_S = 2.0
-LEAVING_TOLD = 64
 LEAVING_SENDER_S = 60.0
 LEAVING_WAIT_S = 2.0
 
@@ -102,7 +101,7 @@
         vms = self.board.members.vms
         senders = [v for v, at in handler.senders.items() if at >= since and v in vms]
         pool = eventlet.GreenPool(8)
-        for vm_id in senders[:LEAVING_TOLD]:
+        for vm_id in senders:
             pool.spawn_n(self.peers.heartbeat, vms[vm_id])
         with eventlet.Timeout(LEAVING_WAIT_S, False):
             pool.waitall()
--- a/packages/primroselever-node/src/primroselever_node/rpc/handler.py
+++ b/packages/primroselever-node/src/primroselever_node/rpc/handler.py
@@ -18,6 +18,7 @@
     from .publications import Publications
 
 LONGEST_AGE_MS = 1 << 40
+MAX_SENDERS = 64
 
 
 class NodeHandler:
@@ -63,9 +64,16 @@
     def heartbeat(self, sender: Any) -> Any:
         """Take in what a sender says of itself and answer with the same."""
         self.take_in(sender)
-        self.senders[VmId(sender.vm_id)] = clock.now()
+        self.remember(VmId(sender.vm_id))
         return self.own_heartbeat()
 
+    def remember(self, sender: VmId) -> None:
+        """Remember who lately sent a heartbeat; the oldest are forgotten first."""
+        self.senders.pop(sender, None)
+        self.senders[sender] = clock.now()
+        while len(self.senders) > MAX_SENDERS:
+            del self.senders[next(iter(self.senders))]
+
     def take_in(self, said: Any) -> None:
         """Take in a heartbeat, sent or answered."""
         now = clock.now()
