--- a/bench/experiments/decisions.py
+++ b/bench/experiments/decisions.py
@@ -38,7 +38,7 @@
 from primroselever_core.profiles.parse import parse_profiles
 from primroselever_core.profiles.patch import make_patch
 from primroselever_core.routing.section import Server
-from primroselever_core.transfer.owners import owners
+from primroselever_core.transfer.ownership import owners
 
 if TYPE_CHECKING:
     import argparse
--- a/packages/primroselever-node/src/primroselever_node/rpc/server.py
+++ b/packages/primroselever-node/src/primroselever_node/rpc/server.py
@@ -10,6 +10,7 @@
 from thriftpy2.thrift import TException, TProcessor
 from thriftpy2.transport import TCyBufferedTransportFactory
 
+from ..listen import listen
 from .counting_socket import CountingSocket
 
 if TYPE_CHECKING:
@@ -25,7 +26,7 @@
 
     def __init__(self, service: Any, handler: Any, host: str, port: int) -> None:
         self.processor = TProcessor(service, handler)
-        self.socket = eventlet.listen((host, port), backlog=1024)
+        self.socket = listen(host, port)
         self.host, self.port = self.socket.getsockname()
         self.greenlet: Any = None
 
