--- a/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
+++ b/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
@@ -79,9 +79,9 @@
         backend = (
             self.engine if self.needs_weights else PlainClient(settings.backend.url)
         )
-        self.control = ControlPlane(self.board, settings.platform)
         self.answers = Answers(self.registry)
         self.runner = Runner(self.registry, backend, self.answers)
+        self.control = ControlPlane(self.board, settings.platform)
         identity = self.board.identity
         self.tickets = TicketIssuer(
             TicketBook(identity.vm_id, identity.incarnation, self.registry.book),
