Route over an entry's subset of servers

Cause: an entry knew and probed every server of a group, so that its state and messages would grow with the fleet. Ruled out: a subset by rendezvous hash alone; coverage then differs like a binomial. Before: pools of all servers.

--- a/packages/primroselever-core/src/primroselever_core/routing/router.py
+++ b/packages/primroselever-core/src/primroselever_core/routing/router.py
@@ -13,6 +13,7 @@
 
 import xxhash
 
+from ..membership.peers import subset_of
 from ..outcomes import Done, Ending, NotRun, Reason
 from ..suspects.section import Standing
 from .choose import Choice, choose_server, shown
@@ -161,9 +162,9 @@
         return record.pool
 
     def members(self, group: GroupName, own: bool) -> list[Server]:
-        """Return the servers of a group in the own domain, or in the others."""
+        """Return the subset of a group in the own domain, or in the others."""
         domain = self.board.identity.failure_domain
-        vms = self.board.members.agents(group, domain if own else None)
+        vms = subset_of(self.board, group)
         here = (vm for vm in vms if (vm.failure_domain == domain) == own)
         return [self.board.servers.of(vm) for vm in here]
 
--- a/packages/primroselever-node/src/primroselever_node/control/heartbeats.py
+++ b/packages/primroselever-node/src/primroselever_node/control/heartbeats.py
@@ -92,8 +92,7 @@
             server.avoid_until = max(server.avoid_until, clock.now() + SUBSET_ROUND_S)
             return
         server.incarnation = Incarnation(said.incarnation)
-        server.leaving = said.leaving
-        server.reported = said.load.in_flight
+        server.take_report(said.load.in_flight, said.leaving, clock.now())
 
     def announce_leaving(self, handler: NodeHandler) -> None:
         """Tell those who lately sent a heartbeat that this process is leaving."""
