Converge on a version's content under faults, and measure it

Cause: under faults 8 of 14 survivors kept the old content of a version that had changed at the origin, since the first reader of the manifest was dead, and chunks of the new content were asked for by a digest that peers did not know. Ruled out: reading the manifest at the origin from every VM.

--- a/bench/rollout_fleet.py
+++ b/bench/rollout_fleet.py
@@ -13,6 +13,7 @@
 
 import urllib3
 
+from .launcher import NotInTimeError
 from .layout import Layout, build_layout, url
 
 if TYPE_CHECKING:
@@ -28,6 +29,8 @@
 ENGINES_PER_PROCESS = 40
 START_LIMIT_S = 120.0
 POLL_S = 0.25
+PAGE_TRIES = 10
+BASELINE_CHUNK_BYTES = 1 << 14
 READS = re.compile(
     r'^primroselever_transfer_reads_total\{.*?outcome="(?P<outcome>\w+)"'
     r'.*?source="(?P<source>\w+)".*?\} (?P<count>[\d.e+]+)$',
@@ -189,7 +192,17 @@
 
 def sent_copies(fleet: Launcher, port: int, length: int) -> float:
     """Return how many copies a weight source says that it has sent."""
-    return round(int(fleet.get(port, "/control")["sent_bytes"]) / length, 3)
+    return round(int(control_page(fleet, port)["sent_bytes"]) / length, 3)
+
+
+def control_page(fleet: Launcher, port: int) -> dict[str, Any]:
+    """Return a stand-in's control page, however busy the machine is."""
+    for _ in range(PAGE_TRIES):
+        page = fleet.get(port, "/control")
+        if page is not None:
+            return page
+        time.sleep(POLL_S)
+    raise NotInTimeError(f"the stand-in at port {port} does not answer")
 
 
 def rss_mb(fleet: Launcher, names: list[str]) -> list[float]:
@@ -207,10 +220,11 @@
     """
     Return how long it takes when every VM reads everything from the origin.
 
-    Each reader takes one chunk on the same paced link, and the time is scaled to
+    Each reader takes one small chunk on the same paced link, and the time is scaled to
     the whole version: the link is the bottleneck, and it is busy throughout.
     """
     port = fleet.layout.origin_port
+    fleet.control(port, chunk_bytes=BASELINE_CHUNK_BYTES)
     path = f"{url(port)}/v1/weights/{MODEL}/none/baseline"
     urllib3.request("GET", f"{path}/manifest", timeout=30)
 
@@ -223,4 +237,4 @@
         thread.start()
     for thread in threads:
         thread.join()
-    return (time.monotonic() - started) * links.length / links.chunk_bytes
+    return (time.monotonic() - started) * links.length / BASELINE_CHUNK_BYTES
--- a/bench/standins/__main__.py
+++ b/bench/standins/__main__.py
@@ -24,7 +24,9 @@
 from primroselever_node.process import ShutdownSignal
 
 from .configuration_service import ConfigurationService
+from .corrupt_peer import CorruptPeer
 from .engine import Engine
+from .link import Link
 from .plain_service import PlainService
 from .vm_list import VmList
 from .weight_source import WeightSource
@@ -34,7 +36,9 @@
 
 KINDS: dict[str, type[StandIn]] = {
     "configuration_service": ConfigurationService,
+    "corrupt_peer": CorruptPeer,
     "engine": Engine,
+    "link": Link,
     "plain_service": PlainService,
     "vm_list": VmList,
     "weight_source": WeightSource,
--- /dev/null
+++ b/bench/standins/corrupt_peer.py
@@ -0,0 +1,64 @@
+"""An agent that gives damaged chunks to its peers."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from primroselever_node.rpc.schema import schema
+from primroselever_node.rpc.server import RpcServer
+
+from .base import Reply, Request, StandIn, not_found
+
+
+class CorruptPeer(StandIn):
+    """
+    Claims to hold each chunk, and gives bytes of the right length.
+
+    Its faults ``vm_id``, ``rpc_port`` and ``chunk_bytes`` say whom it plays.
+    """
+
+    def __init__(self, **faults: Any) -> None:
+        super().__init__(**{"host": "127.0.0.1", "chunks_given": 0, **faults})
+        self.chunk = b"\xa5" * self.faults["chunk_bytes"]
+        host, port = self.faults["host"], self.faults["rpc_port"]
+        RpcServer(schema.Agent, self, host, port).start()
+
+    def answer(self, request: Request) -> Reply:
+        """Answer nothing over HTTP but the control page."""
+        return not_found()
+
+    def heartbeat(self, sender: Any) -> Any:
+        """Return a heartbeat of an agent that serves nothing."""
+        load = schema.Load(
+            in_flight=0, queued=0, limit=1, engine_load=0.0, engine_age_ms=0
+        )
+        return schema.Heartbeat(
+            vm_id=self.faults["vm_id"],
+            incarnation=1,
+            revision=0,
+            revision_digest="",
+            vm_list_revision=0,
+            leaving=False,
+            load=load,
+            weights_digest="",
+            suspicions=[],
+        )
+
+    def fetch_publication(self, name: str, known_revision: int, wait_ms: int) -> Any:
+        """Return no published value."""
+        return schema.Publication(revision=0, text=b"")
+
+    def fetch_manifest(self, weights_digest: str) -> bytes:
+        """Return no manifest."""
+        return b""
+
+    def find_manifest(self, model: str, adapter: str, version: str) -> bytes:
+        """Return no manifest."""
+        return b""
+
+    def fetch_chunk(self, *_wanted: Any) -> Any:
+        """Return damaged bytes."""
+        self.faults["chunks_given"] += 1
+        return schema.ChunkReply(
+            state="held", data=self.chunk, retry_after_ms=0, ask_vm_id=""
+        )
--- a/bench/standins/engine.py
+++ b/bench/standins/engine.py
@@ -51,6 +51,7 @@
             "bodies": self.bodies,
             "orders": self.orders,
             "digest": self.digest,
+            "handed": self.handed,
         }
 
     def answer(self, request: Request) -> Reply:
--- a/packages/primroselever-agent/src/primroselever_agent/runs/handler.py
+++ b/packages/primroselever-agent/src/primroselever_agent/runs/handler.py
@@ -5,10 +5,12 @@
 from typing import TYPE_CHECKING, Any
 
 from primroselever_core.identifiers import (
+    ChunkDigest,
     Fingerprint,
     Incarnation,
     RunId,
     ServiceName,
+    VmId,
     WeightsDigest,
     WorkspaceName,
 )
@@ -19,6 +21,8 @@
 from primroselever_node import clock
 from primroselever_node.rpc.schema import schema
 
+from ..transfer.serving import ChunkRequest
+
 if TYPE_CHECKING:
     from primroselever_core.board import Blackboard
 
@@ -253,8 +257,21 @@
         return self.chunks.find_manifest(model, adapter, version)
 
     def fetch_chunk(
-        self, weights_digest: str, index: int, wait_ms: int, asker: str, hops: int
+        self,
+        weights_digest: str,
+        index: int,
+        wait_ms: int,
+        asker: str,
+        hops: int,
+        chunk_digest: str,
     ) -> Any:
         """Return a chunk, or say where or when to ask for it."""
-        digest = WeightsDigest(weights_digest)
-        return self.chunks.chunk(digest, index, wait_ms, asker or "", hops or 0)
+        wanted = ChunkRequest(
+            WeightsDigest(weights_digest),
+            index,
+            wait_ms / 1000,
+            VmId(asker or ""),
+            hops or 0,
+            ChunkDigest(chunk_digest or ""),
+        )
+        return self.chunks.chunk(wanted)
--- a/packages/primroselever-agent/src/primroselever_agent/transfer/fetcher.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/fetcher.py
@@ -91,7 +91,7 @@
 
     def from_peer(self, manifest: Manifest, read: Read, vm_id: VmId) -> ReadEvent:
         """Read from another agent."""
-        reply = self.peers.chunk(vm_id, manifest.digest, read)
+        reply = self.peers.chunk(vm_id, manifest, read)
         if reply is None:
             return Silent(read)
         if reply.state == "held":
--- a/packages/primroselever-agent/src/primroselever_agent/transfer/manifests.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/manifests.py
@@ -109,8 +109,16 @@
         return None
 
     def check(self, name: VersionName) -> Manifest | None:
-        """Return the content that a version has now, as the first reader has it."""
-        first = self.ranking(name)[0]
-        if first == self.board.identity.vm_id:
-            return self.read(name)
-        return self.ask(first, name)
+        """
+        Return the content that a version has now.
+
+        The first VM of the ranking that knows it has it from the source; when none
+        before this one does, that is this one.
+        """
+        for vm_id in self.ranking(name)[:READERS]:
+            if vm_id == self.board.identity.vm_id:
+                return self.read(name)
+            found = self.ask(vm_id, name)
+            if found is not None:
+                return found
+        return None
--- a/packages/primroselever-agent/src/primroselever_agent/transfer/peers.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/peers.py
@@ -14,7 +14,7 @@
     from primroselever_core.board import Blackboard
     from primroselever_core.identifiers import GroupName, VmId
     from primroselever_core.membership.vm import Vm
-    from primroselever_core.transfer.manifest import VersionName
+    from primroselever_core.transfer.manifest import Manifest, VersionName
     from primroselever_core.transfer.sources import Read
     from primroselever_node.rpc.client_pool import ClientPool
 
@@ -50,16 +50,17 @@
             self.pool.forget(address)
             return None
 
-    def chunk(self, vm_id: VmId, digest: str, read: Read) -> Any:
+    def chunk(self, vm_id: VmId, manifest: Manifest, read: Read) -> Any:
         """Return the reply to a request for a chunk, or None."""
         return self.call(
             vm_id,
             "fetch_chunk",
-            digest,
+            manifest.digest,
             read.index,
             int(read.wait_s * 1000),
             self.board.identity.vm_id,
             read.hops,
+            manifest.chunks[read.index],
             timeout_s=read.wait_s + REPLY_MARGIN_S,
         )
 
--- a/packages/primroselever-agent/src/primroselever_agent/transfer/rollout.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/rollout.py
@@ -35,6 +35,7 @@
 KEEP_OLD_S = 120.0
 DOUBT_AGAIN_S = 1.0
 RECHECK_S = 15.0
+HINT_AGAIN_S = 2.0
 SWITCH_AGAIN_S = 0.3
 
 logger = logging.getLogger(__name__)
@@ -64,6 +65,7 @@
         self.reading = 0
         self.recheck_at = 0.0
         self.doubt_at = 0.0
+        self.hint_at = 0.0
         self.switch_at = 0.0
 
     def step(self) -> None:
@@ -103,10 +105,16 @@
             planner.doubted = False
             self.doubt_at = now + DOUBT_AGAIN_S
             self.adopt(self.finder.read(name), profile)
-        elif now >= self.recheck_at:
+        elif now >= self.recheck_at or self.hinted(now):
+            self.section.other_asked = False
+            self.hint_at = now + HINT_AGAIN_S
             self.recheck_at = now + RECHECK_S * (0.75 + self.random.random() / 2)
             self.adopt(self.finder.check(name), profile)
 
+    def hinted(self, now: float) -> bool:
+        """Return whether a peer's question is a reason to look again."""
+        return self.section.other_asked and now >= self.hint_at
+
     def known(self, name: VersionName) -> Manifest | None:
         """Return a manifest that is still known here, as after a rollback."""
         known = self.section.manifests.values()
--- a/packages/primroselever-agent/src/primroselever_agent/transfer/serving.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/serving.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import eventlet
 from eventlet.event import Event
 
-from primroselever_core.identifiers import VmId
 from primroselever_core.transfer.manifest import VersionName
 from primroselever_core.transfer.uploads import Busy, Send, SendElsewhere
 from primroselever_node import clock
@@ -15,7 +15,7 @@
 
 if TYPE_CHECKING:
     from primroselever_core.board import Blackboard
-    from primroselever_core.identifiers import ChunkDigest, WeightsDigest
+    from primroselever_core.identifiers import ChunkDigest, VmId, WeightsDigest
     from primroselever_core.transfer.section import TransfersSection
     from primroselever_core.transfer.uploads import UploadPlanner
 
@@ -24,6 +24,18 @@
 MAX_WAIT_S = 2.0
 
 
+@dataclass(frozen=True, slots=True)
+class ChunkRequest:
+    """A peer's request; ``wait_s`` is how long the call may be held open."""
+
+    weights_digest: WeightsDigest
+    index: int
+    wait_s: float
+    asker: VmId
+    hops: int
+    chunk_digest: ChunkDigest
+
+
 class ChunkServing:
     """Answers other agents from the verified chunks held here."""
 
@@ -51,33 +63,25 @@
         name = VersionName(model, adapter or None, version)
         return wanted.text if wanted is not None and wanted.name == name else b""
 
-    def chunk(
-        self,
-        weights_digest: WeightsDigest,
-        index: int,
-        wait_ms: int,
-        asker: str,
-        hops: int = 0,
-    ) -> Any:
+    def chunk(self, request: ChunkRequest) -> Any:
         """
         Return a chunk, a holder to ask, or when to ask again.
 
-        The call is held open for a chunk that is still on its way.
+        The call is held open for a chunk that is still on its way. A chunk that
+        stands in several versions is the same in all of them.
         """
-        manifest = self.section.manifests.get(weights_digest)
-        if manifest is None or not 0 <= index < len(manifest.chunks):
-            return self.reply("unknown")
-        digest = manifest.chunks[index]
+        digest = request.chunk_digest
         data = self.section.store.get(digest)
-        if data is None and self.wanted(weights_digest) and wait_ms > 0:
-            self.wait(digest, min(MAX_WAIT_S, wait_ms / 1000))
+        if data is None and not self.wanted(request.weights_digest):
+            self.section.other_asked = True
+            return self.reply("unknown")
+        if data is None and request.wait_s > 0:
+            self.wait(digest, min(MAX_WAIT_S, request.wait_s))
             data = self.section.store.get(digest)
         if data is not None:
-            return self.send(digest, data, VmId(asker), hops)
-        if not self.wanted(weights_digest):
-            return self.reply("unknown")
+            return self.send(data, request)
         planner = self.section.planner
-        reading = planner is not None and planner.reading_outside(index)
+        reading = planner is not None and planner.reading_outside(request.index)
         return self.reply("reading" if reading else "pending")
 
     def wanted(self, weights_digest: WeightsDigest) -> bool:
@@ -85,11 +89,13 @@
         wanted = self.section.wanted
         return wanted is not None and wanted.digest == weights_digest
 
-    def send(self, digest: ChunkDigest, data: bytes, asker: VmId, hops: int) -> Any:
+    def send(self, data: bytes, request: ChunkRequest) -> Any:
         """Return a chunk once the link is free for it, or whom to ask."""
         now = clock.now()
-        near = self.is_near(asker)
-        answer = self.uploads.decide(digest, len(data), asker, near, hops, now)
+        asker, near = request.asker, self.is_near(request.asker)
+        answer = self.uploads.decide(
+            request.chunk_digest, len(data), asker, near, request.hops, now
+        )
         if isinstance(answer, SendElsewhere):
             return self.reply("elsewhere", ask_vm_id=answer.vm_id)
         if isinstance(answer, Busy):
--- a/packages/primroselever-core/src/primroselever_core/transfer/chunk_state.py
+++ b/packages/primroselever-core/src/primroselever_core/transfer/chunk_state.py
@@ -18,7 +18,8 @@
     ``passed`` are owners that were passed over, ``holder`` is a VM to which an
     owner sent this one, ``stepping`` says that this VM acts as the owner, ``tried``
     names the sources that it tried as such, and ``patient_until`` is when a
-    pending owner is passed over.
+    pending owner is passed over. ``rounds`` counts how often all were;
+    then ``others_left`` more VMs are asked, ``others_asked`` so far.
     """
 
     index: int
@@ -30,6 +31,9 @@
     hops: int = 0
     tried: set[str] = field(default_factory=set)
     patient_until: float | None = None
+    rounds: int = 0
+    others_left: int = 0
+    others_asked: int = 0
 
     def back_to_owner(self) -> None:
         """Ask the owner again after a holder did not give the chunk."""
--- a/packages/primroselever-core/src/primroselever_core/transfer/planner.py
+++ b/packages/primroselever-core/src/primroselever_core/transfer/planner.py
@@ -28,6 +28,7 @@
 
 PEER_WAIT_S = 1.0
 FAR_OWNERS = 2
+OTHERS_AT_ONCE = 8
 OUTSIDE_AGAIN_S = 1.0
 EXTRA_READS_PER_S = 2.0
 EXTRA_READS_AT_ONCE = 4.0
@@ -111,10 +112,17 @@
                 return replace(read, hops=chunk.hops)
             chunk.back_to_owner()
         chunk.stepping = False
+        if chunk.others_left > 0:
+            return self.ask_other(chunk, now)
         candidates = self.ownership.owners(chunk.index, now)
         current = next((vm for vm in candidates if vm not in chunk.passed), None)
         if current is None:
-            return self.ask_anyone(chunk, now)
+            chunk.rounds += 1
+            chunk.passed.clear()
+            if chunk.rounds % 2:
+                chunk.others_left = OTHERS_AT_ONCE
+                return self.ask_other(chunk, now)
+            return self.choose_outside(chunk, candidates, now)
         if current == self.neighbourhood.mine:
             return self.choose_outside(chunk, candidates, now)
         owner = self.ownership.ranking(chunk.index)[0]
@@ -127,10 +135,9 @@
         kind = SourceKind.PEER if near else SourceKind.OTHER_DOMAIN
         return Read(index, Source(kind, vm_id), wait_s, reason)
 
-    def ask_anyone(self, chunk: ChunkState, now: float) -> Read | None:
-        """Return a read from any peer, once all owners were passed over."""
-        chunk.passed.clear()
-        chunk.not_before = now + OUTSIDE_AGAIN_S
+    def ask_other(self, chunk: ChunkState, now: float) -> Read | None:
+        """Return a read from the next VM of the domain, whoever owns the chunk."""
+        chunk.others_left -= 1
         mine = self.neighbourhood.mine
         others = [
             vm
@@ -139,7 +146,9 @@
         ]
         if not others:
             return None
-        return self.ask(chunk.index, self.random.choice(others), 0.0, "any peer")
+        vm_id = others[chunk.others_asked % len(others)]
+        chunk.others_asked += 1
+        return self.ask(chunk.index, vm_id, 0.0, "any peer")
 
     def choose_outside(
         self, chunk: ChunkState, candidates: list[VmId], now: float
--- a/packages/primroselever-core/src/primroselever_core/transfer/read_outcomes.py
+++ b/packages/primroselever-core/src/primroselever_core/transfer/read_outcomes.py
@@ -103,8 +103,11 @@
         return
     if chunk.holder is not None:
         chunk.back_to_owner()
+        chunk.not_before = max(chunk.not_before, retry_at)
     elif chunk.stepping and read.wait_s == 0 and not reading:
         chunk.tried.add(read.source.name)
+    elif chunk.others_left > 0 and not reading:
+        chunk.not_before = now + ASK_AGAIN_S
     else:
         wait_for_owner(chunk, read, reading, retry_at, now)
 
@@ -115,7 +118,7 @@
     """Ask an owner again later, or pass it over once patience is at its end."""
     chunk.not_before = max(chunk.not_before, retry_at)
     if reading or chunk.patient_until is None:
-        chunk.patient_until = now + PATIENCE_S
+        chunk.patient_until = now + PATIENCE_S / (1 + chunk.rounds)
     elif now >= chunk.patient_until:
         chunk.patient_until = None
         pass_over(chunk, read)
--- a/packages/primroselever-core/src/primroselever_core/transfer/section.py
+++ b/packages/primroselever-core/src/primroselever_core/transfer/section.py
@@ -22,7 +22,8 @@
     ``wanted`` is the manifest that the profile in force asks for, ``serving``
     the digest that the engine was last read back to hold, or None. ``planner``
     plans the transfer of the wanted version, and ``problem`` says what keeps a
-    rollout from going on, for operators.
+    rollout from going on, for operators. ``other_asked`` says that a peer is after
+    a content that is not known here, so that this one may have changed.
     """
 
     store: ChunkStore
@@ -32,6 +33,7 @@
     planner: TransferPlanner | None = None
     progress: Progress = field(default_factory=Progress)
     problem: str = ""
+    other_asked: bool = False
 
     @property
     def bytes_by_source(self) -> dict[str, int]:
