--- a/bench/experiments/rollout_faults.py
+++ b/bench/experiments/rollout_faults.py
@@ -11,7 +11,7 @@
 from primroselever_core.transfer.manifest import Manifest
 
 from ..launcher import Launcher
-from ..layout import Layout, VmPlan, free_ports, url
+from ..layout import HOST, Layout, VmPlan, free_ports, url
 from ..rollout_fleet import (
     MODEL,
     Links,
@@ -48,7 +48,7 @@
     def __init__(self, layout: Layout, links: Links) -> None:
         self.layout = layout
         self.links = links
-        self.routes: list[tuple[int, int]] = []
+        self.relays: list[dict[str, Any]] = []
         agents = layout.agents()
         self.inside = [vm for vm in agents if vm.failure_domain == CUT_DOMAIN]
         self.outside = [vm for vm in agents if vm.failure_domain != CUT_DOMAIN]
@@ -63,13 +63,18 @@
         self.seen_inside = [self.listed(vm, self.outside, relayed) for vm in agents]
         self.point_at_lists(ports)
 
+    def relay(self, port: int, behind: int) -> None:
+        """Put a port on the link around the failure domain that is cut off."""
+        link = {"path": CUT_DOMAIN, "host": HOST, "port": port}
+        self.relays.append({**link, "target": [HOST, behind]})
+
     def listed(
         self, vm: VmPlan, relayed: list[VmPlan], ports: dict[str, int]
     ) -> dict[str, Any]:
         """Return a VM as a list shows it, at the link's port if it is behind it."""
         entry = vm.listed()
         if vm in relayed:
-            self.routes.append((ports[vm.vm_id], vm.rpc_port))
+            self.relay(ports[vm.vm_id], vm.rpc_port)
             entry["rpc_port"] = ports[vm.vm_id]
         return entry
 
@@ -82,7 +87,8 @@
             "origin": self.layout.origin_port,
         }
         behind = {name: next(ports) for name in direct}
-        self.routes += [(behind[name], port) for name, port in direct.items()]
+        for name, port in direct.items():
+            self.relay(behind[name], port)
         for vm in self.inside:
             vm.settings["platform"] = {n: url(p) for n, p in behind.items()}
         for number, vm in enumerate(self.outside):
@@ -98,7 +104,7 @@
             fleet.standin("vm_list", self.lists["outside"], vms=self.seen_outside),
             fleet.standin("vm_list", self.lists["partial"], vms=partial),
             fleet.standin("vm_list", self.lists["inside"], vms=self.seen_inside),
-            fleet.standin("link", self.link_port, routes=self.routes),
+            fleet.standin("links", self.link_port, links=self.relays),
         ]
 
     def start_corrupt_peer(self, fleet: Launcher) -> None:
@@ -191,7 +197,7 @@
         """Bring all faults; return whether the cut domain kept serving."""
         fleet, faulty = self.fleet, self.faulty
         wait_until(since + FAULTS_AT_S)
-        fleet.control(faulty.link_port, cut=True)
+        fleet.control(faulty.link_port, cut=[CUT_DOMAIN])
         candidates = [
             vm.vm_id
             for vm in fleet.layout.agents()
@@ -210,7 +216,7 @@
         while time.time() < since + HEAL_AT_S:
             kept = kept and self.cut_domain_serves(old)
             time.sleep(0.5)
-        fleet.control(faulty.link_port, cut=False)
+        fleet.control(faulty.link_port, heal=[CUT_DOMAIN])
         return kept
 
     def cut_domain_serves(self, old: str) -> bool:
--- a/bench/standins/__main__.py
+++ b/bench/standins/__main__.py
@@ -26,7 +26,7 @@
 from .configuration_service import ConfigurationService
 from .corrupt_peer import CorruptPeer
 from .engine import Engine
-from .link import Link
+from .link import Links
 from .plain_service import PlainService
 from .vm_list import VmList
 from .weight_source import WeightSource
@@ -38,7 +38,7 @@
     "configuration_service": ConfigurationService,
     "corrupt_peer": CorruptPeer,
     "engine": Engine,
-    "link": Link,
+    "links": Links,
     "plain_service": PlainService,
     "vm_list": VmList,
     "weight_source": WeightSource,
--- a/packages/primroselever-agent/src/primroselever_agent/runs/handler.py
+++ b/packages/primroselever-agent/src/primroselever_agent/runs/handler.py
@@ -14,6 +14,7 @@
     WeightsDigest,
     WorkspaceName,
 )
+from primroselever_core.membership.contact import refuses_starts
 from primroselever_core.outcomes import NotRun, Reason, Unknown
 from primroselever_core.runs.answer_buffer import AnswerBuffer
 from primroselever_core.runs.registry import Run, RunRegistry, RunState
@@ -22,16 +23,17 @@
 from primroselever_node.rpc.schema import schema
 
 from ..transfer.serving import ChunkRequest
+from .answers import piece_of
 
 if TYPE_CHECKING:
     from primroselever_core.board import Blackboard
+    from primroselever_node.rpc.handler import NodeHandler
 
     from ..settings import AgentSettings
     from ..transfer.serving import ChunkServing
     from .runner import Runner
     from .ticket_issuer import TicketIssuer
 
-MAX_SLICE_BYTES = 1 << 18
 OVERLOADED_RETRY_MS = 1000
 LEAVING_RETRY_MS = 100
 
@@ -47,10 +49,14 @@
         tickets: TicketIssuer,
         chunks: ChunkServing,
         settings: AgentSettings,
+        node: NodeHandler,
     ) -> None:
         self.board = board
+        self.node = node
+        node.load = self.load
         self.registry = registry
         self.runner = runner
+        self.answers = runner.answers
         self.tickets = tickets
         self.chunks = chunks
         self.settings = settings
@@ -68,20 +74,9 @@
 
     def heartbeat(self, sender: Any) -> Any:
         """Return what this process says of itself."""
-        revision = self.board.profiles.revision
-        transfers = self.board.transfers
-        return schema.Heartbeat(
-            vm_id=self.board.identity.vm_id,
-            incarnation=self.board.identity.incarnation,
-            revision=revision.number,
-            revision_digest=revision.digest,
-            vm_list_revision=0,
-            leaving=self.board.leaving,
-            load=self.load(),
-            weights_digest=(transfers and transfers.serving) or "",
-            suspicions=[],
-            epoch=self.registry.book.epoch,
-        )
+        said = self.node.heartbeat(sender)
+        said.epoch = self.registry.book.epoch
+        return said
 
     def start(self, request: Any) -> Any:
         """Admit and start a run, or say what became of it."""
@@ -98,7 +93,10 @@
         run = start_run(start, self.tickets.book, self.registry, new_run, clock.now())
         if not isinstance(run, Run):
             return self.refuse(run)
-        if fresh and run is fresh[0]:
+        is_new = bool(fresh) and run is fresh[0]
+        if request.reader:
+            self.answers.follow(request.reader, run.run_id, 0, fresh=is_new)
+        if is_new:
             self.runner.start(run, request.body, request.priority)
         return self.start_reply(StartState.ACCEPTED, run_id=run.run_id)
 
@@ -119,6 +117,8 @@
 
     def refusal(self, request: Any) -> NotRun | None:
         """Return why a start is refused now, or None."""
+        if refuses_starts(self.board, clock.now()):
+            return NotRun(Reason.PAUSED, OVERLOADED_RETRY_MS / 1000)
         if self.board.leaving:
             return NotRun(Reason.LEAVING, LEAVING_RETRY_MS / 1000)
         transfers = self.board.transfers
@@ -151,59 +151,15 @@
             epoch=self.registry.book.epoch,
         )
 
-    def read(self, cursors: list[Any], wait_ms: int) -> Any:
-        """Return what is new behind each cursor; wait if nothing is."""
-        slices = [self.slice(cursor) for cursor in cursors]
-        if wait_ms > 0 and not any(map(self.says_something, slices)):
-            self.runner.wait((RunId(c.run_id) for c in cursors), wait_ms / 1000)
-            slices = [self.slice(cursor) for cursor in cursors]
+    def read(self, cursors: list[Any], wait_ms: int, reader: str, first: bool) -> Any:
+        """Return what is new for a reader; wait if nothing is."""
+        pieces = self.answers.read(cursors, wait_ms, reader, first)
         return schema.ReadReply(
             incarnation=self.board.identity.incarnation,
-            slices=[s for s in slices if self.says_something(s)],
+            slices=pieces or [],
             load=self.load(),
             leaving=self.board.leaving,
-        )
-
-    def says_something(self, run_slice: Any) -> bool:
-        """Return whether a slice has bytes or an end in it."""
-        return bool(run_slice.data) or run_slice.state != RunState.RUNNING
-
-    def slice(self, cursor: Any) -> Any:
-        """Return the slice behind a cursor."""
-        run = self.registry.runs.get(RunId(cursor.run_id))
-        if run is None:
-            return self.slice_of(cursor.run_id, RunState.MISSING, offset=cursor.offset)
-        return self.run_slice(run, cursor.offset)
-
-    def run_slice(self, run: Run, offset: int) -> Any:
-        """Return a run's answer from an offset on; its end comes with the rest."""
-        data = run.answer.read(offset, MAX_SLICE_BYTES)
-        whole = offset + len(data) == len(run.answer.data)
-        state = run.state if whole else RunState.RUNNING
-        run.read_out = run.read_out or state is not RunState.RUNNING
-        run_slice = self.slice_of(run.run_id, state, run.reason, offset, data)
-        if state is RunState.DONE:
-            run_slice.length = len(run.answer.data)
-            run_slice.digest = run.answer.digest()
-        return run_slice
-
-    def slice_of(
-        self,
-        run_id: str,
-        state: RunState,
-        reason: Reason | None = None,
-        offset: int = 0,
-        data: bytes = b"",
-    ) -> Any:
-        """Return a slice without length and digest."""
-        return schema.RunSlice(
-            run_id=run_id,
-            offset=offset,
-            data=data,
-            state=state,
-            reason=reason or "",
-            length=0,
-            digest="",
+            reader_lost=pieces is None,
         )
 
     def resolve(self, run_id: str, incarnation: int, epoch: int) -> Any:
@@ -216,10 +172,10 @@
             self.registry,
         )
         if isinstance(found, NotRun):
-            return self.slice_of(run_id, RunState.NOT_RUN, found.reason)
+            return piece_of(run_id, RunState.NOT_RUN, found.reason)
         if isinstance(found, Unknown):
-            return self.slice_of(run_id, RunState.MISSING, found.reason)
-        return self.slice_of(run_id, found.state, found.reason)
+            return piece_of(run_id, RunState.MISSING, found.reason)
+        return piece_of(run_id, found.state, found.reason)
 
     def cancel(self, run_id: str) -> None:
         """Stop a run."""
@@ -240,13 +196,11 @@
             ticket="", reason=issued.reason, retry_after_ms=retry_after_ms
         )
 
-    def fetch_publication(self, name: str, known_revision: int, wait_ms: int) -> Any:
-        """Return the profiles in force, if they are newer than what is known."""
-        accepted = self.board.profiles.accepted
-        if accepted is None or accepted.revision.number <= known_revision:
-            return schema.Publication(revision=0, text=b"")
-        text = accepted.text.encode()
-        return schema.Publication(revision=accepted.revision.number, text=text)
+    def fetch_publication(
+        self, name: str, known_revision: int, wait_ms: int, known_digest: str
+    ) -> Any:
+        """Hand on the profiles in force or the VM list."""
+        return self.node.fetch_publication(name, known_revision, wait_ms, known_digest)
 
     def fetch_manifest(self, weights_digest: str) -> bytes:
         """Return a manifest that this agent knows, or nothing."""
--- a/packages/primroselever-node/src/primroselever_node/rpc/primroselever.thrift
+++ b/packages/primroselever-node/src/primroselever_node/rpc/primroselever.thrift
@@ -29,13 +29,29 @@
   7: Load load,
   8: string weights_digest,
   9: list<Suspicion> suspicions,
+  10: i64 service_age_ms,
+  11: string failure_domain,
+  12: string address,
+  13: i32 rpc_port,
   20: i64 epoch,
 }
 
-/* A published value as it is handed on: revision 0 means none newer. */
+/*
+ * A published value as it is handed on: revision 0 means none newer. digest is
+ * that of the whole value. When patched, text is the stretch between the front
+ * and back that it has in common with the value whose digest the caller named.
+ * A VM list names the VM that read it from the platform; its revision is that
+ * reader's counter, and text holds what changed since the list of that digest.
+ */
 struct Publication {
   1: i64 revision,
   2: binary text,
+  3: string digest,
+  4: bool patched,
+  5: i32 front,
+  6: i32 back,
+  7: string reader,
+  8: i64 reader_incarnation,
 }
 
 struct TicketRequest {
@@ -105,11 +121,17 @@
   7: string digest,
 }
 
+/*
+ * A reader follows the runs that it started and those whose cursors it named; a
+ * reply holds what is new in them. When reader_lost is set the agent knows the
+ * reader no more: it begins anew under another name, with all its cursors.
+ */
 struct ReadReply {
   1: i64 incarnation,
   2: list<RunSlice> slices,
   3: Load load,
   4: bool leaving,
+  20: bool reader_lost,
 }
 
 /*
@@ -126,13 +148,13 @@
 
 service Node {
   Heartbeat heartbeat(1: Heartbeat sender),
-  Publication fetch_publication(1: string name, 2: i64 known_revision, 3: i64 wait_ms),
+  Publication fetch_publication(1: string name, 2: i64 known_revision, 3: i64 wait_ms, 4: string known_digest),
 }
 
 service Agent extends Node {
   TicketReply issue_ticket(1: TicketRequest request),
   StartReply start(1: StartRequest request),
-  ReadReply read(1: list<RunCursor> cursors, 2: i64 wait_ms),
+  ReadReply read(1: list<RunCursor> cursors, 2: i64 wait_ms, 3: string reader, 4: bool first),
   RunSlice resolve(1: string run_id, 2: i64 incarnation, 3: i64 epoch),
   void cancel(1: string run_id),
   binary fetch_manifest(1: string weights_digest),
