Measure a rollout under steady requests

Cause: nothing showed what a rollout costs the requests beside it. Ruled out: a load driver of its own; the routing experiment's is used. Change: the rollout_under_load experiment: one plan of requests run twice, the second time with a rollout; engines count runs that end on other weights.

--- /dev/null
+++ b/bench/experiments/rollout_under_load.py
@@ -0,0 +1,134 @@
+"""Steady requests with and without a rollout in the middle of them."""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+from typing import TYPE_CHECKING, Any
+
+from ..launcher import Launcher
+from ..load.percentiles import percentiles_ms
+from ..load.plan import Plan, Sender, Target
+from ..load.process import DriverProcess
+from ..rollout_fleet import (
+    GROUP,
+    add_link_arguments,
+    control_page,
+    fleet_of,
+    links_of,
+    profiles,
+    serving_times,
+    source_faults,
+)
+
+if TYPE_CHECKING:
+    import argparse
+
+START_LIMIT_S = 60.0
+WARM_UP_S = 3.0
+PUBLISH_AFTER_S = 2.0
+SAMPLE_S = 0.1
+TIMEOUT_S = 10.0
+SEED = 11
+ENGINE = {"first_token_s": 0.05, "token_s": 0.01, "tokens": 30}
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Add the experiment's arguments."""
+    add_link_arguments(parser)
+    parser.set_defaults(vms=12, copy_s=6.0)
+    parser.add_argument("--rate", type=float, default=40.0, help="requests a second")
+    parser.add_argument("--seconds", type=float, default=22.0, help="of each run")
+
+
+def run(arguments: argparse.Namespace) -> dict[str, Any]:
+    """Run the same load twice, the second time with a rollout."""
+    links = links_of(arguments)
+    layout = fleet_of(links, arguments.vms, arguments.domains, entries=1)
+    faults = {**source_faults(links), "engine": ENGINE}
+    with Launcher(layout, faults, engines_per_process=4) as fleet:
+        return UnderLoad(fleet, arguments).run()
+
+
+class UnderLoad:
+    """Two runs of one plan on one fleet."""
+
+    def __init__(self, fleet: Launcher, arguments: argparse.Namespace) -> None:
+        self.fleet = fleet
+        self.arguments = arguments
+        self.per_domain = arguments.vms // arguments.domains
+        self.min_serving = max(1, self.per_domain - 1)
+        self.fewest: dict[str, int] = {}
+
+    def publish(self, version: str) -> None:
+        """Publish the profile at a version."""
+        self.fleet.publish(profiles(version, min_serving=self.min_serving))
+
+    def run(self) -> dict[str, Any]:
+        """Return the figures of both runs."""
+        self.publish("1")
+        self.fleet.wait_ready(START_LIMIT_S)
+        time.sleep(WARM_UP_S)
+        calm = self.load("calm")
+        rollout = self.load("rollout", version="2")
+        since = self.published_at
+        times = serving_times(self.fleet, "2", since, START_LIMIT_S, set())
+        calm_p95 = calm["first_token_ms"]["p95"]
+        p95 = rollout["first_token_ms"]["p95"]
+        return {
+            "vms": self.arguments.vms,
+            "min_serving": self.min_serving,
+            "fewest_serving_by_domain": self.fewest,
+            "rollout_s": round(times[-1], 2) if times else None,
+            "served": len(times),
+            "load_s": self.arguments.seconds,
+            "without": calm,
+            "with": rollout,
+            "p95_ratio": round(p95 / calm_p95, 3),
+            "runs_with_two_digests": self.mixed(),
+        }
+
+    def load(self, name: str, version: str = "") -> dict[str, Any]:
+        """Run the plan once; publish a version in it if one is given."""
+        layout = self.fleet.layout
+        plan = Plan(
+            seed=SEED,
+            rate_per_s=self.arguments.rate,
+            duration_s=self.arguments.seconds,
+            timeout_s=TIMEOUT_S,
+            service="summaries",
+            senders=[Sender("ministry", 1.0)],
+            targets=[Target(vm.vm_id, vm.http_port) for vm in layout.entries()],
+        )
+        driver = DriverProcess(plan, self.fleet.directory, name)
+        started = time.monotonic()
+        while driver.running():
+            if version and time.monotonic() > started + PUBLISH_AFTER_S:
+                self.published_at = time.time()
+                self.publish(version)
+                version = ""
+            self.sample()
+            time.sleep(SAMPLE_S)
+        answers = driver.results()["answers"]
+        return {
+            "requests": len(answers),
+            "outcomes": Counter(answer["outcome"] for answer in answers),
+            "reasons": Counter(a["reason"] for a in answers if a["reason"]),
+            "first_token_ms": percentiles_ms(
+                a["first_token_s"] for a in answers if a["first_token_s"] is not None
+            ),
+        }
+
+    def sample(self) -> None:
+        """Note the fewest VMs that were seen to serve in each domain."""
+        serving: Counter[str] = Counter()
+        for vm in self.fleet.layout.agents():
+            status = self.fleet.get(vm.admin_port, "/status")
+            serving[vm.failure_domain] += bool(status and status["serving"])
+        for domain, count in serving.items():
+            self.fewest[domain] = min(count, self.fewest.get(domain, count))
+
+    def mixed(self) -> int:
+        """Return how many runs began and ended on different weights."""
+        agents = [vm for vm in self.fleet.layout.agents() if vm.group == GROUP]
+        return sum(control_page(self.fleet, vm.backend_port)["mixed"] for vm in agents)
--- a/bench/standins/engine.py
+++ b/bench/standins/engine.py
@@ -50,6 +50,7 @@
         self.cache = PrefixCache(int(self.faults["prefixes"]))
         self.load_history: deque[tuple[float, int]] = deque(maxlen=4096)
         self.digest = ""
+        self.mixed = 0
         self.fencing = 0
         self.handed: dict[str, dict[int, str]] = {}
         self.in_flight = 0
@@ -67,6 +68,7 @@
             "orders": self.orders,
             "digest": self.digest,
             "handed": self.handed,
+            "mixed": self.mixed,
             "in_flight": self.in_flight,
             "hits": self.cache.hits,
             "misses": self.cache.misses,
@@ -159,7 +161,8 @@
         crashes = self.crashes
         mark = xxhash.xxh3_64_hexdigest(body.encode())[:8]
         try:
-            yield record({"start": {"digest": self.digest}})
+            digest = self.digest
+            yield record({"start": {"digest": digest}})
             eventlet.sleep(first_token_s * self.slowdown())
             count = int(self.faults["tokens"])
             for number in range(count):
@@ -169,6 +172,7 @@
                     raise ConnectionError("the engine crashed")
                 yield record({"text": self.token(mark, number)})
                 eventlet.sleep(self.faults["token_s"] * self.slowdown())
+            self.mixed += digest != self.digest
             yield record({"end": {"digest": self.digest, "tokens": count}})
         finally:
             self.count(-1)
