Let a busy VM queue a peer's request rather than send it round

Cause: at 60 VMs 3648 chunks took 27964 redirections and 21562 pending replies. Ruled out: longer queues at the owner without holders, which let it fall behind. Change: calls are held open for 2 s; a VM sends an asker on past 1 s of backlog, and queues up to 2.5 s for one that was sent on twice.

--- a/packages/primroselever-core/src/primroselever_core/transfer/planner.py
+++ b/packages/primroselever-core/src/primroselever_core/transfer/planner.py
@@ -26,7 +26,7 @@
     from .manifest import Manifest
     from .neighbourhood import Neighbourhood
 
-PEER_WAIT_S = 1.0
+PEER_WAIT_S = 2.0
 FAR_OWNERS = 2
 OTHERS_AT_ONCE = 8
 OUTSIDE_AGAIN_S = 1.0
--- a/packages/primroselever-core/src/primroselever_core/transfer/uploads.py
+++ b/packages/primroselever-core/src/primroselever_core/transfer/uploads.py
@@ -19,8 +19,8 @@
 
     from ..identifiers import ChunkDigest, VmId
 
-QUEUE_S = 0.5
-MAX_QUEUE_S = 1.0
+QUEUE_S = 1.0
+MAX_QUEUE_S = 2.5
 HOLDERS_PER_CHUNK = 16
 MAX_HOPS = 2
 
