--- a/bench/standins/engine.py
+++ b/bench/standins/engine.py
@@ -4,6 +4,7 @@
 
 import json
 import re
+import time
 from collections import Counter
 from typing import TYPE_CHECKING, Any
 
@@ -21,7 +22,8 @@
 
 class Engine(StandIn):
     """
-    Faults: ``honours_fencing``, ``token_s``, ``first_token_s``, ``tokens``.
+    Faults: ``honours_fencing``, ``token_s``, ``first_token_s``, ``tokens``, and
+    ``stamps``: each token says when it was sent.
     ``crash`` in a control request ends all runs and loses the weights, as a crash
     and restart of the engine does.
 
@@ -35,6 +37,7 @@
             "token_s": 0.005,
             "first_token_s": 0.02,
             "tokens": 10,
+            "stamps": False,
         }
         super().__init__(**{**defaults, **faults})
         self.digest = ""
@@ -110,6 +113,11 @@
         self.bodies[fields["body"]] += 1
         return Reply(body=self.tokens(run_id, fields["body"]))
 
+    def token(self, mark: str, number: int) -> str:
+        """Return the text of one token."""
+        stamp = f"@{time.monotonic():.6f}" if self.faults["stamps"] else ""
+        return f"{self.digest[:8]}:{mark}:{number}{stamp} "
+
     def tokens(self, run_id: str, body: str) -> Iterator[bytes]:
         """Yield the records of an answer, with the digest at both ends."""
         self.in_flight += 1
@@ -124,7 +132,7 @@
                     return
                 if crashes != self.crashes:
                     raise ConnectionError("the engine crashed")
-                yield record({"text": f"{self.digest[:8]}:{mark}:{number} "})
+                yield record({"text": self.token(mark, number)})
                 eventlet.sleep(self.faults["token_s"])
             yield record({"end": {"digest": self.digest, "tokens": count}})
         finally:
--- a/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
+++ b/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
@@ -23,7 +23,6 @@
 from primroselever_node.metrics import observe_board
 from primroselever_node.platform.configuration_service import ConfigurationService
 from primroselever_node.platform.vm_list_service import VmListService
-from primroselever_node.platform.weight_source import WeightSource
 from primroselever_node.process import (
     ShutdownSignal,
     drain,
@@ -31,7 +30,6 @@
     new_board,
     run_controller,
 )
-from primroselever_node.rpc.client_pool import ClientPool
 from primroselever_node.rpc.schema import schema
 from primroselever_node.rpc.server import RpcServer
 from primroselever_node.settings.secrets import ticket_key
@@ -39,13 +37,14 @@
 
 from ..engine.engine_client import EngineClient
 from ..engine.plain_client import PlainClient
+from ..runs.answers import Answers
 from ..runs.handler import AgentHandler
 from ..runs.runner import Runner
 from ..runs.ticket_issuer import TicketIssuer
 from ..settings import AgentSettings
 from ..transfer.explain import ChunkExplainer
-from ..transfer.rollout import RolloutController
-from ..transfer.serving import ChunkServing
+from ..transfer.parts import TransferParts
+from ..transfer.rollout import TICK_S
 
 if TYPE_CHECKING:
     from primroselever_node.settings.model import NodeSettings
@@ -83,18 +82,22 @@
         backend = (
             self.engine if self.needs_weights else PlainClient(settings.backend.url)
         )
-        self.runner = Runner(self.registry, backend)
+        self.answers = Answers(self.registry)
+        self.runner = Runner(self.registry, backend, self.answers)
         identity = self.board.identity
         self.tickets = TicketIssuer(
             TicketBook(identity.vm_id, identity.incarnation, self.registry.book),
             TicketSigner(ticket_key(settings.secrets)),
         )
+        self.transfer = TransferParts(
+            self.board, self.section, self.registry, self.engine, settings
+        )
         self.handler = AgentHandler(
             self.board,
             self.registry,
             self.runner,
             self.tickets,
-            ChunkServing(self.section),
+            self.transfer.serving,
             settings,
         )
         self.rpc = RpcServer(
@@ -143,18 +146,10 @@
         run_controller(members.step, 1.0)
         run_controller(lambda: self.registry.expire(clock.now()), 1.0)
         run_controller(self.tickets.step, 1.0)
-        source = platform.origin or platform.weight_store
-        if self.needs_weights and source is not None:
-            rollout = RolloutController(
-                self.board,
-                self.section,
-                self.registry,
-                GroupName(self.settings.group),
-                WeightSource(source),
-                ClientPool(schema.Agent),
-                self.engine,
-            )
-            run_controller(rollout.step, 0.1)
+        run_controller(lambda: self.answers.expire(clock.now()), 1.0)
+        if self.needs_weights:
+            run_controller(self.transfer.rollout.step, TICK_S)
+            run_controller(self.transfer.switch.watch, 1.0)
 
     def not_ready(self) -> str | None:
         """Return why no new work may come, or None."""
@@ -166,15 +161,9 @@
 
     def status(self) -> dict[str, Any]:
         """Return what this agent knows."""
-        wanted = self.section.wanted
-        missing = self.section.store.missing(wanted) if wanted else []
         return {
             **common_status(self.board),
-            "serving": self.section.serving,
-            "wanted": wanted.version if wanted else None,
-            "wanted_digest": wanted.digest if wanted else None,
-            "chunks_missing": len(missing),
-            "bytes_by_source": self.section.bytes_by_source,
+            **self.transfer.status(),
             "in_flight": self.registry.in_flight(),
             "control": control_status(self.board),
         }
--- a/packages/primroselever-node/src/primroselever_node/rpc/primroselever.thrift
+++ b/packages/primroselever-node/src/primroselever_node/rpc/primroselever.thrift
@@ -105,14 +105,24 @@
   7: string digest,
 }
 
+/*
+ * A reader follows the runs that it started and those whose cursors it named; a
+ * reply holds what is new in them. When reader_lost is set the agent knows the
+ * reader no more: it begins anew under another name, with all its cursors.
+ */
 struct ReadReply {
   1: i64 incarnation,
   2: list<RunSlice> slices,
   3: Load load,
   4: bool leaving,
+  20: bool reader_lost,
 }
 
-/* state is held (data follows), pending (ask again then), elsewhere or unknown. */
+/*
+ * state is held (data follows), elsewhere (ask that holder), pending (this agent
+ * waits for the chunk too), reading (it reads it from outside its failure domain,
+ * or holds it and is busy) or unknown.
+ */
 struct ChunkReply {
   1: string state,
   2: binary data,
@@ -128,9 +138,10 @@
 service Agent extends Node {
   TicketReply issue_ticket(1: TicketRequest request),
   StartReply start(1: StartRequest request),
-  ReadReply read(1: list<RunCursor> cursors, 2: i64 wait_ms),
+  ReadReply read(1: list<RunCursor> cursors, 2: i64 wait_ms, 3: string reader, 4: bool first),
   RunSlice resolve(1: string run_id, 2: i64 incarnation, 3: i64 epoch),
   void cancel(1: string run_id),
   binary fetch_manifest(1: string weights_digest),
-  ChunkReply fetch_chunk(1: string weights_digest, 2: i32 index, 3: i64 wait_ms),
+  ChunkReply fetch_chunk(1: string weights_digest, 2: i32 index, 3: i64 wait_ms, 4: string asker, 5: i32 hops),
+  binary find_manifest(1: string model, 2: string adapter, 3: string version),
 }
