Judge callers who send again as callers do

Cause: a caller whose entry was gone gave up, and "not run" after an unknown end of the same ticket was not held against anybody. Ruled out: leaving the resending to each experiment. Change: requests without any answer go to the next entry, as behind a balancer; all sendings with one ticket are one operation to the judge. Before: bench/tests/test_judge.py had no such case.

--- a/bench/judge.py
+++ b/bench/judge.py
@@ -77,7 +77,7 @@
         verdict.told[outcome or "no answer"] += 1
         if not sent.idempotent and runs > 1:
             verdict.blame("doubles", sent)
-        if outcome == "not_run" and runs and earlier_all_not_run(sent):
+        if outcome == "not_run" and runs and may_not_have_run(sent):
             verdict.blame("wrong_not_run", sent)
         if not outcome and (last is None or not excused(last)):
             verdict.blame("lost", sent)
@@ -86,12 +86,12 @@
     return verdict
 
 
-def earlier_all_not_run(sent: Sent) -> bool:
+def may_not_have_run(sent: Sent) -> bool:
     """
-    Return whether each sending of a request was told "not run".
+    Return whether the last "not run" speaks for all sendings of a request.
 
-    A sending before the last one may have run and been told "unknown", unless the
-    same ticket is said not to have run afterwards: that is one operation.
+    Each sending of an idempotent request is a run of its own, so one before may
+    have run. All sendings with the same ticket are one operation.
     """
     if not sent.idempotent:
         return True
--- a/bench/tests/test_judge.py
+++ b/bench/tests/test_judge.py
@@ -47,6 +47,16 @@
     assert judge([sent], {"a": runs}, TOKENS).broken() == 0
 
 
+@pytest.mark.parametrize(("idempotent", "broken"), [(True, 0), (False, 1)])
+def test_not_run_after_unknown_speaks_for_the_same_ticket(
+    idempotent: bool, broken: int
+) -> None:
+    sent = told("unknown", idempotent=idempotent)
+    sent.answers.append(Answer("other", outcome="not_run"))
+
+    assert judge([sent], {"a": 1}, TOKENS).wrong_not_run == broken
+
+
 def test_a_caller_of_a_killed_entry_may_see_its_connection_break() -> None:
     assert (
         judge(
--- a/bench/traffic.py
+++ b/bench/traffic.py
@@ -1,8 +1,9 @@
 """
 Open-loop requests of both kinds, each remembered with every answer to it.
 
-A request that must run once asks for its ticket first. When its end is unknown, or
-no answer comes, it is sent again with the same ticket, as a caller would.
+A request that must run once asks for its ticket first; when its end is unknown it is
+sent again with the same ticket, as a caller would. A request without any answer is
+sent again to the next entry, as by a balancer that has found the first one gone.
 """
 
 from __future__ import annotations
@@ -26,6 +27,7 @@
 MAX_SENDS = 3
 RESEND_AFTER_S = 0.5
 WORKERS = 96
+FINAL = ("done", "not_run")
 
 
 @dataclass(slots=True)
@@ -40,6 +42,7 @@
     text: str = ""
     ticket: str = ""
     retry_after: bool = False
+    refused: bool = False
 
 
 @dataclass(slots=True)
@@ -127,9 +130,10 @@
                 ticket = answer.ticket
                 continue
             sends += 1
-            if sent.idempotent or not ticket or answer.outcome in ("done", "not_run"):
+            if answer.outcome in FINAL or (sent.idempotent and answer.outcome):
                 return
-            time.sleep(RESEND_AFTER_S)
+            if not answer.refused:
+                time.sleep(RESEND_AFTER_S)
             target = next(self.targets)
 
     def send(self, sent: Sent, target: Target, ticket: str) -> Answer:
@@ -148,6 +152,7 @@
             )
         except urllib3.exceptions.HTTPError as exc:
             answer.reason = type(exc).__name__
+            answer.refused = isinstance(exc, urllib3.exceptions.NewConnectionError)
         else:
             read_into(answer, reply)
         answer.ended_at = time.monotonic()
