--- a/packages/primroselever-entry/src/primroselever_entry/requests/feed.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/feed.py
@@ -14,6 +14,7 @@
 
 from primroselever_core.outcomes import Reason, Unknown
 from primroselever_core.runs.registry import RunState
+from primroselever_node import clock
 from primroselever_node.rpc.client_pool import LostReplyError, NeverSentError
 from primroselever_node.rpc.schema import schema
 
@@ -139,8 +140,7 @@
 
     def take(self, reply: Any) -> None:
         """Take in a reply: each piece goes to its own run, if it fits there."""
-        self.server.reported = reply.load.in_flight
-        self.server.leaving = reply.leaving
+        self.server.take_report(reply.load.in_flight, reply.leaving, clock.now())
         for piece in reply.slices:
             run = self.runs.get(piece.run_id)
             if run is not None:
