Freeze entries, publish and go stale among the faults

Cause: the faults left out late-waking entries, a stale service and rollouts under faults, where mixed weights would show. Ruled out: an experiment for each, which never has two at once. Change: three more kinds of fault, half of all faults in twos, a rollout after the heal that every agent must finish. Before: 8 kinds.

--- a/bench/experiments/faults.py
+++ b/bench/experiments/faults.py
@@ -33,9 +33,9 @@
 TOKENS = 20
 ENGINE = {"engine": {"tokens": TOKENS, "token_s": 0.01}}
 READY_LIMIT_S = 40.0
-FAULT_S = (1.0, 6.0)
-PAUSE_S = (0.3, 2.0)
-TWO_AT_ONCE = 0.3
+FAULT_S = (0.5, 5.0)
+PAUSE_S = (0.1, 1.0)
+TWO_AT_ONCE = 0.5
 SETTLE_S = 4.0
 POLL_S = 0.05
 
@@ -81,6 +81,7 @@
         self.going_on: list[Fault] = []
         self.history: list[str] = []
         self.outages: list[Outage] = []
+        self.version = 1
 
     def run(self, seconds: float) -> None:
         """Cause faults for so long and undo each in its time."""
@@ -119,11 +120,14 @@
             self.kill_agent,
             self.kill_entry,
             self.freeze_agent,
+            self.freeze_entry,
             self.cut_domains,
             self.cut_platform,
             self.silence,
             self.platform_down,
+            self.platform_stale,
             self.crash_engine,
+            self.publish,
         ]
 
     def agent(self) -> VmPlan:
@@ -163,7 +167,14 @@
 
     def freeze_agent(self) -> Fault:
         """Pause an agent, which wakes up late."""
-        vm = self.agent()
+        return self.freeze(self.agent())
+
+    def freeze_entry(self) -> Fault:
+        """Pause an entry, which answers late."""
+        return self.freeze(self.random.choice(self.fleet.layout.entries()))
+
+    def freeze(self, vm: VmPlan) -> Fault:
+        """Pause a VM's process."""
         return Fault(
             f"freeze {vm.vm_id}",
             vm.vm_id,
@@ -209,6 +220,25 @@
             lambda: self.fleet.platform_down(False),
         )
 
+    def platform_stale(self) -> Fault:
+        """Let the configuration service answer what was published first."""
+        return Fault(
+            "platform stale",
+            "stale",
+            lambda: self.fleet.platform_stale(1),
+            lambda: self.fleet.platform_stale(0),
+        )
+
+    def publish(self) -> Fault:
+        """Publish a new version: no fault, but it may come at any moment."""
+        self.version += 1
+        value = profiles(str(self.version))
+        return Fault(f"publish {self.version}", "profiles", lambda: self.deliver(value))
+
+    def deliver(self, value: dict[str, Any]) -> None:
+        """Publish profiles, whether or not the service can be read now."""
+        self.fleet.publish(value)
+
     def crash_engine(self) -> Fault:
         """Crash and restart an engine: its weights are gone."""
         engines = [v for v in self.fleet.layout.agents() if v.backend_kind == "engine"]
@@ -233,6 +263,9 @@
             time.sleep(SETTLE_S)
             plan.run(arguments.seconds)
             recovered_s = fleet.wait_ready(READY_LIMIT_S)
+            plan.version += 1
+            fleet.publish(profiles(str(plan.version)))
+            rollout_s = fleet.wait_version("alerts", str(plan.version), READY_LIMIT_S)
             time.sleep(SETTLE_S)
             healed_at = time.monotonic()
             time.sleep(SETTLE_S)
@@ -250,6 +283,7 @@
         "reasons": reasons(traffic.sent),
         "broken": verdict.broken(),
         "ready_again_s": round(recovered_s, 2),
+        "rollout_after_heal_s": round(rollout_s, 2),
         "done_after_heal": sum(s.outcome == "done" for s in after),
         "sent_after_heal": len(after),
         **verdict.figures(),
--- a/packages/primroselever-entry/tests/commands/test_serve.py
+++ b/packages/primroselever-entry/tests/commands/test_serve.py
@@ -12,6 +12,7 @@
 from primroselever_core.profiles.revision import AcceptedProfiles, Revision
 from primroselever_entry.commands.serve import EntryProcess
 from primroselever_entry.settings import EntrySettings
+from primroselever_node.admin import AdminApplication
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -118,3 +119,22 @@
     assert headers["Request-Outcome"] == "not_run"
     assert headers["Request-Reason"] == "leaving"
     assert headers["Retry-After"] == "1"
+
+
+@pytest.mark.parametrize(
+    ("query", "status", "text"),
+    [
+        ({"service": "none"}, "400 Bad Request", b"name one of: renewals"),
+        ({"service": "renewals"}, "200 OK", b'"reason": "no_server"'),
+    ],
+)
+def test_explain_names_the_choice_or_what_to_ask(
+    entry: EntryProcess, query: dict[str, str], status: str, text: bytes
+) -> None:
+    application = entry.admin.application
+    assert isinstance(application, AdminApplication)
+
+    said, _, body = application.answer("GET", "/explain", query)
+
+    assert said == status
+    assert text in body
