--- a/packages/primroselever-agent/src/primroselever_agent/runs/handler.py
+++ b/packages/primroselever-agent/src/primroselever_agent/runs/handler.py
@@ -21,6 +21,7 @@
 from primroselever_core.runs.starting import StartState, resolve_run, start_run
 from primroselever_node import clock
 from primroselever_node.rpc.schema import schema
+from primroselever_node.rpc.suspicions import learn, to_wire
 
 from ..transfer.serving import ChunkRequest
 from .answers import piece_of
@@ -29,12 +30,13 @@
     from primroselever_core.board import Blackboard
     from primroselever_node.rpc.handler import NodeHandler
 
+    from ..admission.controller import AdmissionController
     from ..settings import AgentSettings
     from ..transfer.serving import ChunkServing
     from .runner import Runner
     from .ticket_issuer import TicketIssuer
 
-OVERLOADED_RETRY_MS = 1000
+NO_WEIGHTS_RETRY_MS = 1000
 LEAVING_RETRY_MS = 100
 
 
@@ -50,6 +52,7 @@
         chunks: ChunkServing,
         settings: AgentSettings,
         node: NodeHandler,
+        admission: AdmissionController,
     ) -> None:
         self.board = board
         self.node = node
@@ -60,14 +63,15 @@
         self.tickets = tickets
         self.chunks = chunks
         self.settings = settings
+        self.admission = admission
         self.needs_weights = settings.backend.kind == "engine"
 
     def load(self) -> Any:
         """Return this server's load for a reply."""
         return schema.Load(
             in_flight=self.registry.in_flight(),
-            queued=0,
-            limit=self.settings.max_in_flight,
+            queued=len(self.admission.admission.waiting),
+            limit=self.admission.admission.limit.current(),
             engine_load=0.0,
             engine_age_ms=0,
         )
@@ -85,19 +89,25 @@
             refusal = self.refusal(request)
             if refusal is not None:
                 return refusal
-            fresh.append(self.run_of(request, run_id, epoch))
-            return fresh[0]
+            run = self.run_of(request, run_id, epoch)
+            refusal = self.admission.offer(run, request.priority)
+            if refusal is None:
+                fresh.append(run)
+            return refusal or run
 
+        learn(self.board.suspects, request.suspicions)
         fresh: list[Run] = []
         start = self.tickets.read(request)
         run = start_run(start, self.tickets.book, self.registry, new_run, clock.now())
+        if fresh and run is not fresh[0]:
+            self.admission.forget(fresh[0])
         if not isinstance(run, Run):
             return self.refuse(run)
         is_new = bool(fresh) and run is fresh[0]
         if request.reader:
             self.answers.follow(request.reader, run.run_id, 0, fresh=is_new)
         if is_new:
-            self.runner.start(run, request.body, request.priority)
+            self.admission.begin(run, request.body, request.priority)
         return self.start_reply(StartState.ACCEPTED, run_id=run.run_id)
 
     def run_of(self, request: Any, run_id: RunId, epoch: int) -> Run:
@@ -118,14 +128,12 @@
     def refusal(self, request: Any) -> NotRun | None:
         """Return why a start is refused now, or None."""
         if refuses_starts(self.board, clock.now()):
-            return NotRun(Reason.PAUSED, OVERLOADED_RETRY_MS / 1000)
+            return NotRun(Reason.PAUSED, NO_WEIGHTS_RETRY_MS / 1000)
         if self.board.leaving:
             return NotRun(Reason.LEAVING, LEAVING_RETRY_MS / 1000)
         transfers = self.board.transfers
         if self.needs_weights and not (transfers and transfers.serving):
-            return NotRun(Reason.NO_WEIGHTS, OVERLOADED_RETRY_MS / 1000)
-        if self.registry.in_flight() >= self.settings.max_in_flight:
-            return NotRun(Reason.OVERLOADED, OVERLOADED_RETRY_MS / 1000)
+            return NotRun(Reason.NO_WEIGHTS, NO_WEIGHTS_RETRY_MS / 1000)
         return None
 
     def refuse(self, refusal: NotRun | Unknown) -> Any:
@@ -149,6 +157,7 @@
             load=self.load(),
             leaving=self.board.leaving,
             epoch=self.registry.book.epoch,
+            suspicions=to_wire(self.board.suspects),
         )
 
     def read(self, cursors: list[Any], wait_ms: int, reader: str, first: bool) -> Any:
@@ -159,6 +168,7 @@
             slices=pieces or [],
             load=self.load(),
             leaving=self.board.leaving,
+            suspicions=to_wire(self.board.suspects),
             reader_lost=pieces is None,
         )
 
@@ -180,7 +190,7 @@
     def cancel(self, run_id: str) -> None:
         """Stop a run."""
         run = self.registry.runs.get(RunId(run_id))
-        if run is not None:
+        if run is not None and not self.admission.cancel(run):
             self.runner.cancel(run)
 
     def issue_ticket(self, request: Any) -> Any:
--- a/packages/primroselever-agent/src/primroselever_agent/runs/runner.py
+++ b/packages/primroselever-agent/src/primroselever_agent/runs/runner.py
@@ -5,7 +5,7 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
 import eventlet
 
@@ -27,6 +27,22 @@
 logger = logging.getLogger(__name__)
 
 
+class RunObserver(Protocol):
+    """Who is told how runs go, before their readers are."""
+
+    def first_data(self, run: Run) -> None:
+        """Take in that a run's answer has begun."""
+        ...
+
+    def failed(self, run: Run, error: BackendError) -> None:
+        """Take in that a run failed and will be ended for it."""
+        ...
+
+    def ended(self, run: Run, state: RunState) -> None:
+        """Take in a run's end."""
+        ...
+
+
 class Runner:
     """Starts and cancels runs, and tells the readers of their answers."""
 
@@ -35,6 +51,7 @@
     ) -> None:
         self.registry = registry
         self.backend = backend
+        self.observer: RunObserver | None = None
         self.answers = answers
         self.greenlets: dict[RunId, Any] = {}
 
@@ -48,6 +65,8 @@
         try:
             with eventlet.Timeout(self.time_left_s(run)):
                 for data in self.backend.run(run, body, priority):
+                    if self.observer is not None and not run.answer.data:
+                        self.observer.first_data(run)
                     if not run.answer.append(data):
                         raise BackendError(Reason.ANSWER_DAMAGED, "answer too long")
                     self.answers.note(run.run_id)
@@ -57,6 +76,8 @@
             reason = exc.reason
             state = RunState.NOT_RUN if exc.never_ran else RunState.FAILED
             logger.warning("run %s failed: %s", run.run_id, exc)
+            if self.observer is not None:
+                self.observer.failed(run, exc)
         except eventlet.Timeout:
             reason = Reason.DEADLINE_PASSED
             self.backend.cancel(run)
@@ -89,3 +110,5 @@
         self.greenlets.pop(run.run_id, None)
         self.registry.end(run, state, reason, clock.now())
         self.answers.note(run.run_id)
+        if self.observer is not None:
+            self.observer.ended(run, state)
--- a/packages/primroselever-entry/src/primroselever_entry/requests/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/flow.py
@@ -47,7 +47,7 @@
     ) -> None:
         self.board = board
         self.router = router
-        feeds = Feeds(agents, board.identity.incarnation, progress_s)
+        feeds = Feeds(agents, board, progress_s)
         self.starter = Starter(board, agents, feeds, progress_s)
         self.reader = AnswerReader(agents, feeds, progress_s)
         self.tickets = TicketRouter(board, agents, self.starter, random)
