--- a/bench/experiments/decisions.py
+++ b/bench/experiments/decisions.py
@@ -12,7 +12,7 @@
 import math
 import time
 import tracemalloc
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from random import Random
 from typing import TYPE_CHECKING, Any
 
@@ -34,6 +34,7 @@
 )
 from primroselever_core.membership.tree import control_ranking
 from primroselever_core.membership.vm import Role, Vm
+from primroselever_core.membership.vm_list import parse_vm_list
 from primroselever_core.membership.vm_list_copy import change_between, digest_of
 from primroselever_core.profiles.parse import parse_profiles
 from primroselever_core.profiles.patch import make_patch
@@ -78,6 +79,10 @@
             if d.on_request_path and grows_faster_than_log(timed[d.name])
         ],
         "board_bytes": {fleet.size: board_bytes(fleet.size) for fleet in fleets},
+        "profiles_bytes_1mb": profiles_bytes(1_000_000),
+        "parse_1mb_with_comments_ms": round(
+            seconds_of(parse_of_bytes(1_000_000, "// grants\n")) * 1e3, 1
+        ),
         "parse_1mb_ms": round(seconds_of(parse_of_bytes(1_000_000)) * 1e3, 1),
         "parse_100kb_ms": round(seconds_of(parse_of_bytes(100_000)) * 1e3, 1),
         "patch_1mb_ms": round(seconds_of(patch_of_bytes(1_000_000)) * 1e3, 2),
@@ -166,6 +171,13 @@
     return take_in
 
 
+def vm_list_parsed(fleet: Fleet) -> Callable[[], object]:
+    """Parse the platform's VM list, as a reader does after a change."""
+    entries = [{"id": v.vm_id, **asdict(v)} for v in fleet.vms.values()]
+    text = json.dumps({"vms": entries})
+    return lambda: parse_vm_list(text)
+
+
 def new_subset(fleet: Fleet) -> Callable[[], object]:
     """Work out an entry's subset, once a change of the members."""
     return lambda: list(compute_subset(fleet.board, GROUP))
@@ -197,14 +209,15 @@
     Decision("heartbeat_peers", peers),
     Decision("control_ranking", ranking),
     Decision("vm_list_taken_in", vm_list),
+    Decision("vm_list_parsed", vm_list_parsed),
     Decision("subset_worked_out", new_subset),
     Decision("chunk_owners", chunk_owners),
 )
 
 
-def parse_of_bytes(size: int) -> Callable[[], object]:
+def parse_of_bytes(size: int, comment: str = "") -> Callable[[], object]:
     """Parse a published value of about so many bytes."""
-    text = published(size)
+    text = comment + published(size)
     return lambda: parse_profiles(text, "profiles")
 
 
@@ -248,3 +261,14 @@
     used = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
     return used
+
+
+def profiles_bytes(size: int) -> int:
+    """Return the memory of a published value of so many bytes, once parsed."""
+    text = published(size)
+    tracemalloc.start()
+    parsed = parse_profiles(text, "profiles")
+    used = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert parsed.profiles
+    return used + len(text)
--- a/packages/primroselever-core/src/primroselever_core/routing/router.py
+++ b/packages/primroselever-core/src/primroselever_core/routing/router.py
@@ -164,7 +164,7 @@
         return record.pool
 
     def members(self, group: GroupName, own: bool) -> list[Server]:
-        """Return the servers of a group in the own domain, or in the others."""
+        """Return the subset of a group in the own domain, or in the others."""
         domain = self.board.identity.failure_domain
         vms = subset_of(self.board, group)
         here = (vm for vm in vms if (vm.failure_domain == domain) == own)
