Leave retries to requests that may be served elsewhere

Change: fair_share, quarantined and deadline_passed are not tried elsewhere. The new test fails without the change. Conclusion: kept for the messages it saves; the share over a group stays missed.

--- a/packages/primroselever-entry/src/primroselever_entry/requests/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/flow.py
@@ -34,6 +34,10 @@
 RETRIED = (Reason.SERVER_LOST, Reason.START_EXPIRED, Reason.WEIGHTS_CHANGED)
 
 
+# Refusals that hold elsewhere too, or that must leave the retries to others.
+FINAL = (Reason.FAIR_SHARE, Reason.QUARANTINED, Reason.DEADLINE_PASSED)
+
+
 class RequestFlow:
     """Carries requests; one object serves all requests of the process."""
 
@@ -106,6 +110,8 @@
                 if lost is not None or ending.reason not in RETRIED:
                     return ending
                 lost = ending
+            elif ending.reason in FINAL:
+                break
         return lost or ending
 
     def carry(
--- a/packages/primroselever-entry/tests/requests/test_flow.py
+++ b/packages/primroselever-entry/tests/requests/test_flow.py
@@ -189,3 +189,23 @@
         body, ending = answer_of(entry, new_request(service, ticket=ticket))
         assert (body, type(ending)) == (WHOLE, Done)
         assert fleet.ran() == 1
+
+
+@pytest.mark.parametrize(
+    ("reason", "starts"), [(Reason.FAIR_SHARE, 1), (Reason.OVERLOADED, 2)]
+)
+def test_a_refusal_for_a_workspaces_share_is_not_retried(
+    fleet: Fleet, reason: Reason, starts: int
+) -> None:
+    offers: list[int] = []
+
+    def refuse(_run: object, priority: int) -> NotRun:
+        offers.append(priority)
+        return NotRun(reason, 1.0)
+
+    for agent in fleet.agents:
+        agent.handler.admission.offer = refuse  # type: ignore[method-assign, assignment]
+    flow = fleet.entry()
+    _, ending = answer_of(flow, new_request("summaries"))
+    assert ending == NotRun(reason, 1.0)
+    assert len(offers) == starts
