Give the request tests the agent's admission

Ruled out: a default in the handler, which would let an agent run unlimited. Change: the fixture builds the real controller over its fake back end. Before: 16 failed, 19 errors (make test). After: all tests pass (make test). Conclusion: no assertion changed.

--- a/packages/primroselever-entry/tests/requests/conftest.py
+++ b/packages/primroselever-entry/tests/requests/conftest.py
@@ -5,17 +5,22 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 from random import Random
+from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any
 
 import eventlet
 import pytest
 
+from primroselever_agent.admission.controller import AdmissionController
+from primroselever_agent.admission.crash_watch import CrashWatch
 from primroselever_agent.exceptions import BackendError
 from primroselever_agent.runs.answers import Answers
 from primroselever_agent.runs.handler import AgentHandler
 from primroselever_agent.runs.runner import Runner
 from primroselever_agent.runs.ticket_issuer import TicketIssuer
 from primroselever_agent.settings import AgentSettings
+from primroselever_core.admission.admission import Admission
+from primroselever_core.admission.limit import ConcurrencyLimit
 from primroselever_core.board import Blackboard, Identity
 from primroselever_core.budgets import TokenBucket
 from primroselever_core.identifiers import (
@@ -112,14 +117,20 @@
                 "backend": {"kind": "plain", "url": ""},
             }
         )
+        runner = Runner(self.registry, self.backend, Answers(self.registry))
+        control = NodeHandler(board, Publications(board))
+        engine = SimpleNamespace(answers=lambda: True)
+        crashes = CrashWatch(board, engine, None, control.own_heartbeat, None)
+        limit = ConcurrencyLimit(settings.max_in_flight)
         self.handler = AgentHandler(
             board,
             self.registry,
-            Runner(self.registry, self.backend, Answers(self.registry)),
+            runner,
             TicketIssuer(book, TicketSigner(b"a key of the tests")),
             None,  # type: ignore[arg-type]
             settings,
-            NodeHandler(board, Publications(board)),
+            control,
+            AdmissionController(board, runner, Admission(limit), crashes),
         )
 
 
