--- a/packages/primroselever-entry/tests/requests/conftest.py
+++ b/packages/primroselever-entry/tests/requests/conftest.py
@@ -118,9 +118,10 @@
             }
         )
         runner = Runner(self.registry, self.backend, Answers(self.registry))
+        control = NodeHandler(board, Publications(board))
         engine = SimpleNamespace(answers=lambda: True)
-        crashes = CrashWatch(board, engine, None, lambda: None, None)  # type: ignore[arg-type]
-        admission = Admission(ConcurrencyLimit(settings.max_in_flight))
+        crashes = CrashWatch(board, engine, None, control.own_heartbeat, None)
+        limit = ConcurrencyLimit(settings.max_in_flight)
         self.handler = AgentHandler(
             board,
             self.registry,
@@ -128,8 +129,8 @@
             TicketIssuer(book, TicketSigner(b"a key of the tests")),
             None,  # type: ignore[arg-type]
             settings,
-            NodeHandler(board, Publications(board)),
-            AdmissionController(board, runner, admission, crashes),
+            control,
+            AdmissionController(board, runner, Admission(limit), crashes),
         )
 
 
