Let a fresh limit grow quickly until the engine first slows down

Cause: the limit began at 8 and grew by one a window; with runs of 3 s an agent refused requests that its engine had room for. Ruled out: a higher start: right for one model only. Change: the limit grows by half a window until its first decrease. The new test fails with a slow start of 1.05.

--- a/packages/primroselever-core/src/primroselever_core/admission/limit.py
+++ b/packages/primroselever-core/src/primroselever_core/admission/limit.py
@@ -2,7 +2,8 @@
 How many runs an engine carries at once, found from the time to the first token.
 
 Additive increase, multiplicative decrease: the limit grows while it is used and the
-engine stays quick, and shrinks when the quicker runs have become slow.
+engine stays quick, and shrinks when the quicker runs have become slow. Until that
+first happens it grows by half instead (slow start).
 """
 
 from __future__ import annotations
@@ -13,6 +14,7 @@
 WINDOW_S = 0.5
 SLOW_FACTOR = 2.0
 DECREASE = 0.9
+SLOW_START = 1.5
 BASELINE_WINDOWS = 240
 
 
@@ -37,6 +39,7 @@
     samples: list[float] = field(default_factory=list)
     window_until: float = 0.0
     most_in_flight: int = 0
+    slow_start: bool = True
 
     def __post_init__(self) -> None:
         self.value = min(self.value, self.highest)
@@ -67,8 +70,10 @@
         self.baseline_s = min(self.baseline_s or quartile, quartile)
         if quartile > self.baseline_s * SLOW_FACTOR:
             self.value = max(self.lowest, self.value * DECREASE)
+            self.slow_start = False
         elif used:
-            self.value = min(self.highest, self.value + 1)
+            grown = self.value * SLOW_START if self.slow_start else self.value + 1
+            self.value = min(self.highest, grown)
 
     def take_baseline_anew(self) -> None:
         """Halve the limit and let the next window give the baseline."""
--- a/packages/primroselever-core/tests/admission/test_limit.py
+++ b/packages/primroselever-core/tests/admission/test_limit.py
@@ -37,3 +37,10 @@
         first_token_s = FIRST_TOKEN_S if step < 10_000 else 4 * FIRST_TOKEN_S
         limit.sample(first_token_s * max(1.0, in_flight / 12), in_flight, step * 0.02)
     assert limit.current() >= 10
+
+
+def test_a_fresh_limit_finds_a_large_capacity_soon():
+    limit = ConcurrencyLimit(highest=200)
+    for step in range(50):
+        limit.sample(FIRST_TOKEN_S, limit.current(), step * 0.1)
+    assert limit.current() >= 40
