Name a workspace in the throughput experiment's direct calls

Cause: the engine stand-in wants one now; direct parts counted 0 tokens. Change: the direct call names workspace and priority.

--- a/bench/experiments/throughput.py
+++ b/bench/experiments/throughput.py
@@ -109,7 +109,12 @@
 
 def generate_request(agent: VmPlan) -> tuple[int, bytes]:
     """Return a request straight to the engine."""
-    fields = {"run_id": "direct", "body": "tender 12"}
+    fields = {
+        "run_id": "direct",
+        "workspace": "ministry",
+        "priority": 5,
+        "body": "tender 12",
+    }
     return post(agent.backend_port, "/v1/generate", json.dumps(fields).encode())
 
 
