--- a/bench/standins/__main__.py
+++ b/bench/standins/__main__.py
@@ -24,6 +24,7 @@
 from primroselever_node.process import ShutdownSignal
 
 from .configuration_service import ConfigurationService
+from .corrupt_peer import CorruptPeer
 from .engine import Engine
 from .link import Links
 from .plain_service import PlainService
@@ -35,6 +36,7 @@
 
 KINDS: dict[str, type[StandIn]] = {
     "configuration_service": ConfigurationService,
+    "corrupt_peer": CorruptPeer,
     "engine": Engine,
     "links": Links,
     "plain_service": PlainService,
--- a/packages/primroselever-agent/src/primroselever_agent/runs/answers.py
+++ b/packages/primroselever-agent/src/primroselever_agent/runs/answers.py
@@ -166,6 +166,8 @@
     """Return the piece that carries a run's end."""
     run.read_out = True
     piece = piece_of(run.run_id, run.state, run.reason, offset, data)
+    if run.retry_after_s is not None:
+        piece.retry_after_ms = int(run.retry_after_s * 1000)
     if run.state is RunState.DONE:
         piece.length = len(run.answer.data)
         piece.digest = run.answer.digest()
--- a/packages/primroselever-entry/src/primroselever_entry/requests/feed.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/feed.py
@@ -12,18 +12,21 @@
 
 import eventlet
 
-from primroselever_core.outcomes import Reason, Unknown
+from primroselever_core.outcomes import NotRun, Reason, Unknown
 from primroselever_core.runs.registry import RunState
 from primroselever_node import clock
 from primroselever_node.rpc.client_pool import LostReplyError, NeverSentError
 from primroselever_node.rpc.schema import schema
+from primroselever_node.rpc.suspicions import learn
 
 from .resolving import AVOID_S, RESOLVE_TRIES, pass_over
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from primroselever_core.identifiers import Incarnation, RunId
+    from primroselever_core.board import Blackboard
+    from primroselever_core.identifiers import RunId
+    from primroselever_core.outcomes import Ending
     from primroselever_core.routing.section import Server
     from primroselever_node.rpc.client_pool import ClientPool
 
@@ -34,12 +37,13 @@
     """Reads the answers of all runs of one agent while there are any."""
 
     def __init__(
-        self, agents: ClientPool, server: Server, owner: Incarnation, progress_s: float
+        self, agents: ClientPool, server: Server, board: Blackboard, progress_s: float
     ) -> None:
         self.agents = agents
         self.server = server
         self.address = (server.vm.address, server.vm.rpc_port)
-        self.owner = owner
+        self.board = board
+        self.owner = board.identity.incarnation
         self.progress_s = progress_s
         self.runs: dict[RunId, ActiveRun] = {}
         self.count = 0
@@ -141,6 +145,7 @@
     def take(self, reply: Any) -> None:
         """Take in a reply: each piece goes to its own run, if it fits there."""
         self.server.take_report(reply.load.in_flight, reply.leaving, clock.now())
+        learn(self.board.suspects, reply.suspicions)
         for piece in reply.slices:
             run = self.runs.get(piece.run_id)
             if run is not None:
@@ -158,11 +163,10 @@
         if data:
             run.add(data)
         if piece.state != RunState.RUNNING:
-            run.end(
-                cursor.ending(
-                    piece.state, piece.reason, piece.length or 0, piece.digest or ""
-                )
+            ending = cursor.ending(
+                piece.state, piece.reason, piece.length or 0, piece.digest or ""
             )
+            run.end(with_retry(ending, piece.retry_after_ms or 0))
             self.drop(run)
 
 
@@ -170,10 +174,10 @@
     """The feeds of an entry, one for each agent with runs."""
 
     def __init__(
-        self, agents: ClientPool, owner: Incarnation, progress_s: float
+        self, agents: ClientPool, board: Blackboard, progress_s: float
     ) -> None:
         self.agents = agents
-        self.owner = owner
+        self.board = board
         self.progress_s = progress_s
         self.feeds: dict[tuple[str, int], AnswerFeed] = {}
 
@@ -183,7 +187,7 @@
         feed = self.feeds.get(address)
         if feed is None:
             self.forget_idle()
-            feed = AnswerFeed(self.agents, server, self.owner, self.progress_s)
+            feed = AnswerFeed(self.agents, server, self.board, self.progress_s)
             self.feeds[address] = feed
         feed.server = server
         return feed
@@ -197,3 +201,10 @@
 def cursor_of(run: ActiveRun) -> Any:
     """Return up to where a run was taken in, as it goes over the wire."""
     return schema.RunCursor(run_id=run.cursor.run_id, offset=run.cursor.offset)
+
+
+def with_retry(ending: Ending, retry_after_ms: int) -> Ending:
+    """Return an ending that says when to come back, if the agent said so."""
+    if isinstance(ending, NotRun) and retry_after_ms:
+        return NotRun(ending.reason, retry_after_ms / 1000)
+    return ending
--- a/packages/primroselever-entry/src/primroselever_entry/requests/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/flow.py
@@ -16,7 +16,7 @@
 from .ticketing import TicketRouter
 
 if TYPE_CHECKING:
-    from collections.abc import Generator, Iterator
+    from collections.abc import Generator
     from random import Random
 
     from primroselever_core.board import Blackboard
@@ -47,7 +47,7 @@
     ) -> None:
         self.board = board
         self.router = router
-        feeds = Feeds(agents, board.identity.incarnation, progress_s)
+        feeds = Feeds(agents, board, progress_s)
         self.starter = Starter(board, agents, feeds, progress_s)
         self.reader = AnswerReader(agents, feeds, progress_s)
         self.tickets = TicketRouter(board, agents, self.starter, random)
@@ -55,7 +55,7 @@
 
     def answer(
         self, request: CallerRequest, service: Service
-    ) -> Iterator[bytes | Ending]:
+    ) -> Generator[bytes | Ending, None, None]:
         """Yield the answer's bytes and, last of all, the ending."""
         self.in_flight += 1
         try:
--- a/packages/primroselever-node/src/primroselever_node/rpc/handler.py
+++ b/packages/primroselever-node/src/primroselever_node/rpc/handler.py
@@ -9,6 +9,7 @@
 
 from .. import clock
 from .schema import schema
+from .suspicions import learn, to_wire
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -25,15 +26,14 @@
     """
     Answers heartbeats and hands on publications.
 
-    A binary sets ``load`` and ``suspicions`` to say more of itself, and
-    ``on_heartbeat`` to hear each sender.
+    A binary sets ``load`` to say more of itself, and ``on_heartbeat`` to hear each
+    sender.
     """
 
     def __init__(self, board: Blackboard, publications: Publications) -> None:
         self.board = board
         self.publications = publications
         self.load: Callable[[], Any] = empty_load
-        self.suspicions: Callable[[], list[Any]] = list
         self.on_heartbeat: Callable[[Any], None] = ignore
         self.senders: dict[VmId, float] = {}
 
@@ -54,7 +54,7 @@
             leaving=board.leaving,
             load=self.load(),
             weights_digest=(transfers and transfers.serving) or "",
-            suspicions=self.suspicions(),
+            suspicions=to_wire(board.suspects),
             service_age_ms=min(age_ms, LONGEST_AGE_MS),
             failure_domain=board.identity.failure_domain,
             address=listed.address if listed else "",
@@ -82,6 +82,8 @@
         if said.service_age_ms is not None:
             age_s = said.service_age_ms / 1000
             self.board.profiles.service.heard_elsewhere(age_s, now)
+        if said.failure_domain == self.board.identity.failure_domain:
+            learn(self.board.suspects, said.suspicions)
         self.on_heartbeat(said)
 
     def fetch_publication(
