Give the engine no order after a pause until somebody was heard

Cause: an agent that was paused between drawing up a plan and the order would still believe the plan that was true before. Ruled out: the plan's validity alone; it also ends plans that only wait long.

--- /dev/null
+++ b/packages/primroselever-agent/tests/transfer/test_paused_orders.py
@@ -0,0 +1,48 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from primroselever_agent.transfer.engine_switch import EngineSwitch
+from primroselever_core.board import Blackboard, Identity
+from primroselever_core.identifiers import (
+    FailureDomain,
+    Incarnation,
+    Region,
+    VmId,
+    WeightsDigest,
+)
+from primroselever_core.membership.contact import beat, heard
+from primroselever_core.transfer.chunk_store import ChunkStore
+from primroselever_core.transfer.section import TransfersSection
+from primroselever_core.transfer.switching import SwitchPlan
+from primroselever_node import clock
+
+if TYPE_CHECKING:
+    import pytest
+
+
+def test_a_plan_from_before_a_pause_is_no_order(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    board = Blackboard(
+        Identity(VmId("a"), FailureDomain("lag-a"), Region("west"), Incarnation(1))
+    )
+    section = TransfersSection(ChunkStore(limit_bytes=1))
+    nothing: Any = None
+    switch = EngineSwitch(board, section, nothing, nothing, nothing, nothing)
+    plan = SwitchPlan(WeightsDigest("d"), 0, 1, 1000.0)
+
+    def refused_at(now: float) -> bool:
+        monkeypatch.setattr(clock, "now", lambda: now)
+        objection = switch.objection(plan)
+        return objection is not None and "paused" in objection.reason
+
+    contact = board.members.contact
+    beat(contact, 100.0)
+    heard(contact, 100.0)
+    assert not refused_at(100.1)
+    assert refused_at(160.0)
+    beat(contact, 160.0)
+    assert refused_at(160.1)
+    heard(contact, 160.2)
+    assert not refused_at(160.2)
