Wait for the first parent only

Ruled out: shorter timeouts of calls; a process may parse for a quarter second. Change: further parents are asked without a wait, the first for 1.5 s.

--- a/packages/primroselever-node/src/primroselever_node/control/profiles.py
+++ b/packages/primroselever-node/src/primroselever_node/control/profiles.py
@@ -31,7 +31,7 @@
     from .peer_client import PeerClient
 
 WATCH_S = 5.0
-PARENT_WAIT_MS = 2000
+PARENT_WAIT_MS = 1500
 STEP_S = 0.2
 CANDIDATES = 12
 READ_ALONE_S = 10.0
@@ -65,7 +65,12 @@
         self.section.service.grace_until = clock.now() + SERVICE_SILENT_S
 
     def step(self) -> None:
-        """Ask peers at the start; then watch the service or follow a parent."""
+        """
+        Ask peers at the start; then watch the service or follow a parent.
+
+        Only the first parent is waited for: when it is silent, it must show soon
+        whether the others are, so that somebody else becomes a watcher.
+        """
         now = clock.now()
         if self.inquiry is not None:
             self.ask_peers(self.inquiry)
@@ -81,9 +86,11 @@
         size = len(self.board.members.ranking(self.board.identity.failure_domain))
         if self.section.service.probes(size, STEP_S, now, self.random):
             self.watch(0.0)
+        wait_ms = PARENT_WAIT_MS
         for parent in place.parents:
-            if self.pull(self.board.members.vms[parent], PARENT_WAIT_MS):
+            if self.pull(self.board.members.vms[parent], wait_ms):
                 return
+            wait_ms = 0
 
     def read_alone(self, now: float) -> None:
         """
