Test switches and changes in flight, and seek a version once a second

Cause: a version that was not to be had was sought at its source 20 times a second. Ruled out: a longer tick, which would slow every rollout. Change: a second between two tries; tests of the agent's part of a rollout.

--- a/packages/primroselever-agent/src/primroselever_agent/transfer/rollout.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/rollout.py
@@ -36,6 +36,7 @@
 DOUBT_AGAIN_S = 1.0
 RECHECK_S = 15.0
 HINT_AGAIN_S = 2.0
+SEEK_AGAIN_S = 1.0
 SWITCH_AGAIN_S = 0.3
 
 logger = logging.getLogger(__name__)
@@ -66,6 +67,8 @@
         self.recheck_at = 0.0
         self.doubt_at = 0.0
         self.hint_at = 0.0
+        self.sought: VersionName | None = None
+        self.seek_at = 0.0
         self.switch_at = 0.0
 
     def step(self) -> None:
@@ -94,6 +97,9 @@
         name = name_of(profile)
         wanted = self.section.wanted
         if wanted is None or wanted.name != name:
+            if self.sought == name and clock.now() < self.seek_at:
+                return
+            self.sought, self.seek_at = name, clock.now() + SEEK_AGAIN_S
             found = self.known(name)
             found = found or self.finder.find(name, lambda: self.asked_for(name))
             if found is not None and self.asked_for(name):
--- /dev/null
+++ b/packages/primroselever-agent/tests/transfer/conftest.py
@@ -0,0 +1,163 @@
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from primroselever_agent.engine.engine_client import EngineState
+from primroselever_agent.exceptions import OrderError
+from primroselever_agent.transfer.engine_switch import EngineSwitch
+from primroselever_agent.transfer.fetcher import Fetcher
+from primroselever_agent.transfer.instruments import TransferInstruments
+from primroselever_agent.transfer.rollout import RolloutController
+from primroselever_core.board import Blackboard, Identity
+from primroselever_core.identifiers import (
+    FailureDomain,
+    GroupName,
+    Incarnation,
+    Region,
+    VmId,
+)
+from primroselever_core.membership.vm import Role, Vm
+from primroselever_core.profiles.model import Profile, ProfileSet
+from primroselever_core.profiles.revision import AcceptedProfiles, Revision
+from primroselever_core.transfer.chunk_store import ChunkStore
+from primroselever_core.transfer.manifest import (
+    Manifest,
+    PublishedManifest,
+    VersionName,
+    chunk_digest,
+)
+from primroselever_core.transfer.section import TransfersSection
+from primroselever_node import clock
+
+
+@dataclass(slots=True)
+class FakeClock:
+    now: float = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+@dataclass(slots=True)
+class FakeEngine:
+    """An engine in memory; ``taken_by`` is who loads it after each order."""
+
+    honours_fencing: bool = True
+    digest: str = ""
+    fencing: int = 0
+    handed: dict[str, set[int]] = field(default_factory=dict)
+    orders: list[tuple[str, int]] = field(default_factory=list)
+    taken_by: str = ""
+
+    def state(self) -> EngineState:
+        return EngineState(self.digest, self.fencing, 0)
+
+    def put_chunk(self, digest: str, index: int, data: bytes) -> None:
+        self.handed.setdefault(digest, set()).add(index)
+
+    def load(self, manifest: Manifest, fencing: int) -> None:
+        if self.honours_fencing and fencing < self.fencing:
+            raise OrderError("old fencing number")
+        self.orders.append((manifest.version, fencing))
+        self.digest, self.fencing = self.taken_by or manifest.digest, fencing
+
+
+@dataclass(slots=True)
+class FakeFinder:
+    """Gives the manifests that it holds by the version's name."""
+
+    peers: Any
+    sources: dict[str, Any] = field(default_factory=dict)
+    manifests: dict[VersionName, Manifest] = field(default_factory=dict)
+
+    def find(self, name: VersionName, _wanted: object) -> Manifest | None:
+        return self.manifests.get(name)
+
+    def read(self, name: VersionName) -> Manifest | None:
+        return self.manifests.get(name)
+
+    check = read
+
+
+def manifest_of(version: str, *bodies: bytes) -> Manifest:
+    size = len(bodies[0])
+    return Manifest.from_published(
+        PublishedManifest(
+            model="eligibility",
+            version=version,
+            length=size * len(bodies),
+            chunk_bytes=size,
+            chunks=tuple(chunk_digest(body) for body in bodies),
+        )
+    )
+
+
+@dataclass(slots=True)
+class Agent:
+    """The parts of an agent that carry weights, around a fake engine."""
+
+    board: Blackboard
+    section: TransfersSection
+    engine: FakeEngine
+    finder: FakeFinder
+    switch: EngineSwitch
+    rollout: RolloutController
+    fetcher: Fetcher
+    runs: SimpleNamespace
+
+    def publish(self, revision: int, version: str) -> None:
+        """Put a profile in force."""
+        profile = Profile(
+            name="alerts", group="alerts", model="eligibility", version=version
+        )
+        self.board.profiles.accepted = AcceptedProfiles(
+            Revision(revision, ""), "", ProfileSet(profiles=(profile,))
+        )
+
+    def hold(self, *bodies: bytes) -> None:
+        """Take chunks in as if they had been fetched."""
+        planner = self.section.planner
+        for body in bodies:
+            self.section.store.put(chunk_digest(body), body)
+        if planner is not None and self.section.wanted is not None:
+            missing = set(self.section.store.missing(self.section.wanted))
+            planner.chunks = {i: c for i, c in planner.chunks.items() if i in missing}
+
+    def offer(self, version: str, *bodies: bytes) -> Manifest:
+        """Let a version be found."""
+        manifest = manifest_of(version, *bodies)
+        self.finder.manifests[manifest.name] = manifest
+        return manifest
+
+
+@pytest.fixture
+def fake_clock(monkeypatch: pytest.MonkeyPatch) -> FakeClock:
+    fake = FakeClock()
+    monkeypatch.setattr(clock, "now", fake)
+    return fake
+
+
+@pytest.fixture
+def agent(fake_clock: FakeClock, monkeypatch: pytest.MonkeyPatch) -> Agent:
+    domain = FailureDomain("lag-a")
+    board = Blackboard(Identity(VmId("vm"), domain, Region("west"), Incarnation(1)))
+    group, region = GroupName("alerts"), Region("west")
+    vm = Vm(VmId("vm"), Role.AGENT, "127.0.0.1", 1, domain, region, group)
+    board.members.vms = {vm.vm_id: vm}
+    section = TransfersSection(ChunkStore(limit_bytes=40))
+    engine = FakeEngine()
+    peers = SimpleNamespace(group=GroupName("alerts"), states=list)
+    runs = SimpleNamespace(count=0)
+    registry = SimpleNamespace(in_flight=lambda: runs.count)
+    instruments = TransferInstruments()
+    switch = EngineSwitch(board, section, registry, engine, peers, instruments)
+    finder = FakeFinder(peers)
+    serving = SimpleNamespace(arrived=lambda _digest: None)
+    fetcher = Fetcher(section, peers, {}, serving, None, instruments)
+    rollout = RolloutController(board, section, finder, fetcher, switch, None, 0)
+    monkeypatch.setattr(rollout, "fill", lambda *_: None)
+    return Agent(board, section, engine, finder, switch, rollout, fetcher, runs)
