--- a/bench/standins/engine.py
+++ b/bench/standins/engine.py
@@ -23,12 +23,12 @@
 
 class Engine(StandIn):
     """
-    Faults: ``honours_fencing``, ``token_s``, ``first_token_s``, ``tokens``;
-    ``capacity``, the runs beyond which all slow down (0: none); ``load_lag_s``, the
-    age of the load that it reports; ``prefixes``, how many it holds, and ``miss_s``,
-    what a prefix that it does not hold costs; ``stamps``: each token says when it
-    was sent. ``crash`` in a control request ends all runs and loses the weights, as
-    a crash and restart of the engine does.
+    Faults: ``honours_fencing``, ``token_s``, ``first_token_s``, ``tokens``, and
+    ``stamps``: each token says when it was sent; ``capacity``, the runs beyond which
+    all slow down (0: none); ``load_lag_s``, the age of the load that it reports;
+    ``prefixes``, how many it holds, and ``miss_s``, what a prefix that it does not
+    hold costs; ``crash_on``, a text whose requests crash it. ``crash`` in a control
+    request ends all runs and loses the weights, as a crash and restart does.
 
     Chunks that are handed over are counted and their digests kept, not their
     bytes.
@@ -40,11 +40,12 @@
             "token_s": 0.005,
             "first_token_s": 0.02,
             "tokens": 10,
-            "stamps": False,
             "capacity": 0,
             "load_lag_s": 0.0,
             "prefixes": 16,
             "miss_s": 0.0,
+            "stamps": False,
+            "crash_on": "",
         }
         super().__init__(**{**defaults, **faults})
         self.cache = PrefixCache(int(self.faults["prefixes"]))
@@ -70,6 +71,7 @@
             "handed": self.handed,
             "mixed": self.mixed,
             "in_flight": self.in_flight,
+            "crashes": self.crashes,
             "hits": self.cache.hits,
             "misses": self.cache.misses,
         }
@@ -77,13 +79,17 @@
     def control(self, request: Request) -> Reply:
         """Set faults, or crash."""
         if request.method == "POST" and request.json().get("crash"):
-            self.crashes += 1
-            self.digest = ""
-            self.fencing = 0
-            self.handed.clear()
+            self.crash()
             return json_reply({"crashes": self.crashes})
         return super().control(request)
 
+    def crash(self) -> None:
+        """End all runs and lose the weights."""
+        self.crashes += 1
+        self.digest = ""
+        self.fencing = 0
+        self.handed.clear()
+
     def count(self, change: int) -> None:
         """Count runs in flight, and remember when how many were."""
         self.in_flight += change
@@ -159,6 +165,7 @@
         """Yield the records of an answer, with the digest at both ends."""
         self.count(1)
         crashes = self.crashes
+        crash_on = self.faults["crash_on"]
         mark = xxhash.xxh3_64_hexdigest(body.encode())[:8]
         try:
             digest = self.digest
@@ -168,6 +175,8 @@
             for number in range(count):
                 if run_id in self.cancelled:
                     return
+                if crash_on and crash_on in body and crashes == self.crashes:
+                    self.crash()
                 if crashes != self.crashes:
                     raise ConnectionError("the engine crashed")
                 yield record({"text": self.token(mark, number)})
--- a/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
+++ b/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
@@ -7,6 +7,8 @@
 import eventlet
 from opentelemetry.metrics import get_meter
 
+from primroselever_core.admission.admission import Admission
+from primroselever_core.admission.limit import ConcurrencyLimit
 from primroselever_core.identifiers import GroupName
 from primroselever_core.runs.registry import RunRegistry
 from primroselever_core.tickets.signing import TicketSigner
@@ -27,11 +29,14 @@
     new_board,
     run_controller,
 )
+from primroselever_node.rpc.client_pool import ClientPool
 from primroselever_node.rpc.schema import schema
 from primroselever_node.rpc.server import RpcServer
 from primroselever_node.settings.secrets import ticket_key
 from primroselever_node.status import common_status
 
+from ..admission.controller import AdmissionController
+from ..admission.crash_watch import CrashWatch
 from ..engine.engine_client import EngineClient
 from ..engine.plain_client import PlainClient
 from ..runs.answers import Answers
@@ -49,6 +54,7 @@
 KEEP_RUN_S = 300.0
 READ_OUT_S = 5.0
 LAST_REPLY_S = 0.2
+ADMISSION_STEP_S = 0.05
 
 
 class ServeCommand(BaseServeCommand):
@@ -90,6 +96,19 @@
         self.transfer = TransferParts(
             self.board, self.section, self.registry, self.engine, settings
         )
+        crashes = CrashWatch(
+            self.board,
+            self.engine,
+            ClientPool(schema.Agent),
+            self.control.handler.own_heartbeat,
+            self.transfer.switch.stop_serving if self.needs_weights else None,
+        )
+        self.admission = AdmissionController(
+            self.board,
+            self.runner,
+            Admission(ConcurrencyLimit(settings.max_in_flight)),
+            crashes,
+        )
         self.handler = AgentHandler(
             self.board,
             self.registry,
@@ -98,6 +117,7 @@
             self.transfer.serving,
             settings,
             self.control.handler,
+            self.admission,
         )
         self.rpc = RpcServer(
             schema.Agent, self.handler, settings.rpc.host, settings.rpc.port
@@ -141,6 +161,8 @@
         run_controller(lambda: self.registry.expire(clock.now()), 1.0)
         run_controller(self.tickets.step, 1.0)
         run_controller(lambda: self.answers.expire(clock.now()), 1.0)
+        run_controller(self.admission.step, ADMISSION_STEP_S)
+        run_controller(lambda: self.board.suspects.expire(clock.now()), 1.0)
         if self.needs_weights:
             run_controller(self.transfer.rollout.step, TICK_S)
             run_controller(self.transfer.switch.watch, 1.0)
--- a/packages/primroselever-core/src/primroselever_core/routing/router.py
+++ b/packages/primroselever-core/src/primroselever_core/routing/router.py
@@ -13,6 +13,7 @@
 
 import xxhash
 
+from ..membership.peers import subset_of
 from ..outcomes import Done, Ending, NotRun, Reason
 from ..suspects.section import Standing
 from .choose import Choice, choose_server, shown
@@ -144,7 +145,9 @@
         choice = choose_server(pool, wanted.prefix, passed_over, now, self.random)
         if isinstance(choice, NotRun):
             return choice
-        if not self.link.take(wanted.size_bytes + self.answer_bytes, now):
+        # What is larger than the whole budget goes when the budget is untouched.
+        size = min(wanted.size_bytes + self.answer_bytes, self.link.capacity)
+        if not self.link.take(size, now):
             return NotRun(Reason.NO_SERVER, LINK_RETRY_S)
         reason = "no server of the own failure domain"
         return Choice(choice.server, reason, choice.candidates)
@@ -161,9 +164,9 @@
         return record.pool
 
     def members(self, group: GroupName, own: bool) -> list[Server]:
-        """Return the servers of a group in the own domain, or in the others."""
+        """Return the subset of a group in the own domain, or in the others."""
         domain = self.board.identity.failure_domain
-        vms = self.board.members.agents(group, domain if own else None)
+        vms = subset_of(self.board, group)
         here = (vm for vm in vms if (vm.failure_domain == domain) == own)
         return [self.board.servers.of(vm) for vm in here]
 
--- a/packages/primroselever-node/src/primroselever_node/rpc/handler.py
+++ b/packages/primroselever-node/src/primroselever_node/rpc/handler.py
@@ -9,6 +9,7 @@
 
 from .. import clock
 from .schema import schema
+from .suspicions import learn, to_wire
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -18,21 +19,21 @@
     from .publications import Publications
 
 LONGEST_AGE_MS = 1 << 40
+MAX_SENDERS = 64
 
 
 class NodeHandler:
     """
     Answers heartbeats and hands on publications.
 
-    A binary sets ``load`` and ``suspicions`` to say more of itself, and
-    ``on_heartbeat`` to hear each sender.
+    A binary sets ``load`` to say more of itself, and ``on_heartbeat`` to hear each
+    sender.
     """
 
     def __init__(self, board: Blackboard, publications: Publications) -> None:
         self.board = board
         self.publications = publications
         self.load: Callable[[], Any] = empty_load
-        self.suspicions: Callable[[], list[Any]] = list
         self.on_heartbeat: Callable[[Any], None] = ignore
         self.senders: dict[VmId, float] = {}
 
@@ -53,7 +54,7 @@
             leaving=board.leaving,
             load=self.load(),
             weights_digest=(transfers and transfers.serving) or "",
-            suspicions=self.suspicions(),
+            suspicions=to_wire(board.suspects),
             service_age_ms=min(age_ms, LONGEST_AGE_MS),
             failure_domain=board.identity.failure_domain,
             address=listed.address if listed else "",
@@ -63,9 +64,16 @@
     def heartbeat(self, sender: Any) -> Any:
         """Take in what a sender says of itself and answer with the same."""
         self.take_in(sender)
-        self.senders[VmId(sender.vm_id)] = clock.now()
+        self.remember(VmId(sender.vm_id))
         return self.own_heartbeat()
 
+    def remember(self, sender: VmId) -> None:
+        """Remember who lately sent a heartbeat; the oldest are forgotten first."""
+        self.senders.pop(sender, None)
+        self.senders[sender] = clock.now()
+        while len(self.senders) > MAX_SENDERS:
+            del self.senders[next(iter(self.senders))]
+
     def take_in(self, said: Any) -> None:
         """Take in a heartbeat, sent or answered."""
         now = clock.now()
@@ -74,6 +82,8 @@
         if said.service_age_ms is not None:
             age_s = said.service_age_ms / 1000
             self.board.profiles.service.heard_elsewhere(age_s, now)
+        if said.failure_domain == self.board.identity.failure_domain:
+            learn(self.board.suspects, said.suspicions)
         self.on_heartbeat(said)
 
     def fetch_publication(
