Refuse to listen on a port that another process listens on

Cause: eventlet sets SO_REUSEPORT unless told otherwise, so a second process at the same address started without an error and took a part of the first one's connections. Ruled out: an entry that loses answers: the entry in question logged no request, and its VM list was answered 404 by a foreign process. Change: listen() switches the option off and raises ListenError, one line on the command line; each run of the bench claims a block of ports of its own.

--- a/bench/experiments/faults.py
+++ b/bench/experiments/faults.py
@@ -31,7 +31,10 @@
 DOMAINS = {"lag-a": "west", "abj-a": "west", "phc-a": "east"}
 GROUPS = {"alerts": ("engine", 2), "portal": ("plain", 2)}
 TOKENS = 20
-ENGINE = {"engine": {"tokens": TOKENS, "token_s": 0.01}}
+BACKENDS = {
+    "engine": {"tokens": TOKENS, "token_s": 0.01},
+    "plain_service": {"call_s": 0.1},
+}
 READY_LIMIT_S = 40.0
 FAULT_S = (0.5, 5.0)
 PAUSE_S = (0.1, 1.0)
@@ -254,7 +257,7 @@
     """Run the experiment and return its figures."""
     layout = build_layout(DOMAINS, 2, GROUPS)
     targets = [Target(vm.vm_id, url(vm.http_port)) for vm in layout.entries()]
-    with LinkedLauncher(layout, ENGINE) as fleet:
+    with LinkedLauncher(layout, BACKENDS) as fleet:
         print(f"logs: {fleet.directory}", file=sys.stderr, flush=True)
         fleet.publish(profiles("1"))
         fleet.wait_ready(READY_LIMIT_S)
--- a/bench/layout.py
+++ b/bench/layout.py
@@ -4,40 +4,72 @@
 
 import socket
 from dataclasses import dataclass, field
+from functools import cache
+from itertools import cycle
 from random import SystemRandom
 from typing import Any
 
 HOST = "127.0.0.1"
-PORTS = range(10000, 32000)
+BLOCK_PORTS = 1000
+BLOCK_STARTS = (10000, 32000)
 TICKET_KEY_VARIABLE = "PRIMROSELEVER_TICKET_KEY"
 TURN_AWAY_S = 0.5
 
 
-def free_ports(count: int) -> list[int]:
+class PortBlock:
     """
-    Return ports that were free a moment ago.
+    A block of ports that belongs to this process for as long as it lives.
 
-    They lie below the range from which the system takes the ports of outgoing
-    connections, so that none of these is in the way when a process starts later.
+    Whoever listens on the block's first port has claimed it, so that two runs at a
+    time never take the same ports. All blocks lie below the range from which the
+    system takes the ports of outgoing connections.
     """
-    ports: list[int] = []
-    candidates = iter(SystemRandom().sample(PORTS, len(PORTS)))
-    while len(ports) < count:
-        port = next(candidates)
-        if is_free(port):
-            ports.append(port)
-    return ports
-
-
-def is_free(port: int) -> bool:
-    """Return whether nobody listens on a port of the loopback address."""
-    with socket.socket() as sock:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            sock.bind((HOST, port))
-        except OSError:
-            return False
-    return True
+
+    def __init__(self) -> None:
+        starts = list(range(*BLOCK_STARTS, BLOCK_PORTS))
+        SystemRandom().shuffle(starts)
+        for start in starts:
+            try:
+                self.guard = bound(start)
+            except OSError:
+                continue
+            self.ports = cycle(range(start + 1, start + BLOCK_PORTS))
+            return
+        raise OSError("every block of ports is taken by a run of the bench")
+
+    def take(self) -> int:
+        """Return the next free port of the block."""
+        for _ in range(BLOCK_PORTS):
+            port = next(self.ports)
+            try:
+                bound(port).close()
+            except OSError:
+                continue
+            return port
+        raise OSError("all ports of the block are taken")
+
+
+def bound(port: int) -> socket.socket:
+    """Return a socket that listens on a port which nobody else listens on."""
+    sock = socket.socket()
+    try:
+        sock.bind((HOST, port))
+        sock.listen(1)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+@cache
+def own_block() -> PortBlock:
+    """Return the block of this process, claimed on first use."""
+    return PortBlock()
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that nobody else takes."""
+    return [own_block().take() for _ in range(count)]
 
 
 @dataclass(slots=True)
--- a/bench/standins/link.py
+++ b/bench/standins/link.py
@@ -16,6 +16,7 @@
 from eventlet.queue import LightQueue
 
 from primroselever_core.budgets import TokenBucket
+from primroselever_node.listen import listen
 
 from .base import Reply, Request, StandIn, json_reply, not_found
 
@@ -81,7 +82,7 @@
             path = self.paths.setdefault(link["path"], Path(link["path"]))
             path.delay_s = link.get("delay_s", 0.0)
             path.rate = link.get("rate", 0.0)
-            listener = eventlet.listen((link["host"], link["port"]), backlog=256)
+            listener = listen(link["host"], link["port"])
             eventlet.spawn(self.accept, listener, path, tuple(link["target"]))
 
     def control(self, request: Request) -> Reply:
--- a/packages/primroselever-node/src/primroselever_node/exceptions.py
+++ b/packages/primroselever-node/src/primroselever_node/exceptions.py
@@ -23,3 +23,7 @@
 
 class ExplainError(PrimroseleverError):
     """A question to /explain has no answer; the message says what to ask."""
+
+
+class ListenError(PrimroseleverError):
+    """An address of the settings cannot be listened on."""
