Expect later arrivals to overtake, and restore the bound on late refusals

Cause: a waiting run is displaced by first priorities that arrive after it, which its expected wait did not count. Change: the admission learns, for each priority, by how much waiting runs start later than expected, and judges arrivals with it. The bound is 0.10 again.

--- a/packages/primroselever-core/src/primroselever_core/admission/admission.py
+++ b/packages/primroselever-core/src/primroselever_core/admission/admission.py
@@ -21,6 +21,7 @@
     from .limit import ConcurrencyLimit
 
 SERVICE_SMOOTHING = 0.1
+OVERTAKING_SMOOTHING = 0.1
 # Runs differ in length; one that needs less than usual may still be in time.
 LEAST_PART_OF_SERVICE = 0.5
 DEVIATIONS = 2.0
@@ -50,6 +51,8 @@
     The decisions of one server; ``service_s`` is how long runs take on average, and
     ``deviation_s`` by how much they differ from that.
 
+    ``due`` says when waiting runs were expected to start, ``overtaken_s`` by how much
+    later the runs of a priority are due in the end, since others come in before them.
     ``refused`` collects waiting runs that lost their place until they are taken.
     """
 
@@ -61,6 +64,8 @@
     suspect_in_flight: RunId | None = None
     service_s: float = 0.0
     deviation_s: float = 0.0
+    due: dict[RunId, float] = field(default_factory=dict)
+    overtaken_s: dict[int, float] = field(default_factory=dict)
     refused: list[Refused] = field(default_factory=list)
 
     def offer(
@@ -68,7 +73,8 @@
     ) -> Admitted | NotRun:
         """Decide on a new run."""
         wait_s = self.expected_wait_s(run, weight)
-        if self.too_late(run, now + wait_s):
+        overtaken_s = self.overtaken_s.get(run.priority, 0.0) if wait_s else 0.0
+        if self.too_late(run, now + wait_s + overtaken_s):
             return self.refusal(run, weight, wait_s)
         if suspect:
             return self.offer_suspect(run, weight, now)
@@ -77,6 +83,7 @@
             return Admitted.STARTS
         self.queue.push(run, weight)
         self.waiting[run.run_id] = run
+        self.due[run.run_id] = now + wait_s
         if self.queue.size > MAX_WAITING:
             victim = self.queue.longest()
             refusal = self.refusal(victim, weight, wait_s)
@@ -93,6 +100,7 @@
             wait_s = self.expected_wait_s(last, weight)
             if last is run or not self.too_late(last, now + wait_s):
                 return
+            self.learn_overtaking(last, now + wait_s)
             self.drop(last, self.refusal(last, weight, wait_s))
 
     def offer_suspect(
@@ -169,6 +177,13 @@
         self.service_s += SERVICE_SMOOTHING * error_s
         self.deviation_s += SERVICE_SMOOTHING * (abs(error_s) - self.deviation_s)
 
+    def learn_overtaking(self, run: Waiting, starts_at: float) -> None:
+        """Take in when a waiting run starts, or would, against what was expected."""
+        late_s = starts_at - self.due.pop(run.run_id, starts_at)
+        known_s = self.overtaken_s.get(run.priority, 0.0)
+        learned_s = known_s + OVERTAKING_SMOOTHING * (late_s - known_s)
+        self.overtaken_s[run.priority] = max(0.0, learned_s)
+
     def least_service_s(self) -> float:
         """Return the time that a run needs at least, as runs have been."""
         usual_s = self.service_s - DEVIATIONS * self.deviation_s
@@ -176,6 +191,7 @@
 
     def withdraw(self, run: Waiting) -> None:
         """Take a waiting run out."""
+        self.due.pop(run.run_id, None)
         del self.waiting[run.run_id]
         for entry in self.suspects:
             if entry[0] is run:
@@ -194,6 +210,7 @@
         started = []
         while self.queue.size and len(self.in_flight) < self.limit.current():
             run = self.queue.pop()
+            self.learn_overtaking(run, now)
             del self.waiting[run.run_id]
             self.in_flight[run.run_id] = run, now
             started.append(run)
--- a/packages/primroselever-core/tests/admission/test_overload.py
+++ b/packages/primroselever-core/tests/admission/test_overload.py
@@ -34,7 +34,7 @@
     assert len(server.refusals) > 0.35 * server.sent.total()
     # A waiting run is refused later only when first priorities take its place, and
     # then with most of its time left.
-    assert len(server.refused_later) <= 0.12 * server.sent.total()
+    assert len(server.refused_later) <= 0.1 * server.sent.total()
     assert median(server.refused_later) >= 2.0
     assert all(refusal.retry_after_s > 0 for refusal in server.refusals)
 
