--- a/packages/primroselever-agent/tests/transfer/test_rollout.py
+++ b/packages/primroselever-agent/tests/transfer/test_rollout.py
@@ -89,7 +89,7 @@
 
 
 def test_a_newer_revision_wins_while_runs_are_drained(
-    agent: Agent, monkeypatch: pytest.MonkeyPatch
+    agent: Agent, fake_clock: FakeClock, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     serve(agent, 1, "1", *ONE)
     agent.offer("2", *TWO)
@@ -97,10 +97,16 @@
     agent.rollout.step()
     agent.hold(*TWO)
     agent.runs.count = 1
-    monkeypatch.setattr("eventlet.sleep", lambda _s: agent.publish(3, "1"))
+
+    def sleep(_seconds: float) -> None:
+        fake_clock.now += 1.0
+        agent.publish(3, "1")
+
+    monkeypatch.setattr("eventlet.sleep", sleep)
     agent.rollout.step()
     assert [version for version, _ in agent.engine.orders] == ["1"]
     assert agent.section.serving is not None
+    assert "revision 3" in agent.section.problem
 
 
 def test_a_version_that_changes_in_flight_keeps_equal_chunks(agent: Agent) -> None:
