Keep the queues of uploads short, and send askers on more often

Cause: askers waited up to 2.5 s at busy links after two redirections, while links of VMs that own few chunks were idle. Change: QUEUE_S 0.4, MAX_QUEUE_S 1.0, MAX_HOPS 4.

--- a/packages/primroselever-core/src/primroselever_core/transfer/uploads.py
+++ b/packages/primroselever-core/src/primroselever_core/transfer/uploads.py
@@ -19,10 +19,10 @@
 
     from ..identifiers import ChunkDigest, VmId
 
-QUEUE_S = 1.0
-MAX_QUEUE_S = 2.5
+QUEUE_S = 0.4
+MAX_QUEUE_S = 1.0
 HOLDERS_PER_CHUNK = 16
-MAX_HOPS = 2
+MAX_HOPS = 4
 
 
 @dataclass(frozen=True, slots=True)
