Bound the exponent of every backoff

Cause: three places doubled a wait by 2 ** failures without a bound and took the minimum afterwards. Ruled out: a bound on the counters themselves, which status shows. Change: core backoff.backoff_s, with a bounded exponent, used in all three.

--- a/packages/primroselever-core/src/primroselever_core/membership/events.py
+++ b/packages/primroselever-core/src/primroselever_core/membership/events.py
@@ -11,6 +11,7 @@
 from functools import singledispatch
 from typing import TYPE_CHECKING
 
+from ..backoff import backoff_s
 from .section import Evidence, MembersSection
 
 if TYPE_CHECKING:
@@ -84,8 +85,8 @@
     """Suspect a VM, longer with each failure in a row."""
     found = section.evidence.setdefault(event.vm_id, Evidence())
     found.failures += 1
-    wait = SUSPECT_FIRST_S * 2 ** (found.failures - 1)
-    found.suspect_until = now + min(wait, SUSPECT_LONGEST_S)
+    wait_s = backoff_s(found.failures, SUSPECT_FIRST_S, SUSPECT_LONGEST_S)
+    found.suspect_until = now + wait_s
     found.trusted_until = 0.0
 
 
--- a/packages/primroselever-core/src/primroselever_core/profiles/watch.py
+++ b/packages/primroselever-core/src/primroselever_core/profiles/watch.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from ..backoff import backoff_s
+
 if TYPE_CHECKING:
     from random import Random
 
@@ -44,8 +46,8 @@
     def failed(self, now: float, random: Random) -> None:
         """Note a failed or refused call, and back off with jitter."""
         self.failures += 1
-        wait = min(BACKOFF_FIRST_S * 2 ** (self.failures - 1), BACKOFF_LONGEST_S)
-        self.retry_at = now + wait * random.uniform(0.5, 1.0)
+        wait_s = backoff_s(self.failures, BACKOFF_FIRST_S, BACKOFF_LONGEST_S)
+        self.retry_at = now + wait_s * random.uniform(0.5, 1.0)
 
     def heard_elsewhere(self, age_s: float, now: float) -> None:
         """Note how long ago a peer says that the service was heard."""
--- a/packages/primroselever-core/src/primroselever_core/routing/ejection.py
+++ b/packages/primroselever-core/src/primroselever_core/routing/ejection.py
@@ -9,6 +9,7 @@
 
 from typing import TYPE_CHECKING
 
+from ..backoff import backoff_s
 from ..outcomes import Done, Ending, NotRun, Reason, Unknown
 
 if TYPE_CHECKING:
@@ -53,8 +54,8 @@
         return False
     if len(pool.servers) == 1:
         return False
-    wait_s = min(LONGEST_EJECTION_S, FIRST_EJECTION_S * 2**server.ejections)
     server.ejections += 1
+    wait_s = backoff_s(server.ejections, FIRST_EJECTION_S, LONGEST_EJECTION_S)
     server.failures = 0
     server.ejected_until = now + wait_s
     return True
--- /dev/null
+++ b/packages/primroselever-core/tests/test_backoff.py
@@ -0,0 +1,62 @@
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from primroselever_core.identifiers import FailureDomain, GroupName, Region, VmId
+from primroselever_core.membership.events import PeerMissed, apply
+from primroselever_core.membership.section import MembersSection
+from primroselever_core.membership.vm import Role, Vm
+from primroselever_core.outcomes import Reason, Unknown
+from primroselever_core.profiles.watch import BACKOFF_LONGEST_S, ServiceContact
+from primroselever_core.routing.ejection import (
+    FAILURES_IN_A_ROW,
+    LONGEST_EJECTION_S,
+    note_ending,
+)
+from primroselever_core.routing.pool import Pool
+from primroselever_core.routing.section import Server
+
+# 2.0 to this power is more than a float holds.
+MANY = 1100
+
+
+def agent(name: str) -> Server:
+    vm = Vm(
+        VmId(name),
+        Role.AGENT,
+        "127.0.0.1",
+        9000,
+        FailureDomain("lag-a"),
+        Region("west"),
+        GroupName("alerts"),
+    )
+    return Server(vm)
+
+
+def test_a_service_that_fails_for_hours_is_still_asked_again() -> None:
+    contact = ServiceContact()
+    for now in range(MANY):
+        contact.failed(float(now), Random(1))
+    assert MANY - 1 < contact.retry_at <= MANY - 1 + BACKOFF_LONGEST_S
+
+
+def test_a_vm_that_fails_for_hours_stays_suspect() -> None:
+    section = MembersSection()
+    for now in range(MANY):
+        apply(PeerMissed(VmId("a")), section, float(now))
+    assert section.evidence[VmId("a")].suspect_until > MANY
+
+
+@pytest.mark.parametrize("ejections", [0, MANY])
+def test_a_server_is_ejected_however_often_it_was(ejections: int) -> None:
+    servers = [agent("a"), agent("b")]
+    servers[0].ejections = ejections
+    pool = Pool.of(servers)
+    ending = Unknown(Reason.ENGINE_FAILED)
+    ejected = [
+        note_ending(pool, servers[0], ending, 0.0) for _ in range(FAILURES_IN_A_ROW)
+    ]
+    assert ejected == [False] * (FAILURES_IN_A_ROW - 1) + [True]
+    assert 0.0 < servers[0].ejected_until <= LONGEST_EJECTION_S
