Read a VM list whose vms are no list as an empty one

Cause: parse_vm_list promises an empty result for what is no list, yet raised TypeError for {"vms": null} or a number and RecursionError for deep nesting. The step of the membership controller failed before it noted the failure, so the platform was asked again at every step, without backoff. Ruled out: catching it in the controller; parsing is the border. Change: the type of vms is looked at, RecursionError is caught. Before: `pytest packages/primroselever-core/tests/membership/test_vm_list.py` against the version before: 3 of 7 failed. After: 7 passed; `make lint types contracts test` passes.

--- a/packages/primroselever-core/src/primroselever_core/membership/vm_list.py
+++ b/packages/primroselever-core/src/primroselever_core/membership/vm_list.py
@@ -42,12 +42,14 @@
     """
     Return the VMs of a published list; entries that make no sense are left out.
 
-    A list that is no JSON at all, or has no ``vms``, gives an empty result: the
+    What is no JSON at all, or has no list of ``vms``, gives an empty result: the
     list is a hint, and an empty hint is never a reason to drop a VM.
     """
     try:
         entries = json.loads(text)["vms"]
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, RecursionError):
+        return []
+    if not isinstance(entries, list):
         return []
     vms = []
     for entry in entries:
