Refuse profiles that are nested too deeply or have an infinite share

A share of Infinity (or 1e400) was accepted, and every figure that the fair queue works out from the sum of shares became zero or not a number. Ruled out: a largest share; any finite one works. Change: both are findings. Before: `pytest packages/primroselever-core/tests/profiles/test_parse.py` against the version before: the 3 new cases failed. After: all passed; `make lint types contracts test` passes.

--- a/packages/primroselever-core/src/primroselever_core/profiles/model.py
+++ b/packages/primroselever-core/src/primroselever_core/profiles/model.py
@@ -53,10 +53,14 @@
 
 
 class Workspace(Published):
-    """A workspace and the weight of its share when servers are busy."""
+    """
+    A workspace and the weight of its share when servers are busy.
+
+    The weight is finite: beside an infinite one no other share can be worked out.
+    """
 
     name: str = Field(min_length=1)
-    share: float = Field(default=1.0, gt=0)
+    share: float = Field(default=1.0, gt=0, allow_inf_nan=False)
 
 
 class ProfileSet(Published):
--- a/packages/primroselever-core/src/primroselever_core/profiles/parse.py
+++ b/packages/primroselever-core/src/primroselever_core/profiles/parse.py
@@ -38,6 +38,9 @@
         data = load_json(text)
     except ValueError as exc:
         raise FindingsError([Finding(place, str(exc), "mend the JSON")]) from exc
+    except RecursionError as exc:
+        problem = "the value is nested too deeply"
+        raise FindingsError([Finding(place, problem, "publish a flat one")]) from exc
     try:
         profiles = ProfileSet.model_validate(data)
     except ValidationError as exc:
--- a/packages/primroselever-core/tests/profiles/test_parse.py
+++ b/packages/primroselever-core/tests/profiles/test_parse.py
@@ -36,3 +36,16 @@
     for index, finding in zip(places, caught.value.findings, strict=True):
         assert finding.place.startswith("p.jsonc: ")
         assert f"[{index}]" in finding.place
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "[" * 100_000,
+        '{"workspaces": [{"name": "a", "share": Infinity}]}',
+        '{"workspaces": [{"name": "a", "share": 1e400}]}',
+    ],
+)
+def test_what_no_process_could_work_with_is_a_finding(text: str) -> None:
+    with pytest.raises(FindingsError):
+        parse_profiles(text, "p.jsonc")
