Begin a new suspicion where the old one is past its deadline

Cause: a crash, or a peer's word of one, was added to a record whose deadline had passed, and was dropped with it at the next look. An entry never expires its records but at a request's look, so there the first such request was taken for clear however often it had crashed engines since. Ruled out: expiring more often; a moment would remain. Change: SuspectsSection.record takes the time and replaces a record that is over. Before: the new test against the version before: CLEAR in place of SUSPECT.

--- a/packages/primroselever-core/src/primroselever_core/suspects/section.py
+++ b/packages/primroselever-core/src/primroselever_core/suspects/section.py
@@ -72,7 +72,7 @@
         """Take in a crash and the requests present at it; return their records."""
         changed = []
         for fingerprint in present:
-            record = self.record(fingerprint, now + QUARANTINE_S)
+            record = self.record(fingerprint, now + QUARANTINE_S, now)
             record.crashes.add(crash)
             changed.append(record)
         return changed
@@ -103,20 +103,28 @@
         """
         if heard.deadline <= now:
             return False
-        record = self.record(heard.fingerprint, heard.deadline)
+        record = self.record(heard.fingerprint, heard.deadline, now)
         record.deadline = min(record.deadline, heard.deadline)
         news = not (heard.crashes <= record.crashes and heard.cleared <= record.cleared)
         record.crashes |= heard.crashes
         record.cleared |= heard.cleared
         return news
 
-    def record(self, fingerprint: Fingerprint, deadline: float) -> Suspicion:
-        """Return a fingerprint's record, made on first use."""
+    def record(
+        self, fingerprint: Fingerprint, deadline: float, now: float
+    ) -> Suspicion:
+        """
+        Return a fingerprint's record, a new one until ``deadline`` if it has none.
+
+        What is added to a record past its own deadline would go with it.
+        """
         record = self.records.get(fingerprint)
-        if record is None:
-            if len(self.records) >= MAX_RECORDS:
-                self.drop_one()
-            record = self.records[fingerprint] = Suspicion(fingerprint, deadline)
+        if record is not None and record.deadline > now:
+            return record
+        self.records.pop(fingerprint, None)
+        if len(self.records) >= MAX_RECORDS:
+            self.drop_one()
+        record = self.records[fingerprint] = Suspicion(fingerprint, deadline)
         return record
 
     def drop_one(self) -> None:
--- a/packages/primroselever-core/tests/suspects/test_section.py
+++ b/packages/primroselever-core/tests/suspects/test_section.py
@@ -70,3 +70,12 @@
     for suspicion in again:
         other.merge(suspicion, 0.0)
     assert one.records == other.records
+
+
+def test_what_comes_after_the_deadline_begins_a_new_record(section):
+    section.crashed(FIRST, [BAD, BESIDE], 0.0)
+    section.crashed(SECOND, [BAD], 601.0)
+    section.merge(Suspicion(BESIDE, 900.0, {SECOND}), 601.0)
+    assert section.standing(BAD, 602.0) is Standing.SUSPECT
+    assert section.standing(BESIDE, 602.0) is Standing.SUSPECT
+    assert section.known_crashes(BAD) == {SECOND}
