Take a reason of a newer version for an internal one

Cause: whoever reads a reply turned its reason into Reason(...), which raised ValueError for a reason that this version does not know, or for none. During an update of the fleet an agent's refusal would have become an error in the entry and "unknown" to the caller, though the request did not run. Ruled out: a function at each of the eight places that read a reason. Change: Reason gives INTERNAL for what it lacks; the state, which says whether a request ran, is read as before.

--- a/packages/primroselever-core/src/primroselever_core/outcomes.py
+++ b/packages/primroselever-core/src/primroselever_core/outcomes.py
@@ -48,6 +48,11 @@
     CANCELLED = "cancelled"
     INTERNAL = "internal"
 
+    @classmethod
+    def _missing_(cls, value: object) -> Reason:
+        """Return ``INTERNAL`` for a reason that only a newer version knows."""
+        return cls.INTERNAL
+
 
 @dataclass(frozen=True, slots=True)
 class Done:
