Refuse a displaced run by the weight of its own workspace

Cause: when the waiting runs are too many, the last run of another workspace may be dropped for a new one. Whether that other workspace was beyond its share was worked out with the new run's weight, so one with a large share was told fair_share while it had less than its part. Ruled out: storing the weight in each run; the queue has it for the workspace. Change: FairQueue.weight_of.

--- a/packages/primroselever-core/src/primroselever_core/admission/admission.py
+++ b/packages/primroselever-core/src/primroselever_core/admission/admission.py
@@ -86,7 +86,7 @@
         self.due[run.run_id] = now + wait_s
         if self.queue.size > MAX_WAITING:
             victim = self.queue.longest()
-            refusal = self.refusal(victim, weight, wait_s)
+            refusal = self.refusal(victim, self.queue.weight_of(victim), wait_s)
             if victim is run:
                 self.withdraw(run)
                 return refusal
--- a/packages/primroselever-core/src/primroselever_core/admission/fair_queue.py
+++ b/packages/primroselever-core/src/primroselever_core/admission/fair_queue.py
@@ -61,6 +61,10 @@
             self.active_weight += weight
         return turn
 
+    def weight_of(self, run: Waiting) -> float:
+        """Return the weight of a waiting run's workspace."""
+        return self.turns[run.workspace].weight
+
     def push(self, run: Waiting, weight: float) -> None:
         """Let a run wait."""
         turn = self.turn(run.workspace, weight)
--- a/packages/primroselever-core/tests/admission/test_overload.py
+++ b/packages/primroselever-core/tests/admission/test_overload.py
@@ -5,6 +5,8 @@
 from statistics import median
 
 from primroselever_core.admission.admission import MAX_WAITING, Admitted
+from primroselever_core.admission.fair_queue import Waiting
+from primroselever_core.identifiers import Fingerprint, RunId, WorkspaceName
 from primroselever_core.outcomes import NotRun, Reason
 
 CAPACITY_PER_S = 16.0
@@ -77,3 +79,26 @@
     (refused,) = server.refused
     assert refused.run.workspace == "large"
     assert refused.refusal.reason is Reason.FAIR_SHARE
+
+
+def test_a_displaced_run_is_refused_by_the_share_of_its_own_workspace(server):
+    admission = server.admission
+    limit = admission.limit
+    limit.highest, limit.value = 200, 200.0
+    light, heavy = WorkspaceName("light"), WorkspaceName("heavy")
+
+    def offer(number: int, workspace: WorkspaceName, weight: float) -> None:
+        run = Waiting(
+            1, 60.0, number, RunId(f"{number}"), workspace, Fingerprint(f"{number}")
+        )
+        admission.offer(run, weight, False, 0.0)
+
+    for number in range(200):
+        offer(number, light, 1.0)
+    for number in range(200, 200 + MAX_WAITING):
+        offer(number, heavy, 10.0)
+    offer(1000, light, 1.0)
+    (displaced,) = admission.take_refused()
+    # Heavy has 256 of the 457 runs here and is due ten parts in eleven.
+    assert displaced.run.workspace == heavy
+    assert displaced.refusal.reason is Reason.OVERLOADED
