Forget the servers of VMs that are gone

Cause: an entry kept a record of every backend server that it ever saw, since nothing removed one when its VM left the list for good; with replaced VMs the section grew without bound. Ruled out: forgetting at once; a list that lags may name the VM again, and runs or an ejection on record would be lost. Change: ServersSection.forget_gone, called when a pool is laid out anew; it keeps servers with runs in flight or an ejection that lasts. Before: the new test with the version before: the record of the VM that left stays.

--- a/packages/primroselever-core/src/primroselever_core/routing/router.py
+++ b/packages/primroselever-core/src/primroselever_core/routing/router.py
@@ -160,6 +160,7 @@
         servers = self.members(group, own)
         if record is None or record.pool.servers != servers:
             record = self.pools[group, own] = PoolRecord(Pool.of(servers), now)
+            self.board.servers.forget_gone(self.board.members.vms, now)
         record.check_at = now + POOL_CHECK_S
         return record.pool
 
--- a/packages/primroselever-core/src/primroselever_core/routing/section.py
+++ b/packages/primroselever-core/src/primroselever_core/routing/section.py
@@ -9,6 +9,8 @@
 from ..identifiers import Incarnation, VmId
 
 if TYPE_CHECKING:
+    from collections.abc import Container
+
     from ..membership.vm import Vm
 
 UNKNOWN_INCARNATION = Incarnation(0)
@@ -96,3 +98,10 @@
             server = self.servers[vm.vm_id] = Server(vm)
         server.vm = vm
         return server
+
+    def forget_gone(self, vms: Container[VmId], now: float) -> None:
+        """Forget the servers of VMs that are gone, unless runs or an ejection last."""
+        for vm_id, server in list(self.servers.items()):
+            idle = not server.in_flight and server.ejected_until <= now
+            if idle and vm_id not in vms:
+                del self.servers[vm_id]
--- a/packages/primroselever-core/tests/routing/test_router.py
+++ b/packages/primroselever-core/tests/routing/test_router.py
@@ -128,3 +128,22 @@
         spent += budget.retry()
     spent += sum(budget.retry() for _ in range(100))
     assert spent <= 3 if requests < 100 else spent <= requests / 10
+
+
+def test_a_server_whose_vm_is_gone_is_forgotten_once_it_has_no_runs(new_router, wanted):
+    router = new_router(home=3)
+    busy = chosen(router, wanted(), 1.0)
+    router.started(wanted(), busy)
+    known = router.board.servers.servers
+    stays = next(vm_id for vm_id in known if vm_id != busy.vm.vm_id)
+    members = router.board.members
+    members.vms = {stays: members.vms[stays]}
+    members.generation += 1
+    chosen(router, wanted(), 2.0)
+    assert set(known) == {stays, busy.vm.vm_id}
+    router.ended(wanted(), busy, Done(100, ""), 3.0)
+    members.vms = {**members.vms, busy.vm.vm_id: busy.vm}
+    chosen(router, wanted(), 4.0)
+    members.vms = {stays: members.vms[stays]}
+    chosen(router, wanted(), 5.0)
+    assert set(known) == {stays}
