Count the load of a run in the pool of its own server

Cause: Router.started and ended counted every run in the sum of the own failure domain's pool, also one that was sent to another domain. When the sums were made anew in between, the own pool's came out too low, and the other pool's sum lagged. Ruled out: nothing else changes the sum. Change: add_load picks the pool by the server's domain.

--- a/packages/primroselever-core/src/primroselever_core/routing/router.py
+++ b/packages/primroselever-core/src/primroselever_core/routing/router.py
@@ -174,7 +174,7 @@
     def started(self, wanted: Wanted, server: Server) -> None:
         """Count a run that is about to be sent."""
         server.in_flight += 1
-        self.add_load(wanted.group, 1)
+        self.add_load(wanted.group, server, 1)
         copies = self.copies.setdefault(wanted.fingerprint, Copies(server))
         copies.count += 1
 
@@ -187,7 +187,7 @@
         Return whether its server was ejected for it.
         """
         server.in_flight -= 1
-        self.add_load(wanted.group, -1)
+        self.add_load(wanted.group, server, -1)
         copies = self.copies[wanted.fingerprint]
         copies.count -= 1
         if copies.count == 0:
@@ -200,13 +200,16 @@
             self.marks.mark(
                 wanted.workspace, wanted.priority, server.vm.vm_id, retry_after_s, now
             )
-        own = server.vm.failure_domain == self.board.identity.failure_domain
-        pool = self.pool(wanted.group, own, now)
+        pool = self.pool(wanted.group, self.is_own(server), now)
         return ending is not None and note_ending(pool, server, ending, now)
 
-    def add_load(self, group: GroupName, change: int) -> None:
+    def is_own(self, server: Server) -> bool:
+        """Return whether a server is in this entry's failure domain."""
+        return server.vm.failure_domain == self.board.identity.failure_domain
+
+    def add_load(self, group: GroupName, server: Server, change: int) -> None:
         """Count a change of load until the sums are made anew."""
-        record = self.pools.get((group, True))
+        record = self.pools.get((group, self.is_own(server)))
         if record is not None:
             record.pool.total_load += change
 
--- a/packages/primroselever-core/tests/routing/test_router.py
+++ b/packages/primroselever-core/tests/routing/test_router.py
@@ -147,3 +147,15 @@
     members.vms = {stays: members.vms[stays]}
     chosen(router, wanted(), 5.0)
     assert set(known) == {stays}
+
+
+def test_a_run_elsewhere_adds_no_load_here(new_router, wanted):
+    router = new_router()
+    for server in router.pool("alerts", True, 1.0).servers:
+        server.avoid_until = 2.0
+    away = chosen(router, wanted(), 1.2)
+    router.started(wanted(), away)
+    here = router.pool("alerts", True, 1.2)
+    here.refresh(2.0)
+    router.ended(wanted(), away, Done(100, ""), 2.0)
+    assert here.total_load == 0.0
