Type the models' states and mutants

Ruled out: one base for the machines; they share two lines. Change: states are dict[str, Any], Adopts names the function type, the record is made by keyword. Before: behaviour as now; reading only.

--- a/models/at_most_once.py
+++ b/models/at_most_once.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from primroselever_core.identifiers import (
     Fingerprint,
@@ -263,8 +263,16 @@
 
 def new_record(run_id: RunId, epoch: int) -> Run:
     """Return the record of a run."""
-    answer = AnswerBuffer(limit_bytes=0)
-    return Run(run_id, SERVICE, WORKSPACE, BODY, True, 1.0, answer, epoch=epoch)
+    return Run(
+        run_id=run_id,
+        service=SERVICE,
+        workspace=WORKSPACE,
+        fingerprint=BODY,
+        idempotent=True,
+        deadline=1.0,
+        answer=AnswerBuffer(limit_bytes=0),
+        epoch=epoch,
+    )
 
 
 def packed(agent: Agent, registry: RunRegistry) -> Agent:
@@ -294,18 +302,18 @@
     return dict(ran).get(run_id, 0)
 
 
-def not_run_is_true(state: dict[str, object]) -> bool:
+def not_run_is_true(state: dict[str, Any]) -> bool:
     """Return whether no attempt that was told "not run" ran, now or later."""
-    world = World(**state)  # type: ignore[arg-type]
+    world = World(**state)
     return not any(
         told == Outcome.NOT_RUN and runs_of(attempt, world.ran)
         for attempt, told in world.attempts
     )
 
 
-def at_most_once(state: dict[str, object]) -> bool:
+def at_most_once(state: dict[str, Any]) -> bool:
     """Return whether nothing ran twice, whoever sent it."""
-    return all(count <= 1 for _, count in World(**state).ran)  # type: ignore[arg-type]
+    return all(count <= 1 for _, count in World(**state).ran)
 
 
 class NoTombstone(StartBook):
--- a/models/read_out.py
+++ b/models/read_out.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from primroselever_core.identifiers import Incarnation, RunId
 from primroselever_core.outcomes import Done, Ending, Outcome
@@ -138,15 +138,15 @@
     return Piece(run_id, incarnation, offset, data, RunState.DONE, length, digest)
 
 
-def own_answer(state: dict[str, object]) -> bool:
+def own_answer(state: dict[str, Any]) -> bool:
     """Return whether all that was taken is the start of the run's own answer."""
-    world = World(**state)  # type: ignore[arg-type]
+    world = World(**state)
     return ANSWERS[OWN, 1].startswith(world.taken)
 
 
-def whole_answer(state: dict[str, object]) -> bool:
+def whole_answer(state: dict[str, Any]) -> bool:
     """Return whether "done" was told only for the whole answer."""
-    world = World(**state)  # type: ignore[arg-type]
+    world = World(**state)
     return world.told != Outcome.DONE or world.taken == ANSWERS[OWN, 1]
 
 
--- a/models/revisions.py
+++ b/models/revisions.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from functools import cache
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -81,9 +82,9 @@
     return PUBLISHED.index(found) + 1
 
 
-def takes_any(_held: int, offered: int) -> int:
-    """Return the offer, whatever is held: a mutant."""
-    return offered if PUBLISHED[offered - 1][1] != INVALID else _held
+def takes_any(held: int, offered: int) -> int:
+    """Return any valid offer, be it older than what is held: a mutant."""
+    return offered if PUBLISHED[offered - 1][1] != INVALID else held
 
 
 def takes_any_of_its_number(held: int, offered: int) -> int:
@@ -92,10 +93,14 @@
     return held if older else takes_any(held, offered)
 
 
+# From the places of the value held and of the one offered to what is held after.
+Adopts = Callable[[int, int], int]
+
+
 class Machine:
     """The transitions, for one way to adopt and one way to start."""
 
-    def __init__(self, adopts: Any = adopted, asks_peers: bool = True) -> None:
+    def __init__(self, adopts: Adopts = adopted, asks_peers: bool = True) -> None:
         self.adopts = adopts
         self.asks_peers = asks_peers
 
@@ -170,18 +175,18 @@
     return world._replace(floor=max(world.floor, lowest, key=rank))
 
 
-def never_reverts(state: dict[str, object]) -> bool:
+def never_reverts(state: dict[str, Any]) -> bool:
     """Return whether no process has less in force than was in force everywhere."""
-    world = World(**state)  # type: ignore[arg-type]
+    world = World(**state)
     return all(
         not process.joined or rank(process.held) >= rank(world.floor)
         for process in world.processes
     )
 
 
-def never_invalid(state: dict[str, object]) -> bool:
+def never_invalid(state: dict[str, Any]) -> bool:
     """Return whether no process has a value in force that is refused."""
-    world = World(**state)  # type: ignore[arg-type]
+    world = World(**state)
     held = [process.held for process in world.processes if process.held]
     return all(PUBLISHED[place - 1][1] != INVALID for place in held)
 
