Say once which suspicions matter most

Cause: the sort key of suspicions stood twice, the count of uncleared crashes three times. Ruled out: a key function outside the class; it reads only the record. Change: Suspicion.uncleared and Suspicion.urgency. Before: behaviour as now; reading only.

--- a/packages/primroselever-core/src/primroselever_core/suspects/section.py
+++ b/packages/primroselever-core/src/primroselever_core/suspects/section.py
@@ -42,9 +42,17 @@
     crashes: set[CrashId] = field(default_factory=set)
     cleared: set[CrashId] = field(default_factory=set)
 
+    def uncleared(self) -> int:
+        """Return how many crashes no later success explained away."""
+        return len(self.crashes - self.cleared)
+
+    def urgency(self) -> tuple[int, float]:
+        """Return a key that sorts the records that matter least first."""
+        return self.uncleared(), self.deadline
+
     def standing(self) -> Standing:
         """Return what follows from the crashes that are not cleared."""
-        count = len(self.crashes - self.cleared)
+        count = self.uncleared()
         if count >= QUARANTINE_CRASHES:
             return Standing.QUARANTINED
         return Standing.SUSPECT if count else Standing.CLEAR
@@ -131,7 +139,7 @@
         """Make room: a cleared record goes first, then the earliest deadline."""
         victim = min(
             self.records.values(),
-            key=lambda record: (len(record.crashes - record.cleared), record.deadline),
+            key=Suspicion.urgency,
         )
         del self.records[victim.fingerprint]
 
@@ -147,7 +155,7 @@
             return list(self.records.values())
         ordered = sorted(
             self.records.values(),
-            key=lambda record: (len(record.crashes - record.cleared), record.deadline),
+            key=Suspicion.urgency,
             reverse=True,
         )
         return ordered[:count]
