Give each contradiction between profiles its own function

Cause: cross_check did three jobs in 30 lines, and a docstring was broken in the middle of a sentence. Ruled out: a table of checks; three calls read better. Change: shared_groups and unclear_targets; the docstring says what previous_text is for. Before: behaviour as now; reading only.

--- a/packages/primroselever-core/src/primroselever_core/profiles/parse.py
+++ b/packages/primroselever-core/src/primroselever_core/profiles/parse.py
@@ -87,6 +87,12 @@
     yield from repeated(place, "profiles", [p.name for p in profiles.profiles])
     yield from repeated(place, "services", [s.name for s in profiles.services])
     yield from repeated(place, "workspaces", [w.name for w in profiles.workspaces])
+    yield from shared_groups(place, profiles)
+    yield from unclear_targets(place, profiles)
+
+
+def shared_groups(place: str, profiles: ProfileSet) -> Iterator[Finding]:
+    """Yield a finding for each profile whose group another one selects too."""
     groups = Counter(p.group for p in profiles.profiles)
     for index, profile in enumerate(profiles.profiles):
         if groups[profile.group] > 1:
@@ -95,6 +101,10 @@
                 f"group {profile.group!r} is selected by more than one profile",
                 "let one profile select a group",
             )
+
+
+def unclear_targets(place: str, profiles: ProfileSet) -> Iterator[Finding]:
+    """Yield a finding for each service that does not name where it runs."""
     names = {p.name for p in profiles.profiles}
     for index, service in enumerate(profiles.services):
         where = f"{place}: services[{index}]"
--- a/packages/primroselever-core/src/primroselever_core/profiles/section.py
+++ b/packages/primroselever-core/src/primroselever_core/profiles/section.py
@@ -18,10 +18,10 @@
     """
     What is in force, and what was refused; written by the profiles controller.
 
-    ``accepted_from`` names who offered it, ``previous_text`` is what it
-    replaced, of which patches are made.
-    ``refused_revision`` is the highest revision that was refused, with why;
-    ``service`` is what is known of the service that publishes.
+    ``accepted_from`` names who offered what is in force. ``previous_text`` is what
+    it replaced: patches for peers that still hold that are made from it.
+    ``refused_revision`` is the highest revision that was refused, with why.
+    ``service`` is what is known of the configuration service.
     """
 
     accepted: AcceptedProfiles | None = None
