Name the parts of a cached ranking

Cause: the rankings were bare pairs of a generation and names, with (-1, []) for none. Ruled out: clearing the cache at each change; three places change the generation. Change: a Ranking dataclass. Before: behaviour as now; reading only.

--- a/packages/primroselever-core/src/primroselever_core/membership/section.py
+++ b/packages/primroselever-core/src/primroselever_core/membership/section.py
@@ -32,6 +32,14 @@
     leaving: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Ranking:
+    """A failure domain's VMs in the agreed order, as of a generation of members."""
+
+    generation: int
+    vm_ids: list[VmId]
+
+
 @dataclass(slots=True)
 class MembersSection:
     """
@@ -49,7 +57,7 @@
     generation: int = 0
     evidence: dict[VmId, Evidence] = field(default_factory=dict)
     contact: Contact = field(default_factory=Contact)
-    rankings: dict[FailureDomain, tuple[int, list[VmId]]] = field(default_factory=dict)
+    rankings: dict[FailureDomain, Ranking] = field(default_factory=dict)
     subsets: dict[GroupName, Subset] = field(default_factory=dict)
     subsets_generation: int = 0
     copy: VmListCopy = field(default_factory=VmListCopy)
@@ -75,16 +83,17 @@
 
     def ranking(self, failure_domain: FailureDomain) -> list[VmId]:
         """Return a domain's VMs in the agreed order, ranked once a change."""
-        generation, ranking = self.rankings.get(failure_domain, (-1, []))
-        if generation != self.generation:
+        ranking = self.rankings.get(failure_domain)
+        if ranking is None or ranking.generation != self.generation:
             ids = [
                 vm.vm_id
                 for vm in self.vms.values()
                 if vm.failure_domain == failure_domain
             ]
-            ranking = control_ranking(failure_domain, ids)
-            self.rankings[failure_domain] = (self.generation, ranking)
-        return ranking
+            ranked_ids = control_ranking(failure_domain, ids)
+            ranking = Ranking(self.generation, ranked_ids)
+            self.rankings[failure_domain] = ranking
+        return ranking.vm_ids
 
     def live_ranking(
         self, failure_domain: FailureDomain, me: VmId, now: float
