Name the parts of a run in flight and of a suspect that waits

Cause: both were bare pairs, read by [0] and [1]. Ruled out: dataclasses; the agent unpacks the pairs. Change: the named tuples InFlight and WaitingSuspect. Before: behaviour as now; reading only.

--- a/packages/primroselever-core/src/primroselever_core/admission/admission.py
+++ b/packages/primroselever-core/src/primroselever_core/admission/admission.py
@@ -11,7 +11,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 from enum import StrEnum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from ..outcomes import NotRun, Reason
 from .fair_queue import FairQueue, Waiting
@@ -45,6 +45,20 @@
     refusal: NotRun
 
 
+class InFlight(NamedTuple):
+    """A run that the engine has, and when it was started."""
+
+    run: Waiting
+    started_at: float
+
+
+class WaitingSuspect(NamedTuple):
+    """A suspect run that waits for the one before it, and its workspace's weight."""
+
+    run: Waiting
+    weight: float
+
+
 @dataclass(slots=True)
 class Admission:
     """
@@ -59,8 +73,8 @@
     limit: ConcurrencyLimit
     queue: FairQueue = field(default_factory=FairQueue)
     waiting: dict[RunId, Waiting] = field(default_factory=dict)
-    in_flight: dict[RunId, tuple[Waiting, float]] = field(default_factory=dict)
-    suspects: deque[tuple[Waiting, float]] = field(default_factory=deque)
+    in_flight: dict[RunId, InFlight] = field(default_factory=dict)
+    suspects: deque[WaitingSuspect] = field(default_factory=deque)
     suspect_in_flight: RunId | None = None
     service_s: float = 0.0
     deviation_s: float = 0.0
@@ -113,14 +127,14 @@
             return Admitted.STARTS
         if len(self.suspects) >= MAX_WAITING:
             return NotRun(Reason.OVERLOADED, self.retry_after_s(self.service_s))
-        self.suspects.append((run, weight))
+        self.suspects.append(WaitingSuspect(run, weight))
         self.waiting[run.run_id] = run
         return Admitted.WAITS
 
     def start(self, run: Waiting, weight: float, now: float) -> None:
         """Count a run as started."""
         self.queue.start(run, weight)
-        self.in_flight[run.run_id] = run, now
+        self.in_flight[run.run_id] = InFlight(run, now)
 
     def expected_wait_s(self, run: Waiting, weight: float) -> float:
         """Return how long a new run is expected to wait for its start."""
@@ -150,7 +164,7 @@
         """Take in that a run's answer has begun."""
         found = self.in_flight.get(run_id)
         if found is not None:
-            self.limit.sample(now - found[1], len(self.in_flight), now)
+            self.limit.sample(now - found.started_at, len(self.in_flight), now)
 
     def ended(self, run_id: RunId, done: bool, now: float) -> None:
         """Take in the end of a run, in flight or waiting."""
@@ -161,12 +175,11 @@
         found = self.in_flight.pop(run_id, None)
         if found is None:
             return
-        run, started_at = found
-        self.queue.ended(run.workspace)
+        self.queue.ended(found.run.workspace)
         if self.suspect_in_flight == run_id:
             self.suspect_in_flight = None
         if done:
-            self.learn_service(now - started_at)
+            self.learn_service(now - found.started_at)
 
     def learn_service(self, taken_s: float) -> None:
         """Take in how long a run took."""
@@ -193,9 +206,9 @@
         """Take a waiting run out."""
         self.due.pop(run.run_id, None)
         del self.waiting[run.run_id]
-        for entry in self.suspects:
-            if entry[0] is run:
-                self.suspects.remove(entry)
+        for suspect in self.suspects:
+            if suspect.run is run:
+                self.suspects.remove(suspect)
                 return
         self.queue.remove(run)
 
@@ -212,7 +225,7 @@
             run = self.queue.pop()
             self.learn_overtaking(run, now)
             del self.waiting[run.run_id]
-            self.in_flight[run.run_id] = run, now
+            self.in_flight[run.run_id] = InFlight(run, now)
             started.append(run)
         if self.suspects and self.suspect_in_flight is None:
             run, weight = self.suspects.popleft()
