Name constants for what they hold

Cause: MAX_HOPS stood for two different bounds, SLOW_START was a number beside the flag slow_start, SAMPLED, FULL, FAILURES and LARGEST_SHARE did not say of what. Ruled out: longer comments in place of names. Change: HOPS_BEFORE_WAITING, SLOW_START_FACTOR, DECREASE_FACTOR, SAMPLE_SIZE, FULL_REASONS, FAILURE_REASONS, SELF_REPORTED_REASONS, LARGEST_EJECTED_SHARE; the limit's growth is one step a line. Before: behaviour as now; reading only.

--- a/packages/primroselever-core/src/primroselever_core/admission/limit.py
+++ b/packages/primroselever-core/src/primroselever_core/admission/limit.py
@@ -13,8 +13,8 @@
 WINDOW_SAMPLES = 8
 WINDOW_S = 0.5
 SLOW_FACTOR = 2.0
-DECREASE = 0.9
-SLOW_START = 1.5
+DECREASE_FACTOR = 0.9
+SLOW_START_FACTOR = 1.5
 BASELINE_WINDOWS = 240
 
 
@@ -69,11 +69,12 @@
             return
         self.baseline_s = min(self.baseline_s or quartile, quartile)
         if quartile > self.baseline_s * SLOW_FACTOR:
-            self.value = max(self.lowest, self.value * DECREASE)
+            self.value = max(self.lowest, self.value * DECREASE_FACTOR)
             self.slow_start = False
+        elif used and self.slow_start:
+            self.value = min(self.highest, self.value * SLOW_START_FACTOR)
         elif used:
-            grown = self.value * SLOW_START if self.slow_start else self.value + 1
-            self.value = min(self.highest, grown)
+            self.value = min(self.highest, self.value + 1)
 
     def take_baseline_anew(self) -> None:
         """Halve the limit and let the next window give the baseline."""
--- a/packages/primroselever-core/src/primroselever_core/routing/choose.py
+++ b/packages/primroselever-core/src/primroselever_core/routing/choose.py
@@ -25,7 +25,7 @@
 NO_SERVER_RETRY_S = 2.0
 LOAD_BOUND = 1.25
 AFFINITY_TRIES = 4
-SAMPLED = 6
+SAMPLE_SIZE = 6
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,7 +69,7 @@
     pool: Pool, passed_over: Collection[VmId], now: float, random: Random
 ) -> Choice | NotRun:
     """Return the less busy of two random usable servers, or ``NotRun``."""
-    sample = random.sample(pool.usable, min(SAMPLED, len(pool.usable)))
+    sample = random.sample(pool.usable, min(SAMPLE_SIZE, len(pool.usable)))
     pair = usable_of(sample, passed_over, now)[:2]
     if not pair:
         pair = usable_of(pool.servers, passed_over, now)[:2]
--- a/packages/primroselever-core/src/primroselever_core/routing/ejection.py
+++ b/packages/primroselever-core/src/primroselever_core/routing/ejection.py
@@ -19,11 +19,12 @@
 FAILURES_IN_A_ROW = 3
 FIRST_EJECTION_S = 2.0
 LONGEST_EJECTION_S = 30.0
-LARGEST_SHARE = 1 / 3
+LARGEST_EJECTED_SHARE = 1 / 3
 
-# What a server cannot do for a while, by its own word; no cap applies to that.
-SAID_BY_ITSELF = (Reason.NO_WEIGHTS, Reason.LEAVING, Reason.PAUSED)
-FAILURES = (
+# Reasons for which a server refuses work for a while; the cap on ejections does not
+# apply to them.
+SELF_REPORTED_REASONS = (Reason.NO_WEIGHTS, Reason.LEAVING, Reason.PAUSED)
+FAILURE_REASONS = (
     Reason.ENGINE_FAILED,
     Reason.SERVER_LOST,
     Reason.ANSWER_DAMAGED,
@@ -38,10 +39,10 @@
         server.failures = 0
         server.ejections = 0
         return False
-    if isinstance(ending, NotRun) and ending.reason in SAID_BY_ITSELF:
+    if isinstance(ending, NotRun) and ending.reason in SELF_REPORTED_REASONS:
         server.avoid_until = now + (ending.retry_after_s or AVOID_S)
         return False
-    if isinstance(ending, Unknown) and ending.reason in FAILURES:
+    if isinstance(ending, Unknown) and ending.reason in FAILURE_REASONS:
         server.failures += 1
         return server.failures >= FAILURES_IN_A_ROW and eject(pool, server, now)
     return False
@@ -50,7 +51,7 @@
 def eject(pool: Pool, server: Server, now: float) -> bool:
     """Eject a server, unless too many are already; return whether it is."""
     ejected = sum(other.ejected_until > now for other in pool.servers)
-    if ejected + 1 > max(1.0, len(pool.servers) * LARGEST_SHARE):
+    if ejected + 1 > max(1.0, len(pool.servers) * LARGEST_EJECTED_SHARE):
         return False
     if len(pool.servers) == 1:
         return False
--- a/packages/primroselever-core/src/primroselever_core/routing/router.py
+++ b/packages/primroselever-core/src/primroselever_core/routing/router.py
@@ -37,7 +37,7 @@
 FULL_RETRY_S = 1.0
 FIRST_ANSWER_BYTES = 4096.0
 ANSWER_BYTES_SMOOTHING = 0.05
-FULL = (Reason.OVERLOADED, Reason.FAIR_SHARE)
+FULL_REASONS = (Reason.OVERLOADED, Reason.FAIR_SHARE)
 
 
 @dataclass(frozen=True, slots=True)
@@ -195,7 +195,7 @@
         if isinstance(ending, Done):
             change = ending.length - self.answer_bytes
             self.answer_bytes += ANSWER_BYTES_SMOOTHING * change
-        if isinstance(ending, NotRun) and ending.reason in FULL:
+        if isinstance(ending, NotRun) and ending.reason in FULL_REASONS:
             retry_after_s = ending.retry_after_s
             self.marks.mark(
                 wanted.workspace, wanted.priority, server.vm.vm_id, retry_after_s, now
--- a/packages/primroselever-core/src/primroselever_core/transfer/uploads.py
+++ b/packages/primroselever-core/src/primroselever_core/transfer/uploads.py
@@ -22,7 +22,7 @@
 QUEUE_S = 1.0
 MAX_QUEUE_S = 2.5
 HOLDERS_PER_CHUNK = 16
-MAX_HOPS = 2
+HOPS_BEFORE_WAITING = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,7 +113,7 @@
         if not near:
             return Send(self.reserve_first(size, now))
         backlog_s = self.backlog_s(now)
-        if backlog_s > QUEUE_S and hops < MAX_HOPS:
+        if backlog_s > QUEUE_S and hops < HOPS_BEFORE_WAITING:
             holders = [vm for vm in self.given[digest] if vm != asker]
             if holders:
                 return SendElsewhere(self.random.choice(holders))
