Keep unwanted chunks where dropping them makes no room

Cause: make_room dropped every chunk of the old version for one that does not fit even then, so peers lost a source for nothing; and it sorted all deadlines for each chunk that came in, room or not. Ruled out: dropping the largest first; the deadline says what is needed longest. Change: it returns early when the chunk fits, and drops nothing when it never will. Before: the new test against the version before: the old chunk was gone.

--- a/packages/primroselever-core/src/primroselever_core/transfer/chunk_store.py
+++ b/packages/primroselever-core/src/primroselever_core/transfer/chunk_store.py
@@ -38,12 +38,21 @@
         return True
 
     def make_room(self, size: int) -> bool:
-        """Drop unwanted chunks, the earliest deadline first; return if it fits."""
+        """
+        Return whether a chunk fits, after dropping unwanted ones if need be.
+
+        The earliest deadline goes first. What would not help is not dropped.
+        """
+        lacking = self.held_bytes + size - self.limit_bytes
+        if lacking <= 0:
+            return True
+        if sum(len(self.chunks[digest]) for digest in self.deadlines) < lacking:
+            return False
         for digest in sorted(self.deadlines, key=lambda d: self.deadlines[d]):
             if self.held_bytes + size <= self.limit_bytes:
                 break
             self.discard(digest)
-        return self.held_bytes + size <= self.limit_bytes
+        return True
 
     def get(self, digest: ChunkDigest) -> bytes | None:
         """Return the bytes of a chunk, or None."""
--- a/packages/primroselever-core/tests/transfer/test_chunk_store.py
+++ b/packages/primroselever-core/tests/transfer/test_chunk_store.py
@@ -60,3 +60,12 @@
         store.put(chunk_digest(body), body)
     longer = replace(manifest, length=manifest.length + 1)
     assert not store.whole(longer)
+
+
+def test_a_chunk_that_never_fits_drops_no_unwanted_one(manifest: Manifest) -> None:
+    store = ChunkStore(limit_bytes=10)
+    store.put(chunk_digest(b"old"), b"old")
+    store.want_only(manifest, deadline=60.0)
+    large = b"eleven byte"
+    assert not store.put(chunk_digest(large), large)
+    assert store.get(chunk_digest(b"old")) == b"old"
