Bound what an agent remembers of chunks that it gave

Cause: UploadPlanner.given kept the holders of every chunk of every version; forget, which was to be called for dropped chunks, was called by nobody. Ruled out: calling forget for each chunk that the store drops; holders beyond the bound cost only a detour. Change: the 20000 chunks that were first given last are kept; forget is gone.

--- a/packages/primroselever-core/src/primroselever_core/transfer/uploads.py
+++ b/packages/primroselever-core/src/primroselever_core/transfer/uploads.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict, deque
+from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -22,6 +22,7 @@
 QUEUE_S = 1.0
 MAX_QUEUE_S = 2.5
 HOLDERS_PER_CHUNK = 16
+MAX_CHUNKS_GIVEN = 20_000
 HOPS_BEFORE_WAITING = 2
 
 
@@ -55,15 +56,14 @@
     The upload budget of one VM, and to whom it has given which chunk.
 
     ``bucket`` is None without a limit; ``first_free_at`` is when the bytes that go
-    to other failure domains have gone out.
+    to other failure domains have gone out. ``given`` holds the chunk that was first
+    given longest ago in front, which is forgotten first.
     """
 
     bucket: TokenBucket | None
     random: Random
     first_free_at: float = 0.0
-    given: dict[ChunkDigest, deque[VmId]] = field(
-        default_factory=lambda: defaultdict(lambda: deque(maxlen=HOLDERS_PER_CHUNK))
-    )
+    given: dict[ChunkDigest, deque[VmId]] = field(default_factory=dict)
 
     @classmethod
     def with_limit(
@@ -114,16 +114,20 @@
             return Send(self.reserve_first(size, now))
         backlog_s = self.backlog_s(now)
         if backlog_s > QUEUE_S and hops < HOPS_BEFORE_WAITING:
-            holders = [vm for vm in self.given[digest] if vm != asker]
+            holders = [vm for vm in self.given.get(digest, ()) if vm != asker]
             if holders:
                 return SendElsewhere(self.random.choice(holders))
         if backlog_s > MAX_QUEUE_S:
             return Busy(now + backlog_s - QUEUE_S)
-        self.given[digest].append(asker)
+        self.note_given(digest, asker)
         if self.bucket is None:
             return Send(now)
         return Send(self.bucket.reserve(size, now))
 
-    def forget(self, digest: ChunkDigest) -> None:
-        """Forget to whom a chunk was given."""
-        self.given.pop(digest, None)
+    def note_given(self, digest: ChunkDigest, asker: VmId) -> None:
+        """Note that an asker holds a chunk from now on."""
+        if digest not in self.given:
+            if len(self.given) >= MAX_CHUNKS_GIVEN:
+                del self.given[next(iter(self.given))]
+            self.given[digest] = deque(maxlen=HOLDERS_PER_CHUNK)
+        self.given[digest].append(asker)
