Let a changed share count for a workspace that is never idle

Cause: the fair queue took a workspace's weight when it became active, and kept it until nothing of it waited or ran. A workspace that is always busy kept its old share after the profile had changed it. Ruled out: reading shares at each start; offers carry the share in force already. Change: FairQueue.reweigh at each offer.

--- a/packages/primroselever-core/src/primroselever_core/admission/admission.py
+++ b/packages/primroselever-core/src/primroselever_core/admission/admission.py
@@ -85,7 +85,8 @@
     def offer(
         self, run: Waiting, weight: float, suspect: bool, now: float
     ) -> Admitted | NotRun:
-        """Decide on a new run."""
+        """Decide on a new run; ``weight`` is its workspace's from now on."""
+        self.queue.reweigh(run.workspace, weight)
         wait_s = self.expected_wait_s(run, weight)
         overtaken_s = self.overtaken_s.get(run.priority, 0.0) if wait_s else 0.0
         if self.too_late(run, now + wait_s + overtaken_s):
--- a/packages/primroselever-core/src/primroselever_core/admission/fair_queue.py
+++ b/packages/primroselever-core/src/primroselever_core/admission/fair_queue.py
@@ -61,6 +61,13 @@
             self.active_weight += weight
         return turn
 
+    def reweigh(self, workspace: WorkspaceName, weight: float) -> None:
+        """Let a workspace that is active already have the weight that it has now."""
+        turn = self.turns.get(workspace)
+        if turn is not None:
+            self.active_weight += weight - turn.weight
+            turn.weight = weight
+
     def weight_of(self, run: Waiting) -> float:
         """Return the weight of a waiting run's workspace."""
         return self.turns[run.workspace].weight
