Keep the oldest ticket first among the idempotency keys

Cause: a key whose ticket never ran gets a new one, but kept its place in front. drop_key looks at the front only, so a new ticket there kept all closed ones behind it, and new keys were refused as overloaded though there was room to make. Ruled out: searching all keys in drop_key; up to 50000 for each new key. Change: the key goes to the end with its new ticket. Before: the new test against the version before: NotRun overloaded in place of a ticket. After: passes; `make lint types contracts test`: 354 passed.

--- a/packages/primroselever-core/src/primroselever_core/tickets/ticket_book.py
+++ b/packages/primroselever-core/src/primroselever_core/tickets/ticket_book.py
@@ -66,6 +66,8 @@
             return known
         if known is None and len(self.keyed) >= self.max_keys and not self.drop_key():
             return NotRun(Reason.OVERLOADED, KEYS_FULL_RETRY_S)
+        # A key that gets a new ticket goes to the end: the oldest ticket stays first.
+        self.keyed.pop(scope, None)
         ticket = self.keyed[scope] = self.new_ticket(fingerprint)
         return ticket
 
--- a/packages/primroselever-core/tests/tickets/test_ticket_book.py
+++ b/packages/primroselever-core/tests/tickets/test_ticket_book.py
@@ -116,3 +116,16 @@
     book.close_epoch()
     book.close_epoch()
     issued(book, "k3")
+
+
+def test_a_key_with_a_new_ticket_keeps_no_older_key_in_place() -> None:
+    book = new_book(max_keys=2)
+    first = issued(book, "renewed")
+    book.starts.tombstone(first.run_id, first.epoch)
+    used = issued(book, "used")
+    book.starts.start(used.run_id, used.epoch)
+    book.starts.advance()
+    assert issued(book, "renewed") != first
+    book.starts.advance()
+    issued(book, "new")
+    assert set(book.keyed) == {scope("renewed"), scope("new")}
