--- a/packages/primroselever-core/src/primroselever_core/routing/ejection.py
+++ b/packages/primroselever-core/src/primroselever_core/routing/ejection.py
@@ -1,8 +1,9 @@
 """
 Outlier ejection: a server whose answers fail in a row gets no new work for a while.
 
-At most a third of a pool is ejected: when more than that fails, the cause is more
-likely shared than theirs, and the rest could not carry the load.
+At most a third of a pool is ejected, or one server of two: when more than that fails,
+the cause is more likely shared than theirs, and the rest could not carry the load. A
+server that is alone is never ejected.
 """
 
 from __future__ import annotations
