--- a/packages/primroselever-core/src/primroselever_core/suspects/section.py
+++ b/packages/primroselever-core/src/primroselever_core/suspects/section.py
@@ -42,9 +42,17 @@
     crashes: set[CrashId] = field(default_factory=set)
     cleared: set[CrashId] = field(default_factory=set)
 
+    def uncleared(self) -> int:
+        """Return how many crashes no later success explained away."""
+        return len(self.crashes - self.cleared)
+
+    def urgency(self) -> tuple[int, float]:
+        """Return a key that sorts the records that matter least first."""
+        return self.uncleared(), self.deadline
+
     def standing(self) -> Standing:
         """Return what follows from the crashes that are not cleared."""
-        count = len(self.crashes - self.cleared)
+        count = self.uncleared()
         if count >= QUARANTINE_CRASHES:
             return Standing.QUARANTINED
         return Standing.SUSPECT if count else Standing.CLEAR
@@ -72,7 +80,7 @@
         """Take in a crash and the requests present at it; return their records."""
         changed = []
         for fingerprint in present:
-            record = self.record(fingerprint, now + QUARANTINE_S)
+            record = self.record(fingerprint, now + QUARANTINE_S, now)
             record.crashes.add(crash)
             changed.append(record)
         return changed
@@ -103,27 +111,35 @@
         """
         if heard.deadline <= now:
             return False
-        record = self.record(heard.fingerprint, heard.deadline)
+        record = self.record(heard.fingerprint, heard.deadline, now)
         record.deadline = min(record.deadline, heard.deadline)
         news = not (heard.crashes <= record.crashes and heard.cleared <= record.cleared)
         record.crashes |= heard.crashes
         record.cleared |= heard.cleared
         return news
 
-    def record(self, fingerprint: Fingerprint, deadline: float) -> Suspicion:
-        """Return a fingerprint's record, made on first use."""
+    def record(
+        self, fingerprint: Fingerprint, deadline: float, now: float
+    ) -> Suspicion:
+        """
+        Return a fingerprint's record, a new one until ``deadline`` if it has none.
+
+        What is added to a record past its own deadline would go with it.
+        """
         record = self.records.get(fingerprint)
-        if record is None:
-            if len(self.records) >= MAX_RECORDS:
-                self.drop_one()
-            record = self.records[fingerprint] = Suspicion(fingerprint, deadline)
+        if record is not None and record.deadline > now:
+            return record
+        self.records.pop(fingerprint, None)
+        if len(self.records) >= MAX_RECORDS:
+            self.drop_one()
+        record = self.records[fingerprint] = Suspicion(fingerprint, deadline)
         return record
 
     def drop_one(self) -> None:
         """Make room: a cleared record goes first, then the earliest deadline."""
         victim = min(
             self.records.values(),
-            key=lambda record: (len(record.crashes - record.cleared), record.deadline),
+            key=Suspicion.urgency,
         )
         del self.records[victim.fingerprint]
 
@@ -139,7 +155,7 @@
             return list(self.records.values())
         ordered = sorted(
             self.records.values(),
-            key=lambda record: (len(record.crashes - record.cleared), record.deadline),
+            key=Suspicion.urgency,
             reverse=True,
         )
         return ordered[:count]
