Say not_run when an engine without weights answered 503

Cause: an engine that crashed and came back without weights answers 503 before it begins a run. The agent took that, as any error status, for a run that may have run: callers were told `unknown: engine_refused`, and idempotent requests were not tried elsewhere. Ruled out: not_run for every error status, since 500 or 504 may come after the run began; reason engine_refused with not_run, since routing passes over a server only for the reasons that the server says of itself, and its quick 503s would draw more. Before: the new test with the old client: 1 failed, 3 passed (`pytest packages/primroselever-agent/tests/engine`). After: 4 passed; `make test`: 329 passed. The share of such endings after a crash was not measured.

--- a/packages/primroselever-agent/src/primroselever_agent/engine/engine_client.py
+++ b/packages/primroselever-agent/src/primroselever_agent/engine/engine_client.py
@@ -4,6 +4,7 @@
 
 import json
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
 import urllib3
@@ -116,8 +117,8 @@
         except urllib3.exceptions.HTTPError as exc:
             raise failed(exc) from exc
         try:
-            if reply.status != 200:
-                raise BackendError(Reason.ENGINE_REFUSED, f"status {reply.status}")
+            if reply.status != HTTPStatus.OK:
+                raise refused(reply.status)
             yield from self.records(run, reply)
         except urllib3.exceptions.HTTPError as exc:
             raise BackendError(Reason.ENGINE_FAILED, str(exc)) from exc
@@ -161,3 +162,16 @@
             )
         except urllib3.exceptions.HTTPError:
             return
+
+
+def refused(status: int) -> BackendError:
+    """
+    Return the failure of a run that the engine answered with an error status.
+
+    With 503 the engine says that it has no weights, as after a crash: nothing ran.
+    Any other status leaves that open.
+    """
+    if status == HTTPStatus.SERVICE_UNAVAILABLE:
+        message = "the engine has no weights"
+        return BackendError(Reason.NO_WEIGHTS, message, never_ran=True)
+    return BackendError(Reason.ENGINE_REFUSED, f"status {status}")
--- /dev/null
+++ b/packages/primroselever-agent/tests/engine/test_engine_client.py
@@ -0,0 +1,93 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from primroselever_agent.engine.engine_client import EngineClient
+from primroselever_agent.exceptions import BackendError
+from primroselever_core.identifiers import (
+    Fingerprint,
+    RunId,
+    ServiceName,
+    WorkspaceName,
+)
+from primroselever_core.outcomes import Reason
+from primroselever_core.runs.answer_buffer import AnswerBuffer
+from primroselever_core.runs.registry import Run
+from primroselever_node.http import HttpServer
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from primroselever_node.http import StartResponse
+
+RUN = Run(
+    run_id=RunId("r1"),
+    service=ServiceName("summaries"),
+    workspace=WorkspaceName("ministry"),
+    fingerprint=Fingerprint("f1"),
+    idempotent=True,
+    deadline=0.0,
+    answer=AnswerBuffer(100),
+    weights_digest="v1",
+)
+
+
+class Engine:
+    """Answers each call with one status and body."""
+
+    status = "200 OK"
+    body = b""
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        start_response(self.status, [("Content-Length", str(len(self.body)))])
+        return [self.body]
+
+
+@pytest.fixture
+def engine() -> Engine:
+    return Engine()
+
+
+@pytest.fixture
+def client(engine: Engine) -> Iterator[EngineClient]:
+    server = HttpServer(engine, "127.0.0.1", 0)
+    server.start()
+    yield EngineClient(f"http://{server.host}:{server.port}")
+    server.stop()
+
+
+@pytest.mark.parametrize(
+    ("status", "reason", "never_ran"),
+    [
+        ("503 Service Unavailable", Reason.NO_WEIGHTS, True),
+        ("500 Internal Server Error", Reason.ENGINE_REFUSED, False),
+        ("504 Gateway Timeout", Reason.ENGINE_REFUSED, False),
+    ],
+)
+def test_only_an_engine_without_weights_proves_that_nothing_ran(
+    engine: Engine, client: EngineClient, status: str, reason: Reason, never_ran: bool
+) -> None:
+    engine.status = status
+
+    with pytest.raises(BackendError) as caught:
+        list(client.run(RUN, b"tender 12", 5))
+
+    assert (caught.value.reason, caught.value.never_ran) == (reason, never_ran)
+
+
+def test_an_answer_that_breaks_off_may_have_run(
+    engine: Engine, client: EngineClient
+) -> None:
+    engine.body = b'{"start": {"digest": "v1"}}\n{"text": "half"}\n'
+
+    with pytest.raises(BackendError) as caught:
+        list(client.run(RUN, b"tender 12", 5))
+
+    assert (caught.value.reason, caught.value.never_ran) == (
+        Reason.ENGINE_FAILED,
+        False,
+    )
