Wait for no peer in the beat that finds a pause

Cause: the beat that finds a pause asked peers around before it returned. A watcher asks two, each silent for up to 1 s; with the interval of 0.25 s the next beat came later than the 2 s that count as a pause and was taken for another one. Each further pause resets the failures, so a watcher that is cut off refused starts for longer. Ruled out: setting the beat's time anew after the exchange, since a real pause in the meantime would go unseen. Change: the exchange runs in a greenlet of its own. `subset`, a one-line wrapper with an untyped argument, is gone. Before: the new test: 2 pauses in place of 1 (`pytest packages/primroselever-node/tests/control/test_heartbeats.py`). After: it passes; `make lint types contracts test` passes.

--- a/packages/primroselever-node/src/primroselever_node/control/heartbeats.py
+++ b/packages/primroselever-node/src/primroselever_node/control/heartbeats.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import eventlet
 
-from primroselever_core.identifiers import Incarnation
+from primroselever_core.identifiers import GroupName, Incarnation
 from primroselever_core.membership.contact import beat
 from primroselever_core.membership.peers import (
     heartbeat_peers,
@@ -48,10 +48,15 @@
         self.next_round_at = 0.0
 
     def beat(self) -> None:
-        """Note that the process runs; after a pause, ask around at once."""
+        """
+        Note that the process runs; after a pause, ask around at once.
+
+        Nobody is waited for here: the next beat would be late by as long as peers
+        are silent, and be taken for another pause.
+        """
         if beat(self.board.members.contact, clock.now()):
             log_decision("pause", self.board.identity.vm_id, "rejoin", "ran late")
-            self.exchange()
+            eventlet.spawn_n(self.exchange)
 
     def exchange(self) -> None:
         """Exchange heartbeats with one or two peers and catch up with them."""
@@ -77,13 +82,10 @@
         if accepted is None:
             return []
         groups = {accepted.profiles.group_of(s) for s in accepted.profiles.services}
-        vms = [vm for g in sorted(filter(None, groups)) for vm in self.subset(g)]
+        names = [GroupName(group) for group in sorted(filter(None, groups))]
+        vms = [vm for name in names for vm in subset_of(self.board, name)]
         return list({vm.vm_id: vm for vm in vms}.values())
 
-    def subset(self, group: Any) -> list[Vm]:
-        """Return the servers of a group."""
-        return subset_of(self.board, group)
-
     def visit(self, vm: Vm) -> None:
         """Exchange a heartbeat with a server and note what it says."""
         server = self.board.servers.of(vm)
--- /dev/null
+++ b/packages/primroselever-node/tests/control/test_heartbeats.py
@@ -0,0 +1,39 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import eventlet
+
+from primroselever_core.membership.contact import BEAT_INTERVAL_S, PAUSE_S
+from primroselever_node.control.peer_client import CALL_TIMEOUT_S
+from primroselever_node.rpc.client_pool import LostReplyError
+
+if TYPE_CHECKING:
+    import pytest
+
+    from .conftest import Fleet
+
+
+def test_peers_that_are_silent_after_a_pause_are_not_taken_for_another_one(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    fleet.add("a", 3)
+    fleet.add("b", 3)
+    fleet.run(5.0)
+    watcher = fleet.processes[fleet.watchers("a")[0]]
+    asked: list[str] = []
+
+    def silent(address: tuple[str, int], method: str, *_args: Any, **_: Any) -> Any:
+        asked.append(address[0])
+        fleet.now += CALL_TIMEOUT_S
+        raise LostReplyError(method)
+
+    monkeypatch.setattr(watcher, "call", silent)
+    fleet.now += PAUSE_S + 1.0
+    for _ in range(2):
+        watcher.heartbeats.beat()
+        fleet.now += BEAT_INTERVAL_S
+    eventlet.sleep(0)
+
+    assert watcher.board.members.contact.pauses == 1
+    assert len(asked) == 2
