Bound starting, resolving and tickets by the caller's deadline

Cause: the calls before an answer begins had only the progress timeout. Behind a silent agent a caller waited for start and three resolves, 8 s with the default of 2 s, whatever its `Request-Timeout`; docs/callers.md promises the answer at once. Ruled out: one timer around the request, since killing a start in mid-call loses the knowledge of whether it was sent; a deadline as a parameter of each step, in place of a field of the run, which stores it once. A call cut short by its caller's deadline does not make the entry pass the server over: that says little of the server. Change: each call's timeout ends at the deadline. A start whose reply is lost by then is `unknown: deadline_passed` at once; in the background the agent is asked to set the tombstone, or to cancel the run. `address_of` stands once.

--- a/packages/primroselever-entry/src/primroselever_entry/requests/active_run.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/active_run.py
@@ -18,12 +18,13 @@
     """
     A run; ``pieces`` are those parts of its answer that were not passed on yet.
 
-    ``accepted`` is set once the agent is known to have the run. ``reader`` is the
-    name under which the run was last told to be followed.
+    ``deadline`` is the caller's. ``accepted`` is set once the agent is known to have
+    the run. ``reader`` is the name under which the run was last told to be followed.
     """
 
     cursor: AnswerCursor
     server: Server
+    deadline: float
     idempotent: bool = True
     accepted: bool = False
     reader: str = ""
--- a/packages/primroselever-entry/src/primroselever_entry/requests/feed.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/feed.py
@@ -19,7 +19,7 @@
 from primroselever_node.rpc.schema import schema
 from primroselever_node.rpc.suspicions import learn
 
-from .resolving import AVOID_S, RESOLVE_TRIES, pass_over
+from .resolving import AVOID_S, RESOLVE_TRIES, address_of, pass_over
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -41,7 +41,7 @@
     ) -> None:
         self.agents = agents
         self.server = server
-        self.address = (server.vm.address, server.vm.rpc_port)
+        self.address = address_of(server)
         self.board = board
         self.owner = board.identity.incarnation
         self.progress_s = progress_s
@@ -183,7 +183,7 @@
 
     def of(self, server: Server) -> AnswerFeed:
         """Return the feed of a server's agent, made on first use."""
-        address = (server.vm.address, server.vm.rpc_port)
+        address = address_of(server)
         feed = self.feeds.get(address)
         if feed is None:
             self.forget_idle()
--- a/packages/primroselever-entry/src/primroselever_entry/requests/reading.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/reading.py
@@ -10,7 +10,7 @@
 from primroselever_node import clock
 from primroselever_node.rpc.client_pool import LostReplyError, NeverSentError
 
-from .starting import address_of
+from .resolving import address_of
 
 if TYPE_CHECKING:
     from collections.abc import Generator
--- a/packages/primroselever-entry/src/primroselever_entry/requests/resolving.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/resolving.py
@@ -10,6 +10,8 @@
 
 from typing import TYPE_CHECKING
 
+import eventlet
+
 from primroselever_core.outcomes import NotRun, Reason, Unknown
 from primroselever_core.routing.section import UNKNOWN_INCARNATION
 from primroselever_core.runs.starting import said_of_resolve
@@ -24,6 +26,7 @@
 
 AVOID_S = 1.0
 RESOLVE_TRIES = 3
+MIN_CALL_TIMEOUT_S = 0.001
 
 
 class Resolver:
@@ -34,24 +37,60 @@
         self.progress_s = progress_s
 
     def resolve(self, run: ActiveRun, epoch: int) -> NotRun | Unknown | None:
-        """Return the ending of a start whose reply was lost, or None if it runs."""
-        server, cursor = run.server, run.cursor
+        """
+        Return the ending of a start whose reply was lost, or None if it runs.
+
+        The caller is not kept waiting past its deadline to find out.
+        """
         for _ in range(RESOLVE_TRIES):
+            if clock.now() >= run.deadline:
+                eventlet.spawn_n(self.abandon, run, epoch)
+                return Unknown(Reason.DEADLINE_PASSED)
+            timeout_s = call_timeout_s(self.progress_s, run.deadline)
             try:
-                found = self.agents.call(
-                    (server.vm.address, server.vm.rpc_port),
-                    "resolve",
-                    cursor.run_id,
-                    cursor.incarnation,
-                    epoch,
-                    timeout_s=self.progress_s,
-                )
+                return self.ask(run, epoch, timeout_s)
             except (NeverSentError, LostReplyError):
                 continue
-            return said_of_resolve(found.state, found.reason, AVOID_S)
-        pass_over(server)
+        pass_over(run.server)
         return Unknown(Reason.SERVER_LOST, AVOID_S)
 
+    def ask(
+        self, run: ActiveRun, epoch: int, timeout_s: float
+    ) -> NotRun | Unknown | None:
+        """Ask the agent once; raise the client pool's errors."""
+        found = self.agents.call(
+            address_of(run.server),
+            "resolve",
+            run.cursor.run_id,
+            run.cursor.incarnation,
+            epoch,
+            timeout_s=timeout_s,
+        )
+        return said_of_resolve(found.state, found.reason, AVOID_S)
+
+    def abandon(self, run: ActiveRun, epoch: int) -> None:
+        """Keep a run that nobody waits for from starting, or else stop it."""
+        try:
+            if self.ask(run, epoch, self.progress_s) is None:
+                self.agents.call(
+                    address_of(run.server),
+                    "cancel",
+                    run.cursor.run_id,
+                    timeout_s=self.progress_s,
+                )
+        except (NeverSentError, LostReplyError):
+            pass_over(run.server)
+
+
+def call_timeout_s(progress_s: float, deadline: float) -> float:
+    """Return how long a call may be silent when its caller has a deadline."""
+    return max(MIN_CALL_TIMEOUT_S, min(progress_s, deadline - clock.now()))
+
+
+def address_of(server: Server) -> tuple[str, int]:
+    """Return where a server's agent answers."""
+    return server.vm.address, server.vm.rpc_port
+
 
 def pass_over(server: Server) -> NotRun:
     """Send nothing new to a server for a while: it cannot be reached."""
--- a/packages/primroselever-entry/src/primroselever_entry/requests/starting.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/starting.py
@@ -15,7 +15,14 @@
 from primroselever_node.rpc.suspicions import learn, to_wire, to_wire_of
 
 from .active_run import ActiveRun
-from .resolving import AVOID_S, RESOLVE_TRIES, Resolver, pass_over
+from .resolving import (
+    AVOID_S,
+    RESOLVE_TRIES,
+    Resolver,
+    address_of,
+    call_timeout_s,
+    pass_over,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -48,12 +55,15 @@
     ) -> ActiveRun | NotRun | Unknown:
         """Start an idempotent run on a server."""
         try:
-            self.learn_epoch(server)
+            self.learn_epoch(server, request.deadline)
         except (NeverSentError, LostReplyError):
+            if clock.now() >= request.deadline:
+                return NotRun(Reason.DEADLINE_PASSED)
             return pass_over(server)
         incarnation, epoch = server.incarnation, server.epoch
         start = start_request(request, run_id, incarnation, epoch)
-        run = ActiveRun(AnswerCursor(run_id, incarnation), server)
+        cursor = AnswerCursor(run_id, incarnation)
+        run = ActiveRun(cursor, server, request.deadline)
         return self.followed(run, lambda: self.try_once(run, start))
 
     def try_once(self, run: ActiveRun, start: Any) -> NotRun | Unknown | None:
@@ -80,17 +90,15 @@
             request, ticket.run_id, ticket.incarnation, ticket.epoch, request.ticket
         )
         cursor = AnswerCursor(ticket.run_id, ticket.incarnation)
-        run = ActiveRun(cursor, server, idempotent=False)
-        return self.followed(run, lambda: self.try_again(run, start, request.deadline))
+        run = ActiveRun(cursor, server, request.deadline, idempotent=False)
+        return self.followed(run, lambda: self.try_again(run, start))
 
-    def try_again(
-        self, run: ActiveRun, start: Any, deadline: float
-    ) -> NotRun | Unknown | None:
+    def try_again(self, run: ActiveRun, start: Any) -> NotRun | Unknown | None:
         """Send the start of a ticket until it is answered, a few times."""
         for _ in range(RESOLVE_TRIES):
-            if clock.now() >= deadline:
+            if clock.now() >= run.deadline:
                 return Unknown(Reason.DEADLINE_PASSED)
-            start.remaining_ms = clock.remaining_ms(deadline)
+            start.remaining_ms = clock.remaining_ms(run.deadline)
             try:
                 return self.send(run, start)
             except (NeverSentError, LostReplyError):
@@ -121,7 +129,10 @@
         known = to_wire_of(self.board.suspects, Fingerprint(start.fingerprint))
         start.suspicions = known
         reply = self.agents.call(
-            address_of(server), "start", start, timeout_s=self.progress_s
+            address_of(server),
+            "start",
+            start,
+            timeout_s=call_timeout_s(self.progress_s, run.deadline),
         )
         server.take_report(reply.load.in_flight, reply.leaving, clock.now())
         learn(self.board.suspects, reply.suspicions)
@@ -129,13 +140,16 @@
         retry_after_s = (reply.retry_after_ms or 0) / 1000 or None
         return said_of_start(reply.state, reply.reason, retry_after_s)
 
-    def learn_epoch(self, server: Server) -> None:
+    def learn_epoch(self, server: Server, deadline: float) -> None:
         """Ask a server who it is, before the first start and now and then."""
         known = server.incarnation != UNKNOWN_INCARNATION
         if known and clock.now() < server.epoch_until:
             return
         said = self.agents.call(
-            address_of(server), "heartbeat", self.heartbeat(), timeout_s=self.progress_s
+            address_of(server),
+            "heartbeat",
+            self.heartbeat(),
+            timeout_s=call_timeout_s(self.progress_s, deadline),
         )
         server.take_report(said.load.in_flight, said.leaving, clock.now())
         learn(self.board.suspects, said.suspicions)
@@ -187,8 +201,3 @@
         weights_digest="",
         epoch=epoch,
     )
-
-
-def address_of(server: Server) -> tuple[str, int]:
-    """Return where a server's agent answers."""
-    return server.vm.address, server.vm.rpc_port
--- a/packages/primroselever-entry/src/primroselever_entry/requests/ticketing.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/ticketing.py
@@ -14,12 +14,12 @@
 from primroselever_core.outcomes import NotRun, Reason, Unknown
 from primroselever_core.rendezvous import ranked
 from primroselever_core.tickets.signing import read_unverified
+from primroselever_node import clock
 from primroselever_node.logs import log_decision
 from primroselever_node.rpc.client_pool import LostReplyError, NeverSentError
 from primroselever_node.rpc.schema import schema
 
-from .resolving import AVOID_S
-from .starting import address_of
+from .resolving import AVOID_S, address_of, call_timeout_s
 
 if TYPE_CHECKING:
     from random import Random
@@ -57,6 +57,8 @@
         """
         refusal = NotRun(Reason.NO_SERVER, UNLISTED_RETRY_S)
         for server in self.issuers(request, servers)[:MAX_ISSUERS]:
+            if clock.now() >= request.deadline:
+                return NotRun(Reason.DEADLINE_PASSED)
             refusal = self.ask(request, server)
             keyed = bool(request.idempotency_key)
             if refusal.ticket or (keyed and refusal.reason is not Reason.LEAVING):
@@ -84,7 +86,7 @@
                 address_of(server),
                 "issue_ticket",
                 wanted,
-                timeout_s=self.starter.progress_s,
+                timeout_s=call_timeout_s(self.starter.progress_s, request.deadline),
             )
         except (NeverSentError, LostReplyError):
             self.agents.forget(address_of(server))
--- a/packages/primroselever-entry/tests/requests/test_flow.py
+++ b/packages/primroselever-entry/tests/requests/test_flow.py
@@ -10,6 +10,8 @@
 from eventlet.event import Event
 
 from primroselever_core.outcomes import Done, NotRun, Reason, Unknown
+from primroselever_node import clock
+from primroselever_node.rpc.client_pool import LostReplyError
 
 from .conftest import answer_of, engine_failed, new_request, service_named
 
@@ -209,3 +211,57 @@
     _, ending = answer_of(flow, new_request("summaries"))
     assert ending == NotRun(reason, 1.0)
     assert len(offers) == starts
+
+
+@pytest.mark.parametrize("silent", ["heartbeat", "start", "resolve", "issue_ticket"])
+def test_a_silent_agent_holds_no_answer_back_past_the_deadline(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch, silent: str
+) -> None:
+    now = clock.now()
+    monkeypatch.setattr(clock, "now", lambda: now)
+    deliver = fleet.wire.call
+
+    def call(address: Any, method: str, *args: Any, timeout_s: float) -> Any:
+        nonlocal now
+        if method != silent:
+            return deliver(address, method, *args, timeout_s=timeout_s)
+        now += timeout_s
+        eventlet.sleep(0)
+        raise LostReplyError(method)
+
+    monkeypatch.setattr(fleet.wire, "call", call)
+    if silent == "resolve":
+        fleet.wire.faults["start"] = ["request_lost"]
+    service = "renewals" if silent == "issue_ticket" else "summaries"
+    deadline = now + 0.25
+    ended_at = 0.0
+    for _ in fleet.entry().answer(
+        new_request(service, deadline=deadline), service_named(service)
+    ):
+        ended_at = now
+
+    assert ended_at == pytest.approx(deadline)
+
+
+def test_a_start_that_was_given_up_on_never_runs_later(
+    fleet: Fleet, one_agent: FakeAgent, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    now = clock.now()
+    monkeypatch.setattr(clock, "now", lambda: now)
+    fleet.wire.faults["start"] = ["request_lost"]
+
+    def pass_deadline() -> None:
+        nonlocal now
+        now += 1.0
+
+    fleet.wire.before["start"] = pass_deadline
+    _, ending = answer_of(fleet.entry(), new_request(deadline=now + 0.25))
+    eventlet.sleep(0)
+    eventlet.sleep(0)
+    for start in fleet.wire.late:
+        start()
+    eventlet.sleep(0)
+
+    assert ending == Unknown(Reason.DEADLINE_PASSED)
+    assert fleet.wire.calls.count("resolve") == 1
+    assert fleet.ran() == 0
