Go on reading answers after a reply that cannot be read

Cause: an exception in a feed's step ended its greenlet. A piece with a reason that this release does not know, as in a mixed fleet during an upgrade, raised ValueError; all runs of that agent then waited for their deadlines, though their answers had come. Ruled out: a catch-all around each piece, which would hide what a piece did half. Change: such an end is `unknown: internal` for its own run; any other fault of a step is logged and counts as a failed read, so that the agent is given up after a few.

--- a/packages/primroselever-entry/src/primroselever_entry/requests/feed.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/feed.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING, Any
 
 import eventlet
@@ -22,7 +23,7 @@
 from .resolving import AVOID_S, RESOLVE_TRIES, address_of, pass_over
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from primroselever_core.board import Blackboard
     from primroselever_core.identifiers import RunId
@@ -33,6 +34,9 @@
     from .active_run import ActiveRun
 
 
+logger = logging.getLogger(__name__)
+
+
 class AnswerFeed:
     """Reads the answers of all runs of one agent while there are any."""
 
@@ -86,10 +90,20 @@
         self.runs.pop(run.cursor.run_id, None)
 
     def read_on(self) -> None:
-        """Read until no run is left."""
+        """
+        Read until no run is left.
+
+        A fault in a step counts as a failed read: if it ended the reading, all runs
+        of the agent would wait for their deadlines.
+        """
         try:
             while self.runs:
-                self.step()
+                try:
+                    self.step()
+                except Exception:
+                    logger.exception("a reply of %s cannot be read", self.address)
+                    self.failed()
+                    eventlet.sleep(0)
         finally:
             self.greenlet = None
 
@@ -136,7 +150,7 @@
             pass_over(self.server)
             self.lose(lambda run: run.accepted)
 
-    def lose(self, lost: Any) -> None:
+    def lose(self, lost: Callable[[ActiveRun], bool]) -> None:
         """End the runs whose agent is gone."""
         for run in [run for run in self.runs.values() if lost(run)]:
             run.end(Unknown(Reason.SERVER_LOST, AVOID_S))
@@ -163,10 +177,7 @@
         if data:
             run.add(data)
         if piece.state != RunState.RUNNING:
-            ending = cursor.ending(
-                piece.state, piece.reason, piece.length or 0, piece.digest or ""
-            )
-            run.end(with_retry(ending, piece.retry_after_ms or 0))
+            run.end(ending_of(run, piece))
             self.drop(run)
 
 
@@ -203,8 +214,19 @@
     return schema.RunCursor(run_id=run.cursor.run_id, offset=run.cursor.offset)
 
 
-def with_retry(ending: Ending, retry_after_ms: int) -> Ending:
-    """Return an ending that says when to come back, if the agent said so."""
-    if isinstance(ending, NotRun) and retry_after_ms:
-        return NotRun(ending.reason, retry_after_ms / 1000)
+def ending_of(run: ActiveRun, piece: Any) -> Ending:
+    """
+    Return the ending that an answer's last piece tells.
+
+    A reason that this release does not know leaves open whether the request ran.
+    """
+    try:
+        ending = run.cursor.ending(
+            piece.state, piece.reason, piece.length or 0, piece.digest or ""
+        )
+    except ValueError:
+        logger.warning("unknown reason %r in the end of a run", piece.reason)
+        return Unknown(Reason.INTERNAL)
+    if isinstance(ending, NotRun) and piece.retry_after_ms:
+        return NotRun(ending.reason, piece.retry_after_ms / 1000)
     return ending
--- a/packages/primroselever-entry/tests/requests/test_flow.py
+++ b/packages/primroselever-entry/tests/requests/test_flow.py
@@ -10,6 +10,7 @@
 from eventlet.event import Event
 
 from primroselever_core.outcomes import Done, NotRun, Reason, Unknown
+from primroselever_core.runs.registry import RunState
 from primroselever_node import clock
 from primroselever_node.rpc.client_pool import LostReplyError
 
@@ -265,3 +266,22 @@
     assert ending == Unknown(Reason.DEADLINE_PASSED)
     assert fleet.wire.calls.count("resolve") == 1
     assert fleet.ran() == 0
+
+
+def test_a_reply_that_cannot_be_read_ends_only_its_own_run(fleet: Fleet) -> None:
+    spoilt: list[str] = []
+
+    def spoil_first(method: str, reply: Any) -> None:
+        for piece in reply.slices if method == "read" else ():
+            if piece.state != RunState.RUNNING and not spoilt:
+                spoilt.append(piece.run_id)
+                piece.state, piece.reason = RunState.FAILED, "of_a_later_release"
+
+    fleet.wire.tamper = spoil_first
+    entry = fleet.entry()
+    pool = eventlet.GreenPool()
+    answers = pool.imap(lambda _: answer_of(entry, new_request()), range(4))
+    endings = [ending for _, ending in answers]
+
+    assert endings.count(Unknown(Reason.INTERNAL)) == 1
+    assert sum(isinstance(ending, Done) for ending in endings) == 3
