Close kept connections to addresses that are called no more

Cause: a kept connection was closed only by the next call to its address. Heartbeats go to a random peer each second, so a process held a socket to almost every VM of its domain, and each of those one to it; replaced VMs were never let go. Ruled out: closing after each heartbeat, which would cost a handshake for the peers that are called often. Change: calls close what was kept past its 30 s, looking every 10 s. The pool reads the clock through `clock.now`, the one place for it. The memory and sockets of a large fleet were not measured.

--- a/packages/primroselever-node/src/primroselever_node/rpc/client_pool.py
+++ b/packages/primroselever-node/src/primroselever_node/rpc/client_pool.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import time
 from collections import defaultdict, deque
 from dataclasses import dataclass
 from typing import Any
@@ -18,11 +17,13 @@
 
 from primroselever_core.exceptions import PrimroseleverError
 
+from .. import clock
 from .counting_socket import CountingSocket
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_CONNECTIONS_PER_ADDRESS = 8
 IDLE_CONNECTION_S = 30.0
+SWEEP_INTERVAL_S = 10.0
 
 
 class NeverSentError(PrimroseleverError):
@@ -49,6 +50,7 @@
     def __init__(self, service: Any) -> None:
         self.service = service
         self.idle: dict[tuple[str, int], deque[Connection]] = defaultdict(deque)
+        self.sweep_at = clock.now() + SWEEP_INTERVAL_S
 
     def call(
         self, address: tuple[str, int], method: str, *args: Any, timeout_s: float
@@ -78,8 +80,10 @@
 
     def take(self, address: tuple[str, int]) -> Connection:
         """Return a kept connection or a new one."""
+        now = clock.now()
+        if now >= self.sweep_at:
+            self.sweep(now)
         idle = self.idle[address]
-        now = time.monotonic()
         while idle:
             connection = idle.pop()
             if connection.usable_until > now:
@@ -105,9 +109,23 @@
         if len(idle) >= IDLE_CONNECTIONS_PER_ADDRESS:
             connection.transport.close()
             return
-        connection.usable_until = time.monotonic() + IDLE_CONNECTION_S
+        connection.usable_until = clock.now() + IDLE_CONNECTION_S
         idle.append(connection)
 
+    def sweep(self, now: float) -> None:
+        """
+        Close the connections that were kept too long.
+
+        Heartbeats go to ever other addresses, most of which are not called again
+        soon: without this each would hold a socket at both ends for good.
+        """
+        self.sweep_at = now + SWEEP_INTERVAL_S
+        for address, idle in list(self.idle.items()):
+            while idle and idle[0].usable_until <= now:
+                idle.popleft().transport.close()
+            if not idle:
+                del self.idle[address]
+
     def forget(self, address: tuple[str, int]) -> None:
         """Close all kept connections to an address, after one went silent."""
         for connection in self.idle.pop(address, ()):
