Close thrift connections whose client is silent

Cause: a server waited for the next call without a limit. A client whose VM lost power or connectivity sends no end of its connection, so each of its connections held a socket and a greenlet for good, up to the 4096 at which nothing new is accepted. Ruled out: TCP keepalive alone, which takes hours with the system's settings and does not cover a client that stands still. Change: a connection that is silent for 60 s is closed; clients keep idle ones for 30 s.

--- a/packages/primroselever-node/src/primroselever_node/rpc/server.py
+++ b/packages/primroselever-node/src/primroselever_node/rpc/server.py
@@ -11,21 +11,36 @@
 from thriftpy2.transport import TCyBufferedTransportFactory
 
 from ..listen import listen
+from .client_pool import IDLE_CONNECTION_S
 from .counting_socket import CountingSocket
 
 if TYPE_CHECKING:
     from eventlet.greenio import GreenSocket
 
 MAX_CONNECTIONS = 4096
+IDLE_TIMEOUT_S = 2 * IDLE_CONNECTION_S
 
 logger = logging.getLogger(__name__)
 
 
 class RpcServer:
-    """Serves one thrift service on one address until it is stopped."""
+    """
+    Serves one thrift service on one address until it is stopped.
 
-    def __init__(self, service: Any, handler: Any, host: str, port: int) -> None:
+    A connection that is silent for ``idle_s`` seconds is closed. Clients keep theirs
+    for less; one whose VM died without a word would else be held for good.
+    """
+
+    def __init__(
+        self,
+        service: Any,
+        handler: Any,
+        host: str,
+        port: int,
+        idle_s: float = IDLE_TIMEOUT_S,
+    ) -> None:
         self.processor = TProcessor(service, handler)
+        self.idle_s = idle_s
         self.socket = listen(host, port)
         self.host, self.port = self.socket.getsockname()
         self.greenlet: Any = None
@@ -44,6 +59,7 @@
 
     def serve_connection(self, connection: GreenSocket, _peer: object) -> None:
         """Answer calls on one connection until the other side closes it."""
+        connection.settimeout(self.idle_s)
         handle = CountingSocket()
         handle.set_handle(connection)
         transport = TCyBufferedTransportFactory().get_transport(handle)
