Pass over a parent that left the list while another was asked

Cause: the controllers looked up each parent, or peer to ask at the start, in the VM list as it was when its turn came. A list that changed while the one before was waited for raised KeyError; the step ended with a trace in the log and asked none of the rest. Ruled out: asking the VM as it was listed before, since it has left. Change: one that is not listed any more is passed over. The same lookups in control/profiles.py have no test of their own.

--- a/packages/primroselever-node/src/primroselever_node/control/members.py
+++ b/packages/primroselever-node/src/primroselever_node/control/members.py
@@ -59,7 +59,11 @@
         self.counter = 0
 
     def step(self) -> None:
-        """Read the list as a reader or at the start; else follow a parent."""
+        """
+        Read the list as a reader or at the start; else follow a parent.
+
+        A parent may leave the list while the one before it is waited for.
+        """
         now = clock.now()
         place = place_of(self.board, now)
         if not self.section.vms or place.watches:
@@ -67,7 +71,8 @@
                 self.read(hand_on=place.watches and bool(self.section.vms))
             return
         for parent in place.parents:
-            if self.follow(self.section.vms[parent]):
+            vm = self.section.vms.get(parent)
+            if vm is not None and self.follow(vm):
                 return
 
     def read(self, hand_on: bool) -> None:
--- a/packages/primroselever-node/src/primroselever_node/control/profiles.py
+++ b/packages/primroselever-node/src/primroselever_node/control/profiles.py
@@ -88,7 +88,10 @@
             self.watch(0.0)
         wait_ms = PARENT_WAIT_MS
         for parent in place.parents:
-            if self.pull(self.board.members.vms[parent], wait_ms):
+            vm = self.board.members.vms.get(parent)
+            if vm is None:
+                continue
+            if self.pull(vm, wait_ms):
                 return
             wait_ms = 0
 
@@ -110,7 +113,8 @@
         candidates = self.candidates()
         for vm_id in inquiry.next_peers(candidates):
             inquiry.asked.add(vm_id)
-            if self.pull(self.board.members.vms[vm_id], 0):
+            vm = self.board.members.vms.get(vm_id)
+            if vm is not None and self.pull(vm, 0):
                 inquiry.heard.add(vm_id)
         if inquiry.over(candidates, clock.now()):
             said = f"{len(inquiry.heard)} of {len(inquiry.asked)} peers answered"
