Show no age for a configuration service that was never heard

Cause: /status and the metric `primroselever.control.service_age` subtracted "never", 0, from the monotonic clock and showed the VM's uptime as the age. Ruled out: the same for `revision_age_s` under `control`: EXPERIMENT=propagation computes with its exact value, which `age_s` rounds, and `revision` 0 stands beside it. Change: both use `age_s`, which gives None for never.

--- a/packages/primroselever-node/src/primroselever_node/control/metrics.py
+++ b/packages/primroselever-node/src/primroselever_node/control/metrics.py
@@ -11,6 +11,7 @@
 
 from .. import clock
 from ..metrics import gauge
+from ..status import age_s
 
 if TYPE_CHECKING:
     from primroselever_core.board import Blackboard
@@ -25,7 +26,7 @@
         "primroselever.control.service_age",
         "s",
         "Since the configuration service was heard, here or by a peer",
-        lambda: clock.now() - profiles.service.heard_at,
+        lambda: age_s(profiles.service.heard_at),
     )
     gauge(
         meter,
--- a/packages/primroselever-node/src/primroselever_node/control/status.py
+++ b/packages/primroselever-node/src/primroselever_node/control/status.py
@@ -8,6 +8,7 @@
 from primroselever_core.membership.peers import place_of
 
 from .. import clock
+from ..status import age_s
 from ..traffic import platform_traffic, rpc_traffic
 
 if TYPE_CHECKING:
@@ -30,7 +31,7 @@
         "revision_digest": profiles.revision.digest,
         "revision_age_s": now - profiles.accepted_at,
         "revision_from": profiles.accepted_from,
-        "service_age_s": now - profiles.service.heard_at,
+        "service_age_s": age_s(profiles.service.heard_at),
         "position": place.position,
         "watches": place.watches,
         "parents": list(place.parents),
