End a run even when taking in its failure fails

Cause: the runner told its observer of a failure, or cancelled the run at the engine, inside the handlers of an exception. What these raised killed the greenlet and the run stayed running for good: its slot was lost, its caller heard nothing and a shutdown waited for it. An engine that answers its state with something other than JSON after a crash does that. Ruled out: catching more in the crash watch only; cancelling can fail as well. Change: `attempt` returns how a run ended, and `carry` ends it whatever that raises; the failure stays `unknown` then. `collect_answer` and `RunEnd` keep the parts short. Before: tests/runs/test_runner.py, both cases fail with "ValueError: the engine's state is no JSON", the run still running.

--- a/packages/primroselever-agent/src/primroselever_agent/runs/runner.py
+++ b/packages/primroselever-agent/src/primroselever_agent/runs/runner.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import logging
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Protocol
 
 import eventlet
@@ -27,6 +28,14 @@
 logger = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class RunEnd:
+    """How a run ended; ``reason`` is None for one that is done."""
+
+    state: RunState
+    reason: Reason | None
+
+
 class RunObserver(Protocol):
     """Who is told how runs go, before their readers are."""
 
@@ -61,29 +70,37 @@
 
     def carry(self, run: Run, body: bytes, priority: int) -> None:
         """Carry one run to its end, whatever happens."""
-        state, reason = RunState.FAILED, Reason.ENGINE_FAILED
+        end = RunEnd(RunState.FAILED, Reason.ENGINE_FAILED)
+        try:
+            end = self.attempt(run, body, priority)
+        except Exception:
+            logger.exception("run %s failed", run.run_id)
+        self.end(run, end.state, end.reason)
+
+    def attempt(self, run: Run, body: bytes, priority: int) -> RunEnd:
+        """Run a request on the back end, and return how that ended."""
         try:
             with eventlet.Timeout(self.time_left_s(run)):
-                for data in self.backend.run(run, body, priority):
-                    if self.observer is not None and not run.answer.data:
-                        self.observer.first_data(run)
-                    if not run.answer.append(data):
-                        raise BackendError(Reason.ANSWER_DAMAGED, "answer too long")
-                    self.answers.note(run.run_id)
-            self.end(run, RunState.DONE, None)
-            return
+                self.collect_answer(run, body, priority)
         except BackendError as exc:
-            reason = exc.reason
-            state = RunState.NOT_RUN if exc.never_ran else RunState.FAILED
             logger.warning("run %s failed: %s", run.run_id, exc)
             if self.observer is not None:
                 self.observer.failed(run, exc)
+            state = RunState.NOT_RUN if exc.never_ran else RunState.FAILED
+            return RunEnd(state, exc.reason)
         except eventlet.Timeout:
-            reason = Reason.DEADLINE_PASSED
             self.backend.cancel(run)
-        except Exception:
-            logger.exception("run %s failed", run.run_id)
-        self.end(run, state, reason)
+            return RunEnd(RunState.FAILED, Reason.DEADLINE_PASSED)
+        return RunEnd(RunState.DONE, None)
+
+    def collect_answer(self, run: Run, body: bytes, priority: int) -> None:
+        """Append the answer to the run's buffer as it comes."""
+        for data in self.backend.run(run, body, priority):
+            if self.observer is not None and not run.answer.data:
+                self.observer.first_data(run)
+            if not run.answer.append(data):
+                raise BackendError(Reason.ANSWER_DAMAGED, "answer too long")
+            self.answers.note(run.run_id)
 
     def time_left_s(self, run: Run) -> float:
         """
--- /dev/null
+++ b/packages/primroselever-agent/tests/runs/test_runner.py
@@ -0,0 +1,64 @@
+"""Runs that end although what surrounds them fails."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import eventlet
+import pytest
+
+from primroselever_agent.exceptions import BackendError
+from primroselever_agent.runs.answers import Answers
+from primroselever_agent.runs.runner import Runner
+from primroselever_core.identifiers import (
+    Fingerprint,
+    RunId,
+    ServiceName,
+    WorkspaceName,
+)
+from primroselever_core.outcomes import Reason
+from primroselever_core.runs.answer_buffer import AnswerBuffer
+from primroselever_core.runs.registry import Run, RunRegistry, RunState
+from primroselever_node import clock
+
+
+def broken(*_args):
+    raise ValueError("the engine's state is no JSON")
+
+
+def refuse(*_args):
+    raise BackendError(Reason.ENGINE_FAILED, "never connected", never_ran=True)
+
+
+def hang(*_args):
+    eventlet.sleep(1)
+    yield b""
+
+
+@pytest.mark.parametrize(("run_backend", "time_left_s"), [(refuse, 60.0), (hang, 0.0)])
+def test_a_run_ends_though_its_observer_or_its_cancelling_fails(
+    run_backend, time_left_s
+):
+    registry = RunRegistry(300.0)
+    backend = SimpleNamespace(run=run_backend, cancel=broken)
+    runner = Runner(registry, backend, Answers(registry))
+    runner.observer = SimpleNamespace(failed=broken, ended=lambda *_: None)
+    run = Run(
+        RunId("run"),
+        ServiceName("summaries"),
+        WorkspaceName("ministry"),
+        Fingerprint("one"),
+        True,
+        clock.now() + 60.0,
+        AnswerBuffer(100),
+    )
+    registry.admit(run, clock.now())
+    run.deadline = clock.now() + time_left_s
+
+    runner.start(run, b"", 5)
+    with eventlet.Timeout(5):
+        runner.greenlets[run.run_id].wait()
+
+    assert run.state is RunState.FAILED
+    assert registry.in_flight() == 0
+    assert runner.greenlets == {}
