Keep waiting runs consistent when an end starts or refuses others

Cause: ending a run re-enters the admission's step. After a crash the loop over the waiting runs found some already refused there, and an offer that displaced another run started the new one before it was held. Both raised KeyError: the failing run never ended, or the new one took a slot for good without running. Ruled out: a step deferred to the timer; it would hold back final answers. Change: after a crash all waiting runs are withdrawn before the first end is told; refusals that an offer causes are carried out once the new run is held. A waiting run is a `HeldRun`, no tuple. Before: tests/admission/test_controller.py: the two new tests fail with KeyError at controller.py:169 and :122.

--- a/packages/primroselever-agent/src/primroselever_agent/admission/controller.py
+++ b/packages/primroselever-agent/src/primroselever_agent/admission/controller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from itertools import count
 from typing import TYPE_CHECKING, Any
 
@@ -32,6 +33,15 @@
 DEFAULT_SHARE = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class HeldRun:
+    """An admitted run that waits for its turn, with what it is started with."""
+
+    run: Run
+    body: bytes
+    priority: int
+
+
 class AdmissionController:
     """Stands between the handler, which is asked for runs, and the runner."""
 
@@ -47,7 +57,7 @@
         self.admission = admission
         self.crashes = crashes
         self.numbers = count()
-        self.held: dict[RunId, tuple[Run, bytes, int]] = {}
+        self.held: dict[RunId, HeldRun] = {}
         self.known_crashes: dict[RunId, frozenset[CrashId]] = {}
         runner.observer = self
         meter = metrics.get_meter("primroselever.admission")
@@ -73,7 +83,11 @@
             )
 
     def offer(self, run: Run, priority: int) -> NotRun | None:
-        """Return why a new run is refused, or None and let it start or wait."""
+        """
+        Return why a new run is refused, or None and let it start or wait.
+
+        ``begin`` or ``forget`` must follow before the greenlet yields.
+        """
         now = clock.now()
         standing = self.board.suspects.standing(run.fingerprint, now)
         if standing is Standing.QUARANTINED:
@@ -90,7 +104,6 @@
         suspect = standing is Standing.SUSPECT
         share = self.share_of(run.workspace)
         verdict = self.admission.offer(waiting, share, suspect, now)
-        self.carry_out_refusals()
         if isinstance(verdict, NotRun):
             return self.refuse(run, verdict)
         self.decisions.add(1, {"decision": verdict, "reason": ""})
@@ -101,13 +114,17 @@
     def forget(self, run: Run) -> None:
         """Take back an offer whose run is not to begin after all."""
         self.admission.ended(run.run_id, False, clock.now())
+        self.carry_out_refusals()
 
     def begin(self, run: Run, body: bytes, priority: int) -> None:
         """Start a run that was not refused, or hold it until its turn."""
         if run.run_id in self.admission.in_flight:
             self.start(run, body, priority)
         else:
-            self.held[run.run_id] = run, body, priority
+            self.held[run.run_id] = HeldRun(run, body, priority)
+        # Ending a run starts those that have room, perhaps this one: it must be
+        # held by then.
+        self.carry_out_refusals()
 
     def start(self, run: Run, body: bytes, priority: int) -> None:
         """Hand a run to the runner."""
@@ -119,15 +136,15 @@
     def step(self) -> None:
         """Start what has its turn; refuse what can no longer be in time."""
         for waiting in self.admission.startable(clock.now()):
-            run, body, priority = self.held.pop(waiting.run_id)
-            self.start(run, body, priority)
+            held = self.held.pop(waiting.run_id)
+            self.start(held.run, held.body, held.priority)
         self.carry_out_refusals()
 
     def carry_out_refusals(self) -> None:
         """End the waiting runs that the decisions refused."""
         for refused in self.admission.take_refused():
-            run, _, _ = self.held.pop(refused.run.run_id)
-            self.end_unrun(run, refused.refusal)
+            held = self.held.pop(refused.run.run_id)
+            self.end_unrun(held.run, refused.refusal)
 
     def end_unrun(self, run: Run, refusal: NotRun) -> None:
         """End a run that waited and never started."""
@@ -165,10 +182,20 @@
         names = [w.fingerprint for w in present]
         if self.crashes.check(run.weights_digest, names):
             self.crash_count.add(1)
-            for held, _, _ in list(self.held.values()):
-                del self.held[held.run_id]
-                self.admission.ended(held.run_id, False, clock.now())
-                self.end_unrun(held, NotRun(Reason.NO_WEIGHTS, CRASH_RETRY_S))
+            self.refuse_held(NotRun(Reason.NO_WEIGHTS, CRASH_RETRY_S))
+
+    def refuse_held(self, refusal: NotRun) -> None:
+        """
+        End all waiting runs.
+
+        All are withdrawn before the first end is told: an end starts or refuses
+        the runs that still wait.
+        """
+        held_runs, self.held = self.held, {}
+        for run_id in held_runs:
+            self.admission.ended(run_id, False, clock.now())
+        for held in held_runs.values():
+            self.end_unrun(held.run, refusal)
 
     def ended(self, run: Run, state: RunState) -> None:
         """Take in a run's end; a success clears its request."""
--- a/packages/primroselever-agent/tests/admission/test_controller.py
+++ b/packages/primroselever-agent/tests/admission/test_controller.py
@@ -80,7 +80,7 @@
     return AdmissionController(board, Runner(), Admission(limit), watch)
 
 
-def offered(admission, name):
+def offered(admission, name, priority=5):
     """Offer a run and begin it if it is not refused; return the run or refusal."""
     run = Run(
         RunId(f"{name} {len(admission.runner.started)} {len(admission.held)}"),
@@ -92,10 +92,10 @@
         AnswerBuffer(100),
         weights_digest="v1",
     )
-    refusal = admission.offer(run, 5)
+    refusal = admission.offer(run, priority)
     if refusal is not None:
         return refusal
-    admission.begin(run, b"", 5)
+    admission.begin(run, b"", priority)
     return run
 
 
@@ -154,3 +154,34 @@
         admission.runner.end(run, RunState.DONE, None)
     assert admission.runner.ends[runs[3].run_id][0] is RunState.NOT_RUN
     assert runs[3] not in admission.runner.started
+
+
+def test_a_crash_ends_all_who_waited_though_their_deadline_passes(
+    admission, engine, monkeypatch
+):
+    bad, *_ = (offered(admission, n) for n in ("bad", "beside", "other"))
+    waiting = [offered(admission, name) for name in ("first", "second")]
+    engine.digest = None
+    late = clock.now() + 61.0
+    monkeypatch.setattr(clock, "now", lambda: late)
+
+    admission.runner.fail(bad)
+
+    ends = [admission.runner.ends[run.run_id] for run in waiting]
+    assert ends == [(RunState.NOT_RUN, Reason.NO_WEIGHTS)] * 2
+    assert admission.runner.ends[bad.run_id][0] is RunState.FAILED
+
+
+def test_a_run_that_displaces_another_starts_once_there_is_room(admission):
+    for name in ("a", "b", "c"):
+        offered(admission, name)
+    admission.admission.service_s = 44.0
+    last = offered(admission, "last")
+    admission.admission.limit = ConcurrencyLimit(highest=4, lowest=4, value=4)
+
+    urgent = offered(admission, "urgent", priority=1)
+
+    assert admission.runner.ends[last.run_id][0] is RunState.NOT_RUN
+    admission.step()
+    assert admission.runner.started[-1] is urgent
+    assert admission.held == {}
