Forget a chunk once nobody waits for it any more

Cause: an event for each chunk that a peer had waited for stayed until the chunk arrived. The chunks of a version that was superseded never do, so the events of all such rollouts added up. Ruled out: clearing them when another version is wanted; it would wake those who wait for a chunk that both versions hold. Change: each waiter has an event of its own and takes it out when its time is over. Before: tests/transfer/test_serving.py: the first test fails, one event is left.

--- a/packages/primroselever-agent/src/primroselever_agent/transfer/serving.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/serving.py
@@ -50,7 +50,7 @@
         self.section = section
         self.uploads = uploads
         self.instruments = instruments
-        self.waiting: dict[ChunkDigest, Event] = {}
+        self.waiting: dict[ChunkDigest, set[Event]] = {}
 
     def manifest(self, weights_digest: WeightsDigest) -> bytes:
         """Return the text of a manifest that is known here, or nothing."""
@@ -114,14 +114,18 @@
 
     def wait(self, digest: ChunkDigest, timeout_s: float) -> None:
         """Block until a chunk is held, or the time is over."""
-        event = self.waiting.setdefault(digest, Event())
+        event = Event()
+        events = self.waiting.setdefault(digest, set())
+        events.add(event)
         with eventlet.Timeout(timeout_s, False):
             event.wait()
+        events.discard(event)
+        if not events and self.waiting.get(digest) is events:
+            del self.waiting[digest]
 
     def arrived(self, digest: ChunkDigest) -> None:
         """Wake whoever waits for a chunk."""
-        event = self.waiting.pop(digest, None)
-        if event is not None:
+        for event in self.waiting.pop(digest, ()):
             event.send()
 
     def reply(
