Keep a limit when the share of the cross-domain link is below a byte

Cause: the failure domain's budget was divided with rounding down, and a share of 0 means no limit, so a budget smaller than the count of VMs lifted the limit altogether. Ruled out: refusing such settings; the count of VMs is not known at the check. Change: the share is rounded up. Before: the new test in tests/transfer/test_rollout.py fails: no budget is set.

--- a/packages/primroselever-agent/src/primroselever_agent/transfer/rollout.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/rollout.py
@@ -211,7 +211,8 @@
 
     def set_cross_domain_budget(self, sharers: int) -> None:
         """Take this VM's share of the link that its failure domain shares."""
-        rate = self.cross_domain_bytes_per_s // sharers
+        # Rounded up: a share of 0 would be no limit.
+        rate = -(-self.cross_domain_bytes_per_s // sharers)
         bucket = self.fetcher.cross_domain
         if bucket is None or bucket.rate != rate:
             self.fetcher.cross_domain = bucket_of(rate)
--- a/packages/primroselever-agent/tests/transfer/test_rollout.py
+++ b/packages/primroselever-agent/tests/transfer/test_rollout.py
@@ -165,3 +165,13 @@
         fake_clock.now += 0.05
         agent.rollout.step()
     assert 1 <= len(sought) <= 6
+
+
+def test_a_share_of_the_link_below_a_byte_is_still_a_limit(agent: Agent) -> None:
+    agent.rollout.cross_domain_bytes_per_s = 2
+    agent.rollout.set_cross_domain_budget(sharers=3)
+    assert agent.fetcher.cross_domain is not None
+
+    agent.rollout.cross_domain_bytes_per_s = 0
+    agent.rollout.set_cross_domain_budget(sharers=3)
+    assert agent.fetcher.cross_domain is None
