Count silent reads of the engine anew each time it serves

Cause: admission stops after two silent reads in a row, but the count was kept when it stopped, so that the next single silent read stopped it again. Ruled out: resetting at each admission; there are two places that admit. Change: the count is reset when admission stops. SILENT_READS is MAX_SILENT_READS, since it is a bound and not a count. Before: the new test in tests/transfer/test_rollout.py fails: nothing serves after one silent read.

--- a/packages/primroselever-agent/src/primroselever_agent/transfer/engine_switch.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/engine_switch.py
@@ -35,7 +35,7 @@
 
 DRAIN_S = 20.0
 DRAIN_POLL_S = 0.02
-SILENT_READS = 2
+MAX_SILENT_READS = 2
 
 logger = logging.getLogger(__name__)
 
@@ -182,7 +182,10 @@
             digest = self.engine.state().digest
         except OrderError as exc:
             self.silent_reads += 1
-            if self.silent_reads >= SILENT_READS and self.section.serving == serving:
+            if (
+                self.silent_reads >= MAX_SILENT_READS
+                and self.section.serving == serving
+            ):
                 self.stop_serving(f"the engine does not answer: {exc}")
             return
         self.silent_reads = 0
@@ -192,5 +195,6 @@
     def stop_serving(self, reason: str) -> None:
         """Stop admission; the rollout orders the wanted version again."""
         self.section.serving = None
+        self.silent_reads = 0
         self.handed.clear()
         log_decision("switch", self.peers.group, "admission stopped", reason)
--- a/packages/primroselever-agent/tests/transfer/test_rollout.py
+++ b/packages/primroselever-agent/tests/transfer/test_rollout.py
@@ -4,8 +4,12 @@
 
 import pytest
 
+from primroselever_agent.exceptions import OrderError
+from primroselever_agent.transfer.engine_switch import MAX_SILENT_READS
 from primroselever_core.transfer.sources import ORIGIN, Corrupt, Held, Read
 
+from .conftest import FakeEngine
+
 if TYPE_CHECKING:
     from .conftest import Agent, FakeClock
 
@@ -175,3 +179,20 @@
     agent.rollout.cross_domain_bytes_per_s = 0
     agent.rollout.set_cross_domain_budget(sharers=3)
     assert agent.fetcher.cross_domain is None
+
+
+def test_each_time_it_serves_one_silent_read_of_the_engine_is_borne(
+    agent: Agent, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def silent(_engine: FakeEngine) -> None:
+        raise OrderError("no answer")
+
+    digest = serve(agent, 1, "1", *ONE)
+    monkeypatch.setattr(FakeEngine, "state", silent)
+    for _ in range(MAX_SILENT_READS):
+        agent.switch.watch()
+    assert agent.section.serving is None
+
+    agent.section.serving = digest
+    agent.switch.watch()
+    assert agent.section.serving == digest
