Let the corrupt peer answer the calls as they are sent now

Cause: its fetch_publication took three arguments and the call sends four, so each such call failed with an exception in its log rather than with "nothing newer". Ruled out: nothing. Change: the signature; the chunk's state and the empty load come from where the agents have them; fetch_manifest, which nobody calls, is gone. Before: bench/tests/standins/test_corrupt_peer.py fails for fetch_publication: "too many positional arguments".

--- a/bench/standins/corrupt_peer.py
+++ b/bench/standins/corrupt_peer.py
@@ -4,6 +4,8 @@
 
 from typing import Any
 
+from primroselever_agent.transfer.chunk_state import ChunkState
+from primroselever_node.rpc.handler import empty_load
 from primroselever_node.rpc.schema import schema
 from primroselever_node.rpc.server import RpcServer
 
@@ -29,9 +31,6 @@
 
     def heartbeat(self, sender: Any) -> Any:
         """Return a heartbeat of an agent that serves nothing."""
-        load = schema.Load(
-            in_flight=0, queued=0, limit=1, engine_load=0.0, engine_age_ms=0
-        )
         return schema.Heartbeat(
             vm_id=self.faults["vm_id"],
             incarnation=1,
@@ -39,19 +38,17 @@
             revision_digest="",
             vm_list_revision=0,
             leaving=False,
-            load=load,
+            load=empty_load(),
             weights_digest="",
             suspicions=[],
         )
 
-    def fetch_publication(self, name: str, known_revision: int, wait_ms: int) -> Any:
+    def fetch_publication(
+        self, name: str, known_revision: int, wait_ms: int, known_digest: str
+    ) -> Any:
         """Return no published value."""
         return schema.Publication(revision=0, text=b"")
 
-    def fetch_manifest(self, weights_digest: str) -> bytes:
-        """Return no manifest."""
-        return b""
-
     def find_manifest(self, model: str, adapter: str, version: str) -> bytes:
         """Return no manifest."""
         return b""
@@ -60,5 +57,5 @@
         """Return damaged bytes."""
         self.faults["chunks_given"] += 1
         return schema.ChunkReply(
-            state="held", data=self.chunk, retry_after_ms=0, ask_vm_id=""
+            state=ChunkState.HELD, data=self.chunk, retry_after_ms=0, ask_vm_id=""
         )
