Name chunk states and refusal times by what they are

Cause: the five states of a chunk were bare strings in two modules; a pause borrowed the retry time of missing weights; the conversion to milliseconds, and the empty load, stood twice. Ruled out: the states in core; only the wire knows them. Change: ChunkState; PAUSED_RETRY_S and its like in seconds; retry_after_ms; empty_load from the node package; ChunkRequest is built by field name. The handler and the serving of fetch_manifest go: nothing calls it. Conclusion: no change of behaviour.

--- a/packages/primroselever-agent/src/primroselever_agent/runs/handler.py
+++ b/packages/primroselever-agent/src/primroselever_agent/runs/handler.py
@@ -36,8 +36,9 @@
     from .runner import Runner
     from .ticket_issuer import TicketIssuer
 
-NO_WEIGHTS_RETRY_MS = 1000
-LEAVING_RETRY_MS = 100
+PAUSED_RETRY_S = 1.0
+NO_WEIGHTS_RETRY_S = 1.0
+LEAVING_RETRY_S = 0.1
 
 
 class AgentHandler:
@@ -128,21 +129,19 @@
     def refusal(self, request: Any) -> NotRun | None:
         """Return why a start is refused now, or None."""
         if refuses_starts(self.board, clock.now()):
-            return NotRun(Reason.PAUSED, NO_WEIGHTS_RETRY_MS / 1000)
+            return NotRun(Reason.PAUSED, PAUSED_RETRY_S)
         if self.board.leaving:
-            return NotRun(Reason.LEAVING, LEAVING_RETRY_MS / 1000)
+            return NotRun(Reason.LEAVING, LEAVING_RETRY_S)
         transfers = self.board.transfers
         if self.needs_weights and not (transfers and transfers.serving):
-            return NotRun(Reason.NO_WEIGHTS, NO_WEIGHTS_RETRY_MS / 1000)
+            return NotRun(Reason.NO_WEIGHTS, NO_WEIGHTS_RETRY_S)
         return None
 
     def refuse(self, refusal: NotRun | Unknown) -> Any:
         """Return the reply to a start that does not run now."""
         refused = isinstance(refusal, NotRun)
         state = StartState.REFUSED if refused else StartState.UNKNOWN
-        return self.start_reply(
-            state, refusal.reason, int((refusal.retry_after_s or 0) * 1000)
-        )
+        return self.start_reply(state, refusal.reason, retry_after_ms(refusal))
 
     def start_reply(
         self, state: str, reason: str = "", retry_after_ms: int = 0, run_id: str = ""
@@ -196,14 +195,13 @@
     def issue_ticket(self, request: Any) -> Any:
         """Return a ticket for a non-idempotent call, or why there is none."""
         if self.board.leaving:
-            issued: str | NotRun = NotRun(Reason.LEAVING, LEAVING_RETRY_MS / 1000)
+            issued: str | NotRun = NotRun(Reason.LEAVING, LEAVING_RETRY_S)
         else:
             issued = self.tickets.issue(request)
         if isinstance(issued, str):
             return schema.TicketReply(ticket=issued, reason="", retry_after_ms=0)
-        retry_after_ms = int((issued.retry_after_s or 0) * 1000)
         return schema.TicketReply(
-            ticket="", reason=issued.reason, retry_after_ms=retry_after_ms
+            ticket="", reason=issued.reason, retry_after_ms=retry_after_ms(issued)
         )
 
     def fetch_publication(
@@ -212,10 +210,6 @@
         """Hand on the profiles in force or the VM list."""
         return self.node.fetch_publication(name, known_revision, wait_ms, known_digest)
 
-    def fetch_manifest(self, weights_digest: str) -> bytes:
-        """Return a manifest that this agent knows, or nothing."""
-        return self.chunks.manifest(WeightsDigest(weights_digest))
-
     def find_manifest(self, model: str, adapter: str, version: str) -> bytes:
         """Return the manifest that this agent wants for a version, or nothing."""
         return self.chunks.find_manifest(model, adapter, version)
@@ -231,11 +225,16 @@
     ) -> Any:
         """Return a chunk, or say where or when to ask for it."""
         wanted = ChunkRequest(
-            WeightsDigest(weights_digest),
-            index,
-            wait_ms / 1000,
-            VmId(asker or ""),
-            hops or 0,
-            ChunkDigest(chunk_digest or ""),
+            weights_digest=WeightsDigest(weights_digest),
+            index=index,
+            wait_s=wait_ms / 1000,
+            asker=VmId(asker or ""),
+            hops=hops or 0,
+            chunk_digest=ChunkDigest(chunk_digest or ""),
         )
         return self.chunks.chunk(wanted)
+
+
+def retry_after_ms(refusal: NotRun | Unknown) -> int:
+    """Return when coming back makes sense, as it goes over the wire; 0 for never."""
+    return int((refusal.retry_after_s or 0) * 1000)
--- a/packages/primroselever-agent/src/primroselever_agent/transfer/fetcher.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/fetcher.py
@@ -19,6 +19,8 @@
 from primroselever_node import clock
 from primroselever_node.exceptions import SourceRefusedError, WeightSourceError
 
+from .chunk_state import ChunkState
+
 if TYPE_CHECKING:
     from primroselever_core.identifiers import VmId
     from primroselever_core.transfer.manifest import Manifest
@@ -94,15 +96,16 @@
         reply = self.peers.chunk(vm_id, manifest, read)
         if reply is None:
             return Silent(read)
-        if reply.state == "held":
+        if reply.state == ChunkState.HELD:
             if read.source.kind is SourceKind.OTHER_DOMAIN:
                 pace(self.cross_domain, len(reply.data))
             return self.take_in(manifest, read, reply.data)
-        if reply.state == "elsewhere" and reply.ask_vm_id:
+        if reply.state == ChunkState.ELSEWHERE and reply.ask_vm_id:
             return Elsewhere(read, reply.ask_vm_id)
-        if reply.state in ("pending", "reading"):
+        if reply.state in (ChunkState.PENDING, ChunkState.READING):
             again_s = max(ASK_AGAIN_S, reply.retry_after_ms / 1000)
-            return Pending(read, reply.state == "reading", clock.now() + again_s)
+            reading = reply.state == ChunkState.READING
+            return Pending(read, reading, clock.now() + again_s)
         return Refused(read)
 
     def take_in(self, manifest: Manifest, read: Read, data: bytes) -> ReadEvent:
--- a/packages/primroselever-agent/src/primroselever_agent/transfer/peers.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/peers.py
@@ -8,6 +8,7 @@
 
 from primroselever_core.transfer.switching import PeerState
 from primroselever_node.rpc.client_pool import LostReplyError, NeverSentError
+from primroselever_node.rpc.handler import empty_load
 from primroselever_node.rpc.schema import schema
 
 if TYPE_CHECKING:
@@ -101,9 +102,7 @@
             revision_digest=revision.digest,
             vm_list_revision=0,
             leaving=self.board.leaving,
-            load=schema.Load(
-                in_flight=0, queued=0, limit=0, engine_load=0.0, engine_age_ms=0
-            ),
+            load=empty_load(),
             weights_digest=(transfers and transfers.serving) or "",
             suspicions=[],
         )
--- a/packages/primroselever-agent/src/primroselever_agent/transfer/serving.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/serving.py
@@ -13,6 +13,8 @@
 from primroselever_node import clock
 from primroselever_node.rpc.schema import schema
 
+from .chunk_state import ChunkState
+
 if TYPE_CHECKING:
     from primroselever_core.board import Blackboard
     from primroselever_core.identifiers import ChunkDigest, VmId, WeightsDigest
@@ -26,7 +28,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ChunkRequest:
-    """A peer's request; ``wait_s`` is how long the call may be held open."""
+    """
+    A peer's request for a chunk.
+
+    ``wait_s`` is how long the call may be held open, ``asker`` the peer, and ``hops``
+    how many holders have already named another one to it.
+    """
 
     weights_digest: WeightsDigest
     index: int
@@ -52,11 +59,6 @@
         self.instruments = instruments
         self.waiting: dict[ChunkDigest, set[Event]] = {}
 
-    def manifest(self, weights_digest: WeightsDigest) -> bytes:
-        """Return the text of a manifest that is known here, or nothing."""
-        manifest = self.section.manifests.get(weights_digest)
-        return manifest.text if manifest is not None else b""
-
     def find_manifest(self, model: str, adapter: str, version: str) -> bytes:
         """Return the text of the manifest that is wanted for a version."""
         wanted = self.section.wanted
@@ -74,7 +76,7 @@
         data = self.section.store.get(digest)
         if data is None and not self.wanted(request.weights_digest):
             self.section.other_asked = True
-            return self.reply("unknown")
+            return self.reply(ChunkState.UNKNOWN)
         if data is None and request.wait_s > 0:
             self.wait(digest, min(MAX_WAIT_S, request.wait_s))
             data = self.section.store.get(digest)
@@ -82,7 +84,7 @@
             return self.send(data, request)
         planner = self.section.planner
         reading = planner is not None and planner.reading_outside(request.index)
-        return self.reply("reading" if reading else "pending")
+        return self.reply(ChunkState.READING if reading else ChunkState.PENDING)
 
     def wanted(self, weights_digest: WeightsDigest) -> bool:
         """Return whether this agent is after a version itself."""
@@ -97,14 +99,14 @@
             request.chunk_digest, len(data), asker, near, request.hops, now
         )
         if isinstance(answer, SendElsewhere):
-            return self.reply("elsewhere", ask_vm_id=answer.vm_id)
+            return self.reply(ChunkState.ELSEWHERE, ask_vm_id=answer.vm_id)
         if isinstance(answer, Busy):
             wait_ms = int((answer.retry_at - now) * 1000)
-            return self.reply("reading", retry_after_ms=wait_ms)
+            return self.reply(ChunkState.READING, retry_after_ms=wait_ms)
         assert isinstance(answer, Send)
         eventlet.sleep(max(0.0, answer.at - now))
         self.instruments.sent.add(len(data))
-        return self.reply("held", data)
+        return self.reply(ChunkState.HELD, data)
 
     def is_near(self, vm_id: VmId) -> bool:
         """Return whether a VM stands in this failure domain."""
@@ -130,7 +132,7 @@
 
     def reply(
         self,
-        state: str,
+        state: ChunkState,
         data: bytes = b"",
         retry_after_ms: int = 0,
         ask_vm_id: str = "",
