Take the call fetch_manifest out of the schema

Cause: peers ask with find_manifest, by name; nothing calls fetch_manifest. Ruled out: keeping it for older agents: none of them calls it either. Change: the method is gone from primroselever.thrift. Before: grep for fetch_manifest finds handlers and no caller. After: make lint types contracts test: 337 passed. Conclusion: no change of behaviour.

--- a/packages/primroselever-node/src/primroselever_node/rpc/primroselever.thrift
+++ b/packages/primroselever-node/src/primroselever_node/rpc/primroselever.thrift
@@ -163,7 +163,6 @@
   ReadReply read(1: list<RunCursor> cursors, 2: i64 wait_ms, 3: string reader, 4: bool first),
   RunSlice resolve(1: string run_id, 2: i64 incarnation, 3: i64 epoch),
   void cancel(1: string run_id),
-  binary fetch_manifest(1: string weights_digest),
   ChunkReply fetch_chunk(1: string weights_digest, 2: i32 index, 3: i64 wait_ms, 4: string asker, 5: i32 hops, 6: string chunk_digest),
   binary find_manifest(1: string model, 2: string adapter, 3: string version),
 }
