Split the agent's wiring and the admission's metrics

Cause: AgentProcess.__init__ was 55 lines of wiring; the admission controller made its instruments beside its decisions, with a copy of the node package's gauge; controllers' intervals were bare numbers. Ruled out: a builder object; the parts need one another in one order. Conclusion: no change of behaviour.

--- a/packages/primroselever-agent/src/primroselever_agent/admission/controller.py
+++ b/packages/primroselever-agent/src/primroselever_agent/admission/controller.py
@@ -4,10 +4,7 @@
 
 from dataclasses import dataclass
 from itertools import count
-from typing import TYPE_CHECKING, Any
-
-from opentelemetry import metrics
-from opentelemetry.metrics import CallbackOptions, Observation
+from typing import TYPE_CHECKING
 
 from primroselever_core.admission.fair_queue import Waiting
 from primroselever_core.outcomes import NotRun, Reason
@@ -16,9 +13,9 @@
 from primroselever_node import clock
 from primroselever_node.logs import log_decision
 
-if TYPE_CHECKING:
-    from collections.abc import Iterable
+from .instruments import AdmissionInstruments
 
+if TYPE_CHECKING:
     from primroselever_core.admission.admission import Admission
     from primroselever_core.board import Blackboard
     from primroselever_core.identifiers import RunId, WorkspaceName
@@ -60,27 +57,7 @@
         self.held: dict[RunId, HeldRun] = {}
         self.known_crashes: dict[RunId, frozenset[CrashId]] = {}
         runner.observer = self
-        meter = metrics.get_meter("primroselever.admission")
-        self.decisions = meter.create_counter(
-            "primroselever.admission.decisions",
-            unit="{run}",
-            description="Runs started, queued and refused, by reason",
-        )
-        self.crash_count = meter.create_counter(
-            "primroselever.admission.engine_crashes",
-            unit="{crash}",
-            description="Crashes of the engine with runs in flight",
-        )
-        for name, unit, value in (
-            ("limit", "{run}", admission.limit.current),
-            ("waiting", "{run}", lambda: len(admission.waiting)),
-            ("in_flight", "{run}", lambda: len(admission.in_flight)),
-            ("service", "s", lambda: admission.service_s),
-            ("suspects", "{request}", lambda: len(board.suspects.records)),
-        ):
-            meter.create_observable_gauge(
-                f"primroselever.admission.{name}", [observer(value)], unit=unit
-            )
+        self.instruments = AdmissionInstruments(admission, board.suspects)
 
     def offer(self, run: Run, priority: int) -> NotRun | None:
         """
@@ -106,7 +83,7 @@
         verdict = self.admission.offer(waiting, share, suspect, now)
         if isinstance(verdict, NotRun):
             return self.refuse(run, verdict)
-        self.decisions.add(1, {"decision": verdict, "reason": ""})
+        self.instruments.decisions.add(1, {"decision": verdict, "reason": ""})
         if suspect:
             log_decision("admit", run.run_id, verdict, "suspects run one by one")
         return None
@@ -154,7 +131,9 @@
 
     def refuse(self, run: Run, refusal: NotRun) -> NotRun:
         """Log and count a refusal, and return it."""
-        self.decisions.add(1, {"decision": "refused", "reason": refusal.reason})
+        self.instruments.decisions.add(
+            1, {"decision": "refused", "reason": refusal.reason}
+        )
         log_decision(
             "admit", run.run_id, "refused", refusal.reason, workspace=run.workspace
         )
@@ -181,7 +160,7 @@
             present = [w for w in present if w.run_id != run.run_id]
         names = [w.fingerprint for w in present]
         if self.crashes.check(run.weights_digest, names):
-            self.crash_count.add(1)
+            self.instruments.crashes.add(1)
             self.refuse_held(NotRun(Reason.NO_WEIGHTS, CRASH_RETRY_S))
 
     def refuse_held(self, refusal: NotRun) -> None:
@@ -214,12 +193,3 @@
                 if published.name == workspace:
                     return published.share
         return DEFAULT_SHARE
-
-
-def observer(value: Any) -> Any:
-    """Return a callback that observes one value."""
-
-    def observe(_options: CallbackOptions) -> Iterable[Observation]:
-        return [Observation(value())]
-
-    return observe
--- a/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
+++ b/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
@@ -46,15 +46,21 @@
 from ..settings import AgentSettings
 from ..transfer.explain import ChunkExplainer
 from ..transfer.parts import TransferParts
-from ..transfer.rollout import TICK_S
+from ..transfer.rollout import ROLLOUT_STEP_S
 
 if TYPE_CHECKING:
     from primroselever_node.settings.model import NodeSettings
 
+    from ..engine.backend import Backend
+
 KEEP_RUN_S = 300.0
-READ_OUT_S = 5.0
+MAX_READ_OUT_S = 5.0
+# The reply with the end of the last answer still has to leave.
 LAST_REPLY_S = 0.2
 ADMISSION_STEP_S = 0.05
+EXPIRY_STEP_S = 1.0
+TICKET_STEP_S = 1.0
+ENGINE_WATCH_STEP_S = 1.0
 
 
 class ServeCommand(BaseServeCommand):
@@ -82,33 +88,14 @@
         self.board.transfers = self.section
         self.engine = EngineClient(settings.backend.url)
         self.needs_weights = settings.backend.kind == "engine"
-        backend = (
-            self.engine if self.needs_weights else PlainClient(settings.backend.url)
-        )
         self.answers = Answers(self.registry)
-        self.runner = Runner(self.registry, backend, self.answers)
+        self.runner = self.new_runner()
         self.control = ControlPlane(self.board, settings.platform)
-        identity = self.board.identity
-        self.tickets = TicketIssuer(
-            TicketBook(identity.vm_id, identity.incarnation, self.registry.book),
-            TicketSigner(ticket_key(settings.secrets)),
-        )
+        self.tickets = self.new_ticket_issuer()
         self.transfer = TransferParts(
             self.board, self.section, self.registry, self.engine, settings
         )
-        crashes = CrashWatch(
-            self.board,
-            self.engine,
-            ClientPool(schema.Agent),
-            self.control.handler.own_heartbeat,
-            self.transfer.switch.stop_serving if self.needs_weights else None,
-        )
-        self.admission = AdmissionController(
-            self.board,
-            self.runner,
-            Admission(ConcurrencyLimit(settings.max_in_flight)),
-            crashes,
-        )
+        self.admission = self.new_admission()
         self.handler = AgentHandler(
             self.board,
             self.registry,
@@ -122,12 +109,43 @@
         self.rpc = RpcServer(
             schema.Agent, self.handler, settings.rpc.host, settings.rpc.port
         )
-        group = GroupName(settings.group)
+        self.admin = self.new_admin_server()
+
+    def new_runner(self) -> Runner:
+        """Return the runner, with a client of the engine or plain service."""
+        backend: Backend = self.engine
+        if not self.needs_weights:
+            backend = PlainClient(self.settings.backend.url)
+        return Runner(self.registry, backend, self.answers)
+
+    def new_ticket_issuer(self) -> TicketIssuer:
+        """Return the issuer of this incarnation's tickets."""
+        identity = self.board.identity
+        return TicketIssuer(
+            TicketBook(identity.vm_id, identity.incarnation, self.registry.book),
+            TicketSigner(ticket_key(self.settings.secrets)),
+        )
+
+    def new_admission(self) -> AdmissionController:
+        """Return the admission, with the watch for crashes of the engine."""
+        crashes = CrashWatch(
+            self.board,
+            self.engine,
+            ClientPool(schema.Agent),
+            self.control.handler.own_heartbeat,
+            self.transfer.switch.stop_serving if self.needs_weights else None,
+        )
+        admission = Admission(ConcurrencyLimit(self.settings.max_in_flight))
+        return AdmissionController(self.board, self.runner, admission, crashes)
+
+    def new_admin_server(self) -> HttpServer:
+        """Return the server of the admin port."""
+        group = GroupName(self.settings.group)
         explainer = ChunkExplainer(self.board, self.section, group)
-        self.admin = HttpServer(
+        return HttpServer(
             AdminApplication(self.not_ready, self.status, explainer.explain),
-            settings.admin.host,
-            settings.admin.port,
+            self.settings.admin.host,
+            self.settings.admin.port,
         )
 
     def run(self) -> int:
@@ -145,27 +163,27 @@
         Refuse new runs, let those in progress end and their answers be read.
 
         An answer that nobody reads on, as after a caller's deadline, is waited for
-        only until ``READ_OUT_S`` has passed. Return whether all runs ended.
+        only until ``MAX_READ_OUT_S`` has passed. Return whether all runs ended.
         """
         deadline = clock.now() + self.settings.shutdown_s
         self.board.leaving = True
         self.control.announce_leaving()
         drained = drain(self.registry.in_flight, deadline)
-        drain(self.registry.unread, min(deadline, clock.now() + READ_OUT_S))
+        drain(self.registry.unread, min(deadline, clock.now() + MAX_READ_OUT_S))
         eventlet.sleep(LAST_REPLY_S)
         return drained
 
     def start_controllers(self) -> None:
         """Start the controllers, each in a greenlet of its own."""
         self.control.start()
-        run_controller(lambda: self.registry.expire(clock.now()), 1.0)
-        run_controller(self.tickets.step, 1.0)
-        run_controller(lambda: self.answers.expire(clock.now()), 1.0)
+        run_controller(lambda: self.registry.expire(clock.now()), EXPIRY_STEP_S)
+        run_controller(lambda: self.answers.expire(clock.now()), EXPIRY_STEP_S)
+        run_controller(lambda: self.board.suspects.expire(clock.now()), EXPIRY_STEP_S)
+        run_controller(self.tickets.step, TICKET_STEP_S)
         run_controller(self.admission.step, ADMISSION_STEP_S)
-        run_controller(lambda: self.board.suspects.expire(clock.now()), 1.0)
         if self.needs_weights:
-            run_controller(self.transfer.rollout.step, TICK_S)
-            run_controller(self.transfer.switch.watch, 1.0)
+            run_controller(self.transfer.rollout.step, ROLLOUT_STEP_S)
+            run_controller(self.transfer.switch.watch, ENGINE_WATCH_STEP_S)
 
     def not_ready(self) -> str | None:
         """Return why no new work may come, or None."""
--- a/packages/primroselever-agent/src/primroselever_agent/transfer/rollout.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/rollout.py
@@ -31,7 +31,7 @@
     from .manifests import ManifestFinder
 
 PARALLEL_READS = 64
-TICK_S = 0.05
+ROLLOUT_STEP_S = 0.05
 KEEP_OLD_S = 120.0
 DOUBT_AGAIN_S = 1.0
 RECHECK_S = 15.0
