Split the building of a bench layout

Ruled out: nothing. Change: plan_entry, plan_agent and PORTS_PER_VM. Conclusion: no change of behaviour.

--- a/bench/layout.py
+++ b/bench/layout.py
@@ -7,10 +7,14 @@
 from functools import cache
 from itertools import cycle
 from random import SystemRandom
-from typing import Any
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
 
 HOST = "127.0.0.1"
 BLOCK_PORTS = 1000
+PORTS_PER_VM = 3
 BLOCK_STARTS = (10000, 32000)
 TICKET_KEY_VARIABLE = "PRIMROSELEVER_TICKET_KEY"
 TURN_AWAY_S = 0.5
@@ -165,37 +169,46 @@
     kind of its back ends (``engine`` or ``plain``) and their count in each
     domain.
     """
-    per_domain = entries_per_domain * 3
-    per_domain += sum(count for _, count in groups.values()) * 3
-    ports = iter(free_ports(4 + per_domain * len(domains)))
+    vms_per_domain = entries_per_domain + sum(count for _, count in groups.values())
+    ports = iter(free_ports(4 + vms_per_domain * PORTS_PER_VM * len(domains)))
     layout = Layout([], next(ports), next(ports), next(ports), next(ports))
     for domain, region in domains.items():
         for number in range(entries_per_domain):
-            layout.vms.append(
-                VmPlan(
-                    vm_id=f"{domain}-entry-{number}",
-                    role="entry",
-                    failure_domain=domain,
-                    region=region,
-                    group="",
-                    rpc_port=next(ports),
-                    admin_port=next(ports),
-                    http_port=next(ports),
-                )
-            )
+            layout.vms.append(plan_entry(domain, region, number, ports))
         for group, (kind, count) in groups.items():
             for number in range(count):
                 layout.vms.append(
-                    VmPlan(
-                        vm_id=f"{domain}-{group}-{number}",
-                        role="agent",
-                        failure_domain=domain,
-                        region=region,
-                        group=group,
-                        rpc_port=next(ports),
-                        admin_port=next(ports),
-                        backend_port=next(ports),
-                        backend_kind=kind,
-                    )
+                    plan_agent(domain, region, group, kind, number, ports)
                 )
     return layout
+
+
+def plan_entry(domain: str, region: str, number: int, ports: Iterator[int]) -> VmPlan:
+    """Return one entry of a failure domain."""
+    return VmPlan(
+        vm_id=f"{domain}-entry-{number}",
+        role="entry",
+        failure_domain=domain,
+        region=region,
+        group="",
+        rpc_port=next(ports),
+        admin_port=next(ports),
+        http_port=next(ports),
+    )
+
+
+def plan_agent(
+    domain: str, region: str, group: str, kind: str, number: int, ports: Iterator[int]
+) -> VmPlan:
+    """Return one agent of a group in a failure domain."""
+    return VmPlan(
+        vm_id=f"{domain}-{group}-{number}",
+        role="agent",
+        failure_domain=domain,
+        region=region,
+        group=group,
+        rpc_port=next(ports),
+        admin_port=next(ports),
+        backend_port=next(ports),
+        backend_kind=kind,
+    )
