Read processor time and memory of processes in one module of the bench

Cause: /proc was parsed in three modules; sizes divided by 1024 were called MB; a request of the throughput experiment was a bare tuple. Ruled out: one percentile function for all experiments: they round and rank differently, and their figures stand in the measurements. Change: bench/process_usage.py; MiB in its names; RawRequest. The names of the figures stay as they are. Before: 337 passed. After: make lint types contracts test: 337 passed. The experiments were not run. Conclusion: no change of behaviour.

--- a/bench/experiments/propagation.py
+++ b/bench/experiments/propagation.py
@@ -9,17 +9,16 @@
 from __future__ import annotations
 
 import math
-import os
 import signal
 import statistics
 import time
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
-from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 from bench.launcher import Launcher
 from bench.layout import Layout, VmPlan, build_layout
+from bench.process_usage import processor_s, resident_mib
 
 if TYPE_CHECKING:
     import argparse
@@ -29,7 +28,6 @@
 START_LIMIT_S = 70.0
 IN_FORCE_LIMIT_S = 20.0
 SETTLE_S = 6.0
-TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 READERS = 32
 
 
@@ -224,7 +222,7 @@
         for vm, control in zip(self.fleet.layout.vms, controls, strict=True):
             pid = self.fleet.processes[vm.vm_id].pid
             sent = traffic_of(control) if control else 0
-            readings.append((sent, processor_s(pid), resident_mb(pid)))
+            readings.append((sent, processor_s(pid), resident_mib(pid)))
         return readings
 
 
@@ -242,20 +240,6 @@
     return int(control["platform_bytes"]) + int(control["rpc_bytes"])
 
 
-def processor_s(pid: int) -> float:
-    """Return the processor seconds that a process has used."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
-
-
-def resident_mb(pid: int) -> float:
-    """Return the resident memory of a process in MB."""
-    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("VmRSS:"):
-            return int(line.split()[1]) / 1024
-    return 0.0
-
-
 def spread(values: list[float]) -> dict[str, float]:
     """Return the median, the 95th percentile and the greatest value."""
     ordered = sorted(values)
--- a/bench/experiments/throughput.py
+++ b/bench/experiments/throughput.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import json
-import os
 import re
 import time
 from dataclasses import dataclass, field
@@ -21,6 +20,7 @@
 from bench.layout import HOST, build_layout
 
 from ..launcher import Launcher
+from ..process_usage import processor_s
 
 if TYPE_CHECKING:
     from argparse import ArgumentParser, Namespace
@@ -52,6 +52,14 @@
     added_gaps: list[float] = field(default_factory=list)
 
 
+@dataclass(frozen=True, slots=True)
+class RawRequest:
+    """A request as the bytes that go over the connection to a port."""
+
+    port: int
+    data: bytes
+
+
 def add_arguments(parser: ArgumentParser) -> None:
     """Add the sizes."""
     parser.add_argument("--streams", type=int, nargs="+", default=[1, 50, 200])
@@ -93,21 +101,21 @@
     )
 
 
-def post(port: int, path: str, body: bytes) -> tuple[int, bytes]:
-    """Return a port and the bytes of a request to it."""
+def post(port: int, path: str, body: bytes) -> RawRequest:
+    """Return the bytes of a request to a port."""
     head = (
         f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nWorkspace: ministry\r\n"
         f"Request-Timeout: 60\r\nContent-Length: {len(body)}\r\n\r\n"
     )
-    return port, head.encode() + body
+    return RawRequest(port, head.encode() + body)
 
 
-def caller_request(entry: VmPlan) -> tuple[int, bytes]:
+def caller_request(entry: VmPlan) -> RawRequest:
     """Return a request to the entry."""
     return post(entry.http_port, f"/v1/services/{SERVICE}/requests", b"tender 12")
 
 
-def generate_request(agent: VmPlan) -> tuple[int, bytes]:
+def generate_request(agent: VmPlan) -> RawRequest:
     """Return a request straight to the engine."""
     fields = {
         "run_id": "direct",
@@ -119,7 +127,7 @@
 
 
 def part(
-    fleet: Launcher, callers: int, rounds: int, request: tuple[int, bytes]
+    fleet: Launcher, callers: int, rounds: int, request: RawRequest
 ) -> dict[str, Any]:
     """Run callers at once and return what they saw and what it cost."""
     tally = Tally()
@@ -128,7 +136,7 @@
         for vm in fleet.layout.vms
         if vm.vm_id in fleet.processes
     }
-    before = {role: cpu_s(pid) for role, pid in pids.items()}
+    before = {role: processor_s(pid) for role, pid in pids.items()}
     started = time.monotonic()
     pool = eventlet.GreenPool(callers)
     for _ in range(callers):
@@ -145,7 +153,7 @@
         "added_gap_ms_p50_p95": at(tally.added_gaps),
     }
     for role, pid in pids.items():
-        used = cpu_s(pid) - before[role]
+        used = processor_s(pid) - before[role]
         figures[f"{role}_cpu_s"] = round(used, 2)
         if used > 0:
             figures[f"{role}_tokens_per_core_s"] = round(tally.tokens / used)
@@ -153,13 +161,12 @@
     return figures
 
 
-def call(request: tuple[int, bytes], rounds: int, tally: Tally) -> None:
+def call(request: RawRequest, rounds: int, tally: Tally) -> None:
     """Send a request some times over one connection and read the answers."""
-    port, message = request
-    connection = socket.create_connection((HOST, port))
+    connection = socket.create_connection((HOST, request.port))
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     for _ in range(rounds):
-        connection.sendall(message)
+        connection.sendall(request.data)
         read_answer(connection, tally)
     connection.close()
 
@@ -196,10 +203,3 @@
         round(ordered[min(len(ordered) - 1, int(len(ordered) * q))] * 1000, 2)
         for q in (0.5, 0.95)
     ]
-
-
-def cpu_s(pid: int) -> float:
-    """Return the processor time of a process so far, in seconds."""
-    with open(f"/proc/{pid}/stat", encoding="ascii") as stat:
-        fields = stat.read().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
--- a/bench/rollout_fleet.py
+++ b/bench/rollout_fleet.py
@@ -15,6 +15,7 @@
 
 from .launcher import NotInTimeError
 from .layout import Layout, build_layout, url
+from .process_usage import peak_resident_mib
 
 if TYPE_CHECKING:
     import argparse
@@ -206,14 +207,8 @@
 
 
 def rss_mb(fleet: Launcher, names: list[str]) -> list[float]:
-    """Return the peak resident memory of processes, in megabytes."""
-    found = []
-    for name in names:
-        pid = fleet.processes[name].pid
-        with open(f"/proc/{pid}/status") as status:
-            peak = next(line for line in status if line.startswith("VmHWM"))
-        found.append(int(peak.split()[1]) / 1024)
-    return found
+    """Return the peak resident memory of processes, in MiB."""
+    return [peak_resident_mib(fleet.processes[name].pid) for name in names]
 
 
 def baseline_s(fleet: Launcher, links: Links, readers: int) -> float:
