Name the transfer's bounds and intervals by what they are

Cause: PATIENCE_S, READERS, TELL_AT_MOST and the _AGAIN_S constants needed their uses to be understood; `me` and `mine` stood for an identity here and a VM's name there; the rollout's `follow` did two jobs; nothing said what an absent stop_serving means. Ruled out: nothing. Change: names only, `follow` is split into `seek` and `look_again`, two docstrings. Before: 337 passed. After: make lint types contracts test: 337 passed. Conclusion: no change of behaviour.

--- a/packages/primroselever-agent/src/primroselever_agent/admission/crash_watch.py
+++ b/packages/primroselever-agent/src/primroselever_agent/admission/crash_watch.py
@@ -31,7 +31,7 @@
 
     from ..engine.engine_client import EngineClient
 
-TELL_AT_MOST = 64
+MAX_PEERS_TOLD = 64
 TELL_TIMEOUT_S = 0.5
 SAME_CRASH_S = 2.0
 
@@ -39,7 +39,12 @@
 
 
 class CrashWatch:
-    """Writes the section on suspects when the engine crashes."""
+    """
+    Writes the section on suspects when the engine crashes.
+
+    ``stop_serving`` is None for a plain service: it has no weights to lose, so only
+    one that does not answer has crashed.
+    """
 
     def __init__(
         self,
@@ -89,8 +94,8 @@
         now = clock.now()
         self.same_crash_until = now + SAME_CRASH_S
         self.crashes += 1
-        me = self.board.identity
-        crash = CrashId(f"{me.vm_id}/{me.incarnation}/{self.crashes}")
+        identity = self.board.identity
+        crash = CrashId(f"{identity.vm_id}/{identity.incarnation}/{self.crashes}")
         self.board.suspects.crashed(crash, present, now)
         if self.stop_serving is not None:
             self.stop_serving("the engine crashed")
@@ -98,20 +103,20 @@
             standing = self.board.suspects.standing(fingerprint, now)
             log_decision("suspect", fingerprint, standing, "present at a crash")
         said = self.heartbeat()
-        for vm in self.domain()[:TELL_AT_MOST]:
+        for vm in self.domain()[:MAX_PEERS_TOLD]:
             eventlet.spawn_n(self.tell, vm, said)
 
     def domain(self) -> list[Vm]:
         """Return the other agents of the failure domain, those of the group first."""
-        me = self.board.identity
-        mine = self.board.members.vms.get(me.vm_id)
-        group = mine.group if mine else None
+        identity = self.board.identity
+        listed = self.board.members.vms.get(identity.vm_id)
+        group = listed.group if listed else None
         others = [
             vm
             for vm in self.board.members.vms.values()
             if vm.role is Role.AGENT
-            and vm.failure_domain == me.failure_domain
-            and vm.vm_id != me.vm_id
+            and vm.failure_domain == identity.failure_domain
+            and vm.vm_id != identity.vm_id
         ]
         return sorted(others, key=lambda vm: vm.group != group)
 
--- a/packages/primroselever-agent/src/primroselever_agent/transfer/manifests.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/manifests.py
@@ -29,9 +29,9 @@
 
     from .peers import Peers
 
-READERS = 3
-LAST_RESORT_PEERS = 8
-PATIENCE_S = 2.0
+READERS_PER_DOMAIN = 3
+MAX_FURTHER_PEERS = 8
+READER_TAKEOVER_S = 2.0
 ASK_AGAIN_S = 0.1
 
 logger = logging.getLogger(__name__)
@@ -55,16 +55,22 @@
     def find(
         self, name: VersionName, still_wanted: Callable[[], bool]
     ) -> Manifest | None:
-        """Return a version's manifest, or None when it is not to be had now."""
+        """
+        Return a version's manifest, or None when it is not to be had now.
+
+        Each reader in the ranking waits ``READER_TAKEOVER_S`` longer than the one
+        before it, and all other VMs longer than the last reader.
+        """
         mine = self.board.identity.vm_id
-        readers = self.ranking(name)[:READERS]
-        position = readers.index(mine) if mine in readers else READERS
+        readers = self.ranking(name)[:READERS_PER_DOMAIN]
+        is_reader = mine in readers
+        position = readers.index(mine) if is_reader else READERS_PER_DOMAIN
         found = self.ask_all([vm for vm in readers if vm != mine], name)
-        deadline = clock.now() + PATIENCE_S * position
+        deadline = clock.now() + READER_TAKEOVER_S * position
         while found is None and clock.now() < deadline and still_wanted():
             eventlet.sleep(ASK_AGAIN_S)
             found = self.ask_all(readers[:position], name)
-        if found is None and position == READERS:
+        if found is None and not is_reader:
             found = self.ask_further(name)
         return found or self.read(name) or self.ask_further(name)
 
@@ -90,11 +96,11 @@
 
     def ask_further(self, name: VersionName) -> Manifest | None:
         """Return a manifest from VMs further away, as when cut off."""
-        mine = self.board.identity
+        identity = self.board.identity
         agents = self.board.members.agents(self.peers.group)
-        agents.sort(key=lambda vm: vm.failure_domain != mine.failure_domain)
-        vm_ids = [vm.vm_id for vm in agents if vm.vm_id != mine.vm_id]
-        return self.ask_all(vm_ids[:LAST_RESORT_PEERS], name)
+        agents.sort(key=lambda vm: vm.failure_domain != identity.failure_domain)
+        vm_ids = [vm.vm_id for vm in agents if vm.vm_id != identity.vm_id]
+        return self.ask_all(vm_ids[:MAX_FURTHER_PEERS], name)
 
     def read(self, name: VersionName) -> Manifest | None:
         """Return the manifest as a source has it now."""
@@ -115,7 +121,7 @@
         The first VM of the ranking that knows it has it from the source; when none
         before this one does, that is this one.
         """
-        for vm_id in self.ranking(name)[:READERS]:
+        for vm_id in self.ranking(name)[:READERS_PER_DOMAIN]:
             if vm_id == self.board.identity.vm_id:
                 return self.read(name)
             found = self.ask(vm_id, name)
--- a/packages/primroselever-agent/src/primroselever_agent/transfer/peers.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/peers.py
@@ -35,9 +35,9 @@
 
     def near(self) -> list[Vm]:
         """Return the other agents of the group in this failure domain."""
-        mine = self.board.identity
-        agents = self.board.members.agents(self.group, mine.failure_domain)
-        return [vm for vm in agents if vm.vm_id != mine.vm_id]
+        identity = self.board.identity
+        agents = self.board.members.agents(self.group, identity.failure_domain)
+        return [vm for vm in agents if vm.vm_id != identity.vm_id]
 
     def call(self, vm_id: VmId, method: str, *args: Any, timeout_s: float) -> Any:
         """Return a reply, or None when there is none in time."""
--- a/packages/primroselever-agent/src/primroselever_agent/transfer/rollout.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/rollout.py
@@ -30,14 +30,15 @@
     from .fetcher import Fetcher
     from .manifests import ManifestFinder
 
-PARALLEL_READS = 64
+MAX_PARALLEL_READS = 64
 ROLLOUT_STEP_S = 0.05
-KEEP_OLD_S = 120.0
-DOUBT_AGAIN_S = 1.0
-RECHECK_S = 15.0
-HINT_AGAIN_S = 2.0
-SEEK_AGAIN_S = 1.0
-SWITCH_AGAIN_S = 0.3
+KEEP_OLD_CHUNKS_S = 120.0
+MANIFEST_RECHECK_S = 15.0
+# The least times between two tries.
+SEEK_INTERVAL_S = 1.0
+DOUBT_INTERVAL_S = 1.0
+HINT_INTERVAL_S = 2.0
+SWITCH_INTERVAL_S = 0.3
 
 logger = logging.getLogger(__name__)
 
@@ -97,24 +98,34 @@
         name = name_of(profile)
         wanted = self.section.wanted
         if wanted is None or wanted.name != name:
-            if self.sought == name and clock.now() < self.seek_at:
-                return
-            self.sought, self.seek_at = name, clock.now() + SEEK_AGAIN_S
-            found = self.known(name)
-            found = found or self.finder.find(name, lambda: self.asked_for(name))
-            if found is not None and self.asked_for(name):
-                self.want(found, profile)
+            self.seek(name, profile)
+        else:
+            self.look_again(name, profile)
+
+    def seek(self, name: VersionName, profile: Profile) -> None:
+        """Look for the manifest of a version that is not wanted yet, and want it."""
+        if self.sought == name and clock.now() < self.seek_at:
             return
+        self.sought, self.seek_at = name, clock.now() + SEEK_INTERVAL_S
+        found = self.known(name)
+        found = found or self.finder.find(name, lambda: self.asked_for(name))
+        if found is not None and self.asked_for(name):
+            self.want(found, profile)
+
+    def look_again(self, name: VersionName, profile: Profile) -> None:
+        """Look now and then, or for a reason, whether a version has changed."""
         now = clock.now()
         planner = self.section.planner
         if planner is not None and planner.doubted and now >= self.doubt_at:
             planner.doubted = False
-            self.doubt_at = now + DOUBT_AGAIN_S
+            self.doubt_at = now + DOUBT_INTERVAL_S
             self.adopt(self.finder.read(name), profile)
         elif now >= self.recheck_at or self.hinted(now):
             self.section.other_asked = False
-            self.hint_at = now + HINT_AGAIN_S
-            self.recheck_at = now + RECHECK_S * (0.75 + self.random.random() / 2)
+            self.hint_at = now + HINT_INTERVAL_S
+            self.recheck_at = now + MANIFEST_RECHECK_S * (
+                0.75 + self.random.random() / 2
+            )
             self.adopt(self.finder.check(name), profile)
 
     def hinted(self, now: float) -> bool:
@@ -150,12 +161,12 @@
                 f"{store.limit_bytes}; raise chunk_memory_bytes"
             )
             return
-        store.want_only(manifest, now + KEEP_OLD_S)
+        store.want_only(manifest, now + KEEP_OLD_CHUNKS_S)
         self.section.wanted = manifest
         self.section.manifests[manifest.digest] = manifest
         self.forget_manifests()
         self.switch.forget_others(manifest)
-        self.recheck_at = now + RECHECK_S
+        self.recheck_at = now + MANIFEST_RECHECK_S
         self.section.planner = TransferPlanner(
             manifest,
             store.missing(manifest),
@@ -207,7 +218,9 @@
             return
         number = accepted.revision.number
         if not self.switch.switch(manifest, number, profile.min_serving):
-            self.switch_at = clock.now() + SWITCH_AGAIN_S * (0.5 + self.random.random())
+            self.switch_at = clock.now() + SWITCH_INTERVAL_S * (
+                0.5 + self.random.random()
+            )
 
     def set_cross_domain_budget(self, sharers: int) -> None:
         """Take this VM's share of the link that its failure domain shares."""
@@ -219,7 +232,7 @@
 
     def fill(self, manifest: Manifest, planner: TransferPlanner) -> None:
         """Start reads until as many as allowed are going on."""
-        while self.reading < PARALLEL_READS:
+        while self.reading < MAX_PARALLEL_READS:
             read = planner.next_read(clock.now())
             if read is None:
                 return
