Clear a rollout's problem once the version that serves is wanted again

Cause: rollout_problem was cleared only by a switch. After a publication that could not be carried out, as of a version above chunk_memory_bytes, and its undoing, `status` said for good what to do about the version that nobody wanted any more. Ruled out: clearing it when a version is wanted; the same manifest is not wanted twice. Change: a step that finds the wanted version serving clears it. Before: the new test in tests/transfer/test_rollout.py fails with "2 needs 41 bytes and the limit is 40; raise chunk_memory_bytes". After: make lint types contracts test: 338 passed.

--- a/packages/primroselever-agent/src/primroselever_agent/transfer/rollout.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/rollout.py
@@ -210,6 +210,8 @@
             self.want(manifest, profile)
         elif self.section.serving != manifest.digest:
             self.try_switch(manifest, profile)
+        else:
+            self.section.problem = ""
 
     def try_switch(self, manifest: Manifest, profile: Profile) -> None:
         """Switch the engine, if it is time to try."""
--- a/packages/primroselever-agent/tests/transfer/test_rollout.py
+++ b/packages/primroselever-agent/tests/transfer/test_rollout.py
@@ -196,3 +196,17 @@
     agent.section.serving = digest
     agent.switch.watch()
     assert agent.section.serving == digest
+
+
+def test_a_problem_is_gone_once_the_version_that_serves_is_wanted_again(
+    agent: Agent,
+) -> None:
+    serve(agent, 1, "1", *ONE)
+    agent.offer("2", b"x" * (agent.section.store.limit_bytes + 1))
+    agent.publish(2, "2")
+    agent.rollout.step()
+    assert "raise chunk_memory_bytes" in agent.section.problem
+
+    agent.publish(3, "1")
+    agent.rollout.step()
+    assert agent.section.problem == ""
