--- a/packages/primroselever-agent/src/primroselever_agent/admission/controller.py
+++ b/packages/primroselever-agent/src/primroselever_agent/admission/controller.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from itertools import count
-from typing import TYPE_CHECKING, Any
-
-from opentelemetry import metrics
-from opentelemetry.metrics import CallbackOptions, Observation
+from typing import TYPE_CHECKING
 
 from primroselever_core.admission.fair_queue import Waiting
 from primroselever_core.outcomes import NotRun, Reason
@@ -15,9 +13,9 @@
 from primroselever_node import clock
 from primroselever_node.logs import log_decision
 
-if TYPE_CHECKING:
-    from collections.abc import Iterable
+from .instruments import AdmissionInstruments
 
+if TYPE_CHECKING:
     from primroselever_core.admission.admission import Admission
     from primroselever_core.board import Blackboard
     from primroselever_core.identifiers import RunId, WorkspaceName
@@ -32,6 +30,15 @@
 DEFAULT_SHARE = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class HeldRun:
+    """An admitted run that waits for its turn, with what it is started with."""
+
+    run: Run
+    body: bytes
+    priority: int
+
+
 class AdmissionController:
     """Stands between the handler, which is asked for runs, and the runner."""
 
@@ -47,33 +54,17 @@
         self.admission = admission
         self.crashes = crashes
         self.numbers = count()
-        self.held: dict[RunId, tuple[Run, bytes, int]] = {}
+        self.held: dict[RunId, HeldRun] = {}
         self.known_crashes: dict[RunId, frozenset[CrashId]] = {}
         runner.observer = self
-        meter = metrics.get_meter("primroselever.admission")
-        self.decisions = meter.create_counter(
-            "primroselever.admission.decisions",
-            unit="{run}",
-            description="Runs started, queued and refused, by reason",
-        )
-        self.crash_count = meter.create_counter(
-            "primroselever.admission.engine_crashes",
-            unit="{crash}",
-            description="Crashes of the engine with runs in flight",
-        )
-        for name, unit, value in (
-            ("limit", "{run}", admission.limit.current),
-            ("waiting", "{run}", lambda: len(admission.waiting)),
-            ("in_flight", "{run}", lambda: len(admission.in_flight)),
-            ("service", "s", lambda: admission.service_s),
-            ("suspects", "{request}", lambda: len(board.suspects.records)),
-        ):
-            meter.create_observable_gauge(
-                f"primroselever.admission.{name}", [observer(value)], unit=unit
-            )
+        self.instruments = AdmissionInstruments(admission, board.suspects)
 
     def offer(self, run: Run, priority: int) -> NotRun | None:
-        """Return why a new run is refused, or None and let it start or wait."""
+        """
+        Return why a new run is refused, or None and let it start or wait.
+
+        ``begin`` or ``forget`` must follow before the greenlet yields.
+        """
         now = clock.now()
         standing = self.board.suspects.standing(run.fingerprint, now)
         if standing is Standing.QUARANTINED:
@@ -90,10 +81,9 @@
         suspect = standing is Standing.SUSPECT
         share = self.share_of(run.workspace)
         verdict = self.admission.offer(waiting, share, suspect, now)
-        self.carry_out_refusals()
         if isinstance(verdict, NotRun):
             return self.refuse(run, verdict)
-        self.decisions.add(1, {"decision": verdict, "reason": ""})
+        self.instruments.decisions.add(1, {"decision": verdict, "reason": ""})
         if suspect:
             log_decision("admit", run.run_id, verdict, "suspects run one by one")
         return None
@@ -101,13 +91,17 @@
     def forget(self, run: Run) -> None:
         """Take back an offer whose run is not to begin after all."""
         self.admission.ended(run.run_id, False, clock.now())
+        self.carry_out_refusals()
 
     def begin(self, run: Run, body: bytes, priority: int) -> None:
         """Start a run that was not refused, or hold it until its turn."""
         if run.run_id in self.admission.in_flight:
             self.start(run, body, priority)
         else:
-            self.held[run.run_id] = run, body, priority
+            self.held[run.run_id] = HeldRun(run, body, priority)
+        # Ending a run starts those that have room, perhaps this one: it must be
+        # held by then.
+        self.carry_out_refusals()
 
     def start(self, run: Run, body: bytes, priority: int) -> None:
         """Hand a run to the runner."""
@@ -119,15 +113,15 @@
     def step(self) -> None:
         """Start what has its turn; refuse what can no longer be in time."""
         for waiting in self.admission.startable(clock.now()):
-            run, body, priority = self.held.pop(waiting.run_id)
-            self.start(run, body, priority)
+            held = self.held.pop(waiting.run_id)
+            self.start(held.run, held.body, held.priority)
         self.carry_out_refusals()
 
     def carry_out_refusals(self) -> None:
         """End the waiting runs that the decisions refused."""
         for refused in self.admission.take_refused():
-            run, _, _ = self.held.pop(refused.run.run_id)
-            self.end_unrun(run, refused.refusal)
+            held = self.held.pop(refused.run.run_id)
+            self.end_unrun(held.run, refused.refusal)
 
     def end_unrun(self, run: Run, refusal: NotRun) -> None:
         """End a run that waited and never started."""
@@ -137,7 +131,9 @@
 
     def refuse(self, run: Run, refusal: NotRun) -> NotRun:
         """Log and count a refusal, and return it."""
-        self.decisions.add(1, {"decision": "refused", "reason": refusal.reason})
+        self.instruments.decisions.add(
+            1, {"decision": "refused", "reason": refusal.reason}
+        )
         log_decision(
             "admit", run.run_id, "refused", refusal.reason, workspace=run.workspace
         )
@@ -164,11 +160,21 @@
             present = [w for w in present if w.run_id != run.run_id]
         names = [w.fingerprint for w in present]
         if self.crashes.check(run.weights_digest, names):
-            self.crash_count.add(1)
-            for held, _, _ in list(self.held.values()):
-                del self.held[held.run_id]
-                self.admission.ended(held.run_id, False, clock.now())
-                self.end_unrun(held, NotRun(Reason.NO_WEIGHTS, CRASH_RETRY_S))
+            self.instruments.crashes.add(1)
+            self.refuse_held(NotRun(Reason.NO_WEIGHTS, CRASH_RETRY_S))
+
+    def refuse_held(self, refusal: NotRun) -> None:
+        """
+        End all waiting runs.
+
+        All are withdrawn before the first end is told: an end starts or refuses
+        the runs that still wait.
+        """
+        held_runs, self.held = self.held, {}
+        for run_id in held_runs:
+            self.admission.ended(run_id, False, clock.now())
+        for held in held_runs.values():
+            self.end_unrun(held.run, refusal)
 
     def ended(self, run: Run, state: RunState) -> None:
         """Take in a run's end; a success clears its request."""
@@ -187,12 +193,3 @@
                 if published.name == workspace:
                     return published.share
         return DEFAULT_SHARE
-
-
-def observer(value: Any) -> Any:
-    """Return a callback that observes one value."""
-
-    def observe(_options: CallbackOptions) -> Iterable[Observation]:
-        return [Observation(value())]
-
-    return observe
--- a/packages/primroselever-agent/src/primroselever_agent/transfer/peers.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/peers.py
@@ -8,6 +8,7 @@
 
 from primroselever_core.transfer.switching import PeerState
 from primroselever_node.rpc.client_pool import LostReplyError, NeverSentError
+from primroselever_node.rpc.handler import empty_load
 from primroselever_node.rpc.schema import schema
 
 if TYPE_CHECKING:
@@ -34,9 +35,9 @@
 
     def near(self) -> list[Vm]:
         """Return the other agents of the group in this failure domain."""
-        mine = self.board.identity
-        agents = self.board.members.agents(self.group, mine.failure_domain)
-        return [vm for vm in agents if vm.vm_id != mine.vm_id]
+        identity = self.board.identity
+        agents = self.board.members.agents(self.group, identity.failure_domain)
+        return [vm for vm in agents if vm.vm_id != identity.vm_id]
 
     def call(self, vm_id: VmId, method: str, *args: Any, timeout_s: float) -> Any:
         """Return a reply, or None when there is none in time."""
@@ -101,9 +102,7 @@
             revision_digest=revision.digest,
             vm_list_revision=0,
             leaving=self.board.leaving,
-            load=schema.Load(
-                in_flight=0, queued=0, limit=0, engine_load=0.0, engine_age_ms=0
-            ),
+            load=empty_load(),
             weights_digest=(transfers and transfers.serving) or "",
             suspicions=[],
         )
