Let a fresh limit grow with each quick first token

Cause: the limit grew once in a window, which closes at a first token after 8 of them. With 8 long streams in flight no more first tokens came before one ended: 50 streams of 3 s on a fresh agent took 12.5 s though the engine was idle. Then: with a baseline of 2 ms the process's own scheduling looked like a busy engine. Ruled out: the way answers are carried (its processor time did not change); the engine (direct calls took 3.1 s). Change: until the engine first slows down each quick first token makes room for one run and starts it; the first 8 give the baseline; a slow window shrinks the limit by how slow it was, at most by half; delays below 20 ms are not taken for load. The new tests of 50 long streams and of a waiting run that a first token starts fail on the limit and controller before.

--- a/packages/primroselever-agent/src/primroselever_agent/admission/controller.py
+++ b/packages/primroselever-agent/src/primroselever_agent/admission/controller.py
@@ -148,8 +148,9 @@
         return True
 
     def first_data(self, run: Run) -> None:
-        """Take in that a run's answer has begun."""
+        """Take in that a run's answer has begun; the limit may have grown by it."""
         self.admission.first_token(run.run_id, clock.now())
+        self.step()
 
     def failed(self, run: Run, error: BackendError) -> None:
         """Find out whether the engine crashed, before the run's end is told."""
--- a/packages/primroselever-agent/tests/admission/test_controller.py
+++ b/packages/primroselever-agent/tests/admission/test_controller.py
@@ -185,3 +185,11 @@
     admission.step()
     assert admission.runner.started[-1] is urgent
     assert admission.held == {}
+
+
+def test_a_run_that_waits_starts_when_a_quick_first_token_makes_room(admission):
+    admission.admission.limit.highest = 10
+    runs = [offered(admission, name) for name in ("one", "two", "three", "waits")]
+    assert runs[3] not in admission.runner.started
+    admission.first_data(runs[0])
+    assert runs[3] in admission.runner.started
--- a/packages/primroselever-core/src/primroselever_core/admission/limit.py
+++ b/packages/primroselever-core/src/primroselever_core/admission/limit.py
@@ -2,8 +2,11 @@
 How many runs an engine carries at once, found from the time to the first token.
 
 Additive increase, multiplicative decrease: the limit grows while it is used and the
-engine stays quick, and shrinks when the quicker runs have become slow. Until that
-first happens it grows by half instead (slow start).
+engine stays quick, and shrinks when the quicker runs have become slow, the more the
+slower they are. Until that first happens it grows with each quick first token instead,
+so that it doubles in the time to a first token, however long the answers are.
+
+Source for that slow start: Jacobson, "Congestion avoidance and control", SIGCOMM 1988.
 """
 
 from __future__ import annotations
@@ -13,8 +16,10 @@
 WINDOW_SAMPLES = 8
 WINDOW_S = 0.5
 SLOW_FACTOR = 2.0
+# Runs that start together wait for each other in this process for about so long.
+OWN_DELAY_S = 0.02
 DECREASE_FACTOR = 0.9
-SLOW_START_FACTOR = 1.5
+LARGEST_DECREASE_FACTOR = 0.5
 BASELINE_WINDOWS = 240
 
 
@@ -54,12 +59,22 @@
             self.window_until = now + WINDOW_S
         self.samples.append(first_token_s)
         self.most_in_flight = max(self.most_in_flight, in_flight)
+        if self.slow_start:
+            self.grow_at_once(in_flight)
         if now >= self.window_until and len(self.samples) >= WINDOW_SAMPLES:
             self.close_window()
 
+    def grow_at_once(self, in_flight: int) -> None:
+        """Let a quick first token make room; the first few give the baseline."""
+        if self.baseline_s is None and len(self.samples) >= WINDOW_SAMPLES:
+            self.baseline_s = lower_quartile(self.samples)
+        quick = self.samples[-1] <= slow_above(self.baseline_s or min(self.samples))
+        if quick and in_flight >= self.current():
+            self.value = min(self.highest, self.value + 1)
+
     def close_window(self) -> None:
         """Judge the window and start a new one."""
-        quartile = sorted(self.samples)[len(self.samples) // 4]
+        quartile = lower_quartile(self.samples)
         used = self.most_in_flight >= self.current()
         self.samples.clear()
         self.most_in_flight = 0
@@ -68,12 +83,12 @@
             self.take_baseline_anew()
             return
         self.baseline_s = min(self.baseline_s or quartile, quartile)
-        if quartile > self.baseline_s * SLOW_FACTOR:
-            self.value = max(self.lowest, self.value * DECREASE_FACTOR)
+        slow_s = slow_above(self.baseline_s)
+        if quartile > slow_s:
+            part = min(DECREASE_FACTOR, max(LARGEST_DECREASE_FACTOR, slow_s / quartile))
+            self.value = max(self.lowest, self.value * part)
             self.slow_start = False
-        elif used and self.slow_start:
-            self.value = min(self.highest, self.value * SLOW_START_FACTOR)
-        elif used:
+        elif used and not self.slow_start:
             self.value = min(self.highest, self.value + 1)
 
     def take_baseline_anew(self) -> None:
@@ -81,3 +96,13 @@
         self.value = max(self.lowest, self.value / 2)
         self.baseline_s = None
         self.baseline_windows = 0
+
+
+def lower_quartile(samples: list[float]) -> float:
+    """Return the sample below which a quarter of them lie."""
+    return sorted(samples)[len(samples) // 4]
+
+
+def slow_above(baseline_s: float) -> float:
+    """Return the time to the first token above which an engine is busy."""
+    return max(baseline_s * SLOW_FACTOR, baseline_s + OWN_DELAY_S)
--- a/packages/primroselever-core/tests/admission/conftest.py
+++ b/packages/primroselever-core/tests/admission/conftest.py
@@ -86,3 +86,24 @@
 @pytest.fixture
 def arrivals() -> Random:
     return Random(11)
+
+
+@pytest.fixture
+def offer_runs():
+    """Return a function that offers endless runs at once and returns who decides."""
+
+    def offer(limit: ConcurrencyLimit, count: int) -> Admission:
+        admission = Admission(limit)
+        for number in range(count):
+            run = Waiting(
+                5,
+                1000.0,
+                number,
+                RunId(f"run {number}"),
+                WorkspaceName("ministry"),
+                Fingerprint(f"body {number}"),
+            )
+            admission.offer(run, 1.0, False, 0.0)
+        return admission
+
+    return offer
--- a/packages/primroselever-core/tests/admission/test_limit.py
+++ b/packages/primroselever-core/tests/admission/test_limit.py
@@ -44,3 +44,32 @@
     for step in range(50):
         limit.sample(FIRST_TOKEN_S, limit.current(), step * 0.1)
     assert limit.current() >= 40
+
+
+def test_long_answers_do_not_hold_the_limit_of_a_quick_engine_back(offer_runs):
+    admission = offer_runs(ConcurrencyLimit(highest=64), 50)
+    told: set[str] = set()
+    for step in range(1, 11):
+        now = step * FIRST_TOKEN_S
+        for run_id in [name for name in admission.in_flight if name not in told]:
+            told.add(run_id)
+            admission.first_token(run_id, now)
+            admission.startable(now)
+    assert len(admission.in_flight) == 50
+
+
+def test_an_engine_that_slows_down_ends_the_slow_start_soon():
+    limit = ConcurrencyLimit(highest=200)
+    for step in range(400):
+        in_flight = limit.current()
+        slowdown = max(1.0, in_flight / 6)
+        limit.sample(FIRST_TOKEN_S * slowdown, in_flight, step * 0.02)
+    assert limit.current() <= 24
+
+
+def test_a_delay_of_this_process_is_not_taken_for_a_busy_engine():
+    limit = ConcurrencyLimit(highest=200)
+    for step in range(400):
+        in_flight = limit.current()
+        limit.sample(0.002 + 0.0001 * in_flight, in_flight, step * 0.02)
+    assert limit.current() >= 100
