--- a/packages/primroselever-core/src/primroselever_core/transfer/uploads.py
+++ b/packages/primroselever-core/src/primroselever_core/transfer/uploads.py
@@ -19,11 +19,11 @@
 
     from ..identifiers import ChunkDigest, VmId
 
-QUEUE_S = 1.0
-MAX_QUEUE_S = 2.5
+QUEUE_S = 0.4
+MAX_QUEUE_S = 1.0
 HOLDERS_PER_CHUNK = 16
 MAX_CHUNKS_GIVEN = 20_000
-HOPS_BEFORE_WAITING = 2
+HOPS_BEFORE_WAITING = 4
 
 
 @dataclass(frozen=True, slots=True)
