Tell a caller of a fault in mid-answer, and count it as one

Cause: an exception after the first bytes of a streamed answer broke the connection off and was counted as `caller_gone`, the reason for which operators are told to do nothing. Ruled out: leaving it to the server, which logs it, but says nothing to the caller. Change: the answer ends with `unknown: internal`, which is logged and counted. The test for endings that come before any answer names the two types it means. Before: the new test: RuntimeError, 1 failed, 8 passed (`pytest packages/primroselever-entry/tests/requests/test_application.py`). After: 9 passed; `make lint types contracts test` passes.

--- a/packages/primroselever-entry/src/primroselever_entry/requests/application.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/application.py
@@ -7,7 +7,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
-from primroselever_core.outcomes import Done, Ending, NotRun, Outcome, Reason
+from primroselever_core.outcomes import Done, Ending, NotRun, Outcome, Reason, Unknown
 
 from .caller_request import CallerRequest, parse_request
 from .outcome_counter import OutcomeCounter
@@ -66,7 +66,7 @@
             return self.refuse(unconfirmed(service, environ), start_response)
         parts = self.flow.answer(request, service)
         first = next(parts)
-        if isinstance(first, NotRun) or not isinstance(first, (bytes, Done)):
+        if isinstance(first, (NotRun, Unknown)):
             return self.refuse(problem_of(first), start_response)
         if service.profile is None:
             return self.whole(first, parts, start_response)
@@ -104,10 +104,13 @@
             while isinstance(part, bytes):
                 yield part
                 part = next(parts, None)
-            yield trailer(part)
+        except Exception:
+            logger.exception("an answer broke off")
+            part = Unknown(Reason.INTERNAL)
         finally:
             self.outcomes.count_ending(part)
             parts.close()
+        yield trailer(part)
 
     def whole(
         self,
--- a/packages/primroselever-entry/tests/requests/test_application.py
+++ b/packages/primroselever-entry/tests/requests/test_application.py
@@ -13,6 +13,10 @@
 from primroselever_entry.settings import EntrySettings
 
 if TYPE_CHECKING:
+    from collections.abc import Generator
+
+    from primroselever_core.outcomes import Ending
+
     from .conftest import Fleet
 
 
@@ -74,3 +78,30 @@
     problem = problem_of(ending)
     assert problem.status == status
     assert dict(problem.headers()).get("Retry-After") == retry_after
+
+
+def test_a_fault_in_mid_answer_is_told_and_not_taken_for_a_caller_that_left(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def broken() -> Generator[bytes | Ending, None, None]:
+        yield b"two "
+        raise RuntimeError("a fault of the entry")
+
+    flow = fleet.entry()
+    application = CallerApplication(flow.board, flow, EntrySettings.model_construct())
+    counted: list[tuple[str, str]] = []
+    monkeypatch.setattr(
+        application.outcomes,
+        "count",
+        lambda outcome, reason: counted.append((outcome, reason)),
+    )
+
+    *pieces, last = application.stream(b"one ", broken())
+
+    assert pieces == [b"one ", b"two "]
+    assert json.loads(last) == {
+        "outcome": "unknown",
+        "reason": "internal",
+        "retry_after_s": None,
+    }
+    assert counted == [("unknown", "internal")]
