Mend names, repeats and stale pages of entry and node

Cause: read as a newcomer. Ruled out: removing thrift fields that nothing reads (Load.queued, limit, engine_load and engine_age_ms, Heartbeat.vm_list_revision, Suspicion.crashes and StartRequest.weights_digest): their writers stand in other packages. After: `make lint types contracts test` passes.

--- a/packages/primroselever-entry/src/primroselever_entry/requests/application.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/application.py
@@ -9,7 +9,7 @@
 
 from primroselever_core.outcomes import Done, Ending, NotRun, Outcome, Reason, Unknown
 
-from .caller_request import CallerRequest, parse_request
+from .caller_request import TICKET_VARIABLE, CallerRequest, parse_request
 from .outcome_counter import OutcomeCounter
 from .problem import Problem, problem_of
 
@@ -23,7 +23,6 @@
     from ..settings import EntrySettings
     from .flow import RequestFlow
 
-TICKET_HEADER = "HTTP_OPERATION_TICKET"
 STREAM_TYPE = "application/x-ndjson"
 LEAVING_RETRY_S = 1.0
 
@@ -50,7 +49,11 @@
         except Exception:
             logger.exception("a request failed")
             problem = Problem(
-                500, "internal error", "see the logs", Outcome.UNKNOWN, "internal"
+                status=500,
+                title="internal error",
+                detail="see the logs",
+                outcome=Outcome.UNKNOWN,
+                reason=Reason.INTERNAL,
             )
             return self.refuse(problem, start_response)
 
@@ -144,7 +147,7 @@
     A call that has a ticket may have run before, so only the ticket's agent may
     say "not run".
     """
-    if TICKET_HEADER in environ:
+    if TICKET_VARIABLE in environ:
         detail = f"{problem.detail}; with its ticket it may have run before"
         return replace(problem, outcome=Outcome.UNKNOWN, detail=detail)
     return problem
--- a/packages/primroselever-entry/src/primroselever_entry/requests/caller_request.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/caller_request.py
@@ -18,6 +18,7 @@
 PATH = re.compile(r"^/v1/services/(?P<service>[a-z0-9][a-z0-9-]*)/requests$")
 WORKSPACE = re.compile(r"^[A-Za-z0-9._-]{1,128}$")
 MAX_KEY_LENGTH = 256
+TICKET_VARIABLE = "HTTP_OPERATION_TICKET"
 MAX_PRIORITY = 9
 DEFAULT_PRIORITY = 5
 
@@ -81,7 +82,7 @@
         deadline=deadline,
         priority=priority,
         idempotency_key=key,
-        ticket=environ.get("HTTP_OPERATION_TICKET", ""),
+        ticket=environ.get(TICKET_VARIABLE, ""),
         fingerprint=fingerprint_of(service, workspace, body),
     )
 
--- a/packages/primroselever-entry/src/primroselever_entry/requests/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/flow.py
@@ -33,7 +33,6 @@
 # failure of the engine is none of them: the request itself may be its cause.
 RETRIED = (Reason.SERVER_LOST, Reason.START_EXPIRED, Reason.WEIGHTS_CHANGED)
 
-
 # Refusals that hold elsewhere too, or that must leave the retries to others.
 FINAL = (Reason.FAIR_SHARE, Reason.QUARANTINED, Reason.DEADLINE_PASSED)
 
--- a/packages/primroselever-entry/src/primroselever_entry/requests/starting.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/starting.py
@@ -11,6 +11,7 @@
 from primroselever_core.runs.starting import said_of_start
 from primroselever_node import clock
 from primroselever_node.rpc.client_pool import LostReplyError, NeverSentError
+from primroselever_node.rpc.handler import empty_load
 from primroselever_node.rpc.schema import schema
 from primroselever_node.rpc.suspicions import learn, to_wire, to_wire_of
 
@@ -171,9 +172,7 @@
             revision_digest=revision.digest,
             vm_list_revision=0,
             leaving=self.board.leaving,
-            load=schema.Load(
-                in_flight=0, queued=0, limit=0, engine_load=0.0, engine_age_ms=0
-            ),
+            load=empty_load(),
             weights_digest="",
             suspicions=to_wire(self.board.suspects),
         )
--- a/packages/primroselever-entry/src/primroselever_entry/routing/request_router.py
+++ b/packages/primroselever-entry/src/primroselever_entry/routing/request_router.py
@@ -25,7 +25,7 @@
 
 
 class RequestRouter:
-    """The hook through which the request flow asks for servers."""
+    """Chooses servers for the request flow; one serves all its requests."""
 
     def __init__(self, router: Router) -> None:
         self.router = router
--- a/packages/primroselever-node/src/primroselever_node/http.py
+++ b/packages/primroselever-node/src/primroselever_node/http.py
@@ -22,7 +22,7 @@
 MAX_HEADER_LINE_BYTES = 8192
 MAX_CONNECTIONS = 4096
 
-quiet = logging.getLogger("primroselever.http")
+logger = logging.getLogger("primroselever.http")
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,7 +95,7 @@
 
     def log_message(self, format: str, *args: Any) -> None:
         """Log what the library says of malformed requests as the rest is logged."""
-        quiet.debug(format, *args)
+        logger.debug(format, *args)
 
 
 class HttpServer:
@@ -125,7 +125,7 @@
             eventlet.wsgi.server,
             self.socket,
             self.application,
-            log=quiet,
+            log=logger,
             log_output=False,
             keepalive=self.limits.idle_s,
             socket_timeout=self.limits.idle_s,
