--- a/packages/primroselever-entry/src/primroselever_entry/requests/application.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/application.py
@@ -7,9 +7,9 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
-from primroselever_core.outcomes import Done, Ending, NotRun, Outcome, Reason
+from primroselever_core.outcomes import Done, Ending, NotRun, Outcome, Reason, Unknown
 
-from .caller_request import CallerRequest, parse_request
+from .caller_request import TICKET_VARIABLE, CallerRequest, parse_request
 from .outcome_counter import OutcomeCounter
 from .problem import Problem, problem_of
 
@@ -23,7 +23,6 @@
     from ..settings import EntrySettings
     from .flow import RequestFlow
 
-TICKET_HEADER = "HTTP_OPERATION_TICKET"
 STREAM_TYPE = "application/x-ndjson"
 LEAVING_RETRY_S = 1.0
 
@@ -50,7 +49,11 @@
         except Exception:
             logger.exception("a request failed")
             problem = Problem(
-                500, "internal error", "see the logs", Outcome.UNKNOWN, "internal"
+                status=500,
+                title="internal error",
+                detail="see the logs",
+                outcome=Outcome.UNKNOWN,
+                reason=Reason.INTERNAL,
             )
             return self.refuse(problem, start_response)
 
@@ -66,7 +69,7 @@
             return self.refuse(unconfirmed(service, environ), start_response)
         parts = self.flow.answer(request, service)
         first = next(parts)
-        if isinstance(first, NotRun) or not isinstance(first, (bytes, Done)):
+        if isinstance(first, (NotRun, Unknown)):
             return self.refuse(problem_of(first), start_response)
         if service.profile is None:
             return self.whole(first, parts, start_response)
@@ -104,10 +107,13 @@
             while isinstance(part, bytes):
                 yield part
                 part = next(parts, None)
-            yield trailer(part)
+        except Exception:
+            logger.exception("an answer broke off")
+            part = Unknown(Reason.INTERNAL)
         finally:
             self.outcomes.count_ending(part)
             parts.close()
+        yield trailer(part)
 
     def whole(
         self,
@@ -141,7 +147,7 @@
     A call that has a ticket may have run before, so only the ticket's agent may
     say "not run".
     """
-    if TICKET_HEADER in environ:
+    if TICKET_VARIABLE in environ:
         detail = f"{problem.detail}; with its ticket it may have run before"
         return replace(problem, outcome=Outcome.UNKNOWN, detail=detail)
     return problem
