Shorten the wiring of the transfer and name its jitter

Ruled out: nothing. Change: sources_of, new_upload_planner, RECHECK_JITTER and SWITCH_JITTER with the same ranges. Before: 338 passed. After: make lint types contracts test: 338 passed. Conclusion: no change of behaviour.

--- a/packages/primroselever-agent/src/primroselever_agent/transfer/parts.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/parts.py
@@ -24,6 +24,7 @@
     from primroselever_core.board import Blackboard
     from primroselever_core.runs.registry import RunRegistry
     from primroselever_core.transfer.section import TransfersSection
+    from primroselever_node.settings.model import Platform
 
     from ..engine.engine_client import EngineClient
     from ..settings import AgentSettings
@@ -41,33 +42,21 @@
         settings: AgentSettings,
     ) -> None:
         self.section = section
-        platform = settings.platform
-        urls = {"store": platform.weight_store, "origin": platform.origin}
-        sources = {kind: WeightSource(url) for kind, url in urls.items() if url}
-        rate = settings.upload_bytes_per_s
-        uploads = UploadPlanner.with_limit(
-            rate, int(rate * BURST_S), Random(), clock.now()
-        )
+        sources = sources_of(settings.platform)
+        uploads = new_upload_planner(settings.upload_bytes_per_s)
         instruments = TransferInstruments()
         peers = Peers(board, GroupName(settings.group), ClientPool(schema.Agent))
         self.serving = ChunkServing(board, section, uploads, instruments)
         self.switch = EngineSwitch(board, section, registry, engine, peers, instruments)
+        download = bucket_of(settings.download_bytes_per_s)
+        store_domain = settings.platform.weight_store_domain
         self.rollout = RolloutController(
             board,
             section,
             ManifestFinder(board, peers, sources),
-            Fetcher(
-                section,
-                peers,
-                sources,
-                self.serving,
-                bucket_of(settings.download_bytes_per_s),
-                instruments,
-            ),
+            Fetcher(section, peers, sources, self.serving, download, instruments),
             self.switch,
-            FailureDomain(platform.weight_store_domain)
-            if platform.weight_store_domain
-            else None,
+            FailureDomain(store_domain) if store_domain else None,
             settings.cross_domain_bytes_per_s,
         )
 
@@ -89,3 +78,15 @@
                 for manifest in section.manifests.values()
             ],
         }
+
+
+def sources_of(platform: Platform) -> dict[str, WeightSource]:
+    """Return the sources of weights that are set, the one to ask first in front."""
+    urls = {"store": platform.weight_store, "origin": platform.origin}
+    return {kind: WeightSource(url) for kind, url in urls.items() if url}
+
+
+def new_upload_planner(bytes_per_s: int) -> UploadPlanner:
+    """Return the planner of uploads under a budget; 0 leaves it unlimited."""
+    burst_bytes = int(bytes_per_s * BURST_S)
+    return UploadPlanner.with_limit(bytes_per_s, burst_bytes, Random(), clock.now())
--- a/packages/primroselever-agent/src/primroselever_agent/transfer/rollout.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/rollout.py
@@ -39,6 +39,9 @@
 DOUBT_INTERVAL_S = 1.0
 HINT_INTERVAL_S = 2.0
 SWITCH_INTERVAL_S = 0.3
+# Factors, so that the VMs of a group do not act at the same moment.
+RECHECK_JITTER = (0.75, 1.25)
+SWITCH_JITTER = (0.5, 1.5)
 
 logger = logging.getLogger(__name__)
 
@@ -123,9 +126,8 @@
         elif now >= self.recheck_at or self.hinted(now):
             self.section.other_asked = False
             self.hint_at = now + HINT_INTERVAL_S
-            self.recheck_at = now + MANIFEST_RECHECK_S * (
-                0.75 + self.random.random() / 2
-            )
+            jitter = self.random.uniform(*RECHECK_JITTER)
+            self.recheck_at = now + MANIFEST_RECHECK_S * jitter
             self.adopt(self.finder.check(name), profile)
 
     def hinted(self, now: float) -> bool:
@@ -220,9 +222,8 @@
             return
         number = accepted.revision.number
         if not self.switch.switch(manifest, number, profile.min_serving):
-            self.switch_at = clock.now() + SWITCH_INTERVAL_S * (
-                0.5 + self.random.random()
-            )
+            jitter = self.random.uniform(*SWITCH_JITTER)
+            self.switch_at = clock.now() + SWITCH_INTERVAL_S * jitter
 
     def set_cross_domain_budget(self, sharers: int) -> None:
         """Take this VM's share of the link that its failure domain shares."""
