Tell a run's end at its deadline before the engine is told

Cause: the runner cancelled a run that was past its deadline at the engine first. An engine that does not answer took up to 2 s, for which the caller's final answer and the run's slot were held back. Ruled out: a greenlet for each cancellation; the run's own has nothing else to do. Change: the end is recorded and told, then the engine; a cancellation that fails is logged, on a caller's cancel as well. Before: the new test in tests/runs/test_runner.py fails: the run is still running when the engine is told.

--- a/packages/primroselever-agent/src/primroselever_agent/runs/runner.py
+++ b/packages/primroselever-agent/src/primroselever_agent/runs/runner.py
@@ -76,6 +76,15 @@
         except Exception:
             logger.exception("run %s failed", run.run_id)
         self.end(run, end.state, end.reason)
+        if end.reason is Reason.DEADLINE_PASSED:
+            self.cancel_at_backend(run)
+
+    def cancel_at_backend(self, run: Run) -> None:
+        """Tell the engine that a run has ended, after its readers were told."""
+        try:
+            self.backend.cancel(run)
+        except Exception:
+            logger.exception("run %s could not be cancelled", run.run_id)
 
     def attempt(self, run: Run, body: bytes, priority: int) -> RunEnd:
         """Run a request on the back end, and return how that ended."""
@@ -89,7 +98,6 @@
             state = RunState.NOT_RUN if exc.never_ran else RunState.FAILED
             return RunEnd(state, exc.reason)
         except eventlet.Timeout:
-            self.backend.cancel(run)
             return RunEnd(RunState.FAILED, Reason.DEADLINE_PASSED)
         return RunEnd(RunState.DONE, None)
 
@@ -120,7 +128,7 @@
         if greenlet is not None and run.state is RunState.RUNNING:
             self.end(run, RunState.FAILED, Reason.CANCELLED)
             greenlet.kill()
-            self.backend.cancel(run)
+            self.cancel_at_backend(run)
 
     def end(self, run: Run, state: RunState, reason: Reason | None) -> None:
         """Record an end and tell its readers."""
--- a/packages/primroselever-agent/tests/runs/test_runner.py
+++ b/packages/primroselever-agent/tests/runs/test_runner.py
@@ -35,14 +35,14 @@
     yield b""
 
 
-@pytest.mark.parametrize(("run_backend", "time_left_s"), [(refuse, 60.0), (hang, 0.0)])
-def test_a_run_ends_though_its_observer_or_its_cancelling_fails(
-    run_backend, time_left_s
-):
-    registry = RunRegistry(300.0)
-    backend = SimpleNamespace(run=run_backend, cancel=broken)
-    runner = Runner(registry, backend, Answers(registry))
-    runner.observer = SimpleNamespace(failed=broken, ended=lambda *_: None)
+@pytest.fixture
+def registry() -> RunRegistry:
+    return RunRegistry(300.0)
+
+
+@pytest.fixture
+def run(registry) -> Run:
+    """A run that the registry has admitted."""
     run = Run(
         RunId("run"),
         ServiceName("summaries"),
@@ -53,12 +53,39 @@
         AnswerBuffer(100),
     )
     registry.admit(run, clock.now())
-    run.deadline = clock.now() + time_left_s
+    return run
 
+
+def carry_out(registry, run, backend):
+    """Run to the end with an observer that fails."""
+    runner = Runner(registry, backend, Answers(registry))
+    runner.observer = SimpleNamespace(failed=broken, ended=lambda *_: None)
     runner.start(run, b"", 5)
     with eventlet.Timeout(5):
         runner.greenlets[run.run_id].wait()
+    return runner
+
+
+@pytest.mark.parametrize(("run_backend", "time_left_s"), [(refuse, 60.0), (hang, 0.0)])
+def test_a_run_ends_though_its_observer_or_its_cancelling_fails(
+    registry, run, run_backend, time_left_s
+):
+    run.deadline = clock.now() + time_left_s
+    backend = SimpleNamespace(run=run_backend, cancel=broken)
+
+    runner = carry_out(registry, run, backend)
 
     assert run.state is RunState.FAILED
     assert registry.in_flight() == 0
     assert runner.greenlets == {}
+
+
+def test_a_run_past_its_deadline_is_ended_before_the_engine_is_told(registry, run):
+    run.deadline = clock.now()
+    states = []
+    backend = SimpleNamespace(run=hang, cancel=lambda run: states.append(run.state))
+
+    carry_out(registry, run, backend)
+
+    assert states == [RunState.FAILED]
+    assert run.reason is Reason.DEADLINE_PASSED
