Give the engine no order before somebody was heard, and read its replies with care

Cause: the switch asked refuses_starts, which lets a process that has only begun give orders, though it may stand beside an older agent on its VM; may_give_orders was used by tests alone. A reply of the engine that is no JSON raised ValueError, which neither the crash watch nor the switch expects. Change: the switch asks may_give_orders; an unreadable reply is an OrderError. Before: the new first line of test_a_plan_from_before_a_pause_is_no_order and the three cases of test_a_state_that_is_no_json_object_is_a_failed_order fail.

--- a/packages/primroselever-agent/src/primroselever_agent/engine/engine_client.py
+++ b/packages/primroselever-agent/src/primroselever_agent/engine/engine_client.py
@@ -91,7 +91,13 @@
         if reply.status >= 300:
             text = reply.data.decode("utf-8", "replace")
             raise OrderError(f"{path}: the engine answered {reply.status}: {text}")
-        return json.loads(reply.data) if reply.data else {}
+        try:
+            fields = json.loads(reply.data or b"{}")
+        except ValueError as exc:
+            raise OrderError(f"{path}: the engine's reply is no JSON: {exc}") from exc
+        if not isinstance(fields, dict):
+            raise OrderError(f"{path}: the engine's reply is no JSON object")
+        return fields
 
     def run(self, run: Run, body: bytes, priority: int) -> Iterator[bytes]:
         """
--- a/packages/primroselever-agent/src/primroselever_agent/transfer/engine_switch.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/engine_switch.py
@@ -7,7 +7,7 @@
 
 import eventlet
 
-from primroselever_core.membership.contact import refuses_starts
+from primroselever_core.membership.contact import may_give_orders
 from primroselever_core.transfer.switching import (
     PLAN_VALID_S,
     PeerState,
@@ -109,8 +109,8 @@
 
     def objection(self, plan: SwitchPlan) -> Wait | None:
         """Return why a plan must not be carried out any more, or None."""
-        if refuses_starts(self.board, clock.now()):
-            return Wait("paused, and nobody was heard since")
+        if not may_give_orders(self.board, clock.now()):
+            return Wait("started or paused, and nobody was heard since")
         wanted = self.section.wanted
         revision = self.board.profiles.revision.number
         digest = wanted.digest if wanted is not None else None
--- a/packages/primroselever-agent/tests/engine/test_engine_client.py
+++ b/packages/primroselever-agent/tests/engine/test_engine_client.py
@@ -5,7 +5,7 @@
 import pytest
 
 from primroselever_agent.engine.engine_client import EngineClient
-from primroselever_agent.exceptions import BackendError
+from primroselever_agent.exceptions import BackendError, OrderError
 from primroselever_core.identifiers import (
     Fingerprint,
     RunId,
@@ -91,3 +91,12 @@
         Reason.ENGINE_FAILED,
         False,
     )
+
+
+@pytest.mark.parametrize("body", [b"not yet", b"[1, 2]", b"7"])
+def test_a_state_that_is_no_json_object_is_a_failed_order(
+    engine: Engine, client: EngineClient, body: bytes
+) -> None:
+    engine.body = body
+    with pytest.raises(OrderError):
+        client.state()
--- a/packages/primroselever-agent/tests/transfer/test_paused_orders.py
+++ b/packages/primroselever-agent/tests/transfer/test_paused_orders.py
@@ -39,6 +39,7 @@
 
     contact = board.members.contact
     beat(contact, 100.0)
+    assert refused_at(100.0)
     heard(contact, 100.0)
     assert not refused_at(100.1)
     assert refused_at(160.0)
