Build a short heartbeat in one place

Cause: entry and agent each built the heartbeat with which they greet a peer, and the regular heartbeats a third time. Ruled out: sending the regular one everywhere; a greeting carries no address, since it asks for no answer later. Change: greeting() of the node package; the regular heartbeat adds to it. An agent's greeting carries its suspicions now, as an entry's did. Before: 3 literals of the same 9 fields.

--- a/packages/primroselever-agent/src/primroselever_agent/transfer/peers.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/peers.py
@@ -8,8 +8,7 @@
 
 from primroselever_core.transfer.switching import PeerState
 from primroselever_node.rpc.client_pool import LostReplyError, NeverSentError
-from primroselever_node.rpc.handler import empty_load
-from primroselever_node.rpc.schema import schema
+from primroselever_node.rpc.handler import greeting
 
 if TYPE_CHECKING:
     from primroselever_core.board import Blackboard
@@ -85,24 +84,8 @@
     def state(self, vm_id: VmId) -> PeerState | None:
         """Return one agent's state, or None if it is silent or leaving."""
         reply = self.call(
-            vm_id, "heartbeat", self.greeting(), timeout_s=HEARTBEAT_TIMEOUT_S
+            vm_id, "heartbeat", greeting(self.board), timeout_s=HEARTBEAT_TIMEOUT_S
         )
         if reply is None or reply.leaving:
             return None
         return PeerState(vm_id, reply.weights_digest or None)
-
-    def greeting(self) -> Any:
-        """Return a heartbeat of this agent without its load."""
-        transfers = self.board.transfers
-        revision = self.board.profiles.revision
-        return schema.Heartbeat(
-            vm_id=self.board.identity.vm_id,
-            incarnation=self.board.identity.incarnation,
-            revision=revision.number,
-            revision_digest=revision.digest,
-            vm_list_revision=0,
-            leaving=self.board.leaving,
-            load=empty_load(),
-            weights_digest=(transfers and transfers.serving) or "",
-            suspicions=[],
-        )
--- a/packages/primroselever-entry/src/primroselever_entry/requests/starting.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/starting.py
@@ -11,9 +11,9 @@
 from primroselever_core.runs.starting import said_of_start
 from primroselever_node import clock
 from primroselever_node.rpc.client_pool import LostReplyError, NeverSentError
-from primroselever_node.rpc.handler import empty_load
+from primroselever_node.rpc.handler import greeting
 from primroselever_node.rpc.schema import schema
-from primroselever_node.rpc.suspicions import learn, to_wire, to_wire_of
+from primroselever_node.rpc.suspicions import learn, to_wire_of
 
 from .active_run import ActiveRun
 from .resolving import (
@@ -149,7 +149,7 @@
         said = self.agents.call(
             address_of(server),
             "heartbeat",
-            self.heartbeat(),
+            greeting(self.board),
             timeout_s=call_timeout_s(self.progress_s, deadline),
         )
         server.take_report(said.load.in_flight, said.leaving, clock.now())
@@ -162,21 +162,6 @@
         server.epoch = epoch or 0
         server.epoch_until = clock.now() + EPOCH_REFRESH_S
 
-    def heartbeat(self) -> Any:
-        """Return what this process says of itself."""
-        revision = self.board.profiles.revision
-        return schema.Heartbeat(
-            vm_id=self.board.identity.vm_id,
-            incarnation=self.board.identity.incarnation,
-            revision=revision.number,
-            revision_digest=revision.digest,
-            vm_list_revision=0,
-            leaving=self.board.leaving,
-            load=empty_load(),
-            weights_digest="",
-            suspicions=to_wire(self.board.suspects),
-        )
-
 
 def start_request(
     request: CallerRequest,
--- a/packages/primroselever-node/src/primroselever_node/rpc/handler.py
+++ b/packages/primroselever-node/src/primroselever_node/rpc/handler.py
@@ -38,28 +38,19 @@
         self.senders: dict[VmId, float] = {}
 
     def own_heartbeat(self) -> Any:
-        """Return what this process says of itself."""
+        """Return all that this process says of itself."""
         board = self.board
-        revision = board.profiles.revision
-        transfers = board.transfers
         copy = board.members.copy
         listed = board.members.vms.get(board.identity.vm_id)
         age_ms = int((clock.now() - board.profiles.service.heard_at) * 1000)
-        return schema.Heartbeat(
-            vm_id=board.identity.vm_id,
-            incarnation=board.identity.incarnation,
-            revision=revision.number,
-            revision_digest=revision.digest,
-            vm_list_revision=copy.version.counter if copy.version else 0,
-            leaving=board.leaving,
-            load=self.load(),
-            weights_digest=(transfers and transfers.serving) or "",
-            suspicions=to_wire(board.suspects),
-            service_age_ms=min(age_ms, LONGEST_AGE_MS),
-            failure_domain=board.identity.failure_domain,
-            address=listed.address if listed else "",
-            rpc_port=listed.rpc_port if listed else 0,
-        )
+        said = greeting(board)
+        said.load = self.load()
+        said.vm_list_revision = copy.version.counter if copy.version else 0
+        said.service_age_ms = min(age_ms, LONGEST_AGE_MS)
+        said.failure_domain = board.identity.failure_domain
+        said.address = listed.address if listed else ""
+        said.rpc_port = listed.rpc_port if listed else 0
+        return said
 
     def heartbeat(self, sender: Any) -> Any:
         """Take in what a sender says of itself and answer with the same."""
@@ -100,5 +91,22 @@
     return schema.Load(in_flight=0, queued=0, limit=0, engine_load=0.0, engine_age_ms=0)
 
 
+def greeting(board: Blackboard) -> Any:
+    """Return a heartbeat for a process that is to say who it is itself."""
+    revision = board.profiles.revision
+    transfers = board.transfers
+    return schema.Heartbeat(
+        vm_id=board.identity.vm_id,
+        incarnation=board.identity.incarnation,
+        revision=revision.number,
+        revision_digest=revision.digest,
+        vm_list_revision=0,
+        leaving=board.leaving,
+        load=empty_load(),
+        weights_digest=(transfers and transfers.serving) or "",
+        suspicions=to_wire(board.suspects),
+    )
+
+
 def ignore(_said: Any) -> None:
     """Do nothing with a heartbeat."""
