Pass over a VM list that cannot be read

Cause: a change with an unknown field, or without one, raised KeyError or TypeError, so that the controller's step ended and the other parents were not asked. Ruled out: dropping unknown fields; the digest would not match and tell less. Change: from_text raises ValueError for any text that is no change; the members controller logs it, passes it over and goes on.

--- a/packages/primroselever-core/src/primroselever_core/membership/vm_list_copy.py
+++ b/packages/primroselever-core/src/primroselever_core/membership/vm_list_copy.py
@@ -115,10 +115,18 @@
 
     @classmethod
     def from_text(cls, text: str) -> ListChange:
-        """Return the change behind a text that ``to_text`` made."""
-        fields: dict[str, Any] = json.loads(text)
-        vms = [vm_from(entry) for entry in fields["set"]]
-        return cls(fields["whole"], {vm.vm_id: vm for vm in vms}, fields["dropped"])
+        """
+        Return the change behind a text that ``to_text`` made.
+
+        Raise ``ValueError`` for any other text, as a later release may send.
+        """
+        try:
+            fields: dict[str, Any] = json.loads(text)
+            vms = [vm_from(entry) for entry in fields["set"]]
+            set_vms = {vm.vm_id: vm for vm in vms}
+            return cls(bool(fields["whole"]), set_vms, list(fields["dropped"]))
+        except (AttributeError, KeyError, TypeError) as exc:
+            raise ValueError(f"no change of a VM list: {exc!r}") from exc
 
     def apply_to(self, vms: Mapping[VmId, Vm]) -> dict[VmId, Vm]:
         """Return the list after the change."""
--- a/packages/primroselever-core/tests/membership/test_vm_list_copy.py
+++ b/packages/primroselever-core/tests/membership/test_vm_list_copy.py
@@ -73,3 +73,19 @@
     copy.hold(version("first", 1, 2), {**vms, VmId("new"): vm("new", 1)}, 1.0)
     assert len(copy.change_since(digest).to_text()) < 300
     assert copy.change_since("unknown").whole
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "no JSON",
+        "[]",
+        "{}",
+        '{"whole": true, "set": [1], "dropped": []}',
+        '{"whole": true, "set": [{"role": "agent", "later": 1}], "dropped": []}',
+        '{"whole": true, "set": [], "dropped": 7}',
+    ],
+)
+def test_a_text_that_is_no_change_is_a_value_error(text: str) -> None:
+    with pytest.raises(ValueError):
+        ListChange.from_text(text)
--- a/packages/primroselever-node/src/primroselever_node/control/members.py
+++ b/packages/primroselever-node/src/primroselever_node/control/members.py
@@ -155,7 +155,11 @@
         ranking = self.section.ranking(self.board.identity.failure_domain)
         if not version.replaces(copy.version, copy.held_until, ranking, now):
             return
-        vms = ListChange.from_text(reply.text.decode()).apply_to(copy.vms)
+        try:
+            vms = ListChange.from_text(reply.text.decode()).apply_to(copy.vms)
+        except ValueError as exc:
+            logger.warning("a VM list that was handed on is passed over: %s", exc)
+            return
         if digest_of(vms) != reply.digest:
             copy.digest = ""
             return
