--- a/packages/primroselever-core/src/primroselever_core/outcomes.py
+++ b/packages/primroselever-core/src/primroselever_core/outcomes.py
@@ -72,8 +72,9 @@
     """
     The request did not run, and never will under this run's identifier.
 
-    It may be said only when the start was never sent, the agent refused it, or
-    the agent confirmed a tombstone. ``retry_after_s`` is in seconds, or None
+    It may be said only when the start was never sent, the agent refused it, the
+    agent confirmed a tombstone, or the back end itself said that nothing began.
+    ``retry_after_s`` is in seconds, or None
     where coming back makes no sense. ``ticket`` is the operation ticket with
     which to come back.
     """
