--- /dev/null
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/news.py
@@ -0,0 +1,178 @@
+"""Reading the engine's state, telling entries, and taking in what they advise."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Any
+
+import eventlet
+
+from primroselever_core.filling.section import WantedWeights
+from primroselever_node import clock
+from primroselever_node.direct.datagrams import DatagramPort
+from primroselever_node.direct.schema import schema
+from primroselever_node.direct.sources import EngineState, SourceError
+from primroselever_node.logs import log_decision
+
+if TYPE_CHECKING:
+    from primroselever_core.filling.section import FillingBoard
+    from primroselever_node.direct.sources import ModelServer
+
+READ_INTERVAL_S = 0.1  # an engine's pass takes some 50 ms
+OWN_DOMAIN_INTERVAL_S = 0.2  # entries place one or two requests a server in this time
+OTHER_DOMAIN_INTERVAL_S = 0.4  # bytes between failure domains cost
+STATE_VALID_S = 1.0
+
+logger = logging.getLogger(__name__)
+
+
+class NewsController:
+    """Writes what the board knows of entries and of what is wanted."""
+
+    def __init__(
+        self,
+        board: FillingBoard,
+        server: ModelServer,
+        engine_address: str,
+        host: str,
+        port: int,
+        weights_within_s: float,
+    ) -> None:
+        self.board = board
+        self.server = server
+        self.engine_address = engine_address
+        self.host = host
+        self.weights_within_s = weights_within_s
+        self.state: EngineState | None = None
+        self.state_at = 0.0
+        self.reachable = True
+        self.sent_at: dict[str, float] = {}
+        self.sent: tuple[Any, ...] = ()
+        self.port = DatagramPort(host, port, self.receive)
+
+    def start(self) -> None:
+        """Receive and report in greenlets of their own."""
+        self.port.start()
+        eventlet.spawn(self.run)
+
+    def run(self) -> None:
+        """Read the engine's state and report it for good."""
+        while True:
+            try:
+                self.read_state()
+                self.report()
+            except Exception:
+                logger.exception("a report failed")
+            eventlet.sleep(READ_INTERVAL_S)
+
+    def read_state(self) -> None:
+        """Read the engine's state; a lost or regained engine is logged."""
+        try:
+            state = self.server.state()
+        except SourceError as exc:
+            if self.reachable:
+                log_decision("dependency lost", "engine", self.engine_address, str(exc))
+            self.reachable = False
+            self.state = None
+            return
+        if not self.reachable:
+            log_decision(
+                "dependency regained", "engine", self.engine_address, "it answered"
+            )
+        self.reachable = True
+        before = self.state
+        self.state, self.state_at = state, clock.now()
+        if before is None or (before.born_ms, before.version) != (
+            state.born_ms,
+            state.version,
+        ):
+            log_decision(
+                "engine state",
+                self.engine_address,
+                f"{state.model}/{state.version}",
+                "read from the engine",
+                born_ms=state.born_ms,
+                loading=state.loading,
+            )
+
+    def report(self) -> None:
+        """Tell entries, at once when the engine serves other weights than before."""
+        state = self.state
+        if state is None:
+            return
+        now = clock.now()
+        self.board.forget_silent(now)
+        switching = self.board.switching or state.loading
+        news = schema.EngineNews(
+            address=self.engine_address,
+            born_ms=state.born_ms,
+            model=state.model,
+            version=state.version,
+            switching=switching,
+            running=state.running,
+            waiting=state.waiting,
+            pace=state.pace,
+            failure_domain=self.board.identity.failure_domain,
+            host=self.host,
+        )
+        key = (state.born_ms, state.version, switching)
+        at_once = key != self.sent
+        self.sent = key
+        own = self.board.identity.failure_domain
+        targets = {host: domain for host, (domain, _) in self.board.entries.items()}
+        for seed in self.board.seeds:
+            targets.setdefault(seed, "")
+        for host, domain in targets.items():
+            interval = (
+                OWN_DOMAIN_INTERVAL_S if domain == own else OTHER_DOMAIN_INTERVAL_S
+            )
+            if at_once or now - self.sent_at.get(host, 0.0) >= interval * 0.95:
+                self.sent_at[host] = now
+                self.port.send(host, engine=news)
+
+    def receive(self, datagram: Any, _host: str) -> None:
+        """Take in one datagram."""
+        if datagram.advice is not None:
+            self.take_advice(datagram.advice)
+
+    def take_advice(self, advice: Any) -> None:
+        """Take in what an entry advises."""
+        now = clock.now()
+        self.board.hear_entry(advice.host, advice.failure_domain, now)
+        self.board.learn_entries(advice.peers or {}, now)
+        for model, version in (advice.weights or {}).items():
+            age_s = (advice.weights_age_ms or {}).get(model, 0) / 1000
+            wanted = WantedWeights(
+                model,
+                version,
+                now - age_s + self.weights_within_s,
+                advice.rank,
+                advice.group_size,
+            )
+            self.want(wanted)
+
+    def want(self, wanted: WantedWeights) -> None:
+        """Take in which weights are wanted; an older version changes nothing."""
+        known = self.board.wanted
+        if known is not None and known.model == wanted.model:
+            if wanted.version < known.version:
+                return
+            if wanted.version == known.version:
+                wanted = WantedWeights(
+                    known.model,
+                    known.version,
+                    min(known.bound_at, wanted.bound_at),
+                    wanted.rank,
+                    wanted.group_size,
+                )
+        if not wanted.same_version(known):
+            log_decision(
+                "weights wanted",
+                f"{wanted.model}/{wanted.version}",
+                "fill",
+                "an entry advised so",
+                rank=wanted.rank,
+                group_size=wanted.group_size,
+                left_s=round(wanted.bound_at - clock.now(), 2),
+            )
+        self.board.wanted = wanted
--- /dev/null
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
@@ -0,0 +1,132 @@
+"""
+The catalogue of one process: what holds now, and what may replace it.
+
+A configuration and a version of weights only ever give way to a higher one, from
+whatever source. The list of back ends follows the revision of the platform's store;
+a copy from a peer replaces it only when it is of a later revision.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from .catalogue_copy import CatalogueCopy
+from .routes import RouteTable
+
+if TYPE_CHECKING:
+    from .model import Configuration, ListedServer
+
+RETURN_GRACE_S = 2.0  # entries that lapsed while the store was away return within this
+
+
+@dataclass(slots=True)
+class NamedWeights:
+    """The newest version of a model that was named, and when this was learned."""
+
+    version: int
+    learned_at: float
+
+
+@dataclass(slots=True)
+class Catalogue:
+    """
+    All that was published, as far as this process knows.
+
+    ``heard_at`` is when the store was last heard, by whatever way. ``lapsed`` maps
+    back ends whose entries vanished while the store was away to the deadline after
+    which they count as gone.
+    """
+
+    store_revision: int = 0
+    configuration: Configuration | None = None
+    configuration_at: float = 0.0
+    routes: RouteTable = field(default_factory=RouteTable)
+    weights: dict[str, NamedWeights] = field(default_factory=dict)
+    servers: dict[str, ListedServer] = field(default_factory=dict)
+    lapsed: dict[str, float] = field(default_factory=dict)
+    heard_at: float | None = None
+    lapse_grace_until: float = 0.0
+
+    def configure(self, configuration: Configuration, now: float) -> bool:
+        """Put a configuration in force unless one as high is; return whether."""
+        if self.configuration is not None:
+            if configuration.revision <= self.configuration.revision:
+                return False
+        self.configuration = configuration
+        self.configuration_at = now
+        self.routes = RouteTable.of(configuration)
+        return True
+
+    def name_weights(self, model: str, version: int, now: float) -> bool:
+        """Take in a named version; return whether it is newer than what was known."""
+        known = self.weights.get(model)
+        if known is not None and version <= known.version:
+            return False
+        self.weights[model] = NamedWeights(version, now)
+        return True
+
+    def list_server(self, server: ListedServer) -> bool:
+        """Take in the entry of a back end; return whether it changed anything."""
+        self.lapsed.pop(server.server_id, None)
+        if self.servers.get(server.server_id) == server:
+            return False
+        self.servers[server.server_id] = server
+        return True
+
+    def remove_server(self, server_id: str, now: float) -> bool:
+        """
+        Take in that an entry vanished; return whether the back end is gone now.
+
+        Right after an outage of the store an entry may have lapsed although its
+        back end lives, so that it is kept for a moment.
+        """
+        if server_id not in self.servers:
+            return False
+        if now < self.lapse_grace_until:
+            self.lapsed.setdefault(server_id, self.lapse_grace_until)
+            return False
+        del self.servers[server_id]
+        self.lapsed.pop(server_id, None)
+        return True
+
+    def expire_lapsed(self, now: float) -> list[str]:
+        """Remove the back ends whose entries did not come back; return them."""
+        expired = [name for name, until in self.lapsed.items() if now >= until]
+        for server_id in expired:
+            del self.lapsed[server_id]
+            self.servers.pop(server_id, None)
+        return expired
+
+    def store_returned(self, now: float) -> None:
+        """Give entries that lapsed during an outage the time to come back."""
+        self.lapse_grace_until = now + RETURN_GRACE_S
+
+    def copy(self) -> CatalogueCopy:
+        """Return what is handed to a peer."""
+        return CatalogueCopy(
+            self.store_revision,
+            self.configuration,
+            {model: named.version for model, named in self.weights.items()},
+            dict(self.servers),
+        )
+
+    def merge(self, copy: CatalogueCopy, now: float) -> bool:
+        """Take in a peer's copy; return whether anything of it was news."""
+        changed = False
+        if copy.configuration is not None:
+            changed |= self.configure(copy.configuration, now)
+        for model, version in copy.weights.items():
+            changed |= self.name_weights(model, version, now)
+        if copy.store_revision > self.store_revision:
+            self.store_revision = copy.store_revision
+            self.replace_servers(copy.servers, now)
+            changed = True
+        return changed
+
+    def replace_servers(self, servers: dict[str, ListedServer], now: float) -> None:
+        """Take in the whole list of back ends."""
+        for server in servers.values():
+            self.list_server(server)
+        for server_id in [name for name in self.servers if name not in servers]:
+            self.remove_server(server_id, now)
--- /dev/null
+++ b/packages/primroselever-core/src/primroselever_core/direct_board.py
@@ -0,0 +1,30 @@
+"""The blackboard of an entry that calls back ends directly."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from .catalogue.catalogue import Catalogue
+from .dispatch.section import BackendsSection
+
+if TYPE_CHECKING:
+    from .board import Identity
+    from .gossip.peers import Peers
+
+
+@dataclass(slots=True)
+class DirectBoard:
+    """
+    The sections of one entry, each with one writer.
+
+    ``catalogue`` is written by the follower of the platform's store and by what peers
+    hand on; ``peers`` by the gossip controller; ``backends`` by the request flow and
+    by reports; ``leaving`` by the process.
+    """
+
+    identity: Identity
+    peers: Peers
+    catalogue: Catalogue = field(default_factory=Catalogue)
+    backends: BackendsSection = field(default_factory=BackendsSection)
+    leaving: bool = False
--- /dev/null
+++ b/packages/primroselever-core/src/primroselever_core/gossip/__init__.py
@@ -0,0 +1,1 @@
+"""How entries find each other, starting from a few seeds."""
--- /dev/null
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that an entry passes on to back ends itself."""
--- /dev/null
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/header_names.py
@@ -0,0 +1,49 @@
+"""The header names of a platform, told by what each header holds."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class HeaderNames:
+    """
+    Names of headers; those that are read are in lower case.
+
+    ``remaining_ms`` holds the milliseconds that are left, ``token_counts`` the prompt's
+    tokens and the most that the answer may have, ``engine_chain`` the engines that a
+    request passes through, ``integrity_seal`` a back end's proof of its answer.
+    """
+
+    request_id: bytes
+    remaining_ms: bytes
+    credentials: bytes
+    credentials_scheme: bytes
+    resume_after: bytes
+    model: bytes
+    token_counts: bytes
+    prompt_parts: bytes
+    answer_length_hint: bytes
+    workspace: bytes
+    expected_server: bytes
+    expected_weights: bytes
+    urgency: bytes
+    engine_chain: bytes
+    not_run: bytes
+    answering_server: bytes
+    integrity_seal: bytes
+
+    def set_by_entry(self) -> frozenset[bytes]:
+        """Return the headers that callers cannot set, in lower case."""
+        return frozenset(
+            name.lower()
+            for name in (
+                self.remaining_ms,
+                self.credentials,
+                self.workspace,
+                self.expected_server,
+                self.expected_weights,
+                self.urgency,
+                self.engine_chain,
+            )
+        )
--- /dev/null
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/process.py
@@ -0,0 +1,198 @@
+"""The parts of an entry that calls back ends directly, wired together."""
+
+from __future__ import annotations
+
+import logging
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+import eventlet
+
+from primroselever_core.catalogue.model import CallerLimits
+from primroselever_core.direct_board import DirectBoard
+from primroselever_core.dispatch.retry_share import RetryLimits
+from primroselever_core.gossip.peers import Peers
+from primroselever_node import clock
+from primroselever_node.admin import AdminApplication
+from primroselever_node.direct.connection_pool import ConnectionPool
+from primroselever_node.direct.follower import CatalogueFollower
+from primroselever_node.direct.gossip import GossipController
+from primroselever_node.direct.peer_handler import DirectPeerHandler
+from primroselever_node.direct.pieces import PieceKeeper
+from primroselever_node.direct.process import direct_identity, explain_nothing
+from primroselever_node.direct.schema import schema
+from primroselever_node.direct.sources import CataloguePart
+from primroselever_node.http import HttpServer
+from primroselever_node.logs import log_decision
+from primroselever_node.process import ShutdownSignal, drain, exit_code
+from primroselever_node.rpc.server import RpcServer
+
+from .caller_connection import CallerServer
+from .flow import DirectFlow, FlowLimits
+from .instruments import FlowInstruments
+
+if TYPE_CHECKING:
+    from primroselever_node.direct.sources import CatalogueSource, WeightSource
+
+    from .header_names import HeaderNames
+    from .settings import DirectEntrySettings
+
+DEFAULT_LIMITS = CallerLimits(16384, 1 << 20, 3.0, 15.0)  # until a configuration comes
+POOL_SWEEP_S = 1.0
+LAST_ANSWERS_S = 0.3  # the last bytes still have to leave
+
+logger = logging.getLogger(__name__)
+
+
+class DirectEntryProcess:
+    """A running entry; the platform comes in by its sources and header names."""
+
+    def __init__(
+        self,
+        settings: DirectEntrySettings,
+        catalogue_source: CatalogueSource,
+        weight_source: WeightSource,
+        names: HeaderNames,
+    ) -> None:
+        self.settings = settings
+        identity = direct_identity(settings)
+        seeds = tuple(host for host, _port in settings.seeds)
+        self.board = DirectBoard(
+            identity, Peers(settings.host, settings.failure_domain, seeds)
+        )
+        self.pool = ConnectionPool()
+        self.keeper = PieceKeeper(self.board, weight_source, settings.control[1])
+        self.follower = CatalogueFollower(
+            self.board.catalogue, catalogue_source, self.catalogue_changed
+        )
+        self.gossip = GossipController(
+            self.board,
+            settings.host,
+            settings.news_port,
+            settings.control[1],
+            self.catalogue_changed,
+        )
+        retries = RetryLimits(
+            settings.retry_ratio, settings.retry_slack, settings.retry_window_s
+        )
+        self.flow = DirectFlow(
+            self.board,
+            self.pool,
+            names,
+            FlowLimits(settings.weights_within_s, retries),
+            FlowInstruments(),
+            Random(),
+        )
+        self.turning_away = False
+        self.callers = CallerServer(
+            settings.callers, names, self.limits, self.flow.handle, self.is_leaving
+        )
+        self.rpc = RpcServer(
+            schema.DirectPeer,
+            DirectPeerHandler(self.board, self.keeper),
+            *settings.control,
+        )
+        application = AdminApplication(self.not_ready, self.status, explain_nothing)
+        application.readiness_path = settings.readiness_path
+        self.readiness = HttpServer(application, *settings.readiness)
+        self.admin = HttpServer(application, settings.host, settings.admin_port)
+        self.weights_seen: dict[str, int] = {}
+        self.started_at = clock.now()
+
+    def run(self) -> int:
+        """Serve until told to stop, then drain; return the exit code."""
+        stop = ShutdownSignal()
+        self.rpc.start()
+        self.gossip.start()
+        self.follower.start()
+        self.readiness.start()
+        self.admin.start()
+        self.callers.start()
+        eventlet.spawn(self.sweep)
+        log_decision("process", self.settings.vm_id, "started", "all parts run")
+        stop.wait()
+        log_decision("process", self.settings.vm_id, "stopping", "told to stop")
+        return exit_code(self.shut_down())
+
+    def shut_down(self) -> bool:
+        """Let the balancer turn away, answer what came, then end."""
+        deadline = clock.now() + self.settings.shutdown_s
+        self.turning_away = True
+        self.board.leaving = True
+        eventlet.sleep(self.settings.turn_away_s)
+        self.callers.close_idle()
+        drained = drain(lambda: self.callers.in_flight, deadline)
+        eventlet.sleep(LAST_ANSWERS_S)
+        return drained
+
+    def is_leaving(self) -> bool:
+        """Return whether the process was told to stop."""
+        return self.turning_away
+
+    def limits(self) -> CallerLimits:
+        """Return what callers may send."""
+        configuration = self.board.catalogue.configuration
+        return DEFAULT_LIMITS if configuration is None else configuration.limits
+
+    def catalogue_changed(self, part: CataloguePart) -> None:
+        """Take in that the catalogue changed."""
+        catalogue = self.board.catalogue
+        if part is CataloguePart.SERVERS:
+            self.board.backends.follow(catalogue.servers.values())
+            self.pool.keep_only(self.board.backends.backends.keys())
+            return
+        for model, named in catalogue.weights.items():
+            before = self.weights_seen.get(model)
+            self.weights_seen[model] = named.version
+            if before == named.version:
+                continue
+            if before is None and clock.now() - self.started_at < self.settings.contact_s:
+                # It may have been named long before this process started, and binds
+                # it once it counts as in touch.
+                named.learned_at = (
+                    clock.now() - self.settings.weights_within_s + self.settings.contact_s
+                )
+            self.keeper.prefetch(model, named.version)
+
+    def not_ready(self) -> str | None:
+        """Return why no new connections should come, or None."""
+        if self.turning_away:
+            return "leaving"
+        if self.board.catalogue.configuration is None:
+            return "no configuration yet"
+        if not self.board.catalogue.servers:
+            return "no back ends yet"
+        return None
+
+    def status(self) -> dict[str, Any]:
+        """Return what this entry knows and how old it is."""
+        now = clock.now()
+        catalogue = self.board.catalogue
+        configuration = catalogue.configuration
+        return {
+            "vm_id": self.settings.vm_id,
+            "leaving": self.turning_away,
+            "in_flight": self.callers.in_flight,
+            "configuration": configuration.revision if configuration else None,
+            "configuration_age_s": round(now - catalogue.configuration_at, 3),
+            "store_age_s": None
+            if catalogue.heard_at is None
+            else round(now - catalogue.heard_at, 3),
+            "weights": {m: n.version for m, n in catalogue.weights.items()},
+            "peers": sorted(peer.host for peer in self.board.peers.live(now)),
+            "back_ends": {
+                name: {
+                    "service": backend.listed.service,
+                    "state": str(backend.listed.state),
+                    "load": backend.load(now),
+                    "available": backend.available(now),
+                }
+                for name, backend in self.board.backends.backends.items()
+            },
+        }
+
+    def sweep(self) -> None:
+        """Close connections that were kept too long."""
+        while True:
+            eventlet.sleep(POOL_SWEEP_S)
+            self.pool.keep_only(self.board.backends.backends.keys())
--- a/packages/primroselever-node/src/primroselever_node/admin.py
+++ b/packages/primroselever-node/src/primroselever_node/admin.py
@@ -19,6 +19,7 @@
 OK = "200 OK"
 JSON = "application/json"
 TEXT = "text/plain; charset=utf-8"
+READINESS_PATH = "/readyz"
 
 
 class AdminApplication:
@@ -28,6 +29,7 @@
     ``not_ready`` returns why no new work may come, or None when it may;
     ``status`` returns what the process knows and how old it is, and ``explain``
     what it would decide now for the fields of a query. Neither changes anything.
+    ``readiness_path`` is a second path for readiness, for balancers that want another.
     """
 
     def __init__(
@@ -39,6 +41,7 @@
         self.not_ready = not_ready
         self.status = status
         self.explain = explain
+        self.readiness_path = READINESS_PATH
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
@@ -59,7 +62,7 @@
             return "405 Method Not Allowed", TEXT, b"only GET\n"
         if path == "/healthz":
             return OK, TEXT, b"ok\n"
-        if path == "/readyz":
+        if path in (READINESS_PATH, self.readiness_path):
             return self.readiness()
         if path == "/metrics":
             return OK, TEXT, exposition()
--- /dev/null
+++ b/packages/primroselever-node/src/primroselever_node/direct/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP and datagrams for deployments whose back ends are called directly."""
--- /dev/null
+++ b/packages/primroselever-node/src/primroselever_node/direct/direct.thrift
@@ -0,0 +1,63 @@
+/*
+ * What entries and agents tell each other where back ends are called directly.
+ *
+ * News travel in datagrams, each of which holds one of the three kinds; what is large
+ * is asked for by calls. Ages are in milliseconds, since no two processes share a clock.
+ */
+
+/* peers maps the addresses of other entries to their failure domains. */
+struct EntryNews {
+  1: string host,
+  2: string failure_domain,
+  3: i64 incarnation,
+  4: bool leaving,
+  5: i64 configuration_revision,
+  6: i64 store_revision,
+  7: i64 store_age_ms,
+  8: map<string, i32> weights,
+  9: map<string, string> peers,
+}
+
+/* address is that of the back end; version is 0 without whole weights. */
+struct EngineNews {
+  1: string address,
+  2: i64 born_ms,
+  3: string model,
+  4: i32 version,
+  5: bool switching,
+  6: i32 running,
+  7: i32 waiting,
+  8: double pace,
+  9: string failure_domain,
+  10: string host,
+}
+
+/* rank is the back end's place among group_size others of its service. */
+struct FillingAdvice {
+  1: string host,
+  2: string failure_domain,
+  3: map<string, i32> weights,
+  4: map<string, i32> weights_age_ms,
+  5: map<string, string> peers,
+  6: i32 rank,
+  7: i32 group_size,
+}
+
+struct Datagram {
+  1: optional EntryNews entry,
+  2: optional EngineNews engine,
+  3: optional FillingAdvice advice,
+}
+
+/* state is held, pending (ask again after retry_after_ms) or unknown. */
+struct PieceReply {
+  1: string state,
+  2: binary data,
+  3: i32 retry_after_ms,
+}
+
+service DirectPeer {
+  binary fetch_catalogue(1: i64 store_revision),
+  PieceReply fetch_piece(1: string model, 2: i32 version, 3: i32 index, 4: bool relayed),
+  list<string> fetch_digests(1: string model, 2: i32 version, 3: bool relayed),
+}
--- /dev/null
+++ b/packages/primroselever-node/src/primroselever_node/direct/gossip.py
@@ -0,0 +1,259 @@
+"""Heartbeats among entries, reports of agents, and catalogues handed on."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Any
+
+import eventlet
+
+from primroselever_core.catalogue.model import ServerState
+from primroselever_core.dispatch.backend import EngineReport
+
+from .. import clock
+from ..logs import log_decision
+from ..rpc.client_pool import ClientPool, LostReplyError, NeverSentError
+from .datagrams import DatagramPort
+from .peer_handler import copies
+from .schema import schema
+from .sources import CataloguePart
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from primroselever_core.catalogue.model import Address
+    from primroselever_core.direct_board import DirectBoard
+    from primroselever_core.gossip.peers import Peer
+
+HEARTBEAT_S = 0.5  # well below the 2 s in which a configuration must be in force
+ADVICE_INTERVAL_S = 1.0  # agents get advice at once when it changed, else this often
+PULL_DELAY_S = 0.15  # the own watch of the store usually brings the same by then
+PULL_TIMEOUT_S = 2.0
+FIRST_VERSION = 1  # of weights that nobody has named yet
+
+logger = logging.getLogger(__name__)
+
+
+class GossipController:
+    """Writes the section on peers, and takes in what they and agents report."""
+
+    def __init__(
+        self,
+        board: DirectBoard,
+        host: str,
+        port: int,
+        control_port: int,
+        changed: Callable[[CataloguePart], None],
+    ) -> None:
+        self.board = board
+        self.host = host
+        self.control_port = control_port
+        self.changed = changed
+        self.port = DatagramPort(host, port, self.receive)
+        self.pool = ClientPool(schema.DirectPeer)
+        self.pulling = False
+        self.advised: dict[str, tuple[float, Any]] = {}
+        self.agents_heard: dict[str, float] = {}
+
+    def start(self) -> None:
+        """Send and receive in greenlets of their own."""
+        self.port.start()
+        eventlet.spawn(self.run)
+
+    def run(self) -> None:
+        """Send heartbeats for good."""
+        while True:
+            try:
+                self.beat()
+            except Exception:
+                logger.exception("a heartbeat failed")
+            eventlet.sleep(HEARTBEAT_S)
+
+    def beat(self) -> None:
+        """Send one heartbeat to each entry that is greeted."""
+        now = clock.now()
+        for host in self.board.peers.forget_silent(now):
+            log_decision("peer forgotten", host, "dropped", "not heard for long")
+        news = self.news(now)
+        for host in self.board.peers.greeted():
+            self.port.send(host, entry=news)
+
+    def news(self, now: float) -> Any:
+        """Return this entry's heartbeat."""
+        catalogue = self.board.catalogue
+        configuration = catalogue.configuration
+        heard_at = catalogue.heard_at
+        return schema.EntryNews(
+            host=self.host,
+            failure_domain=self.board.identity.failure_domain,
+            incarnation=self.board.identity.incarnation,
+            leaving=self.board.leaving,
+            configuration_revision=configuration.revision if configuration else 0,
+            store_revision=catalogue.store_revision,
+            store_age_ms=-1 if heard_at is None else int((now - heard_at) * 1000),
+            weights={m: named.version for m, named in catalogue.weights.items()},
+            peers=self.board.peers.named(now),
+        )
+
+    def receive(self, datagram: Any, host: str) -> None:
+        """Take in one datagram."""
+        if datagram.entry is not None:
+            self.hear_entry(datagram.entry)
+        elif datagram.engine is not None:
+            self.hear_engine(datagram.engine, host)
+
+    def hear_entry(self, news: Any) -> None:
+        """Take in the heartbeat of another entry."""
+        now = clock.now()
+        peers = self.board.peers
+        known = peers.known.get(news.host)
+        was_live = known is not None and known.live(now)
+        peer = peers.hear(news.host, news.failure_domain, now)
+        if peer is None:
+            return
+        if not was_live:
+            log_decision("peer heard", news.host, news.failure_domain, "heartbeat")
+        peer.incarnation = news.incarnation
+        peer.leaving = news.leaving
+        peer.configuration_revision = news.configuration_revision
+        peer.store_revision = news.store_revision
+        age_ms = news.store_age_ms
+        peer.store_age_s = float("inf") if age_ms < 0 else age_ms / 1000
+        peer.weights = dict(news.weights or {})
+        peers.learn(news.peers or {}, now)
+        if not self.pulling and self.knows_more(peer):
+            self.pulling = True
+            eventlet.spawn(self.pull, peer)
+
+    def knows_more(self, peer: Peer) -> bool:
+        """Return whether a peer holds something newer than this process."""
+        catalogue = self.board.catalogue
+        configuration = catalogue.configuration
+        own_revision = configuration.revision if configuration else 0
+        if peer.configuration_revision > own_revision:
+            return True
+        if peer.store_revision > catalogue.store_revision:
+            return True
+        return any(
+            model not in catalogue.weights
+            or version > catalogue.weights[model].version
+            for model, version in peer.weights.items()
+        )
+
+    def pull(self, peer: Peer) -> None:
+        """Take over a peer's catalogue unless the store brought the same meanwhile."""
+        try:
+            eventlet.sleep(PULL_DELAY_S)
+            if not self.knows_more(peer):
+                return
+            text = self.pool.call(
+                (peer.host, self.control_port),
+                "fetch_catalogue",
+                self.board.catalogue.store_revision,
+                timeout_s=PULL_TIMEOUT_S,
+            )
+            copy = copies.validate_json(text)
+        except (NeverSentError, LostReplyError, ValueError) as exc:
+            logger.warning("no catalogue from a peer", extra={"error": str(exc)})
+            return
+        finally:
+            self.pulling = False
+        if self.board.catalogue.merge(copy, clock.now()):
+            configuration = self.board.catalogue.configuration
+            log_decision(
+                "catalogue changed",
+                "peer",
+                peer.host,
+                "the peer knew more",
+                configuration=configuration.revision if configuration else None,
+                weights=copy.weights,
+                servers=len(self.board.catalogue.servers),
+            )
+            self.changed(CataloguePart.OPERATOR)
+            self.changed(CataloguePart.SERVERS)
+
+    def hear_engine(self, news: Any, host: str) -> None:
+        """Take in the report of an agent, and advise it."""
+        now = clock.now()
+        address = parse_address(news.address)
+        before = self.board.backends.reports.get(address)
+        report = EngineReport(
+            now,
+            news.born_ms,
+            news.model,
+            news.version,
+            news.switching,
+            news.running,
+            news.waiting,
+            news.pace,
+        )
+        self.board.backends.hear(address, report)
+        if before is None or (before.version, before.switching) != (
+            report.version,
+            report.switching,
+        ):
+            log_decision(
+                "engine reported",
+                news.address,
+                f"{news.model}/{news.version}",
+                "switching" if news.switching else "its agent said so",
+                born_ms=news.born_ms,
+            )
+        self.agents_heard[host] = now
+        self.advise(host, address, now)
+
+    def advise(self, host: str, address: Address, now: float) -> None:
+        """Tell an agent what is wanted, if that is news or due again."""
+        advice = self.advice(address, now)
+        if advice is None:
+            return
+        last = self.advised.get(host)
+        same = last is not None and last[1] == advice.weights
+        if last is not None and same and now < last[0]:
+            return
+        self.advised[host] = (now + ADVICE_INTERVAL_S, advice.weights)
+        self.port.send(host, advice=advice)
+
+    def advice(self, address: Address, now: float) -> Any:
+        """Return what the back end at an address should hold, None while unknown."""
+        catalogue = self.board.catalogue
+        backend = self.board.backends.by_address.get(address)
+        if catalogue.configuration is None or backend is None:
+            return schema.FillingAdvice(
+                self.host, self.board.identity.failure_domain, {}, {}, self.peers(now), 0, 0
+            )
+        service = catalogue.routes.services.get(backend.listed.service)
+        if service is None or backend.listed.state is ServerState.LEAVING:
+            return None
+        weights, ages = {}, {}
+        for model in service.models:
+            named = catalogue.weights.get(model)
+            weights[model] = named.version if named else FIRST_VERSION
+            ages[model] = int((now - named.learned_at) * 1000) if named else 0
+        group = sorted(
+            one.listed.server_id for one in self.board.backends.serving(service.name)
+        )
+        rank = group.index(backend.listed.server_id)
+        return schema.FillingAdvice(
+            self.host,
+            self.board.identity.failure_domain,
+            weights,
+            ages,
+            self.peers(now),
+            rank,
+            len(group),
+        )
+
+    def peers(self, now: float) -> dict[str, str]:
+        """Return the entries that an agent may turn to."""
+        hosts = self.board.peers.named(now)
+        for peer in self.board.peers.live(now):
+            if peer.failure_domain == self.board.identity.failure_domain:
+                hosts[peer.host] = peer.failure_domain
+        return hosts
+
+
+def parse_address(text: str) -> Address:
+    """Return host and port of an ``IP:PORT``."""
+    host, _, port = text.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/packages/primroselever-node/src/primroselever_node/direct/peer_handler.py
@@ -0,0 +1,52 @@
+"""What an entry answers other processes over thrift."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Any
+
+from pydantic import TypeAdapter
+
+from primroselever_core.catalogue.catalogue_copy import CatalogueCopy
+
+from .schema import schema
+from .sources import SourceError
+
+if TYPE_CHECKING:
+    from primroselever_core.direct_board import DirectBoard
+
+    from .pieces import PieceKeeper
+
+RETRY_MS = 200
+
+logger = logging.getLogger(__name__)
+copies: TypeAdapter[CatalogueCopy] = TypeAdapter(CatalogueCopy)
+
+
+class DirectPeerHandler:
+    """Hands out the catalogue and pieces of weights."""
+
+    def __init__(self, board: DirectBoard, keeper: PieceKeeper) -> None:
+        self.board = board
+        self.keeper = keeper
+
+    def fetch_catalogue(self, store_revision: int) -> bytes:
+        """Return the whole catalogue as JSON."""
+        return copies.dump_json(self.board.catalogue.copy())
+
+    def fetch_piece(self, model: str, version: int, index: int, relayed: bool) -> Any:
+        """Return a piece, read from where it is to be had if need be."""
+        try:
+            data = self.keeper.piece(model, version, index, relayed)
+        except SourceError as exc:
+            logger.warning("a piece is not to be had", extra={"error": str(exc)})
+            return schema.PieceReply("pending", b"", RETRY_MS)
+        return schema.PieceReply("held", data, 0)
+
+    def fetch_digests(self, model: str, version: int, relayed: bool) -> list[str]:
+        """Return the digests of a version, none when they are not to be had."""
+        try:
+            return list(self.keeper.digests(model, version, relayed).digests)
+        except SourceError as exc:
+            logger.warning("a manifest is not to be had", extra={"error": str(exc)})
+            return []
--- /dev/null
+++ b/packages/primroselever-node/src/primroselever_node/direct/pieces.py
@@ -0,0 +1,248 @@
+"""
+An entry's pieces of weights: read once, verified, handed to agents and other domains.
+
+In the origin's failure domain the owner of a piece reads it from the origin; in the
+others it reads it from that owner, or from the origin when that fails.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from typing import TYPE_CHECKING, Any
+
+import eventlet
+from eventlet.event import Event
+from eventlet.semaphore import Semaphore
+
+from primroselever_core.filling.pieces import PieceDigests, piece_owners
+
+from .. import clock
+from ..logs import log_decision
+from ..rpc.client_pool import ClientPool, LostReplyError, NeverSentError
+from .schema import schema
+from .sources import SourceError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from primroselever_core.catalogue.model import WeightOrigin
+    from primroselever_core.direct_board import DirectBoard
+
+    from .sources import WeightSource
+
+    Key = tuple[str, int, int]
+
+PEER_PIECE_S = 2.0  # a piece takes 25 ms between regions; 64 at once take 1.5 s
+ORIGIN_READS_AT_ONCE = 4  # keeps the origin's link busy and leaves it to other entries
+ORIGIN_TRIES = 3
+ORIGIN_RETRY_S = 0.2
+VERSIONS_KEPT = 2
+MANIFEST_COPIES = 2  # copies that must agree, since the origin may send wrong bytes
+MANIFEST_READS = 6
+PREFETCHES_AT_ONCE = 6
+
+logger = logging.getLogger(__name__)
+
+
+class PieceKeeper:
+    """The pieces that an entry holds, by model, version and number."""
+
+    def __init__(
+        self, board: DirectBoard, source: WeightSource, control_port: int
+    ) -> None:
+        self.board = board
+        self.source = source
+        self.control_port = control_port
+        self.pool = ClientPool(schema.DirectPeer)
+        self.manifests: dict[tuple[str, int], PieceDigests] = {}
+        self.pieces: dict[Key, bytes] = {}
+        self.reading: dict[Key | tuple[str, int], Event] = {}
+        self.origin_slots = Semaphore(ORIGIN_READS_AT_ONCE)
+        self.origin_bytes = 0
+
+    def origin(self) -> WeightOrigin | None:
+        """Return the origin that the configuration names."""
+        configuration = self.board.catalogue.configuration
+        if configuration is None:
+            return None
+        for service in configuration.services:
+            if service.origin is not None:
+                return service.origin
+        return None
+
+    def digests(self, model: str, version: int, relayed: bool) -> PieceDigests:
+        """Return the digests of a version, or raise ``SourceError``."""
+        key = (model, version)
+        if key in self.manifests:
+            return self.manifests[key]
+        return self.once(key, lambda: self.read_digests(model, version, relayed))
+
+    def piece(self, model: str, version: int, index: int, relayed: bool) -> bytes:
+        """Return a verified piece, or raise ``SourceError``."""
+        key = (model, version, index)
+        if key in self.pieces:
+            return self.pieces[key]
+        return self.once(key, lambda: self.read_piece(key, relayed))
+
+    def once(self, key: Any, read: Any) -> Any:
+        """Let one greenlet read and all others that want the same wait for it."""
+        event = self.reading.get(key)
+        if event is not None:
+            return event.wait()
+        event = self.reading[key] = Event()
+        try:
+            value = read()
+        except Exception as exc:
+            del self.reading[key]
+            event.send_exception(exc)
+            raise
+        del self.reading[key]
+        event.send(value)
+        return value
+
+    def read_digests(self, model: str, version: int, relayed: bool) -> PieceDigests:
+        """Read a manifest from another domain's entries, or from the origin."""
+        origin = self.require_origin()
+        found: PieceDigests | None = None
+        for host in self.relays(model, version, -1, origin, relayed):
+            try:
+                digests = self.ask(host, "fetch_digests", model, version, True)
+            except SourceError:
+                continue
+            if digests:
+                found = PieceDigests(model, version, tuple(digests))
+                break
+        if found is None:
+            found = self.agreed_manifest(origin, model, version)
+        self.manifests[model, version] = found
+        self.drop_old_versions(model)
+        return found
+
+    def agreed_manifest(
+        self, origin: WeightOrigin, model: str, version: int
+    ) -> PieceDigests:
+        """Return the manifest of which the origin sent equal copies."""
+        copies: Counter[PieceDigests] = Counter()
+        for attempt in range(MANIFEST_READS):
+            try:
+                copy = self.source.digests(origin.address, model, version)
+            except SourceError:
+                if attempt + 1 == MANIFEST_READS:
+                    raise
+                eventlet.sleep(ORIGIN_RETRY_S)
+                continue
+            copies[copy] += 1
+            if copies[copy] >= MANIFEST_COPIES:
+                return copy
+        raise SourceError("the origin's manifests do not agree")
+
+    def read_piece(self, key: Key, relayed: bool) -> bytes:
+        """Read a piece from another domain's owner, or from the origin."""
+        model, version, index = key
+        digests = self.digests(model, version, relayed)
+        origin = self.require_origin()
+        for host in self.relays(model, version, index, origin, relayed):
+            try:
+                reply = self.ask(host, "fetch_piece", model, version, index, True)
+            except SourceError:
+                continue
+            if reply.state == "held" and digests.fits(index, reply.data):
+                self.pieces[key] = reply.data
+                return reply.data
+        data = self.read_from_origin(origin, digests, index)
+        self.pieces[key] = data
+        return data
+
+    def read_from_origin(
+        self, origin: WeightOrigin, digests: PieceDigests, index: int
+    ) -> bytes:
+        """Return a piece from the origin that fits its digest."""
+        for attempt in range(ORIGIN_TRIES):
+            if attempt:
+                eventlet.sleep(ORIGIN_RETRY_S)
+            try:
+                with self.origin_slots:
+                    data = self.source.piece(
+                        origin.address, digests.model, digests.version, index
+                    )
+            except SourceError as exc:
+                reason = str(exc)
+                continue
+            self.origin_bytes += len(data)
+            if digests.fits(index, data):
+                return data
+            reason = "its bytes do not fit the digest"
+            log_decision("piece refused", f"{digests.model}/{index}", "origin", reason)
+        raise SourceError(f"piece {index} of {digests.model}: {reason}")
+
+    def relays(
+        self, model: str, version: int, index: int, origin: WeightOrigin, relayed: bool
+    ) -> Iterator[str]:
+        """Yield the entries to ask before the origin, best first."""
+        own = self.board.identity.failure_domain
+        if relayed or own == origin.failure_domain:
+            return
+        hosts = self.board.peers.domain_hosts(origin.failure_domain, clock.now())
+        yield from piece_owners(model, version, index, hosts)[:2]
+
+    def ask(self, host: str, method: str, *args: Any) -> Any:
+        """Call another entry, or raise ``SourceError``."""
+        try:
+            return self.pool.call(
+                (host, self.control_port), method, *args, timeout_s=PEER_PIECE_S
+            )
+        except (NeverSentError, LostReplyError) as exc:
+            raise SourceError(str(exc)) from exc
+
+    def require_origin(self) -> WeightOrigin:
+        """Return the origin, or raise ``SourceError``."""
+        origin = self.origin()
+        if origin is None:
+            raise SourceError("the configuration names no origin of weights")
+        return origin
+
+    def drop_old_versions(self, model: str) -> None:
+        """Keep the newest versions of a model only."""
+        versions = sorted({v for m, v in self.manifests if m == model})
+        for version in versions[:-VERSIONS_KEPT]:
+            del self.manifests[model, version]
+            for key in [k for k in self.pieces if k[:2] == (model, version)]:
+                del self.pieces[key]
+
+    def prefetch(self, model: str, version: int) -> None:
+        """Read the pieces that this entry owns, in the background."""
+        eventlet.spawn(self.run_prefetch, model, version)
+
+    def run_prefetch(self, model: str, version: int) -> None:
+        """Read owned pieces, a few at once, in the order in which agents ask."""
+        try:
+            digests = self.digests(model, version, False)
+        except SourceError as exc:
+            logger.warning("a manifest was not read ahead", extra={"error": str(exc)})
+            return
+        identity = self.board.identity
+        hosts = self.board.peers.domain_hosts(identity.failure_domain, clock.now())
+        owned = [
+            index
+            for index in range(len(digests.digests))
+            if piece_owners(model, version, index, hosts)[0] == self.board.peers.own_host
+        ]
+        pool = eventlet.GreenPool(PREFETCHES_AT_ONCE)
+        for index in owned:
+            pool.spawn(self.prefetch_one, model, version, index)
+        pool.waitall()
+        held = sum(1 for index in owned if (model, version, index) in self.pieces)
+        log_decision(
+            "weights read ahead",
+            f"{model}/{version}",
+            f"{held} of {len(owned)} pieces",
+            "this entry owns them in its failure domain",
+        )
+
+    def prefetch_one(self, model: str, version: int, index: int) -> None:
+        """Read one piece; agents ask again for one that failed."""
+        try:
+            self.piece(model, version, index, False)
+        except SourceError as exc:
+            logger.warning("a piece was not read ahead", extra={"error": str(exc)})
--- a/packages/primroselever-node/src/primroselever_node/logs.py
+++ b/packages/primroselever-node/src/primroselever_node/logs.py
@@ -7,8 +7,11 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from eventlet import patcher
 from pythonjsonlogger.json import JsonFormatter
 
+from primroselever_core.budgets import TokenBucket
+
 from . import clock
 
 if TYPE_CHECKING:
@@ -17,6 +20,14 @@
 REPEATS_BEFORE_LIMIT = 3
 REPEAT_INTERVAL_S = 30.0
 
+LINES_PER_S = 300.0  # several lines for each request that an entry takes at full load
+LINES_BURST = 600.0
+LINE_BYTES = 4000  # below PIPE_BUF, so that a line is written as a whole or not at all
+
+# Writing a line must not switch greenlets in the middle of a decision.
+select_module = patcher.original("select")
+os_module = patcher.original("os")
+
 decisions = logging.getLogger("primroselever.decisions")
 
 
@@ -58,9 +69,46 @@
         return repeats.count <= REPEATS_BEFORE_LIMIT
 
 
+class BoundedHandler(logging.Handler):
+    """
+    Writes lines to a file descriptor without ever waiting for its reader.
+
+    Lines beyond ``LINES_PER_S`` and lines for which a pipe has no room are left out;
+    the next line that is written says in ``left_out`` how many these were.
+    """
+
+    def __init__(self, descriptor: int, now: Callable[[], float] = clock.now) -> None:
+        super().__init__()
+        self.descriptor = descriptor
+        self.now = now
+        self.bucket = TokenBucket.full(LINES_PER_S, LINES_BURST, now())
+        self.left_out = 0
+        self.poller = select_module.poll()
+        self.poller.register(descriptor, select_module.POLLOUT)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record as one line, or count it as left out."""
+        if not self.bucket.take(1.0, self.now()) or not self.writable():
+            self.left_out += 1
+            return
+        if self.left_out:
+            record.left_out = self.left_out
+            self.left_out = 0
+        try:
+            line = self.format(record).encode()[:LINE_BYTES] + b"\n"
+            os_module.write(self.descriptor, line)
+        except Exception:
+            self.left_out += 1
+
+    def writable(self) -> bool:
+        """Return whether a line can be written without waiting."""
+        ready = self.poller.poll(0)
+        return bool(ready) and bool(ready[0][1] & select_module.POLLOUT)
+
+
 def set_up_logging(vm_id: str, level: str) -> None:
-    """Write all logs to standard error as JSON, each with the VM's name."""
-    handler = logging.StreamHandler(sys.stderr)
+    """Write all logs to standard output as JSON, each with the VM's name."""
+    handler = BoundedHandler(sys.stdout.fileno())
     handler.addFilter(RepeatLimit())
     handler.setFormatter(
         JsonFormatter(
--- a/packages/primroselever-node/src/primroselever_node/settings/contradictions.py
+++ b/packages/primroselever-node/src/primroselever_node/settings/contradictions.py
@@ -15,7 +15,7 @@
 
 from primroselever_core.findings import Finding
 
-from .model import Listen, NodeSettings
+from .model import Listen, NodeSettings, Settings
 from .secrets import MIN_KEY_BYTES
 
 if TYPE_CHECKING:
@@ -26,9 +26,15 @@
 
 @singledispatch
 def contradictions(
-    settings: NodeSettings, environ: Mapping[str, str]
+    settings: Settings, environ: Mapping[str, str]
 ) -> Iterator[Finding]:
     """Yield what is wrong with settings; a binary adds to it for its own type."""
+    yield from ()
+
+
+@contradictions.register(NodeSettings)
+def _(settings: NodeSettings, environ: Mapping[str, str]) -> Iterator[Finding]:
+    """Yield what is wrong with the settings that both binaries share."""
     yield from node_contradictions(settings, environ)
 
 
--- a/packages/primroselever-node/src/primroselever_node/settings/load.py
+++ b/packages/primroselever-node/src/primroselever_node/settings/load.py
@@ -13,13 +13,13 @@
 from primroselever_core.profiles.parse import findings_of
 
 from .contradictions import contradictions
-from .model import NodeSettings
+from .model import Settings
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
     from pathlib import Path
 
-Model = TypeVar("Model", bound=NodeSettings)
+Model = TypeVar("Model", bound=Settings)
 
 
 def load_settings(
