--- a/packages/primroselever-agent/src/primroselever_agent/direct/filling.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/filling.py
@@ -30,6 +30,10 @@
 RETRY_S = 0.3  # an entry that lacks a piece waits for it itself
 PIECES_AT_ONCE = 6  # keeps a link of 4 Mbit/s busy over a delay of some 10 ms
 PIECE_TIMEOUT_S = 2.0  # six pieces of 32 KiB on such a link take 0.4 s
+# While an engine serves, requests share the link with what is in flight of a fill:
+# two slices delay them by 35 ms at most on a link of 4 Mbit/s.
+SLICE_BYTES = 8192
+SLICES_AT_ONCE = 2
 VERIFIED_FOR_S = 1.0  # what lies in the staging area may turn bad at any time
 ANNOUNCE_S = 0.03  # datagrams arrive, so that entries send nothing that is refused
 LOAD_TIMEOUT_S = 15.0  # the longest answers take some seconds, loading under one
@@ -143,9 +147,10 @@
         """Fetch and stage what is missing, several pieces at once."""
         while not staging.complete:
             self.check_wanted(wanted)
-            pool = eventlet.GreenPool(PIECES_AT_ONCE)
+            workers = SLICES_AT_ONCE if self.serving() else PIECES_AT_ONCE
+            pool = eventlet.GreenPool(workers)
             failures: list[str] = []
-            for _ in range(PIECES_AT_ONCE):
+            for _ in range(workers):
                 pool.spawn(self.work, wanted, staging, failures)
             pool.waitall()
             if failures and not staging.complete:
@@ -178,21 +183,45 @@
         """Fetch one piece from its owners in turn and stage it."""
         reason = "no entry is known"
         for host in self.sources(wanted, index):
-            reply = self.ask(
-                host, "fetch_piece", wanted.model, wanted.version, index, False
-            )
-            if reply is None:
-                reason = f"{host} did not answer"
-            elif reply.state != "held":
-                reason = f"{host} does not have it yet"
-            elif not staging.wanted.fits(index, reply.data):
+            data = self.read_from(host, wanted, index)
+            if data is None:
+                reason = f"{host} did not answer, or does not have it yet"
+            elif not staging.wanted.fits(index, data):
                 reason = f"{host} sent other bytes"
             else:
-                self.server.stage(wanted.model, index, reply.data)
+                self.server.stage(wanted.model, index, data)
                 staging.held.add(index)
                 return
         raise SourceError(f"piece {index}: {reason}")
 
+    def read_from(
+        self, host: str, wanted: WantedWeights, index: int
+    ) -> bytes | None:
+        """Return a piece as an entry sends it, in slices while the engine serves."""
+        length = SLICE_BYTES if self.serving() else 0
+        data = b""
+        while True:
+            reply = self.ask(
+                host,
+                "fetch_piece",
+                wanted.model,
+                wanted.version,
+                index,
+                False,
+                len(data),
+                length,
+            )
+            if reply is None or reply.state != "held":
+                return None
+            data += reply.data
+            if not reply.data or len(data) >= reply.size:
+                return data
+
+    def serving(self) -> bool:
+        """Return whether the engine answers requests now."""
+        state = self.news.state
+        return state is not None and state.version > 0
+
     def sources(self, wanted: WantedWeights, index: int) -> list[str]:
         """Return the entries to ask, owners in this failure domain first."""
         here = self.board.hosts_here()
@@ -213,8 +242,7 @@
 
     def await_turn(self, wanted: WantedWeights, completed_at: float) -> None:
         """Wait until it is this engine's turn to load."""
-        state = self.news.state
-        serving = state is not None and state.version > 0
+        serving = self.serving()
         at = switch_at(
             completed_at, wanted.bound_at, wanted.rank, wanted.group_size, serving
         )
--- a/packages/primroselever-node/src/primroselever_node/direct/direct.thrift
+++ b/packages/primroselever-node/src/primroselever_node/direct/direct.thrift
@@ -49,15 +49,17 @@
   3: optional FillingAdvice advice,
 }
 
-/* state is held, pending (ask again after retry_after_ms) or unknown. */
+/* state is held or pending (ask again after retry_after_ms); size is the piece's. */
 struct PieceReply {
   1: string state,
   2: binary data,
   3: i32 retry_after_ms,
+  4: i32 size,
 }
 
 service DirectPeer {
   binary fetch_catalogue(1: i64 store_revision),
-  PieceReply fetch_piece(1: string model, 2: i32 version, 3: i32 index, 4: bool relayed),
+  /* length 0 asks for all from the offset on. */
+  PieceReply fetch_piece(1: string model, 2: i32 version, 3: i32 index, 4: bool relayed, 5: i32 offset, 6: i32 length),
   list<string> fetch_digests(1: string model, 2: i32 version, 3: bool relayed),
 }
--- a/packages/primroselever-node/src/primroselever_node/direct/peer_handler.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/peer_handler.py
@@ -34,14 +34,23 @@
         """Return the whole catalogue as JSON."""
         return copies.dump_json(self.board.catalogue.copy())
 
-    def fetch_piece(self, model: str, version: int, index: int, relayed: bool) -> Any:
-        """Return a piece, read from where it is to be had if need be."""
+    def fetch_piece(
+        self,
+        model: str,
+        version: int,
+        index: int,
+        relayed: bool,
+        offset: int,
+        length: int,
+    ) -> Any:
+        """Return a slice of a piece, read from where it is to be had if need be."""
         try:
             data = self.keeper.piece(model, version, index, relayed)
         except SourceError as exc:
             logger.warning("a piece is not to be had", extra={"error": str(exc)})
-            return schema.PieceReply("pending", b"", RETRY_MS)
-        return schema.PieceReply("held", data, 0)
+            return schema.PieceReply("pending", b"", RETRY_MS, 0)
+        end = offset + length if length else len(data)
+        return schema.PieceReply("held", data[offset:end], 0, len(data))
 
     def fetch_digests(self, model: str, version: int, relayed: bool) -> list[str]:
         """Return the digests of a version, none when they are not to be had."""
--- a/packages/primroselever-node/src/primroselever_node/direct/pieces.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/pieces.py
@@ -144,7 +144,9 @@
         origin = self.require_origin()
         for host in self.relays(model, version, index, origin, relayed):
             try:
-                reply = self.ask(host, "fetch_piece", model, version, index, True)
+                reply = self.ask(
+                    host, "fetch_piece", model, version, index, True, 0, 0
+                )
             except SourceError:
                 continue
             if reply.state == "held" and digests.fits(index, reply.data):
