Keep each version's bound, finish a fill in hand, tell a reset from an end

Ruled out: late news of versions (all entries knew within 10 ms). Change: named versions keep their times; targets.py chooses; receive() reads the raw socket; entries of a domain tell each other what they sent; engines close by rank.

--- a/packages/primroselever-agent/src/primroselever_agent/direct/filling.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/filling.py
@@ -9,7 +9,11 @@
 from opentelemetry.metrics import get_meter
 
 from primroselever_core.filling.pieces import PieceDigests, Staging, piece_owners
-from primroselever_core.filling.switching import switch_at
+from primroselever_core.filling.switching import (
+    CLOSE_AHEAD_S,
+    closing_time,
+    expected_complete_at,
+)
 from primroselever_node import clock
 from primroselever_node.direct.schema import schema
 from primroselever_node.direct.sources import SourceError
@@ -36,6 +40,9 @@
 SLICES_AT_ONCE = 2
 VERIFIED_FOR_S = 1.0  # what lies in the staging area may turn bad at any time
 ANNOUNCE_S = 0.03  # datagrams arrive, so that entries send nothing that is refused
+PLANNED_FROM_SHARE = 0.4  # of the pieces; before that the pace is not known well
+PLAN_CHANGE_S = 0.15  # smaller changes of a plan are not worth telling
+CLOSE_GIVEN_UP_S = 0.5
 LOAD_TIMEOUT_S = 15.0  # the longest answers take some seconds, loading under one
 
 logger = logging.getLogger(__name__)
@@ -86,15 +93,14 @@
                 eventlet.sleep(RETRY_S)
             finally:
                 self.board.switching = False
+                self.board.closes_at = None
             eventlet.sleep(STEP_S)
 
     def step(self) -> None:
         """Bring the engine to the wanted weights, if it does not serve them."""
-        wanted, state = self.board.wanted, self.news.state
+        wanted, state = self.target(), self.news.state
         if wanted is None or state is None or state.loading:
             return
-        if state.model == wanted.model and state.version >= wanted.version:
-            return
         begun_at = clock.now()
         staging = self.begin(wanted)
         self.fill(wanted, staging)
@@ -106,10 +112,23 @@
             "all digests fit",
             took_s=round(completed_at - begun_at, 3),
         )
-        self.await_turn(wanted, completed_at)
+        self.await_turn(wanted)
         self.switch(wanted, staging)
         self.fill_times.record(clock.now() - begun_at)
 
+    def target(self) -> WantedWeights | None:
+        """Return what the engine is to be filled with now, None for nothing."""
+        state, staging = self.news.state, self.board.staging
+        newest = self.board.targets.newest
+        if state is None or newest is None:
+            return None
+        served = state.version if state.model == newest.model else 0
+        filling, share = 0, 0.0
+        if staging is not None:
+            filling = staging.wanted.version
+            share = len(staging.held) / max(1, len(staging.wanted.digests))
+        return self.board.targets.choose(served, filling, share, clock.now())
+
     def begin(self, wanted: WantedWeights) -> Staging:
         """Return the staging area with what it holds of the wanted version."""
         manifest = self.manifest
@@ -117,7 +136,11 @@
             wanted.model,
             wanted.version,
         ):
-            manifest = self.manifest = self.read_manifest(wanted)
+            try:
+                manifest = self.manifest = self.read_manifest(wanted)
+            except SourceError:
+                self.board.targets.unavailable(wanted.version, clock.now())
+                raise
         staging = self.board.staging = Staging(manifest)
         self.verify(wanted, staging)
         return staging
@@ -145,15 +168,20 @@
 
     def fill(self, wanted: WantedWeights, staging: Staging) -> None:
         """Fetch and stage what is missing, several pieces at once."""
+        begun_at, at_begin = clock.now(), len(staging.held)
         while not staging.complete:
             self.check_wanted(wanted)
+            self.plan(wanted, staging, begun_at, at_begin)
             workers = SLICES_AT_ONCE if self.serving() else PIECES_AT_ONCE
             pool = eventlet.GreenPool(workers)
             failures: list[str] = []
             for _ in range(workers):
                 pool.spawn(self.work, wanted, staging, failures)
-            pool.waitall()
+            while pool.running():
+                self.plan(wanted, staging, begun_at, at_begin)
+                eventlet.sleep(STEP_S)
             if failures and not staging.complete:
+                self.board.targets.unavailable(wanted.version, clock.now())
                 log_decision(
                     "pieces missing",
                     f"{wanted.model}/{wanted.version}",
@@ -161,12 +189,13 @@
                     failures[0],
                 )
                 eventlet.sleep(RETRY_S)
+        self.plan(wanted, staging, begun_at, at_begin)
 
     def work(
         self, wanted: WantedWeights, staging: Staging, failures: list[str]
     ) -> None:
         """Fetch pieces one after the other until none is left or one fails."""
-        while wanted.same_version(self.board.wanted):
+        while wanted.same_version(self.target()):
             index = staging.next_piece()
             if index is None:
                 return
@@ -194,9 +223,7 @@
                 return
         raise SourceError(f"piece {index}: {reason}")
 
-    def read_from(
-        self, host: str, wanted: WantedWeights, index: int
-    ) -> bytes | None:
+    def read_from(self, host: str, wanted: WantedWeights, index: int) -> bytes | None:
         """Return a piece as an entry sends it, in slices while the engine serves."""
         length = SLICE_BYTES if self.serving() else 0
         data = b""
@@ -218,9 +245,12 @@
                 return data
 
     def serving(self) -> bool:
-        """Return whether the engine answers requests now."""
+        """Return whether the engine may answer requests now."""
         state = self.news.state
-        return state is not None and state.version > 0
+        if state is None or state.version == 0:
+            return False
+        wanted = self.target()
+        return wanted is None or clock.now() < wanted.bound_at
 
     def sources(self, wanted: WantedWeights, index: int) -> list[str]:
         """Return the entries to ask, owners in this failure domain first."""
@@ -240,30 +270,61 @@
             logger.info("an entry did not answer", extra={"error": str(exc)})
             return None
 
-    def await_turn(self, wanted: WantedWeights, completed_at: float) -> None:
+    def await_turn(self, wanted: WantedWeights) -> None:
         """Wait until it is this engine's turn to load."""
-        serving = self.serving()
-        at = switch_at(
-            completed_at, wanted.bound_at, wanted.rank, wanted.group_size, serving
-        )
-        log_decision(
-            "switch planned",
-            f"{wanted.model}/{wanted.version}",
-            f"in {max(0.0, at - clock.now()):.2f} s",
-            "one engine of the group after the other" if serving else "serves nothing",
-            rank=wanted.rank,
-            group_size=wanted.group_size,
-        )
-        while (left := at - clock.now()) > 0:
-            self.check_wanted(wanted)
-            state = self.news.state
-            if state is None or state.version == 0:
+        while (closes_at := self.board.closes_at) is not None and self.serving():
+            left = closes_at - clock.now()
+            if left <= 0:
                 return
+            self.check_wanted(wanted)
             eventlet.sleep(min(STEP_S, left))
 
+    def plan(
+        self, wanted: WantedWeights, staging: Staging, begun_at: float, at_begin: int
+    ) -> None:
+        """Plan when the engine closes, and close it when that time has come."""
+        if not self.serving():
+            self.board.closes_at = None
+            return
+        now = clock.now()
+        total, held = len(staging.wanted.digests), len(staging.held)
+        if held < PLANNED_FROM_SHARE * total:
+            return
+        complete_at = expected_complete_at(begun_at, at_begin, held, total, now)
+        if complete_at is None:
+            return
+        planned = closing_time(
+            complete_at, wanted.bound_at, wanted.rank, wanted.group_size
+        )
+        known = self.board.closes_at
+        if known is None:
+            log_decision(
+                "switch planned",
+                f"{wanted.model}/{wanted.version}",
+                f"in {planned - now:.2f} s",
+                "engines of a group close one after the other",
+                rank=wanted.rank,
+                group_size=wanted.group_size,
+                complete_in_s=round(complete_at - now, 2),
+            )
+        if known is None or abs(known - planned) > PLAN_CHANGE_S:
+            self.board.closes_at = planned
+        closing = planned <= now and complete_at - now <= CLOSE_AHEAD_S
+        if closing and not self.board.switching:
+            self.board.switching = True
+            self.news.report()
+        elif (
+            not closing
+            and self.board.switching
+            and complete_at - now > (CLOSE_AHEAD_S + CLOSE_GIVEN_UP_S)
+        ):
+            # The last pieces do not come: better serve old weights than none.
+            self.board.switching = False
+            self.news.report()
+
     def check_wanted(self, wanted: WantedWeights) -> None:
         """Raise ``WantedChangedError`` when other weights are wanted."""
-        if not wanted.same_version(self.board.wanted):
+        if not wanted.same_version(self.target()):
             raise WantedChangedError
 
     def switch(self, wanted: WantedWeights, staging: Staging) -> None:
--- a/packages/primroselever-agent/src/primroselever_agent/direct/news.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/news.py
@@ -103,6 +103,7 @@
         now = clock.now()
         self.board.forget_silent(now)
         switching = self.board.switching or state.loading
+        closes_at = self.board.closes_at
         news = schema.EngineNews(
             address=self.engine_address,
             born_ms=state.born_ms,
@@ -114,8 +115,11 @@
             pace=state.pace,
             failure_domain=self.board.identity.failure_domain,
             host=self.host,
+            closes_in_ms=-1
+            if closes_at is None
+            else max(0, int((closes_at - now) * 1000)),
         )
-        key = (state.born_ms, state.version, switching)
+        key = (state.born_ms, state.version, switching, closes_at)
         at_once = key != self.sent
         self.sent = key
         own = self.board.identity.failure_domain
@@ -153,19 +157,7 @@
 
     def want(self, wanted: WantedWeights) -> None:
         """Take in which weights are wanted; an older version changes nothing."""
-        known = self.board.wanted
-        if known is not None and known.model == wanted.model:
-            if wanted.version < known.version:
-                return
-            if wanted.version == known.version:
-                wanted = WantedWeights(
-                    known.model,
-                    known.version,
-                    min(known.bound_at, wanted.bound_at),
-                    wanted.rank,
-                    wanted.group_size,
-                )
-        if not wanted.same_version(known):
+        if self.board.targets.name(wanted):
             log_decision(
                 "weights wanted",
                 f"{wanted.model}/{wanted.version}",
@@ -175,4 +167,3 @@
                 group_size=wanted.group_size,
                 left_s=round(wanted.bound_at - clock.now(), 2),
             )
-        self.board.wanted = wanted
--- a/packages/primroselever-agent/src/primroselever_agent/direct/process.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/process.py
@@ -63,7 +63,7 @@
         return {
             "vm_id": self.settings.vm_id,
             "engine": None if state is None else f"{state.model}/{state.version}",
-            "wanted": str(self.board.wanted),
+            "wanted": str(self.board.targets.newest),
             "staged": None if staging is None else len(staging.held),
             "entries": sorted(self.board.entries),
         }
--- a/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
@@ -17,15 +17,44 @@
 if TYPE_CHECKING:
     from .model import Configuration, ListedServer
 
+VERSIONS_REMEMBERED = 8  # of one model; the older ones bind since long
 RETURN_GRACE_S = 2.0  # entries that lapsed while the store was away return within this
 
 
 @dataclass(slots=True)
 class NamedWeights:
-    """The newest version of a model that was named, and when this was learned."""
+    """
+    The versions of a model that were named, and when each was learned, oldest first.
+
+    Each one binds by itself: a newer version does not put off the bound of the one
+    before it.
+    """
+
+    history: list[tuple[int, float]]
+
+    @property
+    def version(self) -> int:
+        """Return the newest version."""
+        return self.history[-1][0]
 
-    version: int
-    learned_at: float
+    @property
+    def learned_at(self) -> float:
+        """Return when the newest version was learned."""
+        return self.history[-1][1]
+
+    def name(self, version: int, now: float) -> None:
+        """Take in a newer version."""
+        self.history.append((version, now))
+        del self.history[:-VERSIONS_REMEMBERED]
+
+    def bound_since(self, learned_before: float) -> int:
+        """Return the newest version that was learned by then, 0 for none."""
+        bound = (version for version, at in self.history if at <= learned_before)
+        return max(bound, default=0)
+
+    def learned(self, version: int) -> float:
+        """Return when the first version that is newer than another was learned."""
+        return next((at for named, at in self.history if named > version), 0.0)
 
 
 @dataclass(slots=True)
@@ -50,9 +79,9 @@
 
     def configure(self, configuration: Configuration, now: float) -> bool:
         """Put a configuration in force unless one as high is; return whether."""
-        if self.configuration is not None:
-            if configuration.revision <= self.configuration.revision:
-                return False
+        known = self.configuration
+        if known is not None and configuration.revision <= known.revision:
+            return False
         self.configuration = configuration
         self.configuration_at = now
         self.routes = RouteTable.of(configuration)
@@ -61,9 +90,12 @@
     def name_weights(self, model: str, version: int, now: float) -> bool:
         """Take in a named version; return whether it is newer than what was known."""
         known = self.weights.get(model)
-        if known is not None and version <= known.version:
+        if known is None:
+            self.weights[model] = NamedWeights([(version, now)])
+            return True
+        if version <= known.version:
             return False
-        self.weights[model] = NamedWeights(version, now)
+        known.name(version, now)
         return True
 
     def list_server(self, server: ListedServer) -> bool:
--- a/packages/primroselever-core/src/primroselever_core/catalogue/events.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/events.py
@@ -4,9 +4,12 @@
 
 from dataclasses import dataclass
 from functools import singledispatch
+from typing import TYPE_CHECKING
 
 from .catalogue import Catalogue
-from .model import Configuration, ListedServer
+
+if TYPE_CHECKING:
+    from .model import Configuration, ListedServer
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
@@ -7,12 +7,14 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from ..catalogue.model import ListedServer
 
+REPORT_TRANSIT_S = 0.02  # between reading an engine's state and hearing of it
 REPORT_VALID_S = 1.5  # several reports of 0.2 s; after that the agent is taken as lost
 FIRST_EJECTION_S = 0.5  # below the shortest restart, so that a blip costs little
 LONGEST_EJECTION_S = 4.0  # servers that crash are back after some seconds
@@ -28,7 +30,8 @@
     The state of an engine as its agent read it.
 
     ``version`` is 0 without whole weights. ``switching`` says that the engine is about
-    to load others and takes no new work. ``pace`` above 1 means a slow engine.
+    to load others and takes no new work; ``closes_at`` is when that is planned, None
+    while it is not. ``pace`` above 1 means a slow engine.
     """
 
     heard_at: float
@@ -39,6 +42,7 @@
     running: int
     waiting: int
     pace: float
+    closes_at: float | None = None
     own_in_flight: int = 0
 
     def fresh(self, now: float) -> bool:
@@ -52,7 +56,9 @@
     One back end: its entry in the list, its last report and the entry's own work.
 
     ``marked_full_until`` follows a refusal; ``ejected_until`` a failure. ``outcomes``
-    holds the latest ends of requests, True for a sound one.
+    holds the latest ends of requests, True for a sound one. ``sent_by_others`` holds
+    when other entries sent requests that no report counts yet, and ``reading_until``
+    is when the engine will have read all prompts that are known to be on their way.
     """
 
     listed: ListedServer
@@ -64,6 +70,35 @@
     mismatched_until: float = 0.0
     outcomes: list[bool] = field(default_factory=list)
     work_s: float = 0.0
+    sent_by_others: deque[float] = field(default_factory=deque)
+    reading_until: float = 0.0
+
+    def sent(self, reading_s: float, now: float) -> None:
+        """Count the prompt of a request that this entry or another one sent."""
+        self.reading_until = max(now, self.reading_until) + reading_s
+
+    def sent_by_other(self, reading_s: float, now: float) -> None:
+        """Take in that another entry sent a request."""
+        self.sent(reading_s, now)
+        self.sent_by_others.append(now)
+
+    def reported(self, report: EngineReport) -> None:
+        """Take in a report; what was sent before it is counted in it."""
+        self.report = report
+        counted = report.heard_at - REPORT_TRANSIT_S
+        while self.sent_by_others and self.sent_by_others[0] < counted:
+            self.sent_by_others.popleft()
+
+    def reading_s(self, now: float) -> float:
+        """Return the seconds in which the engine reads prompts sent before."""
+        return max(0.0, self.reading_until - now)
+
+    def closes_within(self, seconds: float, now: float) -> bool:
+        """Return whether the engine stops taking work for new weights that soon."""
+        report = self.report
+        if report is None or report.closes_at is None or not report.fresh(now):
+            return False
+        return report.closes_at - now < seconds
 
     def holds(self, model: str, now: float) -> int:
         """Return the version of a model that the back end has loaded, 0 for none."""
@@ -91,9 +126,9 @@
         """Return how many requests run or wait there, those of others included."""
         report = self.report
         if report is None or not report.fresh(now):
-            return float(self.in_flight)
+            return float(self.in_flight + len(self.sent_by_others))
         own_change = self.in_flight - report.own_in_flight
-        reported = report.running + report.waiting
+        reported = report.running + report.waiting + len(self.sent_by_others)
         return float(max(self.in_flight, reported + own_change, 0))
 
     def available(self, now: float) -> bool:
--- a/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING
 
 from .backend import failing
-from .predict import predicted_first_event_s, request_s
+from .predict import answer_s, predicted_first_event_s, request_s
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
@@ -22,7 +22,10 @@
     from ..catalogue.model import EngineFigures
     from .backend import Backend
 
-OTHER_DOMAIN_S = 0.02  # what a request to another domain must gain, for its bytes' price
+CLOSING_S = 0.05  # what sending a long request to an engine that is to switch costs
+OTHER_DOMAIN_S = (
+    0.04  # what a request to another domain must gain, for its bytes' price
+)
 JITTER_S = 0.005  # keeps entries with the same news from choosing alike
 NO_SERVER_RETRY_S = 0.5
 LONGEST_RETRY_S = 2.0
@@ -41,6 +44,7 @@
     model: str
     min_version: int
     prompt_tokens: float
+    answer_tokens: float
     first_event_within_s: float
     give_up_within_s: float
 
@@ -127,8 +131,14 @@
             load / slots
         )
     due = predicted_first_event_s(
-        figures, load, wanted.prompt_tokens, backend.pace(now)
+        figures,
+        load,
+        wanted.prompt_tokens,
+        backend.pace(now),
+        backend.reading_s(now),
     )
+    if backend.closes_within(due + answer_s(figures, load, wanted.answer_tokens), now):
+        due += CLOSING_S
     if now < backend.marked_full_until:
         due += figures.slots * request_s(figures)
     return due
@@ -141,7 +151,7 @@
     predicted: float,
     now: float,
 ) -> float:
-    """Return by how much even the best back end would miss, 0 or less if it does not."""
+    """Return by how much even the best back end is late, 0 or less if it is not."""
     if figures is None:
         return predicted - wanted.give_up_within_s
     if wanted.late:
--- a/packages/primroselever-core/src/primroselever_core/dispatch/predict.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/predict.py
@@ -32,16 +32,31 @@
     return reading + writing / figures.slots
 
 
+def reading_s(figures: EngineFigures, prompt_tokens: float) -> float:
+    """Return the seconds in which an engine reads a prompt."""
+    return prompt_tokens / figures.read_tokens_per_s
+
+
+def answer_s(figures: EngineFigures, load: float, answer_tokens: float) -> float:
+    """Return the seconds in which an engine writes an answer beside its load."""
+    return answer_tokens * step_s(figures, min(load + 1, figures.slots))
+
+
 def predicted_first_event_s(
-    figures: EngineFigures, load: float, prompt_tokens: float, pace: float
+    figures: EngineFigures,
+    load: float,
+    prompt_tokens: float,
+    pace: float,
+    reading_ahead_s: float = 0.0,
 ) -> float:
     """
     Return the seconds until the first event of a request that is sent now.
 
-    ``load`` counts the requests that run or wait there already.
+    ``load`` counts the requests that run or wait there already, ``reading_ahead_s``
+    is what the engine still needs for the prompts of some of them.
     """
     running = min(load + 1, figures.slots)
     own_pass = figures.steps_per_pass * step_s(figures, running)
-    reading = prompt_tokens / figures.read_tokens_per_s
+    reading = reading_s(figures, prompt_tokens) + reading_ahead_s
     waiting = max(0.0, load + 1 - figures.slots) * request_s(figures)
     return pace * (waiting + PASSES_TO_FIRST_EVENT * own_pass + reading)
--- a/packages/primroselever-core/src/primroselever_core/dispatch/section.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/section.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from ..catalogue.model import ServerState
-from .backend import Backend, EngineReport
+from .backend import Backend
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from ..catalogue.model import Address, ListedServer
+    from .backend import EngineReport
 
 
 @dataclass(slots=True)
@@ -66,17 +67,7 @@
         born_ms = backend.listed.born_ms
         if born_ms and report.born_ms and report.born_ms < born_ms:
             return
-        backend.report = EngineReport(
-            report.heard_at,
-            report.born_ms,
-            report.model,
-            report.version,
-            report.switching,
-            report.running,
-            report.waiting,
-            report.pace,
-            backend.in_flight,
-        )
+        backend.reported(replace(report, own_in_flight=backend.in_flight))
 
     def serving(self, service: str) -> list[Backend]:
         """Return the back ends of a service that are listed as ready."""
--- a/packages/primroselever-core/src/primroselever_core/filling/section.py
+++ b/packages/primroselever-core/src/primroselever_core/filling/section.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from .targets import Targets
+
 if TYPE_CHECKING:
     from ..board import Identity
     from .pieces import Staging
@@ -40,16 +42,18 @@
     """
     The blackboard of such an agent.
 
-    ``wanted`` and ``entries`` (failure domain and when last heard, by host) are written
-    by the news controller, ``staging`` and ``switching`` by the filling controller.
+    ``closes_at`` is when the engine is to stop taking work, None while not planned.
+    ``entries`` holds failure domain and when last heard, by host. It and ``targets``
+    are written by the news controller, the rest by the filling controller.
     """
 
     identity: Identity
     seeds: tuple[str, ...]
-    wanted: WantedWeights | None = None
+    targets: Targets = field(default_factory=Targets)
     entries: dict[str, tuple[str, float]] = field(default_factory=dict)
     staging: Staging | None = None
     switching: bool = False
+    closes_at: float | None = None
     leaving: bool = False
 
     def hear_entry(self, host: str, failure_domain: str, now: float) -> None:
--- a/packages/primroselever-core/src/primroselever_core/filling/switching.py
+++ b/packages/primroselever-core/src/primroselever_core/filling/switching.py
@@ -1,33 +1,42 @@
 """
-When a back end whose staging area is complete loads the new weights.
+When an engine stops taking work to load new weights.
 
-Answers the pattern of a fleet that switches under load: a server that loads takes no
-new work, and if all did so at once there would be none. Servers of a group switch one
-after the other by rank, spread over the time that is left until old weights may no
-longer begin a request. A server without weights serves nothing and loads at once.
+Answers the pattern of a fleet that switches under load: an engine that loads ends what
+it runs first and takes nothing new meanwhile, and if all did so at once there would be
+none. Engines of a group close one after the other by rank. The first ones close while
+their last pieces are still on the way, so that they have ended their work when these
+arrive; the last one closes when old weights may begin no request any more.
 """
 
 from __future__ import annotations
 
-LOAD_MARGIN_S = 0.4  # the switch begins this long before the bound, for the order itself
+CLOSE_AHEAD_S = 1.0  # the usual time in which a full batch ends most of its answers
+BOUND_MARGIN_S = 0.7  # entries send nothing to old weights so long before the bound
 
 
-def switch_at(
-    completed_at: float,
-    bound_at: float,
-    rank: int,
-    group_size: int,
-    serving: bool,
+def closing_time(
+    complete_at: float, bound_at: float, rank: int, group_size: int
 ) -> float:
     """
-    Return when a back end is ordered to load.
+    Return when an engine that serves old weights stops taking work.
 
-    ``completed_at`` is when its staging area was complete, ``bound_at`` when the old
-    version may begin no request any more; ``rank`` counts from 0 within the group.
+    ``complete_at`` is when its staging area is expected to be complete, ``bound_at``
+    when old weights may begin no request any more; ``rank`` counts from 0.
     """
-    if not serving:
-        return completed_at
-    last = max(completed_at, bound_at - LOAD_MARGIN_S)
+    first = complete_at - CLOSE_AHEAD_S
+    last = max(first, bound_at - BOUND_MARGIN_S)
     if group_size < 2:
-        return completed_at
-    return completed_at + (last - completed_at) * rank / (group_size - 1)
+        return first
+    return first + (last - first) * min(1.0, rank / (group_size - 1))
+
+
+def expected_complete_at(
+    begun_at: float, held_at_begin: int, held: int, total: int, now: float
+) -> float | None:
+    """Return when a fill will be complete at its pace so far, None while unknown."""
+    gained = held - held_at_begin
+    if held >= total:
+        return now
+    if gained <= 0:
+        return None
+    return now + (now - begun_at) * (total - held) / gained
--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -8,12 +8,13 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from primroselever_core.catalogue.model import RouteKind
 from primroselever_core.catalogue.routes import pick_service
 from primroselever_core.dispatch.choose import Refused, Wanted, choose_backend
+from primroselever_core.dispatch.predict import reading_s
 from primroselever_core.dispatch.retry_share import RetryLimits, RetryShare
 from primroselever_node import clock
 from primroselever_node.logs import log_decision
@@ -24,10 +25,12 @@
 from .sending import Sending
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
-    from primroselever_core.catalogue.model import EngineFigures, Route
+    from primroselever_core.catalogue.model import Address, EngineFigures, Route
     from primroselever_core.direct_board import DirectBoard
+    from primroselever_core.dispatch.backend import Backend
     from primroselever_core.dispatch.choose import Chosen
     from primroselever_node.direct.connection_pool import ConnectionPool
 
@@ -37,7 +40,10 @@
     from .instruments import FlowInstruments
 
 STARTING_RETRY_S = 0.5  # a configuration is read within a few answers of the store
-OLD_WEIGHTS_MARGIN_S = 1.0  # a request may wait that long in a back end before it begins
+ANY_TIME_S = 60.0  # longer than any route's timeout
+OLD_WEIGHTS_MARGIN_S = (
+    0.7  # a request may wait that long in a back end before it begins
+)
 ROUTE_FULL_DEADLINE_GAIN_S = 0.05  # a caller's first attempt has the longest deadline
 
 logger = logging.getLogger(__name__)
@@ -45,7 +51,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FlowLimits:
-    """``weights_within_s`` is how long old weights may begin requests after new ones."""
+    """``weights_within_s`` bounds how long old weights may begin requests."""
 
     weights_within_s: float
     retries: RetryLimits
@@ -83,6 +89,7 @@
         limits: FlowLimits,
         instruments: FlowInstruments,
         random: Random,
+        tell_peers: Callable[[Address, int], None],
     ) -> None:
         self.board = board
         self.pool = pool
@@ -90,6 +97,7 @@
         self.limits = limits
         self.instruments = instruments
         self.random = random
+        self.tell_peers = tell_peers
         self.retry_shares: dict[str, RetryShare] = {}
         self.full_deadlines: dict[str, float] = {}
 
@@ -173,9 +181,13 @@
                 return
             backend = choice.backend
             self.log_choice(
-                state, backend.listed.server_id, "first event due first", choice.candidates
+                state,
+                backend.listed.server_id,
+                "first event due first",
+                choice.candidates,
             )
             state.tried.append(backend.listed.server_id)
+            self.note_sent(state, backend, now)
             attempt = Sending(self, state, choice, caller).run()
             state.attempts.append(attempt)
             self.instruments.attempted(attempt.end)
@@ -192,6 +204,14 @@
                 self.give_up(state, caller, refusal, attempt.retry_after_s)
                 return
 
+    def note_sent(self, state: RequestState, backend: Backend, now: float) -> None:
+        """Count a prompt that is about to be sent, here and at the peers."""
+        figures = self.engine(state.service)
+        if figures is not None:
+            tokens = state.request.prompt_tokens
+            backend.sent(reading_s(figures, tokens), now)
+            self.tell_peers(backend.listed.address, int(tokens))
+
     def choose(self, state: RequestState, now: float) -> Chosen | Refused:
         """Return the back end for the next sending."""
         backends = self.board.backends.serving(state.service)
@@ -200,13 +220,14 @@
             model=request.model,
             min_version=self.min_version(request.model, now),
             prompt_tokens=request.prompt_tokens,
+            answer_tokens=request.answer_tokens,
             first_event_within_s=state.objective_at - now,
             give_up_within_s=state.deadline - now,
         )
         if state.attempts and state.route.kind is RouteKind.STREAMING:
             # A stream that broke goes on wherever it can: its work is half done.
-            wanted = Wanted(
-                wanted.model, wanted.min_version, wanted.prompt_tokens, 60.0, 60.0
+            wanted = replace(
+                wanted, first_event_within_s=ANY_TIME_S, give_up_within_s=ANY_TIME_S
             )
         return choose_backend(
             backends,
@@ -228,8 +249,8 @@
         named = self.board.catalogue.weights.get(model)
         if named is None:
             return 0
-        bound_at = named.learned_at + self.limits.weights_within_s
-        return named.version if now >= bound_at - OLD_WEIGHTS_MARGIN_S else 0
+        within_s = self.limits.weights_within_s - OLD_WEIGHTS_MARGIN_S
+        return named.bound_since(now - within_s)
 
     def why_not_again(self, state: RequestState, attempt: Attempt) -> str | None:
         """Return why a request is not sent once more, None if it is."""
@@ -346,4 +367,3 @@
             took_ms=round((clock.now() - request.received_at) * 1000),
             **more,
         )
-
--- a/packages/primroselever-entry/src/primroselever_entry/direct/process.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/process.py
@@ -82,6 +82,7 @@
             FlowLimits(settings.weights_within_s, retries),
             FlowInstruments(),
             Random(),
+            self.gossip.note_sent,
         )
         self.turning_away = False
         self.callers = CallerServer(
@@ -146,11 +147,16 @@
             self.weights_seen[model] = named.version
             if before == named.version:
                 continue
-            if before is None and clock.now() - self.started_at < self.settings.contact_s:
+            if (
+                before is None
+                and clock.now() - self.started_at < self.settings.contact_s
+            ):
                 # It may have been named long before this process started, and binds
                 # it once it counts as in touch.
-                named.learned_at = (
-                    clock.now() - self.settings.weights_within_s + self.settings.contact_s
+                learned_at = clock.now() - self.settings.weights_within_s
+                named.history[-1] = (
+                    named.version,
+                    learned_at + self.settings.contact_s,
                 )
             self.keeper.prefetch(model, named.version)
 
--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -74,7 +74,7 @@
                 return Attempt(AttemptEnd.NOT_SENT, reason=str(exc))
             if self.caller.left:
                 return Attempt(AttemptEnd.CALLER_LEFT)
-            self.caller.on_leave = self.connection.abort
+            self.caller.on_leave = self.connection.interrupt
             return self.exchange(self.connection)
         except CallerLeftError:
             return Attempt(AttemptEnd.CALLER_LEFT)
--- a/packages/primroselever-node/src/primroselever_node/direct/calls.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/calls.py
@@ -49,7 +49,9 @@
             headers.append((b"Content-Length", str(len(body)).encode()))
         kept = bool(self.pool.idle.get(name))
         try:
-            return self.call_once(name, address, method, target, headers, body, deadline)
+            return self.call_once(
+                name, address, method, target, headers, body, deadline
+            )
         except BrokenExchangeError:
             if not kept or clock.now() >= deadline:
                 raise
--- a/packages/primroselever-node/src/primroselever_node/direct/connection_pool.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/connection_pool.py
@@ -18,7 +18,9 @@
 
     from primroselever_core.catalogue.model import Address
 
-CONNECT_S = 0.25  # links add some 10 ms at most; a lost packet is sent again after 0.2 s
+CONNECT_S = (
+    0.25  # links add some 10 ms at most; a lost packet is sent again after 0.2 s
+)
 DEFAULT_IDLE_S = 2.0  # for servers that do not say how long they keep a connection
 IDLE_MARGIN_S = 0.5  # the server's timeout may run while a request is on its way
 KEPT_FOR_EACH = 32
@@ -59,7 +61,9 @@
         self.opened += 1
         return HttpConnection(address, min(deadline, now + CONNECT_S))
 
-    def give_back(self, server_id: str, connection: HttpConnection, idle_s: float) -> None:
+    def give_back(
+        self, server_id: str, connection: HttpConnection, idle_s: float
+    ) -> None:
         """Keep a connection whose answer was read to its end, or close it."""
         kept = self.idle[server_id]
         if len(kept) < KEPT_FOR_EACH and connection.finish(idle_s):
--- a/packages/primroselever-node/src/primroselever_node/direct/direct.thrift
+++ b/packages/primroselever-node/src/primroselever_node/direct/direct.thrift
@@ -1,7 +1,7 @@
 /*
  * What entries and agents tell each other where back ends are called directly.
  *
- * News travel in datagrams, each of which holds one of the three kinds; what is large
+ * News travel in datagrams, each of which holds one of these kinds; what is large
  * is asked for by calls. Ages are in milliseconds, since no two processes share a clock.
  */
 
@@ -18,7 +18,10 @@
   9: map<string, string> peers,
 }
 
-/* address is that of the back end; version is 0 without whole weights. */
+/*
+ * address is that of the back end; version is 0 without whole weights; closes_in_ms is
+ * negative unless the engine is to load other weights then.
+ */
 struct EngineNews {
   1: string address,
   2: i64 born_ms,
@@ -30,6 +33,7 @@
   8: double pace,
   9: string failure_domain,
   10: string host,
+  11: i32 closes_in_ms,
 }
 
 /* rank is the back end's place among group_size others of its service. */
@@ -43,10 +47,21 @@
   7: i32 group_size,
 }
 
+/* One request that an entry sent to the back end at an address. */
+struct Sent {
+  1: string address,
+  2: i32 prompt_tokens,
+}
+
+struct SentNews {
+  1: list<Sent> requests,
+}
+
 struct Datagram {
   1: optional EntryNews entry,
   2: optional EngineNews engine,
   3: optional FillingAdvice advice,
+  4: optional SentNews sent,
 }
 
 /* state is held or pending (ask again after retry_after_ms); size is the piece's. */
--- a/packages/primroselever-node/src/primroselever_node/direct/exchange.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/exchange.py
@@ -9,9 +9,11 @@
 from __future__ import annotations
 
 import socket
-from typing import TYPE_CHECKING
+from contextlib import suppress
+from typing import TYPE_CHECKING, Any
 
 import h11
+from eventlet.hubs import trampoline
 
 from primroselever_core.exceptions import PrimroseleverError
 
@@ -69,7 +71,12 @@
             raise ConnectError(f"no connection to {address[0]}:{address[1]}") from exc
 
     def send(
-        self, method: bytes, target: bytes, headers: Headers, body: bytes, deadline: float
+        self,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: bytes,
+        deadline: float,
     ) -> None:
         """Write a whole request in one piece."""
         head = h11.Request(method=method, target=target, headers=headers)
@@ -113,8 +120,7 @@
             if left <= 0:
                 raise SilentError("no answer in time")
             try:
-                self.socket.settimeout(left)
-                data = self.socket.recv(READ_BYTES)
+                data = receive(self.socket, left)
             except TimeoutError as exc:
                 raise SilentError("no answer in time") from exc
             except OSError as exc:
@@ -124,7 +130,9 @@
             except h11.RemoteProtocolError as exc:
                 raise DamagedAnswerError(str(exc)) from exc
 
-    def read_head(self, deadline: float, request_id: bytes, id_header: bytes) -> h11.Response:
+    def read_head(
+        self, deadline: float, request_id: bytes, id_header: bytes
+    ) -> h11.Response:
         """
         Return the head of the answer to this request.
 
@@ -206,15 +214,34 @@
         except OSError:
             return False
 
-    def abort(self) -> None:
-        """End the connection at once; whoever waits on it wakes up."""
-        try:
+    def interrupt(self) -> None:
+        """End the connection for whoever waits on it in another greenlet."""
+        self.usable_until = 0.0
+        with suppress(OSError):  # it has ended already
             self.socket.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            pass  # it has ended already
+
+    def abort(self) -> None:
+        """End the connection; only for whoever uses it."""
+        self.interrupt()
         self.socket.close()
 
 
+def receive(sock: Any, timeout_s: float) -> bytes:
+    """
+    Receive bytes, or raise ``OSError`` when the connection was reset.
+
+    The green socket's own ``recv`` returns nothing after a reset, as if the other side
+    had ended in order, and an answer without a length would look whole.
+    """
+    raw = sock.fd
+    raw.setblocking(False)
+    while True:
+        try:
+            return bytes(raw.recv(READ_BYTES))
+        except BlockingIOError:
+            trampoline(raw, read=True, timeout=timeout_s, timeout_exc=TimeoutError)
+
+
 def header(headers: object, name: bytes) -> bytes:
     """Return the value of a header, given in lower case, or nothing."""
     for key, value in headers:  # type: ignore[attr-defined]
--- a/packages/primroselever-node/src/primroselever_node/direct/gossip.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/gossip.py
@@ -9,6 +9,7 @@
 
 from primroselever_core.catalogue.model import ServerState
 from primroselever_core.dispatch.backend import EngineReport
+from primroselever_core.dispatch.predict import reading_s
 
 from .. import clock
 from ..logs import log_decision
@@ -29,6 +30,8 @@
 ADVICE_INTERVAL_S = 1.0  # agents get advice at once when it changed, else this often
 PULL_DELAY_S = 0.15  # the own watch of the store usually brings the same by then
 PULL_TIMEOUT_S = 2.0
+SENT_NEWS_S = 0.01  # requests that are sent within this share a datagram
+SENT_IN_ONE_DATAGRAM = 40  # keeps a datagram below 1,400 bytes
 FIRST_VERSION = 1  # of weights that nobody has named yet
 
 logger = logging.getLogger(__name__)
@@ -52,6 +55,7 @@
         self.port = DatagramPort(host, port, self.receive)
         self.pool = ClientPool(schema.DirectPeer)
         self.pulling = False
+        self.sent_requests: list[Any] = []
         self.advised: dict[str, tuple[float, Any]] = {}
         self.agents_heard: dict[str, float] = {}
 
@@ -101,6 +105,36 @@
             self.hear_entry(datagram.entry)
         elif datagram.engine is not None:
             self.hear_engine(datagram.engine, host)
+        elif datagram.sent is not None:
+            self.hear_sent(datagram.sent)
+
+    def note_sent(self, address: Address, prompt_tokens: int) -> None:
+        """Tell the entries of the own failure domain of a request, with others."""
+        sent = schema.Sent(f"{address[0]}:{address[1]}", prompt_tokens)
+        self.sent_requests.append(sent)
+        if len(self.sent_requests) == 1:
+            eventlet.spawn_after(SENT_NEWS_S, self.tell_sent)
+
+    def tell_sent(self) -> None:
+        """Send what was noted since the last time."""
+        requests, self.sent_requests = self.sent_requests, []
+        news = schema.SentNews(requests[-SENT_IN_ONE_DATAGRAM:])
+        now = clock.now()
+        for peer in self.board.peers.live(now):
+            if peer.failure_domain == self.board.identity.failure_domain:
+                self.port.send(peer.host, sent=news)
+
+    def hear_sent(self, news: Any) -> None:
+        """Take in what another entry sent to back ends."""
+        now = clock.now()
+        for sent in news.requests:
+            backend = self.board.backends.by_address.get(parse_address(sent.address))
+            if backend is None:
+                continue
+            service = self.board.catalogue.routes.services.get(backend.listed.service)
+            if service is not None and service.engine is not None:
+                reading = reading_s(service.engine, sent.prompt_tokens)
+                backend.sent_by_other(reading, now)
 
     def hear_entry(self, news: Any) -> None:
         """Take in the heartbeat of another entry."""
@@ -135,8 +169,7 @@
         if peer.store_revision > catalogue.store_revision:
             return True
         return any(
-            model not in catalogue.weights
-            or version > catalogue.weights[model].version
+            model not in catalogue.weights or version > catalogue.weights[model].version
             for model, version in peer.weights.items()
         )
 
@@ -186,6 +219,7 @@
             news.running,
             news.waiting,
             news.pace,
+            now + news.closes_in_ms / 1000 if news.closes_in_ms >= 0 else None,
         )
         self.board.backends.hear(address, report)
         if before is None or (before.version, before.switching) != (
@@ -220,7 +254,13 @@
         backend = self.board.backends.by_address.get(address)
         if catalogue.configuration is None or backend is None:
             return schema.FillingAdvice(
-                self.host, self.board.identity.failure_domain, {}, {}, self.peers(now), 0, 0
+                self.host,
+                self.board.identity.failure_domain,
+                {},
+                {},
+                self.peers(now),
+                0,
+                0,
             )
         service = catalogue.routes.services.get(backend.listed.service)
         if service is None or backend.listed.state is ServerState.LEAVING:
--- a/packages/primroselever-node/src/primroselever_node/direct/pieces.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/pieces.py
@@ -144,9 +144,7 @@
         origin = self.require_origin()
         for host in self.relays(model, version, index, origin, relayed):
             try:
-                reply = self.ask(
-                    host, "fetch_piece", model, version, index, True, 0, 0
-                )
+                reply = self.ask(host, "fetch_piece", model, version, index, True, 0, 0)
             except SourceError:
                 continue
             if reply.state == "held" and digests.fits(index, reply.data):
@@ -218,29 +216,46 @@
 
     def run_prefetch(self, model: str, version: int) -> None:
         """Read owned pieces, a few at once, in the order in which agents ask."""
-        try:
-            digests = self.digests(model, version, False)
-        except SourceError as exc:
-            logger.warning("a manifest was not read ahead", extra={"error": str(exc)})
-            return
+        while True:
+            try:
+                digests = self.digests(model, version, False)
+            except SourceError as exc:
+                logger.warning(
+                    "a manifest was not read ahead", extra={"error": str(exc)}
+                )
+            else:
+                break
+            if not self.newest(model, version):
+                return
+            eventlet.sleep(ORIGIN_RETRY_S)
         identity = self.board.identity
         hosts = self.board.peers.domain_hosts(identity.failure_domain, clock.now())
         owned = [
             index
             for index in range(len(digests.digests))
-            if piece_owners(model, version, index, hosts)[0] == self.board.peers.own_host
+            if piece_owners(model, version, index, hosts)[0]
+            == self.board.peers.own_host
         ]
-        pool = eventlet.GreenPool(PREFETCHES_AT_ONCE)
-        for index in owned:
-            pool.spawn(self.prefetch_one, model, version, index)
-        pool.waitall()
-        held = sum(1 for index in owned if (model, version, index) in self.pieces)
-        log_decision(
-            "weights read ahead",
-            f"{model}/{version}",
-            f"{held} of {len(owned)} pieces",
-            "this entry owns them in its failure domain",
-        )
+        while True:
+            missing = [i for i in owned if (model, version, i) not in self.pieces]
+            log_decision(
+                "weights read ahead",
+                f"{model}/{version}",
+                f"{len(owned) - len(missing)} of {len(owned)} pieces",
+                "this entry owns them in its failure domain",
+            )
+            if not missing or not self.newest(model, version):
+                return
+            pool = eventlet.GreenPool(PREFETCHES_AT_ONCE)
+            for index in missing:
+                pool.spawn(self.prefetch_one, model, version, index)
+            pool.waitall()
+            eventlet.sleep(ORIGIN_RETRY_S)
+
+    def newest(self, model: str, version: int) -> bool:
+        """Return whether no newer version of a model was named."""
+        named = self.board.catalogue.weights.get(model)
+        return named is None or named.version <= version
 
     def prefetch_one(self, model: str, version: int, index: int) -> None:
         """Read one piece; agents ask again for one that failed."""
--- a/packages/primroselever-node/src/primroselever_node/settings/contradictions.py
+++ b/packages/primroselever-node/src/primroselever_node/settings/contradictions.py
@@ -25,9 +25,7 @@
 
 
 @singledispatch
-def contradictions(
-    settings: Settings, environ: Mapping[str, str]
-) -> Iterator[Finding]:
+def contradictions(settings: Settings, environ: Mapping[str, str]) -> Iterator[Finding]:
     """Yield what is wrong with settings; a binary adds to it for its own type."""
     yield from ()
 
