Check direct settings, end within the platform's grace, log a stream's longest gap

Cause: a stop at the grace itself is cut by SIGKILL; lateness by pauses could not be seen. Change: ProcessSettings shared by all commands, findings for direct settings, a margin at the end, longest_gap_ms in the log line of a request's end.

--- a/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
+++ b/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
@@ -49,7 +49,7 @@
 from ..transfer.rollout import ROLLOUT_STEP_S
 
 if TYPE_CHECKING:
-    from primroselever_node.settings.model import NodeSettings
+    from primroselever_node.settings.model import ProcessSettings
 
     from ..engine.backend import Backend
 
@@ -70,7 +70,7 @@
     binary = "primroselever-agent"
     settings_model = AgentSettings
 
-    def serve(self, settings: NodeSettings) -> int:
+    def serve(self, settings: ProcessSettings) -> int:
         """Run until SIGTERM."""
         assert isinstance(settings, AgentSettings)
         return AgentProcess(settings).run()
--- a/packages/primroselever-entry/src/primroselever_entry/commands/serve.py
+++ b/packages/primroselever-entry/src/primroselever_entry/commands/serve.py
@@ -35,7 +35,7 @@
 from ..settings import EntrySettings
 
 if TYPE_CHECKING:
-    from primroselever_node.settings.model import NodeSettings
+    from primroselever_node.settings.model import ProcessSettings
 
 
 class ServeCommand(BaseServeCommand):
@@ -45,7 +45,7 @@
     binary = "primroselever-entry"
     settings_model = EntrySettings
 
-    def serve(self, settings: NodeSettings) -> int:
+    def serve(self, settings: ProcessSettings) -> int:
         """Run until SIGTERM."""
         assert isinstance(settings, EntrySettings)
         return EntryProcess(settings).run()
--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -75,6 +75,8 @@
     head_forwarded: bool = False
     may_have_run: bool = False
     first_event_at: float | None = None
+    last_event_at: float = 0.0
+    longest_gap_s: float = 0.0
     status: int = 0
 
 
@@ -212,6 +214,17 @@
             backend.sent(reading_s(figures, tokens), now)
             self.tell_peers(backend.listed.address, int(tokens))
 
+    def note_events(self, state: RequestState) -> None:
+        """Count that events of a stream came, the first one or later ones."""
+        now = clock.now()
+        if state.first_event_at is None:
+            state.first_event_at = now
+            self.instruments.first_event(now - state.request.received_at)
+        else:
+            gap_s = now - state.last_event_at
+            state.longest_gap_s = max(state.longest_gap_s, gap_s)
+        state.last_event_at = now
+
     def choose(self, state: RequestState, now: float) -> Chosen | Refused:
         """Return the back end for the next sending."""
         backends = self.board.backends.serving(state.service)
@@ -359,6 +372,7 @@
             if state.first_event_at is not None:
                 took = state.first_event_at - request.received_at
                 more["first_event_ms"] = round(took * 1000)
+                more["longest_gap_ms"] = round(state.longest_gap_s * 1000)
         log_decision(
             "request ended",
             request.shown_id,
--- a/packages/primroselever-entry/src/primroselever_entry/direct/process.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/process.py
@@ -30,6 +30,7 @@
 from .caller_connection import CallerServer
 from .flow import DirectFlow, FlowLimits
 from .instruments import FlowInstruments
+from .settings import END_MARGIN_S
 
 if TYPE_CHECKING:
     from primroselever_node.direct.sources import CatalogueSource, WeightSource
@@ -117,7 +118,7 @@
 
     def shut_down(self) -> bool:
         """Let the balancer turn away, answer what came, then end."""
-        deadline = clock.now() + self.settings.shutdown_s
+        deadline = clock.now() + self.settings.shutdown_s - END_MARGIN_S
         self.turning_away = True
         self.board.leaving = True
         eventlet.sleep(self.settings.turn_away_s)
--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -200,11 +200,8 @@
             if not isinstance(event, h11.Data):
                 raise BrokenExchangeError("the connection ended within an answer")
             data = bytes(event.data)
-            if streaming and state.first_event_at is None:
-                state.first_event_at = clock.now()
-                self.flow.instruments.first_event(
-                    state.first_event_at - state.request.received_at
-                )
+            if streaming:
+                self.flow.note_events(state)
             if resumable:
                 data = state.cutter.feed(data)
             if not streaming:
--- a/packages/primroselever-entry/src/primroselever_entry/direct/settings.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/settings.py
@@ -2,9 +2,21 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from pydantic import Field
 
+from primroselever_core.findings import Finding
 from primroselever_node.direct.settings import DirectSettings, Endpoint
+from primroselever_node.settings.contradictions import (
+    check_log_level,
+    contradictions,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Mapping
+
+END_MARGIN_S = 0.6  # the last answers leave and the process ends by itself
 
 
 class DirectEntrySettings(DirectSettings):
@@ -27,3 +39,15 @@
     retry_window_s: float = Field(gt=0)
     contact_s: float = Field(gt=0)
     turn_away_s: float = Field(default=3.0, ge=0)
+
+
+@contradictions.register(DirectEntrySettings)
+def _(settings: DirectEntrySettings, environ: Mapping[str, str]) -> Iterator[Finding]:
+    """Yield what is wrong with such an entry's settings."""
+    yield from check_log_level(settings)
+    if settings.turn_away_s + END_MARGIN_S >= settings.shutdown_s:
+        problem = f"it leaves no time within shutdown_s, {settings.shutdown_s:g} s"
+        yield Finding("turn_away_s", problem, "lower it, or raise shutdown_s")
+    if settings.contact_s >= settings.weights_within_s:
+        problem = f"it is not below weights_within_s, {settings.weights_within_s:g} s"
+        yield Finding("contact_s", problem, "old weights would be refused at once")
--- a/packages/primroselever-node/src/primroselever_node/console/check.py
+++ b/packages/primroselever-node/src/primroselever_node/console/check.py
@@ -17,7 +17,7 @@
     from argparse import ArgumentParser, Namespace
     from collections.abc import Callable
 
-    from ..settings.model import NodeSettings
+    from ..settings.model import ProcessSettings
 
 
 class BaseCheckCommand(Command):
@@ -31,7 +31,7 @@
         "in the file, the problem and a remedy. The exit code is 2 if there is "
         "any finding and 0 if there is none."
     )
-    settings_model: ClassVar[type[NodeSettings]]
+    settings_model: ClassVar[type[ProcessSettings]]
 
     def configure(self, parser: ArgumentParser) -> None:
         """Add the files to check."""
--- a/packages/primroselever-node/src/primroselever_node/console/serve.py
+++ b/packages/primroselever-node/src/primroselever_node/console/serve.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from argparse import ArgumentParser, Namespace
 
-    from ..settings.model import NodeSettings
+    from ..settings.model import ProcessSettings
 
 
 class BaseServeCommand(Command):
@@ -22,7 +22,7 @@
     name = "serve"
     help = "run the process until it is told to stop"
     binary: ClassVar[str]
-    settings_model: ClassVar[type[NodeSettings]]
+    settings_model: ClassVar[type[ProcessSettings]]
 
     def configure(self, parser: ArgumentParser) -> None:
         """Add the path of the settings."""
@@ -35,6 +35,6 @@
         set_up_metrics(self.binary, settings.vm_id)
         return self.serve(settings)
 
-    def serve(self, settings: NodeSettings) -> int:
+    def serve(self, settings: ProcessSettings) -> int:
         """Run the process with its settings and return the exit code."""
         raise NotImplementedError
--- a/packages/primroselever-node/src/primroselever_node/direct/settings.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/settings.py
@@ -6,7 +6,7 @@
 
 from pydantic import BeforeValidator, Field
 
-from ..settings.model import Settings
+from ..settings.model import ProcessSettings
 
 
 def parse_endpoint(value: Any) -> Any:
@@ -22,7 +22,7 @@
 Endpoint = Annotated[tuple[str, int], BeforeValidator(parse_endpoint)]
 
 
-class DirectSettings(Settings):
+class DirectSettings(ProcessSettings):
     """
     What each process of a direct deployment is told.
 
@@ -31,9 +31,6 @@
     address of the platform's store. ``shutdown_s`` bounds a graceful shutdown.
     """
 
-    vm_id: str = Field(min_length=1)
-    failure_domain: str = Field(min_length=1)
-    region: str
     host: str
     news_port: int = Field(ge=1, le=65535)
     admin_port: int = Field(ge=0, le=65535)
@@ -41,4 +38,3 @@
     store: Endpoint
     weights_within_s: float = Field(gt=0)
     shutdown_s: float = Field(gt=0)
-    log_level: str = "INFO"
--- a/packages/primroselever-node/src/primroselever_node/settings/contradictions.py
+++ b/packages/primroselever-node/src/primroselever_node/settings/contradictions.py
@@ -15,7 +15,7 @@
 
 from primroselever_core.findings import Finding
 
-from .model import Listen, NodeSettings, Settings
+from .model import Listen, NodeSettings, ProcessSettings, Settings
 from .secrets import MIN_KEY_BYTES
 
 if TYPE_CHECKING:
@@ -43,6 +43,11 @@
     yield from check_listens(settings)
     yield from check_urls("platform", settings.platform.model_dump())
     yield from check_ticket_key(settings, environ)
+    yield from check_log_level(settings)
+
+
+def check_log_level(settings: ProcessSettings) -> Iterator[Finding]:
+    """Yield a finding for a level that logging does not know."""
     if settings.log_level not in logging.getLevelNamesMapping():
         names = "DEBUG, INFO, WARNING or ERROR"
         yield Finding(
--- a/packages/primroselever-node/src/primroselever_node/settings/model.py
+++ b/packages/primroselever-node/src/primroselever_node/settings/model.py
@@ -39,19 +39,24 @@
     ticket_key_variable: str | None = None
 
 
-class NodeSettings(Settings):
+class ProcessSettings(Settings):
+    """What every process is told, whatever it does."""
+
+    vm_id: str = Field(min_length=1)
+    failure_domain: str = Field(min_length=1)
+    region: str = Field(min_length=1)
+    log_level: str = "INFO"
+
+
+class NodeSettings(ProcessSettings):
     """
     What each process is told of itself and of the platform.
 
     ``shutdown_s`` bounds a graceful shutdown, in seconds.
     """
 
-    vm_id: str = Field(min_length=1)
-    failure_domain: str = Field(min_length=1)
-    region: str = Field(min_length=1)
     rpc: Listen
     admin: Listen
     platform: Platform
     secrets: Secrets = Secrets()
-    log_level: str = "INFO"
     shutdown_s: float = Field(default=30.0, gt=0)
