--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -39,12 +39,15 @@
     from .header_names import HeaderNames
     from .instruments import FlowInstruments
 
+LEAVING_RETRY_S = 0.05
 STARTING_RETRY_S = 0.5  # a configuration is read within a few answers of the store
 ANY_TIME_S = 60.0  # longer than any route's timeout
 OLD_WEIGHTS_MARGIN_S = (
     0.7  # a request may wait that long in a back end before it begins
 )
-ROUTE_FULL_DEADLINE_GAIN_S = 0.05  # a caller's first attempt has the longest deadline
+FIRST_ATTEMPT_SHARE = (
+    0.8  # of the longest deadline on a route; first attempts state more
+)
 
 logger = logging.getLogger(__name__)
 
@@ -118,6 +121,10 @@
         self, request: CallerRequest, caller: CallerConnection
     ) -> RequestState | None:
         """Return the state of a request that may go on, else answer it."""
+        if caller.server.closing:
+            # Another entry takes it at once; here it would be cut by the end.
+            self.tell(request, caller, 503, "leaving", LEAVING_RETRY_S)
+            return None
         catalogue = self.board.catalogue
         configuration = catalogue.configuration
         if configuration is None:
@@ -154,10 +161,10 @@
 
     def elapsed_before(self, route: Route, request: CallerRequest) -> float:
         """
-        Return the seconds that a caller had waited before this attempt.
+        Return the seconds that a caller had certainly waited before this attempt.
 
-        Callers send what is left of their time; the most that was seen on a route is
-        what they begin with.
+        Callers state what is left of their time. They differ in patience, so that only
+        one who has much less left than others have had is known to come again.
         """
         if request.deadline is None:
             return 0.0
@@ -166,8 +173,7 @@
         if left_s > full_s:
             self.full_deadlines[route.name] = left_s
             return 0.0
-        elapsed_s = full_s - left_s
-        return elapsed_s if elapsed_s > ROUTE_FULL_DEADLINE_GAIN_S else 0.0
+        return full_s - left_s if left_s < FIRST_ATTEMPT_SHARE * full_s else 0.0
 
     def run(self, state: RequestState, caller: CallerConnection) -> None:
         """Send a request until it is answered or given up."""
@@ -379,5 +385,8 @@
             outcome,
             reason,
             took_ms=round((clock.now() - request.received_at) * 1000),
+            caller_waits_ms=None
+            if request.deadline is None
+            else round((request.deadline - request.received_at) * 1000),
             **more,
         )
--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -200,10 +200,10 @@
             if not isinstance(event, h11.Data):
                 raise BrokenExchangeError("the connection ended within an answer")
             data = bytes(event.data)
-            if streaming:
-                self.flow.note_events(state)
             if resumable:
                 data = state.cutter.feed(data)
+            if streaming and data:
+                self.flow.note_events(state)
             if not streaming:
                 pending += data
                 continue
--- a/packages/primroselever-entry/tests/direct/conftest.py
+++ b/packages/primroselever-entry/tests/direct/conftest.py
@@ -227,9 +227,10 @@
         "Host: desk.example",
         "x-request: r1",
         "x-key: key k1",
-        "x-left: 2000",
         *headers,
     ]
+    if not any(line.startswith("x-left") for line in lines):
+        lines.append("x-left: 2000")
     if body:
         lines.append(f"Content-Length: {len(body)}")
     if close:
--- a/packages/primroselever-entry/tests/direct/test_caller_connection.py
+++ b/packages/primroselever-entry/tests/direct/test_caller_connection.py
@@ -95,6 +95,15 @@
     assert read_all(busy).endswith(b"ok")
 
 
+def test_an_entry_that_is_about_to_end_takes_nothing_new(entry):
+    backend = entry.add("a")
+    entry.server.closing = True
+    answer = entry.ask("/order/x", method="POST", body=b"ink")
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert b"Retry-After" in answer
+    assert backend.requests == []
+
+
 @settings(
     max_examples=60,
     deadline=None,
--- a/packages/primroselever-entry/tests/direct/test_flow.py
+++ b/packages/primroselever-entry/tests/direct/test_flow.py
@@ -173,3 +173,24 @@
     answer = entry.ask("/order/x", method="POST", body=b"ink")
     assert answer.startswith(b"HTTP/1.1 500")
     assert answer.endswith(b"oops")
+
+
+def test_callers_of_different_patience_all_count_as_first_attempts(entry):
+    backend = entry.add("a", "engine")
+    ask = {"method": "POST", "body": b"p"}
+    done = [stream_head() + chunk(EVENTS[0]) + b"0\r\n\r\n"]
+    for left in (6000, 5200, 5900, 5100):
+        backend.answers = [done]
+        headers = ["x-model: m", f"x-left: {left}"]
+        assert b" 200 " in entry.ask("/ask/x", headers=headers, **ask)
+
+
+def test_who_comes_again_much_later_counts_as_late(entry):
+    backend = entry.add("a", "engine")
+    route = entry.board.catalogue.routes.match("desk.example", "/ask/x")
+    entry.flow.full_deadlines[route.name] = 6.0
+    entry.board.backends.backends["a"].in_flight = 8
+    headers = ["x-model: m"]
+    answer = entry.ask("/ask/x", method="POST", body=b"p", headers=headers)
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert backend.requests == []
