Send the head with the first event, let flocks of changes share a call to the store

Ruled out: longer watches, which would hide a silent store for longer. Change: 0.15 s between watches of back ends that changed; the head is held for the bytes behind it.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
@@ -61,6 +61,7 @@
         self.on_leave: Callable[[], None] | None = None
         self.started_at = 0.0
         self.request_id = b""
+        self.held = b""
 
     def serve(self) -> None:
         """Answer requests until the connection ends."""
@@ -238,19 +239,24 @@
             self.socket.settimeout(None)
 
     def send_head(self, status: int, headers: Headers) -> None:
-        """Begin an answer."""
+        """Begin an answer; the head leaves with the first bytes behind it."""
         if self.server.closing or self.server.leaving():
             headers = [*headers, (b"Connection", b"close")]
         event = h11.Response(status_code=status, headers=headers)
-        self.write(self.protocol.send(event))
+        self.held += self.protocol.send(event) or b""
 
     def send_data(self, data: bytes) -> None:
-        """Send a part of the body."""
-        self.write(self.protocol.send(h11.Data(data=data)))
+        """Send a part of the body, in one piece with the head if that is due."""
+        self.write_held(self.protocol.send(h11.Data(data=data)))
 
     def finish(self) -> None:
         """End an answer as a whole one."""
-        self.write(self.protocol.send(h11.EndOfMessage()))
+        self.write_held(self.protocol.send(h11.EndOfMessage()))
+
+    def write_held(self, data: bytes | None) -> None:
+        """Send bytes behind a head that was held back for them."""
+        held, self.held = self.held, b""
+        self.write(held + (data or b""))
 
     def cut(self) -> None:
         """End an answer that is not whole, so that it looks so."""
@@ -284,7 +290,7 @@
         if retry_after_s is not None:
             headers.append((b"Retry-After", f"{retry_after_s:.2f}".encode()))
         self.send_head(status, headers)
-        self.send_data(body)
+        self.held += self.protocol.send(h11.Data(data=body)) or b""
         self.finish()
 
     def refuse(self, status: int, detail: str) -> None:
--- a/packages/primroselever-node/src/primroselever_node/direct/follower.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/follower.py
@@ -24,6 +24,9 @@
 WATCH_WAIT_S = 2.5  # below the 3 s after which a silent process counts as out of touch
 FIRST_RETRY_S = 0.15  # a few answers of the store, which takes 4 ms
 LONGEST_RETRY_S = 1.0  # below the time in which a configuration must be in force
+# Back ends change in flocks, and each call to the store has a price; one that leaves
+# must get nothing new only some seconds later.
+SERVERS_PAUSE_S = 0.15
 OUTAGE_S = 0.8  # a shorter silence lets no lease of three heartbeats lapse
 LAPSE_CHECK_S = 0.25
 
@@ -86,6 +89,8 @@
             else:
                 revision = changes.revision
                 failures = 0
+                if part is CataloguePart.SERVERS and changes.events:
+                    eventlet.sleep(SERVERS_PAUSE_S)
                 continue
             eventlet.sleep(backoff_s(failures, FIRST_RETRY_S, LONGEST_RETRY_S))
 
