--- a/packages/primroselever-agent/src/primroselever_agent/direct/filling.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/filling.py
@@ -267,7 +267,7 @@
     def ask(self, host: str, method: str, *args: Any) -> Any:
         """Call an entry; return None when it does not answer."""
         try:
-            return self.pool.call(
+            return self.pool.call_again(
                 (host, self.control_port), method, *args, timeout_s=PIECE_TIMEOUT_S
             )
         except (NeverSentError, LostReplyError) as exc:
--- a/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
@@ -21,6 +21,19 @@
 RETURN_GRACE_S = 2.0  # entries that lapsed while the store was away return within this
 
 
+@dataclass(frozen=True, slots=True)
+class NamedVersion:
+    """
+    A version of a model and when it was learned.
+
+    ``assumed`` marks the guess of a process that found the version when it started.
+    """
+
+    version: int
+    learned_at: float
+    assumed: bool = False
+
+
 @dataclass(slots=True)
 class NamedWeights:
     """
@@ -30,32 +43,49 @@
     before it.
     """
 
-    history: list[tuple[int, float]]
+    history: list[NamedVersion]
+
+    @property
+    def newest(self) -> NamedVersion:
+        """Return the newest version with when it was learned."""
+        return self.history[-1]
 
     @property
     def version(self) -> int:
         """Return the newest version."""
-        return self.history[-1][0]
+        return self.newest.version
 
     @property
     def learned_at(self) -> float:
         """Return when the newest version was learned."""
-        return self.history[-1][1]
+        return self.newest.learned_at
 
     def name(self, version: int, now: float) -> None:
         """Take in a newer version."""
-        self.history.append((version, now))
+        self.history.append(NamedVersion(version, now))
         del self.history[:-VERSIONS_REMEMBERED]
 
+    def assume_learned(self, learned_at: float) -> None:
+        """Assume when the newest version was named, until a peer says more."""
+        self.history[-1] = NamedVersion(self.version, learned_at, assumed=True)
+
+    def peer_learned(self, version: int, learned_at: float) -> None:
+        """Take in when a peer learned of a version; the first to learn it counts."""
+        for index, known in enumerate(self.history):
+            if known.version != version:
+                continue
+            if known.assumed or learned_at < known.learned_at:
+                self.history[index] = NamedVersion(version, learned_at)
+
     def bound_since(self, learned_before: float) -> int:
         """Return the newest version that was learned by then, 0 for none."""
-        bound = (version for version, at in self.history if at <= learned_before)
+        bound = (
+            known.version
+            for known in self.history
+            if known.learned_at <= learned_before
+        )
         return max(bound, default=0)
 
-    def learned(self, version: int) -> float:
-        """Return when the first version that is newer than another was learned."""
-        return next((at for named, at in self.history if named > version), 0.0)
-
 
 @dataclass(slots=True)
 class Catalogue:
@@ -91,7 +121,7 @@
         """Take in a named version; return whether it is newer than what was known."""
         known = self.weights.get(model)
         if known is None:
-            self.weights[model] = NamedWeights([(version, now)])
+            self.weights[model] = NamedWeights([NamedVersion(version, now)])
             return True
         if version <= known.version:
             return False
--- a/packages/primroselever-core/tests/catalogue/test_catalogue.py
+++ b/packages/primroselever-core/tests/catalogue/test_catalogue.py
@@ -74,3 +74,23 @@
     assert not fresh.merge(stale.copy(), 2.0)
     assert set(fresh.routes.workspaces) == {"new"}
     assert not fresh.servers
+
+
+def test_a_process_that_started_late_learns_from_a_peer_when_a_version_was_named():
+    catalogue = Catalogue()
+    catalogue.name_weights("m", 2, 30.0)
+    named = catalogue.weights["m"]
+    named.assume_learned(25.0)
+    assert named.bound_since(26.0) == 2
+    named.peer_learned(2, 28.0)
+    assert named.bound_since(26.0) == 0
+    named.peer_learned(2, 27.0)
+    named.peer_learned(2, 29.0)
+    assert named.bound_since(27.0) == 2
+
+
+def test_a_peer_that_knows_another_version_changes_nothing():
+    catalogue = Catalogue()
+    catalogue.name_weights("m", 2, 30.0)
+    catalogue.weights["m"].peer_learned(3, 1.0)
+    assert catalogue.weights["m"].learned_at == 30.0
--- a/packages/primroselever-entry/src/primroselever_entry/direct/process.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/process.py
@@ -155,10 +155,7 @@
                 # It may have been named long before this process started, and binds
                 # it once it counts as in touch.
                 learned_at = clock.now() - self.settings.weights_within_s
-                named.history[-1] = (
-                    named.version,
-                    learned_at + self.settings.contact_s,
-                )
+                named.assume_learned(learned_at + self.settings.contact_s)
             self.keeper.prefetch(model, named.version)
 
     def not_ready(self) -> str | None:
--- a/packages/primroselever-node/src/primroselever_node/direct/direct.thrift
+++ b/packages/primroselever-node/src/primroselever_node/direct/direct.thrift
@@ -5,7 +5,10 @@
  * is asked for by calls. Ages are in milliseconds, since no two processes share a clock.
  */
 
-/* peers maps the addresses of other entries to their failure domains. */
+/*
+ * peers maps the addresses of other entries to their failure domains; weights_age_ms
+ * says how long ago each version of weights was learned, where that is known.
+ */
 struct EntryNews {
   1: string host,
   2: string failure_domain,
@@ -16,6 +19,7 @@
   7: i64 store_age_ms,
   8: map<string, i32> weights,
   9: map<string, string> peers,
+  10: map<string, i32> weights_age_ms,
 }
 
 /*
--- a/packages/primroselever-node/src/primroselever_node/direct/gossip.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/gossip.py
@@ -97,6 +97,11 @@
             store_age_ms=-1 if heard_at is None else int((now - heard_at) * 1000),
             weights={m: named.version for m, named in catalogue.weights.items()},
             peers=self.board.peers.named(now),
+            weights_age_ms={
+                model: int((now - named.learned_at) * 1000)
+                for model, named in catalogue.weights.items()
+                if not named.newest.assumed
+            },
         )
 
     def receive(self, datagram: Any, host: str) -> None:
@@ -155,6 +160,10 @@
         peer.store_age_s = float("inf") if age_ms < 0 else age_ms / 1000
         peer.weights = dict(news.weights or {})
         peers.learn(news.peers or {}, now)
+        for model, age_ms in (news.weights_age_ms or {}).items():
+            named = self.board.catalogue.weights.get(model)
+            if named is not None:
+                named.peer_learned(peer.weights.get(model, 0), now - age_ms / 1000)
         if not self.pulling and self.knows_more(peer):
             self.pulling = True
             eventlet.spawn(self.pull, peer)
@@ -179,7 +188,7 @@
             eventlet.sleep(PULL_DELAY_S)
             if not self.knows_more(peer):
                 return
-            text = self.pool.call(
+            text = self.pool.call_again(
                 (peer.host, self.control_port),
                 "fetch_catalogue",
                 self.board.catalogue.store_revision,
--- a/packages/primroselever-node/src/primroselever_node/direct/pieces.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/pieces.py
@@ -203,7 +203,7 @@
     def ask(self, host: str, method: str, *args: Any) -> Any:
         """Call another entry, or raise ``SourceError``."""
         try:
-            return self.pool.call(
+            return self.pool.call_again(
                 (host, self.control_port), method, *args, timeout_s=PEER_PIECE_S
             )
         except (NeverSentError, LostReplyError) as exc:
--- a/packages/primroselever-node/src/primroselever_node/rpc/client_pool.py
+++ b/packages/primroselever-node/src/primroselever_node/rpc/client_pool.py
@@ -78,6 +78,24 @@
         self.give_back(address, connection)
         return result
 
+    def call_again(
+        self, address: tuple[str, int], method: str, *args: Any, timeout_s: float
+    ) -> Any:
+        """
+        Make a call that may be made twice, anew if a kept connection had ended.
+
+        A process that was restarted leaves its peers with connections that are dead.
+        """
+        kept = bool(self.idle.get(address))
+        deadline = clock.now() + timeout_s
+        try:
+            return self.call(address, method, *args, timeout_s=timeout_s)
+        except LostReplyError:
+            if not kept or clock.now() >= deadline:
+                raise
+        self.forget(address)
+        return self.call(address, method, *args, timeout_s=deadline - clock.now())
+
     def take(self, address: tuple[str, int]) -> Connection:
         """Return a kept connection or a new one."""
         now = clock.now()
--- /dev/null
+++ b/packages/primroselever-node/tests/direct/test_gossip.py
@@ -0,0 +1,167 @@
+"""Entries and agents hear of each other, over real datagrams on loopback."""
+
+from __future__ import annotations
+
+import socket
+from types import SimpleNamespace
+
+import eventlet
+import pytest
+
+from primroselever_core.board import Identity
+from primroselever_core.catalogue.model import (
+    CallerLimits,
+    Configuration,
+    EngineFigures,
+    ListedServer,
+    ServerState,
+    Service,
+)
+from primroselever_core.direct_board import DirectBoard
+from primroselever_core.gossip.peers import Peers
+from primroselever_node import clock
+from primroselever_node.direct import gossip as module
+from primroselever_node.direct.datagrams import DatagramPort
+from primroselever_node.direct.gossip import GossipController
+from primroselever_node.direct.peer_handler import DirectPeerHandler
+from primroselever_node.direct.schema import schema
+from primroselever_node.rpc.server import RpcServer
+
+FIGURES = EngineFigures(
+    8, 500_000, 0.01, 0.0, 0.0, 10_000.0, 2048, 5, 1000.0, 100.0, 0.2
+)
+ENGINE = ListedServer("i-1", "gen", ("127.0.0.9", 1), "a", ServerState.READY, 8, 1)
+
+
+def free_port() -> int:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class Fleet:
+    """Some entries on addresses of the loopback range, with one port for each kind."""
+
+    def __init__(self) -> None:
+        self.port, self.control_port = free_port(), free_port()
+        self.entries: dict[str, GossipController] = {}
+        self.changes: dict[str, list] = {}
+
+    def add(self, host: str, domain: str = "a") -> GossipController:
+        board = DirectBoard(
+            Identity(host, domain, "r", 1), Peers(host, domain, ("127.0.0.1",))
+        )
+        changes = self.changes[host] = []
+        entry = GossipController(
+            board, host, self.port, self.control_port, changes.append
+        )
+        handler = DirectPeerHandler(board, SimpleNamespace())
+        RpcServer(schema.DirectPeer, handler, host, self.control_port).start()
+        self.entries[host] = entry
+        entry.start()
+        return entry
+
+
+@pytest.fixture
+def fleet(monkeypatch):
+    monkeypatch.setattr(module, "HEARTBEAT_S", 0.02)
+    monkeypatch.setattr(module, "PULL_DELAY_S", 0.005)
+    return Fleet()
+
+
+def until(condition) -> None:
+    with eventlet.Timeout(3):
+        while not condition():
+            eventlet.sleep(0.005)
+
+
+def configuration(revision: int) -> Configuration:
+    return Configuration(
+        revision,
+        (),
+        (Service("gen", 9, FIGURES, ("m",)),),
+        CallerLimits(1, 1, 1.0, 1.0),
+    )
+
+
+def test_entries_find_each_other_from_one_seed(fleet):
+    boards = [fleet.add(f"127.0.0.{index}").board for index in (1, 2, 3)]
+    until(lambda: all(len(b.peers.live(clock.now())) == 2 for b in boards))
+
+
+def test_who_cannot_reach_the_store_gets_the_catalogue_from_a_peer(fleet):
+    ahead, behind = fleet.add("127.0.0.1"), fleet.add("127.0.0.2")
+    ahead.board.catalogue.configure(configuration(7), clock.now())
+    ahead.board.catalogue.name_weights("m", 3, clock.now() - 5.0)
+    ahead.board.catalogue.list_server(ENGINE)
+    ahead.board.catalogue.store_revision = 40
+    catalogue = behind.board.catalogue
+    until(lambda: catalogue.configuration is not None and catalogue.servers)
+    assert catalogue.configuration == ahead.board.catalogue.configuration
+    assert catalogue.servers == {"i-1": ENGINE}
+    assert len(fleet.changes["127.0.0.2"]) == 2
+    until(lambda: clock.now() - catalogue.weights["m"].learned_at > 4.9)
+
+
+def test_nobody_takes_an_older_configuration(fleet):
+    one, other = fleet.add("127.0.0.1"), fleet.add("127.0.0.2")
+    one.board.catalogue.configure(configuration(7), clock.now())
+    other.board.catalogue.configure(configuration(9), clock.now())
+    until(lambda: one.board.catalogue.configuration.revision == 9)
+    assert other.board.catalogue.configuration.revision == 9
+
+
+def test_what_one_entry_sends_counts_at_the_others_of_its_domain(fleet):
+    one, near = fleet.add("127.0.0.1"), fleet.add("127.0.0.2")
+    far = fleet.add("127.0.0.3", "b")
+    for entry in (one, near, far):
+        entry.board.catalogue.configure(configuration(7), clock.now())
+        entry.board.backends.follow([ENGINE])
+    until(lambda: len(one.board.peers.live(clock.now())) == 2)
+    one.note_sent(ENGINE.address, 2000)
+    backend = near.board.backends.backends["i-1"]
+    until(lambda: backend.load(clock.now()) == 1)
+    assert backend.reading_s(clock.now()) > 0.1
+    assert far.board.backends.backends["i-1"].load(clock.now()) == 0
+
+
+def test_an_agent_that_reports_is_told_what_its_engine_should_hold(fleet):
+    entry = fleet.add("127.0.0.1")
+    catalogue = entry.board.catalogue
+    catalogue.configure(configuration(7), clock.now())
+    catalogue.name_weights("m", 3, clock.now() - 2.0)
+    entry.board.backends.follow([ENGINE])
+    heard = []
+    agent = DatagramPort("127.0.0.9", fleet.port, lambda data, _: heard.append(data))
+    agent.start()
+    news = schema.EngineNews(
+        address="127.0.0.9:1",
+        born_ms=1,
+        model="m",
+        version=2,
+        switching=False,
+        running=3,
+        waiting=0,
+        pace=1.0,
+        failure_domain="a",
+        host="127.0.0.9",
+        closes_in_ms=500,
+    )
+    agent.send("127.0.0.1", engine=news)
+    until(lambda: heard)
+    advice = heard[0].advice
+    assert advice.weights == {"m": 3}
+    assert 1900 < advice.weights_age_ms["m"] < 4000
+    assert (advice.rank, advice.group_size) == (0, 1)
+    backend = entry.board.backends.backends["i-1"]
+    assert backend.holds("m", clock.now()) == 2
+    assert backend.closes_within(1.0, clock.now())
+
+
+def test_a_datagram_that_cannot_be_read_harms_no_other(fleet):
+    entry = fleet.add("127.0.0.1")
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.sendto(b"\xff" * 40, ("127.0.0.1", fleet.port))
+    other = fleet.add("127.0.0.2")
+    until(lambda: entry.board.peers.live(clock.now()))
+    assert other.board.peers.own_host == "127.0.0.2"
--- a/packages/primroselever-node/tests/rpc/test_client_pool.py
+++ b/packages/primroselever-node/tests/rpc/test_client_pool.py
@@ -9,6 +9,7 @@
     IDLE_CONNECTION_S,
     ClientPool,
     Connection,
+    LostReplyError,
 )
 from primroselever_node.rpc.schema import schema
 from primroselever_node.rpc.server import RpcServer
@@ -64,3 +65,18 @@
     pool = ClientPool(schema.Node)
 
     assert beat(pool, addresses[0]) is beat(pool, addresses[0])
+
+
+def test_a_call_is_made_anew_when_its_kept_connection_had_ended(
+    addresses: list[Address],
+) -> None:
+    pool = ClientPool(schema.Node)
+    kept = beat(pool, addresses[0])
+    kept.socket.sock.close()
+    news = schema.Heartbeat(vm_id="a-0")
+
+    with pytest.raises(LostReplyError):
+        pool.call(addresses[0], "heartbeat", news, timeout_s=5.0)
+    beat(pool, addresses[0]).socket.sock.close()
+    again = pool.call_again(addresses[0], "heartbeat", news, timeout_s=5.0)
+    assert again.vm_id == "a-0"
