--- a/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
@@ -15,6 +15,7 @@
     from ..catalogue.model import ListedServer
 
 REPORT_TRANSIT_S = 0.02  # between reading an engine's state and hearing of it
+REPORT_LATE_S = 0.8  # two reports of the slower kind, which come every 0.4 s
 REPORT_VALID_S = 1.5  # several reports of 0.2 s; after that the agent is taken as lost
 FIRST_EJECTION_S = 0.5  # below the shortest restart, so that a blip costs little
 LONGEST_EJECTION_S = 4.0  # servers that crash are back after some seconds
@@ -122,6 +123,10 @@
             return 1.0
         return max(1.0, report.pace)
 
+    def report_late(self, now: float) -> bool:
+        """Return whether an agent that reported has been silent for too long."""
+        return self.report is not None and now - self.report.heard_at > REPORT_LATE_S
+
     def load(self, now: float) -> float:
         """Return how many requests run or wait there, those of others included."""
         report = self.report
--- a/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
@@ -22,6 +22,9 @@
     from ..catalogue.model import EngineFigures
     from .backend import Backend
 
+# What is added for an engine whose agent fell silent: its VM may be dark, and it would
+# look ever more idle. Above the time of a connection that cannot be opened.
+SILENT_AGENT_S = 0.3
 CLOSING_S = 0.05  # what sending a long request to an engine that is to switch costs
 OTHER_DOMAIN_S = (
     0.04  # what a request to another domain must gain, for its bytes' price
@@ -137,6 +140,8 @@
         backend.pace(now),
         backend.reading_s(now),
     )
+    if backend.report_late(now):
+        due += SILENT_AGENT_S
     if backend.closes_within(due + answer_s(figures, load, wanted.answer_tokens), now):
         due += CLOSING_S
     if now < backend.marked_full_until:
--- a/packages/primroselever-core/tests/dispatch/test_choose.py
+++ b/packages/primroselever-core/tests/dispatch/test_choose.py
@@ -129,3 +129,12 @@
     full.refused(9.95)
     other.in_flight = 3
     assert choose([full, other], make_wanted(model=""), None).backend is other
+
+
+def test_an_engine_whose_agent_fell_silent_is_not_taken_for_idle(
+    make_backend, make_report, make_wanted, figures
+):
+    dark, busy = make_backend("dark"), make_backend("busy")
+    dark.reported(make_report(9.0, running=1))
+    busy.reported(make_report(10.0, running=7))
+    assert choose([dark, busy], make_wanted(), figures).backend is busy
