Close engines 1.6 s before their last pieces

Ruled out: ending running requests, which breaks streams off. Change: CLOSE_AHEAD_S 1.6 instead of 1.0; 0.1 s instead of 0.05 s keep long requests off engines that close within them.

--- a/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
@@ -25,7 +25,7 @@
 # What is added for an engine whose agent fell silent: its VM may be dark, and it would
 # look ever more idle. Above the time of a connection that cannot be opened.
 SILENT_AGENT_S = 0.3
-CLOSING_S = 0.05  # what sending a long request to an engine that is to switch costs
+CLOSING_S = 0.1  # what sending a long request to an engine that is to switch costs
 OTHER_DOMAIN_S = (
     0.04  # what a request to another domain must gain, for its bytes' price
 )
--- a/packages/primroselever-core/src/primroselever_core/filling/switching.py
+++ b/packages/primroselever-core/src/primroselever_core/filling/switching.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-CLOSE_AHEAD_S = 1.0  # the usual time in which a full batch ends most of its answers
+CLOSE_AHEAD_S = 1.6  # the usual time in which an engine ends most of what it runs
 BOUND_MARGIN_S = 0.7  # entries send nothing to old weights so long before the bound
 
 
