Tell all entries of requests that leave their domain, and other domains of changed loads

Ruled out: the prediction itself (own domain within 30 ms at the median). Change: a request to another domain is told to all live peers; an agent tells other domains within 0.2 s when its load changed by two. A back end beside who was cut off from the store is kept until its entry could return.

--- a/packages/primroselever-agent/src/primroselever_agent/direct/news.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/news.py
@@ -21,6 +21,9 @@
 READ_INTERVAL_S = 0.1  # an engine's pass takes some 50 ms
 OWN_DOMAIN_INTERVAL_S = 0.2  # entries place one or two requests a server in this time
 OTHER_DOMAIN_INTERVAL_S = 0.4  # bytes between failure domains cost
+LOAD_CHANGE = (
+    2  # requests; a change as large is told to other domains as soon as at home
+)
 STATE_VALID_S = 1.0
 
 logger = logging.getLogger(__name__)
@@ -47,6 +50,7 @@
         self.state_at = 0.0
         self.reachable = True
         self.sent_at: dict[str, float] = {}
+        self.sent_load: dict[str, int] = {}
         self.sent: tuple[Any, ...] = ()
         self.port = DatagramPort(host, port, self.receive)
 
@@ -126,12 +130,14 @@
         targets = {host: domain for host, (domain, _) in self.board.entries.items()}
         for seed in self.board.seeds:
             targets.setdefault(seed, "")
+        load = state.running + state.waiting
         for host, domain in targets.items():
-            interval = (
-                OWN_DOMAIN_INTERVAL_S if domain == own else OTHER_DOMAIN_INTERVAL_S
-            )
+            changed = abs(load - self.sent_load.get(host, 0)) >= LOAD_CHANGE
+            soon = domain == own or changed
+            interval = OWN_DOMAIN_INTERVAL_S if soon else OTHER_DOMAIN_INTERVAL_S
             if at_once or now - self.sent_at.get(host, 0.0) >= interval * 0.95:
                 self.sent_at[host] = now
+                self.sent_load[host] = load
                 self.port.send(host, engine=news)
 
     def receive(self, datagram: Any, _host: str) -> None:
--- a/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
@@ -18,6 +18,7 @@
     from .model import Configuration, ListedServer
 
 VERSIONS_REMEMBERED = 8  # of one model; the older ones bind since long
+OUTAGE_S = 3.5  # above the longest watch: the store was not heard for so long
 RETURN_GRACE_S = 2.0  # entries that lapsed while the store was away return within this
 
 
@@ -181,6 +182,9 @@
         for model, version in copy.weights.items():
             changed |= self.name_weights(model, version, now)
         if copy.store_revision > self.store_revision:
+            if self.heard_at is None or now - self.heard_at > OUTAGE_S:
+                # Back ends beside this process may have lapsed for the same reason.
+                self.store_returned(now)
             self.store_revision = copy.store_revision
             self.replace_servers(copy.servers, now)
             changed = True
--- a/packages/primroselever-core/tests/catalogue/test_catalogue.py
+++ b/packages/primroselever-core/tests/catalogue/test_catalogue.py
@@ -58,6 +58,7 @@
     ahead.store_revision = 10
     behind.list_server(make_server("b"))
     behind.store_revision = 9
+    behind.heard_at = 1.5
     assert behind.merge(ahead.copy(), 2.0)
     assert set(behind.servers) == {"a"}
     assert behind.configuration.revision == 4
@@ -94,3 +95,14 @@
     catalogue.name_weights("m", 2, 30.0)
     catalogue.weights["m"].peer_learned(3, 1.0)
     assert catalogue.weights["m"].learned_at == 30.0
+
+
+def test_who_was_cut_off_keeps_its_servers_until_they_could_return(make_server):
+    cut_off, other = Catalogue(), Catalogue()
+    cut_off.list_server(make_server("beside"))
+    cut_off.heard_at = 10.0
+    other.list_server(make_server("far"))
+    other.store_revision = 5
+    assert cut_off.merge(other.copy(), 20.0)
+    assert set(cut_off.servers) == {"beside", "far"}
+    assert cut_off.expire_lapsed(20.0 + RETURN_GRACE_S) == ["beside"]
--- a/packages/primroselever-node/src/primroselever_node/direct/gossip.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/gossip.py
@@ -56,6 +56,7 @@
         self.pool = ClientPool(schema.DirectPeer)
         self.pulling = False
         self.sent_requests: list[Any] = []
+        self.sent_far = False
         self.advised: dict[str, tuple[float, Any]] = {}
         self.agents_heard: dict[str, float] = {}
 
@@ -114,7 +115,16 @@
             self.hear_sent(datagram.sent)
 
     def note_sent(self, address: Address, prompt_tokens: int) -> None:
-        """Tell the entries of the own failure domain of a request, with others."""
+        """
+        Tell others of a request: the own failure domain, or all if it left the domain.
+
+        A server of another domain with room is seen by all domains at once; who does
+        not hear of the others' requests would send it as many again.
+        """
+        backend = self.board.backends.by_address.get(address)
+        own = self.board.identity.failure_domain
+        if backend is not None and backend.listed.failure_domain != own:
+            self.sent_far = True
         sent = schema.Sent(f"{address[0]}:{address[1]}", prompt_tokens)
         self.sent_requests.append(sent)
         if len(self.sent_requests) == 1:
@@ -123,10 +133,11 @@
     def tell_sent(self) -> None:
         """Send what was noted since the last time."""
         requests, self.sent_requests = self.sent_requests, []
+        far, self.sent_far = self.sent_far, False
         news = schema.SentNews(requests[-SENT_IN_ONE_DATAGRAM:])
         now = clock.now()
         for peer in self.board.peers.live(now):
-            if peer.failure_domain == self.board.identity.failure_domain:
+            if far or peer.failure_domain == self.board.identity.failure_domain:
                 self.port.send(peer.host, sent=news)
 
     def hear_sent(self, news: Any) -> None:
--- a/packages/primroselever-node/tests/direct/test_gossip.py
+++ b/packages/primroselever-node/tests/direct/test_gossip.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from dataclasses import replace
 from types import SimpleNamespace
 
 import eventlet
@@ -125,6 +126,19 @@
     assert far.board.backends.backends["i-1"].load(clock.now()) == 0
 
 
+def test_what_leaves_its_domain_counts_at_all_entries(fleet):
+    one, near = fleet.add("127.0.0.1"), fleet.add("127.0.0.2")
+    far, other = fleet.add("127.0.0.3", "b"), fleet.add("127.0.0.4", "c")
+    for entry in (one, near, far, other):
+        entry.board.catalogue.configure(configuration(7), clock.now())
+        entry.board.backends.follow([replace(ENGINE, failure_domain="b")])
+    until(lambda: len(one.board.peers.live(clock.now())) == 3)
+    one.note_sent(ENGINE.address, 2000)
+    for entry in (near, far, other):
+        backend = entry.board.backends.backends["i-1"]
+        until(lambda backend=backend: backend.load(clock.now()) == 1)
+
+
 def test_an_agent_that_reports_is_told_what_its_engine_should_hold(fleet):
     entry = fleet.add("127.0.0.1")
     catalogue = entry.board.catalogue
