--- a/packages/primroselever-agent/src/primroselever_agent/direct/process.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/process.py
@@ -7,6 +7,7 @@
 from primroselever_core.filling.section import FillingBoard
 from primroselever_node.admin import AdminApplication
 from primroselever_node.direct.process import direct_identity, explain_nothing
+from primroselever_node.direct.reload import SettingsReloader
 from primroselever_node.http import HttpServer
 from primroselever_node.logs import log_decision
 from primroselever_node.process import ShutdownSignal, exit_code
@@ -15,6 +16,8 @@
 from .news import NewsController
 
 if TYPE_CHECKING:
+    from pathlib import Path
+
     from primroselever_node.direct.sources import ModelServer
 
     from .settings import DirectAgentSettings
@@ -23,8 +26,14 @@
 class DirectAgentProcess:
     """A running agent; ``server`` is the engine beside it."""
 
-    def __init__(self, settings: DirectAgentSettings, server: ModelServer) -> None:
+    def __init__(
+        self,
+        settings: DirectAgentSettings,
+        server: ModelServer,
+        settings_path: Path | None = None,
+    ) -> None:
         self.settings = settings
+        self.reloader = SettingsReloader(settings_path, settings, self.reload)
         self.board = FillingBoard(
             direct_identity(settings), tuple(host for host, _port in settings.seeds)
         )
@@ -51,12 +60,19 @@
         self.news.start()
         self.filling.start()
         self.admin.start()
+        self.reloader.start()
         log_decision("process", self.settings.vm_id, "started", "all parts run")
         stop.wait()
         self.board.leaving = True
         log_decision("process", self.settings.vm_id, "stopping", "told to stop")
         return exit_code(True)
 
+    def reload(self, settings: DirectAgentSettings) -> None:
+        """Put new settings in force, those of addresses aside."""
+        self.settings = settings
+        self.board.seeds = tuple(host for host, _port in settings.seeds)
+        self.news.weights_within_s = settings.weights_within_s
+
     def status(self) -> dict[str, Any]:
         """Return what this agent knows."""
         state, staging = self.news.state, self.board.staging
--- a/packages/primroselever-entry/src/primroselever_entry/direct/process.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/process.py
@@ -20,6 +20,7 @@
 from primroselever_node.direct.peer_handler import DirectPeerHandler
 from primroselever_node.direct.pieces import PieceKeeper
 from primroselever_node.direct.process import direct_identity, explain_nothing
+from primroselever_node.direct.reload import SettingsReloader
 from primroselever_node.direct.schema import schema
 from primroselever_node.direct.sources import CataloguePart
 from primroselever_node.http import HttpServer
@@ -33,6 +34,8 @@
 from .settings import END_MARGIN_S
 
 if TYPE_CHECKING:
+    from pathlib import Path
+
     from primroselever_node.direct.sources import CatalogueSource, WeightSource
 
     from .header_names import HeaderNames
@@ -40,6 +43,7 @@
 
 DEFAULT_LIMITS = CallerLimits(16384, 1 << 20, 3.0, 15.0)  # until a configuration comes
 POOL_SWEEP_S = 1.0
+STARTING_S = 1.0  # the interpreter and imports take some 0.5 s before the clock is read
 LAST_ANSWERS_S = 0.3  # the last bytes still have to leave
 
 logger = logging.getLogger(__name__)
@@ -54,8 +58,10 @@
         catalogue_source: CatalogueSource,
         weight_source: WeightSource,
         names: HeaderNames,
+        settings_path: Path | None = None,
     ) -> None:
         self.settings = settings
+        self.reloader = SettingsReloader(settings_path, settings, self.reload)
         identity = direct_identity(settings)
         seeds = tuple(host for host, _port in settings.seeds)
         self.board = DirectBoard(
@@ -73,14 +79,11 @@
             settings.control[1],
             self.catalogue_changed,
         )
-        retries = RetryLimits(
-            settings.retry_ratio, settings.retry_slack, settings.retry_window_s
-        )
         self.flow = DirectFlow(
             self.board,
             self.pool,
             names,
-            FlowLimits(settings.weights_within_s, retries),
+            flow_limits(settings),
             FlowInstruments(),
             Random(),
             self.gossip.note_sent,
@@ -110,12 +113,21 @@
         self.readiness.start()
         self.admin.start()
         self.callers.start()
+        self.reloader.start()
         eventlet.spawn(self.sweep)
         log_decision("process", self.settings.vm_id, "started", "all parts run")
         stop.wait()
         log_decision("process", self.settings.vm_id, "stopping", "told to stop")
         return exit_code(self.shut_down())
 
+    def reload(self, settings: DirectEntrySettings) -> None:
+        """Put new settings in force, those of addresses aside."""
+        self.settings = settings
+        self.board.peers.seeds = tuple(host for host, _port in settings.seeds)
+        self.flow.limits = flow_limits(settings)
+        for share in self.flow.retry_shares.values():
+            share.limits = self.flow.limits.retries
+
     def shut_down(self) -> bool:
         """Let the balancer turn away, answer what came, then end."""
         deadline = clock.now() + self.settings.shutdown_s - END_MARGIN_S
@@ -153,9 +165,9 @@
                 and clock.now() - self.started_at < self.settings.contact_s
             ):
                 # It may have been named long before this process started, and binds
-                # it once it counts as in touch.
-                learned_at = clock.now() - self.settings.weights_within_s
-                named.assume_learned(learned_at + self.settings.contact_s)
+                # it soon; peers say how old it is.
+                learned_at = self.started_at - self.settings.weights_within_s
+                named.assume_learned(learned_at + self.settings.contact_s - STARTING_S)
             self.keeper.prefetch(model, named.version)
 
     def not_ready(self) -> str | None:
@@ -200,3 +212,11 @@
         while True:
             eventlet.sleep(POOL_SWEEP_S)
             self.pool.keep_only(self.board.backends.backends.keys())
+
+
+def flow_limits(settings: DirectEntrySettings) -> FlowLimits:
+    """Return the limits of the request flow that settings hold."""
+    retries = RetryLimits(
+        settings.retry_ratio, settings.retry_slack, settings.retry_window_s
+    )
+    return FlowLimits(settings.weights_within_s, retries)
--- a/packages/primroselever-node/src/primroselever_node/console/serve.py
+++ b/packages/primroselever-node/src/primroselever_node/console/serve.py
@@ -23,6 +23,7 @@
     help = "run the process until it is told to stop"
     binary: ClassVar[str]
     settings_model: ClassVar[type[ProcessSettings]]
+    settings_path: Path | None = None
 
     def configure(self, parser: ArgumentParser) -> None:
         """Add the path of the settings."""
@@ -30,6 +31,7 @@
 
     def handle(self, arguments: Namespace) -> int:
         """Run until SIGTERM; return the exit code."""
+        self.settings_path = arguments.settings
         settings = load_settings(arguments.settings, self.settings_model)
         set_up_logging(settings.vm_id, settings.log_level)
         set_up_metrics(self.binary, settings.vm_id)
