Learn from peers when each version was named, not only the newest

Ruled out: stepping clocks; deadlines are on the steady clock. Change: heartbeats carry the ages of all versions that are remembered.

--- a/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
@@ -71,12 +71,22 @@
         self.history[-1] = NamedVersion(self.version, learned_at, assumed=True)
 
     def peer_learned(self, version: int, learned_at: float) -> None:
-        """Take in when a peer learned of a version; the first to learn it counts."""
+        """
+        Take in when a peer learned of a version; the first to learn it counts.
+
+        A process that started late learns that way of versions before the newest, whose
+        bounds hold as well.
+        """
+        if version > self.version:
+            return
         for index, known in enumerate(self.history):
-            if known.version != version:
-                continue
-            if known.assumed or learned_at < known.learned_at:
-                self.history[index] = NamedVersion(version, learned_at)
+            if known.version == version:
+                if known.assumed or learned_at < known.learned_at:
+                    self.history[index] = NamedVersion(version, learned_at)
+                return
+        self.history.append(NamedVersion(version, learned_at))
+        self.history.sort(key=lambda known: known.version)
+        del self.history[:-VERSIONS_REMEMBERED]
 
     def bound_since(self, learned_before: float) -> int:
         """Return the newest version that was learned by then, 0 for none."""
--- a/packages/primroselever-core/tests/catalogue/test_catalogue.py
+++ b/packages/primroselever-core/tests/catalogue/test_catalogue.py
@@ -106,3 +106,14 @@
     assert cut_off.merge(other.copy(), 20.0)
     assert set(cut_off.servers) == {"beside", "far"}
     assert cut_off.expire_lapsed(20.0 + RETURN_GRACE_S) == ["beside"]
+
+
+def test_the_bounds_of_versions_before_the_newest_are_learned_from_a_peer():
+    catalogue = Catalogue()
+    catalogue.name_weights("m", 3, 10.5)
+    named = catalogue.weights["m"]
+    named.peer_learned(3, 8.0)
+    named.peer_learned(2, 6.0)
+    assert named.bound_since(6.0) == 2
+    assert named.bound_since(8.0) == 3
+    assert named.version == 3
--- a/packages/primroselever-node/src/primroselever_node/direct/direct.thrift
+++ b/packages/primroselever-node/src/primroselever_node/direct/direct.thrift
@@ -7,7 +7,7 @@
 
 /*
  * peers maps the addresses of other entries to their failure domains; weights_age_ms
- * says how long ago each version of weights was learned, where that is known.
+ * says how long ago each version of a model was learned, where that is known.
  */
 struct EntryNews {
   1: string host,
@@ -19,7 +19,7 @@
   7: i64 store_age_ms,
   8: map<string, i32> weights,
   9: map<string, string> peers,
-  10: map<string, i32> weights_age_ms,
+  10: map<string, map<i32, i32>> weights_age_ms,
 }
 
 /*
--- a/packages/primroselever-node/src/primroselever_node/direct/gossip.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/gossip.py
@@ -99,9 +99,12 @@
             weights={m: named.version for m, named in catalogue.weights.items()},
             peers=self.board.peers.named(now),
             weights_age_ms={
-                model: int((now - named.learned_at) * 1000)
+                model: {
+                    known.version: int((now - known.learned_at) * 1000)
+                    for known in named.history
+                    if not known.assumed
+                }
                 for model, named in catalogue.weights.items()
-                if not named.newest.assumed
             },
         )
 
@@ -171,10 +174,10 @@
         peer.store_age_s = float("inf") if age_ms < 0 else age_ms / 1000
         peer.weights = dict(news.weights or {})
         peers.learn(news.peers or {}, now)
-        for model, age_ms in (news.weights_age_ms or {}).items():
+        for model, ages_ms in (news.weights_age_ms or {}).items():
             named = self.board.catalogue.weights.get(model)
-            if named is not None:
-                named.peer_learned(peer.weights.get(model, 0), now - age_ms / 1000)
+            for version, age_ms in ages_ms.items() if named else ():
+                named.peer_learned(version, now - age_ms / 1000)
         if not self.pulling and self.knows_more(peer):
             self.pulling = True
             eventlet.spawn(self.pull, peer)
--- a/packages/primroselever-node/tests/direct/test_gossip.py
+++ b/packages/primroselever-node/tests/direct/test_gossip.py
@@ -93,6 +93,7 @@
 def test_who_cannot_reach_the_store_gets_the_catalogue_from_a_peer(fleet):
     ahead, behind = fleet.add("127.0.0.1"), fleet.add("127.0.0.2")
     ahead.board.catalogue.configure(configuration(7), clock.now())
+    ahead.board.catalogue.name_weights("m", 2, clock.now() - 7.0)
     ahead.board.catalogue.name_weights("m", 3, clock.now() - 5.0)
     ahead.board.catalogue.list_server(ENGINE)
     ahead.board.catalogue.store_revision = 40
@@ -102,6 +103,7 @@
     assert catalogue.servers == {"i-1": ENGINE}
     assert len(fleet.changes["127.0.0.2"]) == 2
     until(lambda: clock.now() - catalogue.weights["m"].learned_at > 4.9)
+    until(lambda: catalogue.weights["m"].bound_since(clock.now() - 6.9) == 2)
 
 
 def test_nobody_takes_an_older_configuration(fleet):
