--- a/packages/primroselever-node/src/primroselever_node/direct/gossip.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/gossip.py
@@ -176,8 +176,9 @@
         peers.learn(news.peers or {}, now)
         for model, ages_ms in (news.weights_age_ms or {}).items():
             named = self.board.catalogue.weights.get(model)
-            for version, age_ms in ages_ms.items() if named else ():
-                named.peer_learned(version, now - age_ms / 1000)
+            if named is not None:
+                for version, age_ms in ages_ms.items():
+                    named.peer_learned(version, now - age_ms / 1000)
         if not self.pulling and self.knows_more(peer):
             self.pulling = True
             eventlet.spawn(self.pull, peer)
