Refuse by one bound for all kinds of a service; drop what nothing reads

Ruled out: priorities; all three kinds have the same. Change: the shortest objective of a service's routes decides on refusal; unused fields and functions are removed, loops use run_controller.

--- a/packages/primroselever-agent/src/primroselever_agent/direct/news.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/news.py
@@ -2,17 +2,15 @@
 
 from __future__ import annotations
 
-import logging
 from typing import TYPE_CHECKING, Any
 
-import eventlet
-
 from primroselever_core.filling.section import WantedWeights
 from primroselever_node import clock
 from primroselever_node.direct.datagrams import DatagramPort
 from primroselever_node.direct.schema import schema
 from primroselever_node.direct.sources import EngineState, SourceError
 from primroselever_node.logs import log_decision
+from primroselever_node.process import run_controller
 
 if TYPE_CHECKING:
     from primroselever_core.filling.section import FillingBoard
@@ -24,9 +22,6 @@
 LOAD_CHANGE = (
     2  # requests; a change as large is told to other domains as soon as at home
 )
-STATE_VALID_S = 1.0
-
-logger = logging.getLogger(__name__)
 
 
 class NewsController:
@@ -47,7 +42,6 @@
         self.host = host
         self.weights_within_s = weights_within_s
         self.state: EngineState | None = None
-        self.state_at = 0.0
         self.reachable = True
         self.sent_at: dict[str, float] = {}
         self.sent_load: dict[str, int] = {}
@@ -57,17 +51,12 @@
     def start(self) -> None:
         """Receive and report in greenlets of their own."""
         self.port.start()
-        eventlet.spawn(self.run)
+        run_controller(self.step, READ_INTERVAL_S)
 
-    def run(self) -> None:
-        """Read the engine's state and report it for good."""
-        while True:
-            try:
-                self.read_state()
-                self.report()
-            except Exception:
-                logger.exception("a report failed")
-            eventlet.sleep(READ_INTERVAL_S)
+    def step(self) -> None:
+        """Read the engine's state and report it."""
+        self.read_state()
+        self.report()
 
     def read_state(self) -> None:
         """Read the engine's state; a lost or regained engine is logged."""
@@ -85,7 +74,7 @@
             )
         self.reachable = True
         before = self.state
-        self.state, self.state_at = state, clock.now()
+        self.state = state
         if before is None or (before.born_ms, before.version) != (
             state.born_ms,
             state.version,
--- a/packages/primroselever-core/src/primroselever_core/catalogue/routes.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/routes.py
@@ -16,6 +16,8 @@
     """
     Routes by host, services by name and workspaces by key.
 
+    ``objectives`` holds the shortest objective among the routes of each service, s.
+
         >>> RouteTable().match("prints.example", "/orders/7") is None
         True
     """
@@ -23,6 +25,7 @@
     routes: dict[str, list[Route]] = field(default_factory=dict)
     services: dict[str, Service] = field(default_factory=dict)
     workspaces: dict[str, Workspace] | None = None
+    objectives: dict[str, float] = field(default_factory=dict)
 
     @classmethod
     def of(cls, configuration: Configuration) -> RouteTable:
@@ -32,6 +35,10 @@
             table.routes.setdefault(route.host.lower(), []).append(route)
         for routes in table.routes.values():
             routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+        for route in configuration.routes:
+            for entry in route.services:
+                known_s = table.objectives.get(entry.service, route.objective_s)
+                table.objectives[entry.service] = min(known_s, route.objective_s)
         table.services = {service.name: service for service in configuration.services}
         if configuration.workspaces is not None:
             table.workspaces = {
--- a/packages/primroselever-core/src/primroselever_core/gossip/peers.py
+++ b/packages/primroselever-core/src/primroselever_core/gossip/peers.py
@@ -16,7 +16,7 @@
 from ..rendezvous import best
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Mapping
 
 SILENT_S = 1.5  # three heartbeats of 0.5 s
 FORGET_S = 20.0  # the platform's restarts and cuts end within this
@@ -111,8 +111,3 @@
         if failure_domain == self.own_domain:
             hosts.append(self.own_host)
         return hosts
-
-
-def freshest(peers: Iterable[Peer]) -> Peer | None:
-    """Return the peer that heard the store last, or None."""
-    return min(peers, key=lambda peer: peer.store_age_s, default=None)
--- a/packages/primroselever-core/tests/catalogue/test_routes.py
+++ b/packages/primroselever-core/tests/catalogue/test_routes.py
@@ -34,3 +34,17 @@
     )
     drawn = [pick_service(split, random) for random in map(Random, range(300))]
     assert 5 < drawn.count("b") < 80
+
+
+def test_a_service_has_the_shortest_objective_of_its_routes(
+    make_configuration, make_route
+):
+    table = RouteTable.of(
+        make_configuration(
+            1,
+            make_route("long", "/a/", "engine", objective_s=0.4),
+            make_route("short", "/b/", "engine", objective_s=0.3),
+            make_route("other", "/c/", "plain", objective_s=0.1),
+        )
+    )
+    assert table.objectives == {"engine": 0.3, "plain": 0.1}
--- a/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
@@ -57,7 +57,6 @@
         )
         self.answering = False
         self.left = False
-        self.left_at: float | None = None
         self.on_leave: Callable[[], None] | None = None
         self.started_at = 0.0
         self.request_id = b""
@@ -219,7 +218,6 @@
     def caller_left(self) -> None:
         """Take in that nobody waits for the answer any more."""
         self.left = True
-        self.left_at = clock.now()
         if self.on_leave is not None:
             self.on_leave()
 
@@ -269,13 +267,6 @@
         except OSError:
             return  # the caller ended it first
 
-    @property
-    def head_sent(self) -> bool:
-        """Return whether an answer to the present request has begun."""
-        return self.protocol.our_state is not h11.SEND_RESPONSE and (
-            self.protocol.our_state is not h11.IDLE
-        )
-
     def problem(
         self, status: int, detail: str, retry_after_s: float | None = None
     ) -> None:
@@ -348,7 +339,6 @@
         self.socket = listen(*address)
         self.connections: set[CallerConnection] = set()
         self.in_flight = 0
-        self.accepted = 0
         self.closing = False
 
     def start(self) -> None:
@@ -364,7 +354,6 @@
                 logger.warning("a caller was not accepted", extra={"error": str(exc)})
                 eventlet.sleep(0.05)
                 continue
-            self.accepted += 1
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.setsockopt(
                 socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -80,7 +80,6 @@
     first_event_at: float | None = None
     last_event_at: float = 0.0
     longest_gap_s: float = 0.0
-    status: int = 0
 
 
 class DirectFlow:
@@ -145,7 +144,10 @@
         timeout_at = request.received_at + route.timeout_s
         deadline = min(timeout_at, request.deadline or timeout_at)
         elapsed_s = self.elapsed_before(route, request)
-        objective_at = request.received_at + route.objective_s - elapsed_s
+        # One bound for all kinds of a service: if each kind had its own, the queue would
+        # grow to the longest, and the kind with the shortest would be refused alone.
+        objective_s = catalogue.routes.objectives.get(service, route.objective_s)
+        objective_at = request.received_at + objective_s - elapsed_s
         self.retry_share(service).request(clock.now())
         return RequestState(
             request,
--- a/packages/primroselever-entry/src/primroselever_entry/direct/header_names.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/header_names.py
@@ -12,7 +12,7 @@
 
     ``remaining_ms`` holds the milliseconds that are left, ``token_counts`` the prompt's
     tokens and the most that the answer may have, ``engine_chain`` the engines that a
-    request passes through, ``integrity_seal`` a back end's proof of its answer.
+    request passes through.
     """
 
     request_id: bytes
@@ -22,16 +22,12 @@
     resume_after: bytes
     model: bytes
     token_counts: bytes
-    prompt_parts: bytes
-    answer_length_hint: bytes
     workspace: bytes
     expected_server: bytes
     expected_weights: bytes
     urgency: bytes
     engine_chain: bytes
     not_run: bytes
-    answering_server: bytes
-    integrity_seal: bytes
 
     def set_by_entry(self) -> frozenset[bytes]:
         """Return the headers that callers cannot set, in lower case."""
--- a/packages/primroselever-entry/src/primroselever_entry/direct/process.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/process.py
@@ -195,6 +195,8 @@
             if catalogue.heard_at is None
             else round(now - catalogue.heard_at, 3),
             "weights": {m: n.version for m, n in catalogue.weights.items()},
+            "connections_opened": self.pool.opened,
+            "origin_bytes": self.keeper.origin_bytes,
             "peers": sorted(peer.host for peer in self.board.peers.live(now)),
             "back_ends": {
                 name: {
--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -241,7 +241,6 @@
             headers.append((b"Content-Length", length))
         self.caller.send_head(head.status_code, headers)
         state.head_forwarded = True
-        state.status = head.status_code
 
     def keep(self, connection: HttpConnection, head: h11.Response) -> None:
         """Give the connection back to the pool."""
--- a/packages/primroselever-entry/tests/direct/conftest.py
+++ b/packages/primroselever-entry/tests/direct/conftest.py
@@ -37,16 +37,12 @@
     resume_after=b"x-after",
     model=b"x-model",
     token_counts=b"x-tokens",
-    prompt_parts=b"x-parts",
-    answer_length_hint=b"x-hint",
     workspace=b"X-Workspace",
     expected_server=b"X-Expect",
     expected_weights=b"X-Weights",
     urgency=b"X-Urgency",
     engine_chain=b"x-chain",
     not_run=b"x-not-run",
-    answering_server=b"x-server",
-    integrity_seal=b"x-seal",
 )
 LIMITS = CallerLimits(4096, 10_000, 0.3, 0.5)
 RESET, HANG, CLOSE = b"<reset>", b"<hang>", b"<close>"
--- a/packages/primroselever-entry/tests/direct/test_flow.py
+++ b/packages/primroselever-entry/tests/direct/test_flow.py
@@ -2,10 +2,24 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import eventlet
 import pytest
 
-from .conftest import CLOSE, HANG, RESET, chunk, ok, refused, request, stream_head
+from primroselever_core.catalogue.model import RouteKind
+
+from .conftest import (
+    CLOSE,
+    HANG,
+    RESET,
+    chunk,
+    make_route,
+    ok,
+    refused,
+    request,
+    stream_head,
+)
 
 EVENTS = [b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n", b"id: 3\ndata: c\n\n"]
 
@@ -194,3 +208,18 @@
     answer = entry.ask("/ask/x", method="POST", body=b"p", headers=headers)
     assert answer.startswith(b"HTTP/1.1 503")
     assert backend.requests == []
+
+
+def test_under_overload_no_kind_is_refused_for_its_objective_alone(entry):
+    """Sustained overload with kinds of different objectives on one service."""
+    configuration = entry.board.catalogue.configuration
+    short = make_route(RouteKind.STREAMING, "quick", objective_s=0.3)
+    entry.board.catalogue.configure(
+        replace(configuration, revision=2, routes=(*configuration.routes, short)), 2.0
+    )
+    backend = entry.add("a", "engine")
+    entry.board.backends.backends["a"].in_flight = 8
+    for path in ("/ask/x", "/quick/x"):
+        answer = entry.ask(path, method="POST", body=b"p", headers=["x-model: m"])
+        assert answer.startswith(b"HTTP/1.1 503")
+    assert backend.requests == []
--- a/packages/primroselever-node/src/primroselever_node/direct/gossip.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/gossip.py
@@ -13,6 +13,7 @@
 
 from .. import clock
 from ..logs import log_decision
+from ..process import run_controller
 from ..rpc.client_pool import ClientPool, LostReplyError, NeverSentError
 from .datagrams import DatagramPort
 from .peer_handler import copies
@@ -63,16 +64,7 @@
     def start(self) -> None:
         """Send and receive in greenlets of their own."""
         self.port.start()
-        eventlet.spawn(self.run)
-
-    def run(self) -> None:
-        """Send heartbeats for good."""
-        while True:
-            try:
-                self.beat()
-            except Exception:
-                logger.exception("a heartbeat failed")
-            eventlet.sleep(HEARTBEAT_S)
+        run_controller(self.beat, HEARTBEAT_S)
 
     def beat(self) -> None:
         """Send one heartbeat to each entry that is greeted."""
