--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -144,8 +144,8 @@
         timeout_at = request.received_at + route.timeout_s
         deadline = min(timeout_at, request.deadline or timeout_at)
         elapsed_s = self.elapsed_before(route, request)
-        # One bound for all kinds of a service: if each kind had its own, the queue would
-        # grow to the longest, and the kind with the shortest would be refused alone.
+        # One bound for all kinds of a service: with a bound for each, the queue would
+        # grow to the longest and the kind with the shortest would be refused alone.
         objective_s = catalogue.routes.objectives.get(service, route.objective_s)
         objective_at = request.received_at + objective_s - elapsed_s
         self.retry_share(service).request(clock.now())
