--- a/packages/primroselever-entry/src/primroselever_entry/direct/process.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/process.py
@@ -19,7 +19,7 @@
 from primroselever_node.direct.gossip import GossipController
 from primroselever_node.direct.peer_handler import DirectPeerHandler
 from primroselever_node.direct.pieces import PieceKeeper
-from primroselever_node.direct.process import direct_identity, explain_nothing
+from primroselever_node.direct.process import direct_identity
 from primroselever_node.direct.reload import SettingsReloader
 from primroselever_node.direct.schema import schema
 from primroselever_node.direct.sources import CataloguePart
@@ -29,6 +29,7 @@
 from primroselever_node.rpc.server import RpcServer
 
 from .caller_connection import CallerServer
+from .explain import DispatchExplainer
 from .flow import DirectFlow, FlowLimits
 from .instruments import FlowInstruments
 from .settings import END_MARGIN_S
@@ -97,7 +98,11 @@
             DirectPeerHandler(self.board, self.keeper),
             *settings.control,
         )
-        application = AdminApplication(self.not_ready, self.status, explain_nothing)
+        application = AdminApplication(
+            self.not_ready,
+            self.status,
+            DispatchExplainer(self.board, self.flow).explain,
+        )
         application.readiness_path = settings.readiness_path
         self.readiness = HttpServer(application, *settings.readiness)
         self.admin = HttpServer(application, settings.host, settings.admin_port)
--- a/packages/primroselever-node/tests/test_logs.py
+++ b/packages/primroselever-node/tests/test_logs.py
@@ -1,8 +1,18 @@
 from __future__ import annotations
 
+import json
 import logging
+import os
+import select
 
-from primroselever_node.logs import REPEAT_INTERVAL_S, RepeatLimit
+from pythonjsonlogger.json import JsonFormatter
+
+from primroselever_node.logs import (
+    LINES_BURST,
+    REPEAT_INTERVAL_S,
+    BoundedHandler,
+    RepeatLimit,
+)
 
 
 def record(text: str, number: int, level: int = logging.WARNING) -> logging.LogRecord:
@@ -29,3 +39,46 @@
 
     assert limit.filter(record("another %d", 1))
     assert all(limit.filter(record("route", n, logging.INFO)) for n in range(100))
+
+
+def lines_of(descriptor: int) -> list[dict[str, object]]:
+    data = b""
+    while select.select([descriptor], [], [], 0)[0]:
+        data += os.read(descriptor, 1 << 16)
+    return [json.loads(line) for line in data.splitlines()]
+
+
+def handler_on(descriptor: int, now: list[float]) -> BoundedHandler:
+    handler = BoundedHandler(descriptor, lambda: now[0])
+    handler.setFormatter(JsonFormatter("{message}", style="{"))
+    return handler
+
+
+def test_lines_beyond_the_rate_are_left_out_and_counted() -> None:
+    reader, writer = os.pipe()
+    now = [0.0]
+    handler = handler_on(writer, now)
+    sent = int(LINES_BURST) + 50
+    written: list[dict[str, object]] = []
+    for number in range(sent):
+        handler.emit(record("route %d", number, logging.INFO))
+        if number % 100 == 0:
+            written += lines_of(reader)
+    now[0] = 1.0
+    handler.emit(record("later %d", 1, logging.INFO))
+    written += lines_of(reader)
+    assert len(written) == int(LINES_BURST) + 1
+    assert written[-1]["left_out"] == 50
+
+
+def test_a_reader_that_does_not_read_holds_nothing_up() -> None:
+    reader, writer = os.pipe()
+    now = [0.0]
+    handler = handler_on(writer, now)
+    for number in range(5000):
+        now[0] += 1.0
+        handler.emit(record("x" * 200 + " %d", number, logging.INFO))
+    assert handler.left_out > 1000
+    lines_of(reader)
+    handler.emit(record("again %d", 1, logging.INFO))
+    assert lines_of(reader)[-1]["left_out"]
