Take no earlier word on a back end for a later one, keep resent streams off the bound

Ruled out: slow news (the store's word was heard 15 ms after its ack). Change: each entry of a back end carries the store's revision, and an earlier one changes nothing; what is sent again keeps 2.5 s off the bound instead of 0.7 s.

--- a/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from .model import Configuration, ListedServer
 
+REMOVED_REMEMBERED = 512  # words that overtake each other are seconds apart
 VERSIONS_REMEMBERED = 8  # of one model; the older ones bind since long
 OUTAGE_S = 3.5  # above the longest watch: the store was not heard for so long
 RETURN_GRACE_S = 2.0  # entries that lapsed while the store was away return within this
@@ -105,7 +106,7 @@
 
     ``heard_at`` is when the store was last heard, by whatever way. ``lapsed`` maps
     back ends whose entries vanished while the store was away to the deadline after
-    which they count as gone.
+    which they count as gone; ``removed`` holds at which revision others went.
     """
 
     store_revision: int = 0
@@ -115,6 +116,7 @@
     weights: dict[str, NamedWeights] = field(default_factory=dict)
     servers: dict[str, ListedServer] = field(default_factory=dict)
     lapsed: dict[str, float] = field(default_factory=dict)
+    removed: dict[str, int] = field(default_factory=dict)
     heard_at: float | None = None
     lapse_grace_until: float = 0.0
 
@@ -140,35 +142,53 @@
         return True
 
     def list_server(self, server: ListedServer) -> bool:
-        """Take in the entry of a back end; return whether it changed anything."""
+        """
+        Take in the entry of a back end; return whether it changed anything.
+
+        Words come by several ways and overtake each other: an earlier one than what
+        is known of the same back end changes nothing.
+        """
+        known = self.servers.get(server.server_id)
+        last = known.revision if known else self.removed.get(server.server_id, 0)
+        if server.revision < last:
+            return False
         self.lapsed.pop(server.server_id, None)
-        if self.servers.get(server.server_id) == server:
+        if known == server:
             return False
+        self.removed.pop(server.server_id, None)
         self.servers[server.server_id] = server
         return True
 
-    def remove_server(self, server_id: str, now: float) -> bool:
+    def remove_server(self, server_id: str, revision: int, now: float) -> bool:
         """
         Take in that an entry vanished; return whether the back end is gone now.
 
         Right after an outage of the store an entry may have lapsed although its
         back end lives, so that it is kept for a moment.
         """
-        if server_id not in self.servers:
+        known = self.servers.get(server_id)
+        if known is None or known.revision > revision:
             return False
         if now < self.lapse_grace_until:
             self.lapsed.setdefault(server_id, self.lapse_grace_until)
             return False
-        del self.servers[server_id]
-        self.lapsed.pop(server_id, None)
+        self.drop_server(server_id, revision)
         return True
 
+    def drop_server(self, server_id: str, revision: int) -> None:
+        """Forget a back end, but not at which revision it had gone."""
+        self.servers.pop(server_id, None)
+        self.lapsed.pop(server_id, None)
+        self.removed[server_id] = revision
+        while len(self.removed) > REMOVED_REMEMBERED:
+            del self.removed[next(iter(self.removed))]
+
     def expire_lapsed(self, now: float) -> list[str]:
         """Remove the back ends whose entries did not come back; return them."""
         expired = [name for name, until in self.lapsed.items() if now >= until]
         for server_id in expired:
-            del self.lapsed[server_id]
-            self.servers.pop(server_id, None)
+            known = self.servers.get(server_id)
+            self.drop_server(server_id, known.revision if known else 0)
         return expired
 
     def store_returned(self, now: float) -> None:
@@ -196,13 +216,15 @@
                 # Back ends beside this process may have lapsed for the same reason.
                 self.store_returned(now)
             self.store_revision = copy.store_revision
-            self.replace_servers(copy.servers, now)
+            self.replace_servers(copy.servers, copy.store_revision, now)
             changed = True
         return changed
 
-    def replace_servers(self, servers: dict[str, ListedServer], now: float) -> None:
-        """Take in the whole list of back ends."""
+    def replace_servers(
+        self, servers: dict[str, ListedServer], revision: int, now: float
+    ) -> None:
+        """Take in the whole list of back ends as of a revision."""
         for server in servers.values():
             self.list_server(server)
         for server_id in [name for name in self.servers if name not in servers]:
-            self.remove_server(server_id, now)
+            self.remove_server(server_id, revision, now)
--- a/packages/primroselever-core/src/primroselever_core/catalogue/events.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/events.py
@@ -39,6 +39,7 @@
     """The entry of a back end vanished, or names no server that can be used."""
 
     server_id: str
+    revision: int
 
 
 CatalogueEvent = ConfigurationPublished | WeightsNamed | ServerListed | ServerRemoved
@@ -67,4 +68,4 @@
 
 @apply.register
 def _(event: ServerRemoved, catalogue: Catalogue, now: float) -> bool:
-    return catalogue.remove_server(event.server_id, now)
+    return catalogue.remove_server(event.server_id, event.revision, now)
--- a/packages/primroselever-core/src/primroselever_core/catalogue/model.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/model.py
@@ -140,6 +140,7 @@
 
     ``weights`` holds model and version of what it has loaded as a whole. ``born_ms``
     tells two starts under one identifier apart; it is 0 where none is published.
+    ``revision`` is the store's for this entry: the higher one is the later word.
     """
 
     server_id: str
@@ -150,3 +151,4 @@
     slots: int
     born_ms: int = 0
     weights: tuple[tuple[str, int], ...] = ()
+    revision: int = 0
--- a/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
@@ -26,9 +26,7 @@
 # look ever more idle. Above the time of a connection that cannot be opened.
 SILENT_AGENT_S = 0.3
 CLOSING_S = 0.1  # what sending a long request to an engine that is to switch costs
-OTHER_DOMAIN_S = (
-    0.04  # what a request to another domain must gain, for its bytes' price
-)
+OTHER_DOMAIN_S = 0.04  # what leaving the domain must gain, for its bytes' price
 JITTER_S = 0.005  # keeps entries with the same news from choosing alike
 NO_SERVER_RETRY_S = 0.5
 LONGEST_RETRY_S = 2.0
--- a/packages/primroselever-core/tests/catalogue/test_catalogue.py
+++ b/packages/primroselever-core/tests/catalogue/test_catalogue.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from primroselever_core.catalogue.catalogue import RETURN_GRACE_S, Catalogue
+from primroselever_core.catalogue.model import ServerState
 
 
 def test_a_configuration_never_goes_back(make_configuration):
@@ -33,7 +36,7 @@
 def test_a_removed_server_is_gone_at_once(make_server):
     catalogue = Catalogue()
     catalogue.list_server(make_server("a"))
-    assert catalogue.remove_server("a", 5.0)
+    assert catalogue.remove_server("a", 1, 5.0)
     assert not catalogue.servers
 
 
@@ -42,8 +45,8 @@
     catalogue.list_server(make_server("a"))
     catalogue.list_server(make_server("b"))
     catalogue.store_returned(10.0)
-    assert not catalogue.remove_server("a", 10.1)
-    assert not catalogue.remove_server("b", 10.1)
+    assert not catalogue.remove_server("a", 1, 10.1)
+    assert not catalogue.remove_server("b", 1, 10.1)
     catalogue.list_server(make_server("a"))
     assert catalogue.expire_lapsed(10.0 + RETURN_GRACE_S) == ["b"]
     assert set(catalogue.servers) == {"a"}
@@ -117,3 +120,30 @@
     assert named.bound_since(6.0) == 2
     assert named.bound_since(8.0) == 3
     assert named.version == 3
+
+
+def test_an_earlier_word_that_comes_late_changes_nothing(make_server):
+    """A server said that it leaves; an older entry comes by a slower way."""
+    catalogue = Catalogue()
+    ready = replace(make_server("a"), revision=30)
+    leaving = replace(make_server("a", ServerState.LEAVING), revision=35)
+    catalogue.list_server(leaving)
+    assert not catalogue.list_server(ready)
+    assert catalogue.servers["a"].state is ServerState.LEAVING
+    assert not catalogue.remove_server("a", 34, 1.0)
+    assert catalogue.remove_server("a", 36, 1.0)
+    assert not catalogue.list_server(leaving)
+    assert not catalogue.servers
+
+
+def test_a_peers_copy_does_not_bring_back_an_older_state(make_server):
+    fresh, peer = Catalogue(), Catalogue()
+    fresh.list_server(replace(make_server("a", ServerState.LEAVING), revision=35))
+    fresh.store_revision = 36
+    fresh.heard_at = 1.0
+    peer.list_server(replace(make_server("a"), revision=30))
+    peer.list_server(replace(make_server("b"), revision=37))
+    peer.store_revision = 37
+    fresh.merge(peer.copy(), 1.5)
+    assert fresh.servers["a"].state is ServerState.LEAVING
+    assert "b" in fresh.servers
--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -42,12 +42,9 @@
 LEAVING_RETRY_S = 0.05
 STARTING_RETRY_S = 0.5  # a configuration is read within a few answers of the store
 ANY_TIME_S = 60.0  # longer than any route's timeout
-OLD_WEIGHTS_MARGIN_S = (
-    0.7  # a request may wait that long in a back end before it begins
-)
-FIRST_ATTEMPT_SHARE = (
-    0.8  # of the longest deadline on a route; first attempts state more
-)
+OLD_WEIGHTS_MARGIN_S = 0.7  # a request waits in an engine's queue before it begins
+RESEND_MARGIN_S = 2.5  # what is sent again takes any place in a queue, also a late one
+FIRST_ATTEMPT_SHARE = 0.8  # of the longest stated deadline; first attempts state more
 
 logger = logging.getLogger(__name__)
 
@@ -239,7 +236,11 @@
         request = state.request
         wanted = Wanted(
             model=request.model,
-            min_version=self.min_version(request.model, now),
+            min_version=self.min_version(
+                request.model,
+                now,
+                RESEND_MARGIN_S if state.attempts else OLD_WEIGHTS_MARGIN_S,
+            ),
             prompt_tokens=request.prompt_tokens,
             answer_tokens=request.answer_tokens,
             first_event_within_s=state.objective_at - now,
@@ -265,12 +266,14 @@
         found = self.board.catalogue.routes.services.get(service)
         return found.engine if found else None
 
-    def min_version(self, model: str, now: float) -> int:
+    def min_version(
+        self, model: str, now: float, margin_s: float = OLD_WEIGHTS_MARGIN_S
+    ) -> int:
         """Return the oldest version that may begin a request, 0 for any."""
         named = self.board.catalogue.weights.get(model)
         if named is None:
             return 0
-        within_s = self.limits.weights_within_s - OLD_WEIGHTS_MARGIN_S
+        within_s = self.limits.weights_within_s - margin_s
         return named.bound_since(now - within_s)
 
     def why_not_again(self, state: RequestState, attempt: Attempt) -> str | None:
--- a/packages/primroselever-entry/tests/direct/test_flow.py
+++ b/packages/primroselever-entry/tests/direct/test_flow.py
@@ -8,6 +8,7 @@
 import pytest
 
 from primroselever_core.catalogue.model import RouteKind
+from primroselever_entry.direct.flow import RESEND_MARGIN_S
 
 from .conftest import (
     CLOSE,
@@ -223,3 +224,12 @@
         answer = entry.ask(path, method="POST", body=b"p", headers=["x-model: m"])
         assert answer.startswith(b"HTTP/1.1 503")
     assert backend.requests == []
+
+
+def test_what_is_sent_again_keeps_farther_off_the_bound_of_old_weights(entry):
+    """Under overload a resumed stream may wait long before it begins."""
+    flow = entry.flow
+    entry.board.catalogue.name_weights("m", 2, 10.0)
+    near_the_bound = 10.0 + flow.limits.weights_within_s - 1.0
+    assert flow.min_version("m", near_the_bound) == 0
+    assert flow.min_version("m", near_the_bound, RESEND_MARGIN_S) == 2
--- a/packages/primroselever-node/src/primroselever_node/direct/connection_pool.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/connection_pool.py
@@ -18,9 +18,7 @@
 
     from primroselever_core.catalogue.model import Address
 
-CONNECT_S = (
-    0.25  # links add some 10 ms at most; a lost packet is sent again after 0.2 s
-)
+CONNECT_S = 0.25  # links add some 10 ms; a lost packet is sent again after 0.2 s
 DEFAULT_IDLE_S = 2.0  # for servers that do not say how long they keep a connection
 IDLE_MARGIN_S = 0.5  # the server's timeout may run while a request is on its way
 KEPT_FOR_EACH = 32
--- a/packages/primroselever-node/src/primroselever_node/direct/follower.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/follower.py
@@ -125,7 +125,9 @@
         if part is CataloguePart.SERVERS:
             listed = [e.server for e in changes.events if isinstance(e, ServerListed)]
             before = dict(self.catalogue.servers)
-            self.catalogue.replace_servers({s.server_id: s for s in listed}, now)
+            self.catalogue.replace_servers(
+                {server.server_id: server for server in listed}, changes.revision, now
+            )
             self.catalogue.store_revision = max(
                 changes.revision, self.catalogue.store_revision
             )
--- a/packages/primroselever-node/tests/direct/test_follower.py
+++ b/packages/primroselever-node/tests/direct/test_follower.py
@@ -107,7 +107,7 @@
     catalogue, _source, _changed = follow(
         CatalogueChanges(5, [ServerListed(server("a"))]),
         SourceError("silent"),
-        CatalogueChanges(8, [ServerRemoved("a")]),
+        CatalogueChanges(8, [ServerRemoved("a", 8)]),
     )
     assert set(catalogue.servers) == {"a"}
     assert catalogue.expire_lapsed(clock.now() + 2.1) == ["a"]
