Turn away requests whose runs broke off at three servers

Cause: a request that crashes each server that runs it was sent again each time its caller came back, at any entry. The suspects section of the product was followed by agents only, not where entries call back ends directly.

Ruled out: knowing the request by its identifier (each sending has its own); the threshold of two that agents use (they see an engine end; here a broken connection may be the network's doing).

Change: the entry keeps the suspects section for host, target, workspace and body; a run that breaks off counts against the start of the server, an answer clears it; entries tell each other at once, and every 2 s what is suspect twice. From the third on the request is answered 503 with the time that is left.

Before: three of the five new tests of test_flow.py fail (five, eight servers reached). After: they pass, with two tests of test_gossip.py.

--- a/packages/primroselever-core/src/primroselever_core/direct_board.py
+++ b/packages/primroselever-core/src/primroselever_core/direct_board.py
@@ -7,11 +7,16 @@
 
 from .catalogue.catalogue import Catalogue
 from .dispatch.section import BackendsSection
+from .suspects.section import SuspectsSection
 
 if TYPE_CHECKING:
     from .board import Identity
     from .gossip.peers import Peers
 
+# Servers at which a request's run broke off before it is held to crash them. A broken
+# connection alone may be the network's, so this is one above QUARANTINE_CRASHES.
+BROKEN_RUNS = 3
+
 
 @dataclass(slots=True)
 class DirectBoard:
@@ -20,7 +25,8 @@
 
     ``catalogue`` is written by the follower of the platform's store and by what peers
     hand on; ``peers`` by the gossip controller; ``backends`` by the request flow and
-    by reports; ``leaving`` by the process.
+    by reports; ``leaving`` by the process; ``suspects`` by the request flow and by
+    what peers saw.
     """
 
     identity: Identity
@@ -28,3 +34,6 @@
     catalogue: Catalogue = field(default_factory=Catalogue)
     backends: BackendsSection = field(default_factory=BackendsSection)
     leaving: bool = False
+    suspects: SuspectsSection = field(
+        default_factory=lambda: SuspectsSection(quarantine_crashes=BROKEN_RUNS)
+    )
--- a/packages/primroselever-core/src/primroselever_core/suspects/section.py
+++ b/packages/primroselever-core/src/primroselever_core/suspects/section.py
@@ -50,10 +50,10 @@
         """Return a key that sorts the records that matter least first."""
         return self.uncleared(), self.deadline
 
-    def standing(self) -> Standing:
+    def standing(self, quarantine_crashes: int = QUARANTINE_CRASHES) -> Standing:
         """Return what follows from the crashes that are not cleared."""
         count = self.uncleared()
-        if count >= QUARANTINE_CRASHES:
+        if count >= quarantine_crashes:
             return Standing.QUARANTINED
         return Standing.SUSPECT if count else Standing.CLEAR
 
@@ -63,6 +63,7 @@
     """All suspicions by fingerprint; written by the suspects controller."""
 
     records: dict[Fingerprint, Suspicion] = field(default_factory=dict)
+    quarantine_crashes: int = QUARANTINE_CRASHES
 
     def standing(self, fingerprint: Fingerprint, now: float) -> Standing:
         """Return whether a request may run, may run alone, or may not run."""
@@ -72,7 +73,7 @@
         if record.deadline <= now:
             del self.records[fingerprint]
             return Standing.CLEAR
-        return record.standing()
+        return record.standing(self.quarantine_crashes)
 
     def crashed(
         self, crash: CrashId, present: Iterable[Fingerprint], now: float
--- a/packages/primroselever-entry/src/primroselever_entry/direct/attempt.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/attempt.py
@@ -31,3 +31,8 @@
     def may_have_run(self) -> bool:
         """Return whether the back end may have begun to work on the request."""
         return self.end not in (AttemptEnd.NOT_SENT, AttemptEnd.NOT_RUN)
+
+    @property
+    def crashed(self) -> bool:
+        """Return whether it ended as if the back end had crashed."""
+        return self.end is AttemptEnd.BROKEN and not self.status
--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -21,6 +21,7 @@
 
 from .attempt import Attempt, AttemptEnd
 from .caller_connection import CallerLeftError
+from .crash_watch import CrashWatch
 from .event_stream import EventCutter
 from .sending import Sending
 
@@ -32,6 +33,7 @@
     from primroselever_core.direct_board import DirectBoard
     from primroselever_core.dispatch.backend import Backend
     from primroselever_core.dispatch.choose import Chosen
+    from primroselever_core.identifiers import Fingerprint
     from primroselever_node.direct.connection_pool import ConnectionPool
 
     from .caller_connection import CallerConnection
@@ -44,6 +46,7 @@
 ANY_TIME_S = 60.0  # longer than any route's timeout
 OLD_WEIGHTS_MARGIN_S = 0.7  # a request waits in an engine's queue before it begins
 RESEND_MARGIN_S = 2.5  # what is sent again takes any place in a queue, also a late one
+CRASHES_SERVERS = "earlier runs of this request crashed servers"
 FIRST_ATTEMPT_SHARE = 0.8  # of the longest stated deadline; first attempts state more
 
 logger = logging.getLogger(__name__)
@@ -91,6 +94,7 @@
         instruments: FlowInstruments,
         random: Random,
         tell_peers: Callable[[Address, int], None],
+        tell_suspicion: Callable[[Fingerprint], None],
     ) -> None:
         self.board = board
         self.pool = pool
@@ -99,6 +103,7 @@
         self.instruments = instruments
         self.random = random
         self.tell_peers = tell_peers
+        self.crashes = CrashWatch(board.suspects, tell_suspicion)
         self.retry_shares: dict[str, RetryShare] = {}
         self.full_deadlines: dict[str, float] = {}
 
@@ -138,6 +143,10 @@
                 return None
             workspace = known.name if known else None
         service = pick_service(route, self.random)
+        turned_away_s = self.crashes.quarantined_for_s(request, workspace)
+        if turned_away_s is not None:
+            self.tell(request, caller, 503, CRASHES_SERVERS, turned_away_s)
+            return None
         timeout_at = request.received_at + route.timeout_s
         deadline = min(timeout_at, request.deadline or timeout_at)
         elapsed_s = self.elapsed_before(route, request)
@@ -195,12 +204,16 @@
             )
             state.tried.append(backend.listed.server_id)
             self.note_sent(state, backend, now)
+            known = self.crashes.known_crashes(state.request, state.workspace)
             attempt = Sending(self, state, choice, caller).run()
             state.attempts.append(attempt)
+            if attempt.crashed:
+                self.crashes.broke_off(state.request, state.workspace, backend)
             self.instruments.attempted(attempt.end)
             if attempt.may_have_run:
                 state.may_have_run = True
             if attempt.end is AttemptEnd.ANSWERED:
+                self.crashes.answered(state.request, state.workspace, known)
                 self.log_end(state.request, "answered", str(attempt.status), state)
                 return
             if attempt.end is AttemptEnd.CALLER_LEFT:
@@ -282,6 +295,12 @@
             return "out of time"
         if attempt.may_have_run and not state.route.repeatable:
             return attempt.reason
+        if (
+            attempt.crashed
+            and self.crashes.quarantined_for_s(state.request, state.workspace)
+            is not None
+        ):
+            return CRASHES_SERVERS
         sent = [a for a in state.attempts if a.end is not AttemptEnd.NOT_SENT]
         if len(sent) >= state.route.max_attempts:
             return attempt.reason
--- a/packages/primroselever-entry/src/primroselever_entry/direct/process.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/process.py
@@ -88,6 +88,7 @@
             FlowInstruments(),
             Random(),
             self.gossip.note_sent,
+            self.gossip.note_suspicion,
         )
         self.turning_away = False
         self.callers = CallerServer(
--- a/packages/primroselever-entry/tests/direct/conftest.py
+++ b/packages/primroselever-entry/tests/direct/conftest.py
@@ -179,6 +179,7 @@
             1.0,
         )
         self.backends: list[Backend] = []
+        self.starts = 0
         self.flow = DirectFlow(
             self.board,
             ConnectionPool(),
@@ -187,6 +188,7 @@
             FlowInstruments(),
             Random(1),
             lambda address, tokens: None,
+            lambda fingerprint: None,
         )
         self.leaving = False
         self.server = CallerServer(
--- a/packages/primroselever-entry/tests/direct/test_flow.py
+++ b/packages/primroselever-entry/tests/direct/test_flow.py
@@ -233,3 +233,69 @@
     near_the_bound = 10.0 + flow.limits.weights_within_s - 1.0
     assert flow.min_version("m", near_the_bound) == 0
     assert flow.min_version("m", near_the_bound, RESEND_MARGIN_S) == 2
+
+
+def answers_of(entry, path="/read/x", tries=1, **request_parts) -> list[bytes]:
+    """Ask several times; before each time all back ends have started anew."""
+    answers = []
+    for _try in range(tries):
+        entry.starts += 1
+        entry.board.backends.follow(
+            replace(one.listed(), born_ms=entry.starts) for one in entry.backends
+        )
+        answers.append(entry.ask(path, **request_parts))
+    return answers
+
+
+def breaking_back_ends(entry, count=5):
+    backends = [entry.add(name) for name in "abcdefgh"[:count]]
+    for backend in backends:
+        backend.answers = [[RESET]] * 10
+    return backends
+
+
+def test_a_request_whose_runs_crash_servers_reaches_no_fourth(entry):
+    backends = breaking_back_ends(entry)
+    answers = answers_of(entry, tries=5)
+    assert sum(len(backend.requests) for backend in backends) == 3
+    assert answers[-1].startswith(b"HTTP/1.1 503")
+    assert b"Retry-After" in answers[-1]
+
+
+def test_a_crashing_order_is_known_by_path_caller_and_body(entry):
+    backends = breaking_back_ends(entry)
+    answers_of(entry, "/order/x", tries=5, method="POST", body=b"bad")
+    assert sum(len(backend.requests) for backend in backends) == 3
+    for backend in backends:
+        backend.answers = [ok()]
+    answer = answers_of(entry, "/order/x", method="POST", body=b"good")[0]
+    assert answer.startswith(b"HTTP/1.1 200")
+
+
+def test_one_server_that_breaks_often_says_nothing_about_a_request(entry):
+    backend = breaking_back_ends(entry, 1)[0]
+    for _try in range(5):
+        entry.ask()
+        entry.board.backends.backends["a"].ejected_until = 0.0
+    backend.answers = [ok()]
+    assert entry.ask().startswith(b"HTTP/1.1 200")
+
+
+def test_an_answer_clears_a_request_of_earlier_crashes(entry):
+    backends = breaking_back_ends(entry, 2)
+    answers_of(entry)
+    for end in (ok(), [RESET], ok()):
+        for backend in backends:
+            backend.answers = [end] * 2
+        answer = answers_of(entry)[0]
+    assert answer.startswith(b"HTTP/1.1 200")
+
+
+def test_a_peers_word_about_a_request_counts(entry):
+    backends = breaking_back_ends(entry)
+    answers_of(entry)
+    told = list(entry.board.suspects.records.values())
+    assert [len(one.crashes) for one in told] == [2]
+    entry.board.suspects.merge(replace(told[0], crashes={"x", "y", "z"}), 0.0)
+    answers_of(entry, tries=3)
+    assert sum(len(backend.requests) for backend in backends) == 2
--- a/packages/primroselever-node/src/primroselever_node/direct/direct.thrift
+++ b/packages/primroselever-node/src/primroselever_node/direct/direct.thrift
@@ -5,6 +5,8 @@
  * is asked for by calls. Ages are in milliseconds, since no two processes share a clock.
  */
 
+include "../rpc/primroselever.thrift"
+
 /*
  * peers maps the addresses of other entries to their failure domains; weights_age_ms
  * says how long ago each version of a model was learned, where that is known.
@@ -61,11 +63,17 @@
   1: list<Sent> requests,
 }
 
+/* Requests at whose runs servers crashed; each crash is named by the server's start. */
+struct SuspicionNews {
+  1: list<primroselever.Suspicion> suspicions,
+}
+
 struct Datagram {
   1: optional EntryNews entry,
   2: optional EngineNews engine,
   3: optional FillingAdvice advice,
   4: optional SentNews sent,
+  5: optional SuspicionNews suspects,
 }
 
 /*
--- a/packages/primroselever-node/src/primroselever_node/direct/gossip.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/gossip.py
@@ -15,6 +15,7 @@
 from ..logs import log_decision
 from ..process import run_controller
 from ..rpc.client_pool import ClientPool, LostReplyError, NeverSentError
+from ..rpc.suspicions import learn, wire_of
 from .datagrams import DatagramPort
 from .peer_handler import copies
 from .schema import schema
@@ -26,6 +27,8 @@
     from primroselever_core.catalogue.model import Address
     from primroselever_core.direct_board import DirectBoard
     from primroselever_core.gossip.peers import Peer
+    from primroselever_core.identifiers import Fingerprint
+    from primroselever_core.suspects.section import Suspicion
 
 HEARTBEAT_S = 0.5  # well below the 2 s in which a configuration must be in force
 ADVICE_INTERVAL_S = 1.0  # agents get advice at once when it changed, else this often
@@ -33,6 +36,8 @@
 PULL_TIMEOUT_S = 2.0
 SENT_NEWS_S = 0.01  # requests that are sent within this share a datagram
 SENT_IN_ONE_DATAGRAM = 40  # keeps a datagram below 1,400 bytes
+SUSPICIONS_IN_ONE_DATAGRAM = 6  # keeps a datagram below 1,400 bytes
+SUSPECTS_REPEATED_S = 2.0  # a datagram may be lost; below the platform's contact time
 FIRST_VERSION = 1  # of weights that nobody has named yet
 
 logger = logging.getLogger(__name__)
@@ -58,6 +63,8 @@
         self.pulling = False
         self.sent_requests: list[Any] = []
         self.sent_far = False
+        self.suspects_changed: set[Fingerprint] = set()
+        self.suspects_repeat_at = 0.0
         self.advised: dict[str, tuple[float, Any]] = {}
         self.agents_heard: dict[str, float] = {}
 
@@ -74,6 +81,11 @@
         news = self.news(now)
         for host in self.board.peers.greeted():
             self.port.send(host, entry=news)
+        if now >= self.suspects_repeat_at:
+            self.suspects_repeat_at = now + SUSPECTS_REPEATED_S
+            self.board.suspects.expire(now)
+            worst = self.board.suspects.worst(SUSPICIONS_IN_ONE_DATAGRAM)
+            self.send_suspicions([one for one in worst if one.uncleared() > 1])
 
     def news(self, now: float) -> Any:
         """Return this entry's heartbeat."""
@@ -108,6 +120,30 @@
             self.hear_engine(datagram.engine, host)
         elif datagram.sent is not None:
             self.hear_sent(datagram.sent)
+        elif datagram.suspects is not None:
+            learn(self.board.suspects, datagram.suspects.suspicions)
+
+    def note_suspicion(self, fingerprint: Fingerprint) -> None:
+        """Tell others what is now known of a request at whose run a server crashed."""
+        self.suspects_changed.add(fingerprint)
+        if len(self.suspects_changed) == 1:
+            eventlet.spawn_after(SENT_NEWS_S, self.tell_suspicions)
+
+    def tell_suspicions(self) -> None:
+        """Send what was noted since the last time."""
+        changed, self.suspects_changed = self.suspects_changed, set()
+        records = self.board.suspects.records
+        self.send_suspicions([records[one] for one in changed if one in records])
+
+    def send_suspicions(self, suspicions: list[Suspicion]) -> None:
+        """Send suspicions to all live entries, in as many datagrams as they need."""
+        step = SUSPICIONS_IN_ONE_DATAGRAM
+        live = self.board.peers.live(clock.now()) if suspicions else []
+        for start in range(0, len(suspicions), step):
+            part = [wire_of(one) for one in suspicions[start : start + step]]
+            news = schema.SuspicionNews(part)
+            for peer in live:
+                self.port.send(peer.host, suspects=news)
 
     def note_sent(self, address: Address, prompt_tokens: int) -> None:
         """
--- a/packages/primroselever-node/tests/direct/test_gossip.py
+++ b/packages/primroselever-node/tests/direct/test_gossip.py
@@ -20,6 +20,8 @@
 )
 from primroselever_core.direct_board import DirectBoard
 from primroselever_core.gossip.peers import Peers
+from primroselever_core.identifiers import Fingerprint
+from primroselever_core.suspects.section import CrashId, Standing
 from primroselever_node import clock
 from primroselever_node.direct import gossip as module
 from primroselever_node.direct.datagrams import DatagramPort
@@ -181,3 +183,33 @@
     other = fleet.add("127.0.0.2")
     until(lambda: entry.board.peers.live(clock.now()))
     assert other.board.peers.own_host == "127.0.0.2"
+
+
+BAD = Fingerprint("bad")
+
+
+def test_all_entries_hear_at_whose_runs_servers_crashed(fleet):
+    one, near = fleet.add("127.0.0.1"), fleet.add("127.0.0.2")
+    far = fleet.add("127.0.0.3", "b")
+    until(lambda: len(one.board.peers.live(clock.now())) == 2)
+    now = clock.now()
+    for name in ("i-1/5", "i-2/5", "i-3/5"):
+        one.board.suspects.crashed(CrashId(name), [BAD], now)
+        one.note_suspicion(BAD)
+    for entry in (near, far):
+        suspects = entry.board.suspects
+        until(lambda suspects=suspects: suspects.records)
+        assert suspects.standing(BAD, clock.now()) is Standing.QUARANTINED
+    near.board.suspects.succeeded(BAD, near.board.suspects.known_crashes(BAD))
+    near.note_suspicion(BAD)
+    until(lambda: one.board.suspects.standing(BAD, clock.now()) is Standing.CLEAR)
+
+
+def test_an_entry_that_missed_the_news_hears_of_a_suspect_again(fleet, monkeypatch):
+    monkeypatch.setattr(module, "SUSPECTS_REPEATED_S", 0.05)
+    one = fleet.add("127.0.0.1")
+    for name in ("i-1/5", "i-2/5"):
+        one.board.suspects.crashed(CrashId(name), [BAD], clock.now())
+    late = fleet.add("127.0.0.2")
+    until(lambda: late.board.suspects.records)
+    assert late.board.suspects.records[BAD].uncleared() == 2
