Say 503 only of what has not run

Cause: an idempotent request whose runs broke off was answered 503 when no back end was left for it, though 503 promises that it has not run.

Ruled out: leaving it since such a request does no harm twice: the word of a refusal must be true for every kind.

Change: 502 with Retry-After for what may have run and may be sent again, 503 for what has not run; outcomes of the suspects' log lines are words (types).

Before: three cases of the new test fail (503). After: they pass.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/crash_watch.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/crash_watch.py
@@ -76,10 +76,11 @@
         log_decision(
             "request suspected",
             request.shown_id,
-            self.suspects.records[fingerprint].uncleared(),
+            "noted",
             "a run broke off",
             fingerprint=fingerprint,
             crash=crash,
+            crashes=self.suspects.records[fingerprint].uncleared(),
         )
         self.tell_peers(fingerprint)
 
@@ -97,9 +98,10 @@
             log_decision(
                 "request cleared",
                 request.shown_id,
-                len(known),
+                "noted",
                 "a run was answered",
                 fingerprint=fingerprint,
+                crashes_cleared=len(known),
             )
             self.tell_peers(fingerprint)
 
--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -332,15 +332,15 @@
             self.log_end(state.request, "cut off", reason, state)
             caller.cut()
             return
-        out_of_time = clock.now() >= state.deadline
-        # What has not run may be sent anew, and so may what does no harm twice.
-        if not state.may_have_run or (state.route.repeatable and not out_of_time):
-            retry_s = retry_after_s if retry_after_s is not None else STARTING_RETRY_S
+        retry_s = retry_after_s if retry_after_s is not None else STARTING_RETRY_S
+        if not state.may_have_run:
             self.tell(state.request, caller, 503, reason, retry_s, state)
-        elif out_of_time:
+        elif clock.now() >= state.deadline:
             self.tell(state.request, caller, 504, reason, None, state)
         else:
-            self.tell(state.request, caller, 502, reason, None, state)
+            # 503 would promise that it has not run, also of what does no harm twice.
+            again_s = retry_s if state.route.repeatable else None
+            self.tell(state.request, caller, 502, reason, again_s, state)
 
     def tell(
         self,
--- a/packages/primroselever-entry/tests/direct/test_flow.py
+++ b/packages/primroselever-entry/tests/direct/test_flow.py
@@ -299,3 +299,11 @@
     entry.board.suspects.merge(replace(told[0], crashes={"x", "y", "z"}), 0.0)
     answers_of(entry, tries=3)
     assert sum(len(backend.requests) for backend in backends) == 2
+
+
+@pytest.mark.parametrize("end", [[RESET], [CLOSE], [b"no answer at all\r\n\r\n"]])
+def test_nobody_is_told_that_a_request_did_not_run_which_may_have_run(entry, end):
+    entry.add("a").answers = [end]
+    answer = entry.ask()
+    assert answer.startswith(b"HTTP/1.1 502")
+    assert b"Retry-After" in answer
