Keep a back end that lapsed from coming back by an older word

Cause: the new model of the catalogue (stale full reads, watches, late copies of peers, restarts, outages) broke never_back in 7 steps: a back end whose entry had lapsed was remembered as gone at the revision of its listing, so that a stale read listed it again; and, in 6 steps, such a read within the grace after an outage took the lapse itself back, after which nothing would have removed it before the next full read.

Ruled out: refusing every word not newer than the store's revision (a word that was missed once would never be taken in); stale reads about back ends never listed before, which the watch mends at once (stated in the model).

Change: a lapse keeps the revision of the word that said so; only a later word takes it back.

--- a/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
@@ -36,6 +36,14 @@
     assumed: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Lapse:
+    """At which revision a back end's entry was missed, and until when it still counts."""
+
+    revision: int
+    until: float
+
+
 @dataclass(slots=True)
 class NamedWeights:
     """
@@ -105,8 +113,8 @@
     All that was published, as far as this process knows.
 
     ``heard_at`` is when the store was last heard, by whatever way. ``lapsed`` maps
-    back ends whose entries vanished while the store was away to the deadline after
-    which they count as gone; ``removed`` holds at which revision others went.
+    back ends whose entries vanished while the store was away to when they count as
+    gone; ``removed`` holds at which revision others went.
     """
 
     store_revision: int = 0
@@ -115,7 +123,7 @@
     routes: RouteTable = field(default_factory=RouteTable)
     weights: dict[str, NamedWeights] = field(default_factory=dict)
     servers: dict[str, ListedServer] = field(default_factory=dict)
-    lapsed: dict[str, float] = field(default_factory=dict)
+    lapsed: dict[str, Lapse] = field(default_factory=dict)
     removed: dict[str, int] = field(default_factory=dict)
     heard_at: float | None = None
     lapse_grace_until: float = 0.0
@@ -150,7 +158,8 @@
         """
         known = self.servers.get(server.server_id)
         last = known.revision if known else self.removed.get(server.server_id, 0)
-        if server.revision < last:
+        lapse = self.lapsed.get(server.server_id)
+        if server.revision < last or (lapse and server.revision <= lapse.revision):
             return False
         self.lapsed.pop(server.server_id, None)
         if known == server:
@@ -170,11 +179,15 @@
         if known is None or known.revision > revision:
             return False
         if now < self.lapse_grace_until:
-            self.lapsed.setdefault(server_id, self.lapse_grace_until)
+            self.lapse(server_id, revision)
             return False
         self.drop_server(server_id, revision)
         return True
 
+    def lapse(self, server_id: str, revision: int) -> None:
+        """Keep a back end whose entry is missing until the grace is over."""
+        self.lapsed.setdefault(server_id, Lapse(revision, self.lapse_grace_until))
+
     def drop_server(self, server_id: str, revision: int) -> None:
         """Forget a back end, but not at which revision it had gone."""
         self.servers.pop(server_id, None)
@@ -185,11 +198,14 @@
 
     def expire_lapsed(self, now: float) -> list[str]:
         """Remove the back ends whose entries did not come back; return them."""
-        expired = [name for name, until in self.lapsed.items() if now >= until]
-        for server_id in expired:
-            known = self.servers.get(server_id)
-            self.drop_server(server_id, known.revision if known else 0)
-        return expired
+        expired = {
+            name: lapse.revision
+            for name, lapse in self.lapsed.items()
+            if now >= lapse.until
+        }
+        for server_id, revision in expired.items():
+            self.drop_server(server_id, revision)
+        return list(expired)
 
     def store_returned(self, now: float) -> None:
         """Give entries that lapsed during an outage the time to come back."""
