--- a/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
@@ -38,7 +38,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Lapse:
-    """At which revision a back end's entry was missed, and until when it still counts."""
+    """At which revision a back end's entry was missed, and until when it counts."""
 
     revision: int
     until: float
