Ask an engine for the weights that it holds, not for the least that will do

Cause: once a version had to be served, requests named it as the expected one, also to engines that held a newer one already; those refuse every other version, and the refusal took them out for a while.

Ruled out: engines that had not switched (their agents' logs show version 3 on all four while the entries refused); a lost report (the entries' lines name version 3).

Change: the expected version is what the engine is known to hold; it is at least what must be.

--- a/Makefile
+++ b/Makefile
@@ -2,12 +2,12 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 PACKAGES := core node entry agent
-SOURCES := packages platform bench models conftest.py
+SOURCES := packages platform bench models soak conftest.py
 EXPERIMENT ?= routing
 ARGS ?=
 PYTEST_ARGS ?=
 
-.PHONY: setup format lint types contracts test model demo bench check
+.PHONY: setup format lint types contracts test model demo bench soak check
 
 $(VENV)/.ready: constraints.txt requirements-dev.txt $(foreach p,$(PACKAGES),packages/primroselever-$(p)/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -26,7 +26,7 @@
 	$(BIN)/ruff check $(SOURCES)
 
 types: setup
-	$(BIN)/mypy $(foreach p,$(PACKAGES),packages/primroselever-$(p)/src/primroselever_$(p)) bench models platform/primroselever_platform
+	$(BIN)/mypy $(foreach p,$(PACKAGES),packages/primroselever-$(p)/src/primroselever_$(p)) bench models soak platform/primroselever_platform
 
 contracts: setup
 	$(BIN)/lint-imports
@@ -44,3 +44,11 @@
 	@$(BIN)/python -m bench $(EXPERIMENT) $(ARGS)
 
 check: lint types contracts test model
+
+SEED ?= 1
+SEEDS ?= 1
+SECONDS ?= 20
+
+# The platform's programs under faults from outside; each seed is one fleet.
+soak: setup
+	$(BIN)/python -m soak --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS) $(ARGS)
--- a/bench/standins/link.py
+++ b/bench/standins/link.py
@@ -8,7 +8,10 @@
 
 from __future__ import annotations
 
+import socket
+import struct
 import time
+from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -31,12 +34,14 @@
     The way between two places, shared by all links on it.
 
     ``delay_s`` is one way; ``rate`` is in bytes a second each way, 0 for no limit.
+    ``cut_way`` is "there" or "back" while only that way is cut.
     """
 
     name: str
     delay_s: float = 0.0
     rate: float = 0.0
     cut: bool = False
+    cut_way: str = ""
     connections: list[Connection] = field(default_factory=list)
     buckets: dict[str, TokenBucket] = field(default_factory=dict)
 
@@ -51,18 +56,34 @@
             self.buckets[direction] = bucket
         return bucket.reserve(size, now) + self.delay_s
 
+    def reset(self) -> None:
+        """Reset all open connections."""
+        for connection in self.connections:
+            connection.reset()
+
 
 @dataclass(slots=True)
 class Connection:
     """One forwarded connection; a silent one swallows everything for good."""
 
     path: Path
+    near: Any = None
     silent: bool = False
+    silent_way: str = ""
 
-    def swallows(self) -> bool:
-        """Return whether nothing passes any more."""
+    def swallows(self, way: str = "there") -> bool:
+        """Return whether nothing passes any more that way."""
         self.silent = self.silent or self.path.cut
-        return self.silent
+        self.silent_way = self.silent_way or self.path.cut_way
+        return self.silent or self.silent_way == way
+
+    def reset(self) -> None:
+        """End the connection so that the near side gets a reset."""
+        self.silent = True
+        linger = struct.pack("ii", 1, 0)
+        with suppress(OSError):  # it has ended already
+            self.near.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            self.near.shutdown(socket.SHUT_RD)
 
 
 class Links(StandIn):
@@ -116,7 +137,7 @@
 
     def forward(self, near: Any, path: Path, target: tuple[str, int]) -> None:
         """Forward one connection until either side closes it."""
-        connection = Connection(path)
+        connection = Connection(path, near)
         path.connections.append(connection)
         try:
             if connection.swallows():
@@ -137,22 +158,24 @@
     def carry(self, source: Any, sink: Any, connection: Connection, way: str) -> None:
         """Carry bytes one way, late and in order."""
         pieces = LightQueue(PIECES_ON_THE_WAY)
-        writer = eventlet.spawn(self.deliver, pieces, sink, connection)
+        writer = eventlet.spawn(self.deliver, pieces, sink, connection, way)
         try:
             while data := source.recv(READ_BYTES):
-                if not connection.swallows():
+                if not connection.swallows(way):
                     pieces.put((connection.path.due(way, len(data)), data))
         except OSError:
             pass
         pieces.put((time.monotonic() + connection.path.delay_s, b""))
         writer.wait()
 
-    def deliver(self, pieces: LightQueue, sink: Any, connection: Connection) -> None:
+    def deliver(
+        self, pieces: LightQueue, sink: Any, connection: Connection, way: str
+    ) -> None:
         """Hand over each piece when it is due; pass an end on unless silent."""
         while True:
             due, data = pieces.get()
             eventlet.sleep(max(0.0, due - time.monotonic()))
-            if connection.swallows():
+            if connection.swallows(way):
                 if not data:
                     return
                 continue
--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -165,9 +165,11 @@
         if self.flow.engine(state.service) is not None:
             urgency = URGENCY_LATE if state.late else URGENCY_ON_TIME
             headers.append((names.urgency, urgency))
-            version = self.flow.min_version(state.request.model, clock.now())
-            if version:
-                headers.append((names.expected_weights, str(version).encode()))
+            now = clock.now()
+            if self.flow.min_version(state.request.model, now):
+                # Any other version is refused, also one newer than it must be.
+                held = self.backend.holds(state.request.model, now)
+                headers.append((names.expected_weights, str(held).encode()))
         body = state.request.body
         if body or state.request.method in BODY_METHODS:
             headers.append((b"Content-Length", str(len(body)).encode()))
--- a/packages/primroselever-entry/tests/direct/test_flow.py
+++ b/packages/primroselever-entry/tests/direct/test_flow.py
@@ -177,6 +177,15 @@
     assert backend.header(b"X-Weights") == b"1"
 
 
+def test_an_engine_that_holds_newer_weights_than_must_be_is_asked_for_them(entry):
+    backend = entry.add("a", "engine")
+    entry.board.catalogue.name_weights("m", 1, -100.0)
+    entry.board.backends.follow([replace(backend.listed(), weights=(("m", 2),))])
+    backend.answers = [[stream_head() + chunk(EVENTS[0]) + b"0\r\n\r\n"]]
+    entry.ask("/ask/x", method="POST", body=b"p", headers=["x-model: m"])
+    assert backend.header(b"X-Weights") == b"2"
+
+
 def test_a_failure_of_the_back_end_is_passed_on_as_it_is(entry):
     backend = entry.add("a")
     backend.answers = [
