Check refusals with room in the soak, and keep the seeds that failed

Cause: seed 2 refused some 200 streams while all engines held the newest weights, and no check of the soak said so; seed 107 said "configuration back" because a probe crossed the publication that ended its route.

Ruled out: a fault of the entry in seed 107 (its log: 404 after configuration 2 was taken in, asked for the route of configuration 1).

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,6 +13,7 @@
 eventlet.monkey_patch()
 
 from .mutants import MUTANTS  # noqa: E402
+from .regressions import REGRESSIONS  # noqa: E402
 from .run import Soak  # noqa: E402
 
 SHOWN = 10  # breaches of one soak
@@ -26,10 +27,15 @@
     parser.add_argument("--seconds", type=float, default=20.0, help="of faults")
     parser.add_argument("--mutant", choices=sorted(MUTANTS), default="")
     parser.add_argument("--planned", action="store_true", help="planned work only")
+    parser.add_argument("--regressions", action="store_true", help="seeds that failed")
     options = parser.parse_args()
+    last = options.seed + options.seeds
+    plays = [(seed, options.seconds) for seed in range(options.seed, last)]
+    if options.regressions:
+        plays = [(known.seed, known.seconds) for known in REGRESSIONS]
     failed = 0
-    for seed in range(options.seed, options.seed + options.seeds):
-        soak = Soak(seed, options.seconds, options.mutant, options.planned)
+    for seed, seconds in plays:
+        soak = Soak(seed, seconds, options.mutant, options.planned)
         ledger = soak.run()
         failed += bool(ledger.breaches)
         verdict = "BROKEN" if ledger.breaches else "kept"
--- a/soak/backends.py
+++ b/soak/backends.py
@@ -172,6 +172,7 @@
         """Start without loaded weights."""
         super().restart()
         self.version = 0
+        self.loaded_at = 0.0
         self.loading = False
         self.orders = 0
 
@@ -248,6 +249,7 @@
         eventlet.sleep(LOAD_S)
         if server_id == self.server_id:
             self.version, self.loading = version, False
+            self.loaded_at = time.monotonic()
 
     def stream(self, request: Request) -> Reply:
         """Run a request whose path ends with the number of its events."""
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -9,6 +9,7 @@
 
 import eventlet
 
+from .backends import SLOTS, ModelServer
 from .fleet import HOST_NAME, KEYS, ROUTE_TIMEOUT_S
 from .ledger import CONFIGURATION_S, CONTACT_S, Attempt
 
@@ -122,6 +123,26 @@
                 self.close()
         attempt.ended_at = time.monotonic()
         self.fleet.ledger.check_attempt(attempt)
+        if kind == "stream" and attempt.status == 503:
+            self.check_room(attempt)
+
+    def check_room(self, attempt: Attempt) -> None:
+        """Note a breach if a stream was refused though half of the engines had room."""
+        ledger, since = self.fleet.ledger, attempt.sent_at - CONTACT_S
+        now = attempt.ended_at
+        engines = [
+            b for b in self.fleet.backends.values() if isinstance(b, ModelServer)
+        ]
+        roomy = [
+            engine
+            for engine in engines
+            if engine.version == self.fleet.version
+            and engine.loaded_at < since
+            and engine.running < SLOTS // 2
+            and ledger.calm(engine.server_id, since, now)
+        ]
+        if 2 * len(roomy) >= len(engines) and ledger.calm(attempt.entry, since, now):
+            ledger.breach("room", f"{attempt.request_id} at {attempt.entry}: 503")
 
 
 class Prober:
@@ -161,7 +182,8 @@
             return
         finally:
             connection.close()
-        if incarnation != entry.incarnation:
+        # The route may have gone with a newer configuration while it was asked for.
+        if incarnation != entry.incarnation or wanted != fleet.configuration:
             return
         ledger = fleet.ledger
         # Only the route of the newest configuration is asked for, and the entries
