--- a/soak/tests/test_ledger.py
+++ b/soak/tests/test_ledger.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 
 from soak.ledger import Attempt, Ledger, Run, Span, events
@@ -12,8 +14,8 @@
     return Ledger()
 
 
-def make_attempt(ledger: Ledger, kind: str = "order", **changes) -> Attempt:
-    values = {
+def make_attempt(ledger: Ledger, kind: str = "order", **changes: Any) -> Attempt:
+    values: dict[str, Any] = {
         "request_id": "r1",
         "kind": kind,
         "entry": "entry-1",
@@ -33,7 +35,7 @@
     return attempt
 
 
-def ran(ledger: Ledger, server: str = "i-1", at: float = 100.0, **changes) -> None:
+def ran(ledger: Ledger, server: str = "i-1", at: float = 100.0, **changes: Any) -> None:
     ledger.ran("r1", Run(server, at, **({"workspace": "north"} | changes)))
 
 
@@ -44,13 +46,13 @@
     return {breach.rule for breach in ledger.breaches}
 
 
-def test_a_whole_answer_breaks_nothing(ledger):
+def test_a_whole_answer_breaks_nothing(ledger: Ledger) -> None:
     make_attempt(ledger)
     ran(ledger, body=b"answer")
     assert rules(ledger) == set()
 
 
-def test_an_order_that_ran_twice_is_found(ledger):
+def test_an_order_that_ran_twice_is_found(ledger: Ledger) -> None:
     make_attempt(ledger)
     ran(ledger, body=b"answer")
     ran(ledger, "i-2", body=b"answer")
@@ -58,7 +60,7 @@
 
 
 @pytest.mark.parametrize("status", [429, 503])
-def test_a_refusal_of_what_ran_is_found(ledger, status):
+def test_a_refusal_of_what_ran_is_found(ledger: Ledger, status: int) -> None:
     make_attempt(ledger, status=status, seal="")
     ran(ledger)
     assert rules(ledger) == {"refused"}
@@ -75,13 +77,15 @@
         ({"ended_at": 102.6}, "held"),
     ],
 )
-def test_a_wrong_answer_is_found(ledger, changes, rule):
+def test_a_wrong_answer_is_found(
+    ledger: Ledger, changes: dict[str, Any], rule: str
+) -> None:
     make_attempt(ledger, **changes)
     ran(ledger, body=b"answer")
     assert rules(ledger) == {rule}
 
 
-def test_a_stream_with_a_missing_or_doubled_event_is_found(ledger):
+def test_a_stream_with_a_missing_or_doubled_event_is_found(ledger: Ledger) -> None:
     whole = events("r1", 1, 3)
     make_attempt(ledger, "stream", body=whole)
     make_attempt(ledger, "stream", body=events("r1", 1, 2))
@@ -91,12 +95,12 @@
     assert [breach.rule for breach in ledger.breaches] == ["order", "order"]
 
 
-def test_a_run_that_nobody_asked_for_is_found(ledger):
+def test_a_run_that_nobody_asked_for_is_found(ledger: Ledger) -> None:
     ran(ledger)
     assert rules(ledger) == {"unasked"}
 
 
-def test_a_late_request_to_a_leaving_server_is_found(ledger):
+def test_a_late_request_to_a_leaving_server_is_found(ledger: Ledger) -> None:
     ledger.leaving_since["i-1"] = 100.0
     make_attempt(ledger)
     ran(ledger, at=101.9, body=b"answer")
@@ -105,7 +109,7 @@
     assert {breach.rule for breach in ledger.breaches} == {"drain"}
 
 
-def test_who_was_out_of_touch_is_not_held_to_it(ledger):
+def test_who_was_out_of_touch_is_not_held_to_it(ledger: Ledger) -> None:
     ledger.leaving_since["i-1"] = 100.0
     ledger.spans.append(Span("freeze", "entry-1", 98.0, 99.0))
     make_attempt(ledger)
@@ -113,7 +117,7 @@
     assert rules(ledger) == set()
 
 
-def test_a_cut_answer_is_found_unless_a_fault_explains_it(ledger):
+def test_a_cut_answer_is_found_unless_a_fault_explains_it(ledger: Ledger) -> None:
     make_attempt(ledger, status=0, whole=False)
     ran(ledger)
     ledger.spans.append(Span("terminate", "entry-1", 99.9, planned=True))
@@ -123,7 +127,9 @@
     assert rules(ledger) == set()
 
 
-def test_a_configuration_that_goes_back_is_found_within_one_start(ledger):
+def test_a_configuration_that_goes_back_is_found_within_one_start(
+    ledger: Ledger,
+) -> None:
     ledger.configuration_seen("entry-1", 1, 4, 100.0)
     ledger.configuration_seen("entry-1", 2, 3, 101.0)
     ledger.configuration_seen("entry-1", 1, 3, 100.1)
@@ -132,7 +138,7 @@
     assert [breach.rule for breach in ledger.breaches] == ["configuration back"]
 
 
-def test_the_served_share_counts_what_was_sent_since(ledger):
+def test_the_served_share_counts_what_was_sent_since(ledger: Ledger) -> None:
     make_attempt(ledger, sent_at=90.0, status=503)
     make_attempt(ledger)
     make_attempt(ledger, status=503)
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -21,6 +21,6 @@
     )
 
 
-def test_a_short_soak_keeps_all_promises():
+def test_a_short_soak_keeps_all_promises() -> None:
     done = soak("--seed", "1", "--seconds", "8")
     assert done.returncode == 0, done.stdout + done.stderr
