Read ahead only the pieces that one owns among all known entries

The origin, 9.9 Mbit/s, sent 11.4 copies of 2 MB: ten entries were cut off from all others from 17.5 s on, and each one, hearing nobody, took itself for the owner of every piece. The same after a loss of power, when all start.

Ruled out: links within a domain (380 Mbit/s of entries for 29 engines); the configurations (three readers a domain; calls of the store 4,192 to 2,088).

What agents ask for is read as before.

Before: two of three new tests fail. After: they pass.

--- a/packages/primroselever-core/src/primroselever_core/gossip/peers.py
+++ b/packages/primroselever-core/src/primroselever_core/gossip/peers.py
@@ -101,6 +101,17 @@
             hosts.update(best(self.own_host, members, count))
         return sorted(hosts)
 
+    def domain_members(self, failure_domain: str) -> list[str]:
+        """Return the known entries of a failure domain, silent ones among them."""
+        hosts = [
+            peer.host
+            for peer in self.known.values()
+            if peer.failure_domain == failure_domain and not peer.leaving
+        ]
+        if failure_domain == self.own_domain:
+            hosts.append(self.own_host)
+        return hosts
+
     def domain_hosts(self, failure_domain: str, now: float) -> list[str]:
         """Return the live entries of a failure domain, this one included."""
         hosts = [
--- a/packages/primroselever-node/src/primroselever_node/direct/pieces.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/pieces.py
@@ -42,6 +42,7 @@
 MANIFEST_COPIES = 2  # copies that must agree, since the origin may send wrong bytes
 MANIFEST_READS = 6
 PREFETCHES_AT_ONCE = 6
+SETTLE_S = 1.2  # after a start; two heartbeats of 0.5 s tell who else owns pieces
 
 logger = logging.getLogger(__name__)
 
@@ -61,6 +62,7 @@
         self.reading: dict[Key | tuple[str, int], Event] = {}
         self.origin_slots = Semaphore(ORIGIN_READS_AT_ONCE)
         self.origin_bytes = 0
+        self.settled_at = clock.now() + SETTLE_S
 
     def origin(self) -> WeightOrigin | None:
         """Return the origin that the configuration names."""
@@ -230,6 +232,7 @@
 
     def run_prefetch(self, model: str, version: int) -> None:
         """Read owned pieces, a few at once, in the order in which agents ask."""
+        eventlet.sleep(max(0.0, self.settled_at - clock.now()))
         while True:
             try:
                 digests = self.digests(model, version, False)
@@ -242,15 +245,8 @@
             if not self.newest(model, version):
                 return
             eventlet.sleep(ORIGIN_RETRY_S)
-        identity = self.board.identity
-        hosts = self.board.peers.domain_hosts(identity.failure_domain, clock.now())
-        owned = [
-            index
-            for index in range(len(digests.digests))
-            if piece_owners(model, version, index, hosts)[0]
-            == self.board.peers.own_host
-        ]
         while True:
+            owned = self.owned(digests)
             missing = [i for i in owned if (model, version, i) not in self.pieces]
             log_decision(
                 "weights read ahead",
@@ -266,6 +262,22 @@
             pool.waitall()
             eventlet.sleep(ORIGIN_RETRY_S)
 
+    def owned(self, digests: PieceDigests) -> list[int]:
+        """
+        Return the pieces that this entry owns in its failure domain.
+
+        Who was heard a while ago still owns its pieces: an entry that is cut off from
+        all others would read every piece, and many such entries fill the origin's link.
+        """
+        peers = self.board.peers
+        members = peers.domain_members(peers.own_domain)
+        return [
+            index
+            for index in range(len(digests.digests))
+            if piece_owners(digests.model, digests.version, index, members)[0]
+            == peers.own_host
+        ]
+
     def newest(self, model: str, version: int) -> bool:
         """Return whether no newer version of a model was named."""
         named = self.board.catalogue.weights.get(model)
--- a/packages/primroselever-node/tests/direct/test_pieces.py
+++ b/packages/primroselever-node/tests/direct/test_pieces.py
@@ -141,3 +141,46 @@
         kept.source.manifests = [PieceDigests("m", version, DIGESTS.digests)]
         kept.piece("m", version, 0, False)
     assert {version for _model, version, _index in kept.pieces} == {2, 3}
+
+
+@pytest.fixture
+def settled(keeper, monkeypatch):
+    monkeypatch.setattr(module, "SETTLE_S", 0.03)
+    return keeper()
+
+
+def read_ahead(kept) -> list[int]:
+    kept.board.catalogue.name_weights("m", 2, clock.now())
+    kept.prefetch("m", 2)
+    eventlet.sleep(0.1)
+    return sorted(kept.source.reads)
+
+
+def owned(kept, hosts) -> list[int]:
+    return [
+        index
+        for index in range(len(PIECES))
+        if module.piece_owners("m", 2, index, hosts)[0] == kept.board.peers.own_host
+    ]
+
+
+def test_who_is_cut_off_does_not_read_the_pieces_of_all_others(settled):
+    hosts = [f"10.0.0.{n}" for n in range(1, 6)]
+    for host in hosts[1:]:
+        settled.board.peers.hear(host, "lag-a", clock.now() - 5.0)
+    assert read_ahead(settled) == owned(settled, hosts) != list(range(4))
+
+
+def test_after_a_start_the_others_are_heard_before_pieces_are_read(settled):
+    hosts = [f"10.0.0.{n}" for n in range(1, 6)]
+
+    def hear() -> None:
+        for host in hosts[1:]:
+            settled.board.peers.hear(host, "lag-a", clock.now())
+
+    eventlet.spawn_after(0.01, hear)
+    assert read_ahead(settled) == owned(settled, hosts) != list(range(4))
+
+
+def test_who_is_alone_reads_all(settled):
+    assert read_ahead(settled) == [0, 1, 2, 3]
