Keep old weights farther off their bound

The margin of 0.7 s is below the objective, 0.4 s, and what its prediction may miss near full load (p90 0.8 s, measured at a load of 18).

Ruled out: the expected version (the engine held 2, which was asked for); a late configuration (the entry knew version 3 within 0.1 s).

Change: 1.2 s, in the entry and for the last engine that closes.

--- a/packages/primroselever-core/src/primroselever_core/filling/switching.py
+++ b/packages/primroselever-core/src/primroselever_core/filling/switching.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 CLOSE_AHEAD_S = 1.6  # the usual time in which an engine ends most of what it runs
-BOUND_MARGIN_S = 0.7  # entries send nothing to old weights so long before the bound
+BOUND_MARGIN_S = 1.2  # entries send nothing to old weights so long before the bound
 
 
 def closing_time(
--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -44,7 +44,8 @@
 LEAVING_RETRY_S = 0.05
 STARTING_RETRY_S = 0.5  # a configuration is read within a few answers of the store
 ANY_TIME_S = 60.0  # longer than any route's timeout
-OLD_WEIGHTS_MARGIN_S = 0.7  # a request waits in an engine's queue before it begins
+# The usual objective and the p90 of its prediction's error near full load, 0.4 + 0.8 s.
+OLD_WEIGHTS_MARGIN_S = 1.2
 RESEND_MARGIN_S = 2.5  # what is sent again takes any place in a queue, also a late one
 CRASHES_SERVERS = "earlier runs of this request crashed servers"
 FIRST_ATTEMPT_SHARE = 0.8  # of the longest stated deadline; first attempts state more
