Let SIGTERM end a program that has begun nothing, in the soak's eyes

Its log has two starts and no line of a stop: a start between them, after a kill, met SIGTERM while it was importing.

Ruled out: a stop that cut something (a start without its line has opened no port).

Change: within 2 s of a start the signal's own exit code is no breach; later it is.

Conclusion: the soak's own.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -27,6 +27,7 @@
 
 LONGEST_S = 2.5
 RESTART_S = 0.3
+STARTING_S = 2.0  # the interpreter and imports take some 0.5 s, twice that when busy
 BACK_END_AWAY_S = 1.0
 DELAY_S = 0.3
 AFTER_LEAVING_S = 4.0  # from the listing as leaving to the end of a back end
@@ -84,7 +85,10 @@
     vm.stopping = True
     span = scene.note("terminate", vm.name, planned=True)
     vm.signal(signal.SIGTERM)
+    starting = span.start - vm.started_at < STARTING_S
     code = scene.fleet.wait_end(vm)
+    if starting and code == -signal.SIGTERM:
+        code = 0  # it has begun nothing yet, so that it may end by the signal
     if code is None or (
         code and scene.ledger.calm(vm.name, span.start, time.monotonic())
     ):
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -53,6 +53,7 @@
     incarnation: int = 0
     misses: int = MISSES
     stopping: bool = False
+    started_at: float = 0.0
 
     @property
     def in_rotation(self) -> bool:
@@ -272,6 +273,7 @@
             program = ["-m", "soak.mutants", self.mutant, vm.role]
         vm.incarnation += 1
         vm.misses, vm.stopping = MISSES, False
+        vm.started_at = time.monotonic()
         with open(self.directory / f"{vm.name}.log", "ab") as log:
             vm.process = subprocess.Popen(
                 [sys.executable, *program, "serve", str(path)],
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -20,4 +20,7 @@
     Regression(
         107, 15.0, "the check's own: a probe crossed the configuration that ended it"
     ),
+    Regression(
+        304, 12.0, "the check's own: SIGTERM met an agent that had begun nothing yet"
+    ),
 )
