Count a crash only against runs that began after the one before

Cause: read as a newcomer, the crash watch would have turned away a key that many ask for: servers that are killed together each run a request for it, which made three crashes at once and ten minutes of refusals.

Ruled out: a higher threshold (a herd kills more servers than any); a shorter quarantine (the request would come back to crash three more).

Change: a run that breaks off is evidence only if no crash of the same request became known since it began.

--- a/packages/primroselever-agent/src/primroselever_agent/direct/news.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/news.py
@@ -120,6 +120,7 @@
         for seed in self.board.seeds:
             targets.setdefault(seed, "")
         load = state.running + state.waiting
+        due = []
         for host, domain in targets.items():
             changed = abs(load - self.sent_load.get(host, 0)) >= LOAD_CHANGE
             soon = domain == own or changed
@@ -127,7 +128,8 @@
             if at_once or now - self.sent_at.get(host, 0.0) >= interval * 0.95:
                 self.sent_at[host] = now
                 self.sent_load[host] = load
-                self.port.send(host, engine=news)
+                due.append(host)
+        self.port.send_all(due, engine=news)
 
     def receive(self, datagram: Any, _host: str) -> None:
         """Take in one datagram."""
--- a/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
@@ -113,9 +113,9 @@
     All that was published, as far as this process knows.
 
     ``heard_at`` is when the store was last heard, by whatever way, ``read_at`` when it
-    last answered this process itself. ``lapsed`` maps
-    back ends whose entries vanished while the store was away to when they count as
-    gone; ``removed`` holds at which revision others went.
+    last answered this process itself. ``lapsed`` maps back ends whose entries vanished
+    while the store was away to when they count as gone; ``removed`` holds at which
+    revision others went.
     """
 
     store_revision: int = 0
@@ -249,7 +249,7 @@
 
     def heard_by_peer(self, heard_at: float) -> None:
         """Take in when a peer that knows no more than this process heard the store."""
-        if self.heard_at is None or heard_at > self.heard_at:
+        if heard_at > (self.heard_at or float("-inf")):
             self.heard_at = heard_at
 
     def replace_servers(
--- a/packages/primroselever-entry/src/primroselever_entry/direct/crash_watch.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/crash_watch.py
@@ -66,10 +66,22 @@
         return record.deadline - now
 
     def broke_off(
-        self, request: CallerRequest, workspace: str | None, backend: Backend
+        self,
+        request: CallerRequest,
+        workspace: str | None,
+        backend: Backend,
+        known: frozenset[CrashId],
     ) -> None:
-        """Take in that a run ended with its connection, as when the server crashes."""
+        """
+        Take in that a run ended with its connection, as when the server crashes.
+
+        ``known`` are the crashes known when the run began. One that became known since
+        makes this one no further evidence: where many servers are killed together,
+        each of them runs requests for a key that many ask for.
+        """
         fingerprint = request_fingerprint(request, workspace)
+        if not self.suspects.known_crashes(fingerprint) <= known:
+            return
         listed = backend.listed
         crash = CrashId(f"{listed.server_id}/{listed.born_ms}")
         self.suspects.crashed(crash, [fingerprint], clock.now())
--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -209,7 +209,7 @@
             attempt = Sending(self, state, choice, caller).run()
             state.attempts.append(attempt)
             if attempt.crashed:
-                self.crashes.broke_off(state.request, state.workspace, backend)
+                self.crashes.broke_off(state.request, state.workspace, backend, known)
             self.instruments.attempted(attempt.end)
             if attempt.may_have_run:
                 state.may_have_run = True
--- a/packages/primroselever-node/src/primroselever_node/direct/datagrams.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/datagrams.py
@@ -13,7 +13,7 @@
 from .schema import schema
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
 MAX_BYTES = 8192
 
@@ -38,11 +38,17 @@
 
     def send(self, host: str, **kind: Any) -> None:
         """Send one structure; what cannot be sent now is lost."""
-        data = serialize(schema.Datagram(**kind), self.protocol)
-        try:
-            self.socket.sendto(data, (host, self.port))
-        except OSError as exc:
-            logger.warning("a datagram was not sent", extra={"error": str(exc)})
+        self.send_all((host,), **kind)
+
+    def send_all(self, hosts: Iterable[str], **kind: Any) -> None:
+        """Send one structure to several hosts; what cannot be sent now is lost."""
+        data = b""
+        for host in hosts:
+            data = data or serialize(schema.Datagram(**kind), self.protocol)
+            try:
+                self.socket.sendto(data, (host, self.port))
+            except OSError as exc:
+                logger.warning("a datagram was not sent", extra={"error": str(exc)})
 
     def run(self) -> None:
         """Take in datagrams for good; one that cannot be read harms no other."""
--- a/packages/primroselever-node/src/primroselever_node/direct/gossip.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/gossip.py
@@ -85,8 +85,7 @@
             log_decision("peer forgotten", host, "dropped", "not heard for long")
         news = self.news(now)
         self.beats += 1
-        for host in self.board.peers.greeted():
-            self.port.send(host, entry=news)
+        self.port.send_all(self.board.peers.greeted(), entry=news)
         if now >= self.suspects_repeat_at:
             self.suspects_repeat_at = now + SUSPECTS_REPEATED_S
             self.board.suspects.expire(now)
@@ -105,10 +104,13 @@
         now = clock.now()
         news = self.news(now)
         peers = self.board.peers
-        for host in peers.greeted():
-            peer = peers.known.get(host)
-            if peer is not None and peer.failure_domain == peers.own_domain:
-                self.port.send(host, entry=news)
+        near = (
+            host
+            for host in peers.greeted()
+            if host in peers.known
+            and peers.known[host].failure_domain == peers.own_domain
+        )
+        self.port.send_all(near, entry=news)
 
     def news(self, now: float) -> Any:
         """Return this entry's heartbeat."""
@@ -163,12 +165,10 @@
     def send_suspicions(self, suspicions: list[Suspicion]) -> None:
         """Send suspicions to all live entries, in as many datagrams as they need."""
         step = SUSPICIONS_IN_ONE_DATAGRAM
-        live = self.board.peers.live(clock.now()) if suspicions else []
+        live = [peer.host for peer in self.board.peers.live(clock.now())]
         for start in range(0, len(suspicions), step):
             part = [wire_of(one) for one in suspicions[start : start + step]]
-            news = schema.SuspicionNews(part)
-            for peer in live:
-                self.port.send(peer.host, suspects=news)
+            self.port.send_all(live, suspects=schema.SuspicionNews(part))
 
     def note_sent(self, address: Address, prompt_tokens: int) -> None:
         """
@@ -192,9 +192,13 @@
         far, self.sent_far = self.sent_far, False
         news = schema.SentNews(requests[-SENT_IN_ONE_DATAGRAM:])
         now = clock.now()
-        for peer in self.board.peers.live(now):
-            if far or peer.failure_domain == self.board.identity.failure_domain:
-                self.port.send(peer.host, sent=news)
+        own = self.board.identity.failure_domain
+        told = (
+            peer.host
+            for peer in self.board.peers.live(now)
+            if far or peer.failure_domain == own
+        )
+        self.port.send_all(told, sent=news)
 
     def hear_sent(self, news: Any) -> None:
         """Take in what another entry sent to back ends."""
