Count crashes that happen together as one, at whatever entries

Ruled out: clocks (entries share none).

Change: a crash carries its place after those known when its run began; a row of three servers turns the request away. The threshold leaves the core's section, which is as it was for agents.

--- a/packages/primroselever-core/src/primroselever_core/direct_board.py
+++ b/packages/primroselever-core/src/primroselever_core/direct_board.py
@@ -13,10 +13,6 @@
     from .board import Identity
     from .gossip.peers import Peers
 
-# Servers at which a request's run broke off before it is held to crash them. A broken
-# connection alone may be the network's, so this is one above QUARANTINE_CRASHES.
-BROKEN_RUNS = 3
-
 
 @dataclass(slots=True)
 class DirectBoard:
@@ -34,6 +30,4 @@
     catalogue: Catalogue = field(default_factory=Catalogue)
     backends: BackendsSection = field(default_factory=BackendsSection)
     leaving: bool = False
-    suspects: SuspectsSection = field(
-        default_factory=lambda: SuspectsSection(quarantine_crashes=BROKEN_RUNS)
-    )
+    suspects: SuspectsSection = field(default_factory=SuspectsSection)
--- a/packages/primroselever-core/src/primroselever_core/suspects/section.py
+++ b/packages/primroselever-core/src/primroselever_core/suspects/section.py
@@ -50,10 +50,10 @@
         """Return a key that sorts the records that matter least first."""
         return self.uncleared(), self.deadline
 
-    def standing(self, quarantine_crashes: int = QUARANTINE_CRASHES) -> Standing:
+    def standing(self) -> Standing:
         """Return what follows from the crashes that are not cleared."""
         count = self.uncleared()
-        if count >= quarantine_crashes:
+        if count >= QUARANTINE_CRASHES:
             return Standing.QUARANTINED
         return Standing.SUSPECT if count else Standing.CLEAR
 
@@ -63,7 +63,6 @@
     """All suspicions by fingerprint; written by the suspects controller."""
 
     records: dict[Fingerprint, Suspicion] = field(default_factory=dict)
-    quarantine_crashes: int = QUARANTINE_CRASHES
 
     def standing(self, fingerprint: Fingerprint, now: float) -> Standing:
         """Return whether a request may run, may run alone, or may not run."""
@@ -73,7 +72,7 @@
         if record.deadline <= now:
             del self.records[fingerprint]
             return Standing.CLEAR
-        return record.standing(self.quarantine_crashes)
+        return record.standing()
 
     def crashed(
         self, crash: CrashId, present: Iterable[Fingerprint], now: float
--- a/packages/primroselever-entry/src/primroselever_entry/direct/crash_watch.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/crash_watch.py
@@ -3,8 +3,10 @@
 
 Answers the pattern of a poisonous request that its caller sends again and again: it is
 known by what it asks, since each sending has an identifier of its own. A connection
-that breaks off may also be the network's doing, so that it takes several starts of
-servers, with no answer in between, before a request is turned away.
+that breaks off may also be the network's doing, so that it takes several servers, one
+after the other with no answer in between, before a request is turned away. Servers that
+are killed together each run requests for a key that many ask for: their crashes count
+as one, at whatever entries the runs began.
 """
 
 from __future__ import annotations
@@ -12,12 +14,12 @@
 from typing import TYPE_CHECKING
 
 from primroselever_core.runs.fingerprint import fingerprint_of
-from primroselever_core.suspects.section import CrashId, Standing
+from primroselever_core.suspects.section import CrashId
 from primroselever_node import clock
 from primroselever_node.logs import log_decision
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Set as AbstractSet
 
     from primroselever_core.dispatch.backend import Backend
     from primroselever_core.identifiers import Fingerprint
@@ -25,6 +27,10 @@
 
     from .caller_request import CallerRequest
 
+# Servers in a row; a broken connection may be the network's, so this is one above what
+# agents take, which see their engine end.
+QUARANTINE_ROW = 3
+
 
 class CrashWatch:
     """Writes the section on suspects for the requests of one entry."""
@@ -51,9 +57,11 @@
             return None
         now = clock.now()
         fingerprint = request_fingerprint(request, workspace)
-        if self.suspects.standing(fingerprint, now) is not Standing.QUARANTINED:
+        record = self.suspects.records.get(fingerprint)
+        if record is None or record.deadline <= now:
+            return None
+        if row_length(record.crashes - record.cleared) < QUARANTINE_ROW:
             return None
-        record = self.suspects.records[fingerprint]
         log_decision(
             "crashing request",
             request.shown_id,
@@ -75,15 +83,16 @@
         """
         Take in that a run ended with its connection, as when the server crashes.
 
-        ``known`` are the crashes known when the run began. One that became known since
-        makes this one no further evidence: where many servers are killed together,
-        each of them runs requests for a key that many ask for.
+        ``known`` are the crashes known when the run began; the crash comes after those
+        in the row. A server counts once for each of its starts.
         """
         fingerprint = request_fingerprint(request, workspace)
-        if not self.suspects.known_crashes(fingerprint) <= known:
+        start = f"{backend.listed.server_id}/{backend.listed.born_ms}"
+        if any(crash.partition("/")[2] == start for crash in known):
             return
-        listed = backend.listed
-        crash = CrashId(f"{listed.server_id}/{listed.born_ms}")
+        record = self.suspects.records.get(fingerprint)
+        cleared = record.cleared if record else frozenset()
+        crash = CrashId(f"{row_length(known - cleared) + 1}/{start}")
         self.suspects.crashed(crash, [fingerprint], clock.now())
         log_decision(
             "request suspected",
@@ -92,7 +101,6 @@
             "a run broke off",
             fingerprint=fingerprint,
             crash=crash,
-            crashes=self.suspects.records[fingerprint].uncleared(),
         )
         self.tell_peers(fingerprint)
 
@@ -118,6 +126,12 @@
             self.tell_peers(fingerprint)
 
 
+def row_length(crashes: AbstractSet[CrashId]) -> int:
+    """Return how many crashes came one after the other; each names its place."""
+    places = (crash.partition("/")[0] for crash in crashes)
+    return max((int(place) for place in places if place.isdigit()), default=0)
+
+
 def request_fingerprint(request: CallerRequest, workspace: str | None) -> Fingerprint:
     """Return what a request that is sent once more has in common with the first."""
     asked = f"{request.host}{request.target.decode('latin-1')}"
