Split the start of the soak's fleet

Ruled out: a change of what is built. Change: add_entry and add_agent. Conclusion: words and structure only.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -78,6 +78,7 @@
     store: PlatformStore = field(default_factory=PlatformStore)
     links: Links = field(default_factory=Links)
     origin_address: tuple[str, int] = ("", 0)
+    store_address: tuple[str, int] = ("", 0)
     configuration: int = 0
     version: int = 0
     directory: Path = field(
@@ -87,15 +88,8 @@
     def start(self) -> None:
         """Start the stand-ins, publish, and start the programs."""
         self.origin_address = self.serve(Origin(), "127.9.0.2")
-        store = self.serve(self.store, "127.9.0.1")
+        self.store_address = self.serve(self.store, "127.9.0.1")
         news_port, control_port = free_port("udp"), free_port("tcp")
-        for number, domain in enumerate(DOMAINS, 1):
-            for index in range(1, ENGINES_IN_A_DOMAIN + 1):
-                host = f"127.2.{number}.{index}"
-                self.add_backend(f"engine-{domain}-{index}", "gen", host, domain)
-            for index in range(1, PLAIN_IN_A_DOMAIN + 1):
-                host = f"127.3.{number}.{index}"
-                self.add_backend(f"plain-{domain}-{index}", "desk", host, domain)
         seeds = [f"127.1.{n}.1:{control_port}" for n, _ in enumerate(DOMAINS, 1)]
         for number, domain in enumerate(DOMAINS, 1):
             shared = {
@@ -108,36 +102,15 @@
                 "log_level": "INFO",
             }
             for index in range(1, ENTRIES_IN_A_DOMAIN + 1):
-                name, host = f"entry-{domain}-{index}", f"127.1.{number}.{index}"
-                settings = {
-                    **shared,
-                    "vm_id": name,
-                    "host": host,
-                    "admin_port": free_port("tcp"),
-                    "store": self.link(f"{name}>store", store),
-                    "callers": f"{host}:{free_port('tcp')}",
-                    "readiness": f"{host}:{free_port('tcp')}",
-                    "readiness_path": "/ready",
-                    "control": f"{host}:{control_port}",
-                    "retry_ratio": 0.2,
-                    "retry_slack": 100,
-                    "retry_window_s": 10,
-                    "contact_s": 3.0,
-                }
-                self.vms[name] = Vm(name, "entry", settings)
+                host = f"127.1.{number}.{index}"
+                self.add_entry(f"{domain}-{index}", host, control_port, shared)
             for index in range(1, ENGINES_IN_A_DOMAIN + 1):
-                name = f"agent-{domain}-{index}"
-                backend = self.backends[f"engine-{domain}-{index}"]
-                settings = {
-                    **shared,
-                    "vm_id": name,
-                    "host": f"127.2.{number}.{index}",
-                    "admin_port": free_port("tcp"),
-                    "store": shown(store),
-                    "engine": shown(backend.address),
-                    "service": "gen",
-                }
-                self.vms[name] = Vm(name, "agent", settings)
+                host = f"127.2.{number}.{index}"
+                self.add_backend(f"engine-{domain}-{index}", "gen", host, domain)
+                self.add_agent(f"{domain}-{index}", host, shared)
+            for index in range(1, PLAIN_IN_A_DOMAIN + 1):
+                host = f"127.3.{number}.{index}"
+                self.add_backend(f"plain-{domain}-{index}", "desk", host, domain)
         self.name_version(1)
         self.publish()
         for name in self.backends:
@@ -146,6 +119,42 @@
             self.start_vm(vm)
         eventlet.spawn(self.check_ready)
 
+    def add_entry(
+        self, place: str, host: str, control_port: int, shared: dict[str, Any]
+    ) -> None:
+        """Add the VM of an entry, with a link of its own to the store."""
+        name = f"entry-{place}"
+        settings = {
+            **shared,
+            "vm_id": name,
+            "host": host,
+            "admin_port": free_port("tcp"),
+            "store": self.link(f"{name}>store", self.store_address),
+            "callers": f"{host}:{free_port('tcp')}",
+            "readiness": f"{host}:{free_port('tcp')}",
+            "readiness_path": "/ready",
+            "control": f"{host}:{control_port}",
+            "retry_ratio": 0.2,
+            "retry_slack": 100,
+            "retry_window_s": 10,
+            "contact_s": 3.0,
+        }
+        self.vms[name] = Vm(name, "entry", settings)
+
+    def add_agent(self, place: str, host: str, shared: dict[str, Any]) -> None:
+        """Add the VM of an agent beside an engine."""
+        name = f"agent-{place}"
+        settings = {
+            **shared,
+            "vm_id": name,
+            "host": host,
+            "admin_port": free_port("tcp"),
+            "store": shown(self.store_address),
+            "engine": shown(self.backends[f"engine-{place}"].address),
+            "service": "gen",
+        }
+        self.vms[name] = Vm(name, "agent", settings)
+
     def serve(self, application: Any, host: str) -> tuple[str, int]:
         """Serve a stand-in; return its address."""
         server = HttpServer(application, host, 0)
