Return clearings to entries that repeat a cleared suspicion

Cause: the clearing of a request was sent once, to the peers that were live then. An entry that was unreachable kept its suspicion for 600 s and went on repeating it. Ruled out: repeating each clearing for some time, since no time covers every outage. Change: an entry that receives a suspicion whose clearing it knows sends its own record back to the sender.

--- a/packages/primroselever-core/src/primroselever_core/suspects/section.py
+++ b/packages/primroselever-core/src/primroselever_core/suspects/section.py
@@ -125,6 +125,18 @@
         record.cleared |= received.cleared
         return changed
 
+    def clearings_unknown_to(self, received: Suspicion, now: float) -> Suspicion | None:
+        """
+        Return the record of a request if it has clearings that a received one lacks.
+
+        A process that was unreachable when a request was cleared continues to send its
+        suspicion. The returned record is the reply that updates it.
+        """
+        record = self.records.get(received.fingerprint)
+        if record is None or record.deadline <= now:
+            return None
+        return None if record.cleared <= received.cleared else record
+
     def get_or_create_record(
         self, fingerprint: Fingerprint, deadline: float, now: float
     ) -> Suspicion:
--- a/packages/primroselever-node/src/primroselever_node/direct/gossip.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/gossip.py
@@ -21,7 +21,11 @@
 from ..logs import log_decision
 from ..process import run_controller
 from ..rpc.client_pool import ClientPool, LostReplyError, NeverSentError
-from ..rpc.suspicions import merge_suspicions, suspicion_to_thrift
+from ..rpc.suspicions import (
+    clearings_to_return,
+    merge_suspicions,
+    suspicion_to_thrift,
+)
 from .datagrams import DatagramPort
 from .peer_handler import catalogue_serializer
 from .schema import schema
@@ -169,7 +173,7 @@
         elif datagram.sent is not None:
             self.receive_request_report(datagram.sent)
         elif datagram.suspects is not None:
-            merge_suspicions(self.board.suspects, datagram.suspects.suspicions)
+            self.receive_suspicions(datagram.suspects.suspicions or [], host)
 
     def publish_suspicion(self, fingerprint: Fingerprint) -> None:
         """Schedule sending the suspicion of a request to all live entries."""
@@ -185,16 +189,29 @@
             [records[fingerprint] for fingerprint in changed if fingerprint in records]
         )
 
-    def send_suspicions(self, suspicions: list[Suspicion]) -> None:
-        """Send suspicions to all live entries, over several datagrams if needed."""
+    def receive_suspicions(self, suspicions: list[Any], host: str) -> None:
+        """Merge the suspicions of an entry, and send it the clearings that it lacks."""
+        suspects = self.board.suspects
+        merge_suspicions(suspects, suspicions)
+        self.send_suspicions(clearings_to_return(suspects, suspicions), [host])
+
+    def send_suspicions(
+        self, suspicions: list[Suspicion], hosts: list[str] | None = None
+    ) -> None:
+        """
+        Send suspicions to some hosts, by default to all live entries.
+
+        They are split over several datagrams if needed.
+        """
         step = MAX_SUSPICIONS_PER_DATAGRAM
-        live = [peer.host for peer in self.board.peers.live(clock.now())]
+        if hosts is None:
+            hosts = [peer.host for peer in self.board.peers.live(clock.now())]
         for start in range(0, len(suspicions), step):
             batch = [
                 suspicion_to_thrift(suspicion)
                 for suspicion in suspicions[start : start + step]
             ]
-            self.datagram_port.send_all(live, suspects=schema.SuspicionNews(batch))
+            self.datagram_port.send_all(hosts, suspects=schema.SuspicionNews(batch))
 
     def publish_sent(self, address: Address, prompt_tokens: int) -> None:
         """
--- a/packages/primroselever-node/src/primroselever_node/rpc/suspicions.py
+++ b/packages/primroselever-node/src/primroselever_node/rpc/suspicions.py
@@ -48,11 +48,27 @@
     now = clock.now()
     changed = False
     for message in received or ():
-        suspicion = Suspicion(
-            Fingerprint(message.fingerprint),
-            clock.deadline_in(message.remaining_ms),
-            {CrashId(name) for name in message.crash_ids or ()},
-            {CrashId(name) for name in message.cleared_ids or ()},
-        )
-        changed = section.merge(suspicion, now) or changed
+        changed = section.merge(suspicion_from_thrift(message), now) or changed
     return changed
+
+
+def clearings_to_return(
+    section: SuspectsSection, received: Iterable[Any]
+) -> list[Suspicion]:
+    """Return the records with clearings that the sender of suspicions lacks."""
+    now = clock.now()
+    records = (
+        section.clearings_unknown_to(suspicion_from_thrift(message), now)
+        for message in received
+    )
+    return [record for record in records if record is not None]
+
+
+def suspicion_from_thrift(message: Any) -> Suspicion:
+    """Return a received suspicion."""
+    return Suspicion(
+        Fingerprint(message.fingerprint),
+        clock.deadline_in(message.remaining_ms),
+        {CrashId(name) for name in message.crash_ids or ()},
+        {CrashId(name) for name in message.cleared_ids or ()},
+    )
--- a/packages/primroselever-node/tests/direct/test_gossip.py
+++ b/packages/primroselever-node/tests/direct/test_gossip.py
@@ -259,6 +259,22 @@
     wait_until(lambda: not sender.board.suspects.records[SUSPECT].uncleared())
 
 
+def test_an_entry_that_missed_a_clearing_receives_it_when_it_repeats_its_suspicion(
+    loopback_entries, monkeypatch
+):
+    # The entry was unreachable when the request was cleared, so that it continues to
+    # repeat a suspicion that all others have dropped.
+    monkeypatch.setattr(gossip_module, "SUSPECTS_REPEAT_INTERVAL_S", 0.05)
+    away, other = loopback_entries.add("127.0.0.1"), loopback_entries.add("127.0.0.2")
+    for entry in (away, other):
+        for name in ("i-1/5", "i-2/5", "i-3/5"):
+            entry.board.suspects.record_crash(CrashId(name), [SUSPECT], clock.now())
+    other.board.suspects.record_success(
+        SUSPECT, other.board.suspects.known_crashes(SUSPECT)
+    )
+    wait_until(lambda: not away.board.suspects.records[SUSPECT].uncleared())
+
+
 def test_suspicions_are_repeated_for_an_entry_that_missed_them(
     loopback_entries, monkeypatch
 ):
