Complete requests that have arrived, in part or unread, when an entry closes

Cause: closing took a connection for idle while its first bytes were unread, while the next part of a body was awaited, or before it was accepted; and the first bytes of a chunk header restarted the header timeout, since one attribute stood for both times. Change: reading_body replaces the reset of request_started_at; closing first accepts pending connections and polls each for unread bytes; a request that had arrived by then is served, and the shutdown waits for it. Before: the four new tests fail (three of them were run without the change, the one on connections not yet accepted was written with it). After: they pass.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
@@ -15,6 +15,7 @@
 
 import eventlet
 import h11
+from eventlet import patcher
 
 from primroselever_core.exceptions import PrimroseleverError
 from primroselever_node import clock
@@ -36,8 +37,12 @@
 MAX_PIPELINED_BYTES = 262144  # of later requests, read while one is processed
 TCP_USER_TIMEOUT_MS = 5000  # callers time out after a few seconds
 LINGER_S = 0.5  # to read the rest of a refused body, so that the refusal arrives
+ACCEPT_RETRY_S = 0.05  # after a failure, such as a lack of descriptors
 WRITE_TIMEOUT_S = 10.0  # a caller that reads nothing for this long is gone
 
+# The unpatched module polls without switching greenlets.
+select_module = patcher.original("select")
+
 logger = logging.getLogger(__name__)
 
 
@@ -52,9 +57,11 @@
     ``on_caller_left`` is called when the caller disconnects. ``caller_left`` is set
     then, and also when a response is abandoned: nothing more is sent. Once the current
     request has ended, the connection is closed. ``request_started_at`` is when the
-    first byte of the current request arrived; it is 0 before that, and while the next
-    part of a body is awaited. ``unsent`` holds response bytes that are sent together
-    with the next part.
+    first byte of the current request arrived, and 0 before that. ``reading_body`` is
+    set while its body is read, to which the idle timeout applies instead of the header
+    timeout. ``busy_at_close`` is set if a request had arrived, at least in part, when
+    the server began to close: it is still served. ``unsent`` holds response bytes that
+    are sent together with the next part.
     """
 
     def __init__(self, server: CallerServer, sock: Any) -> None:
@@ -68,6 +75,8 @@
         self.caller_left = False
         self.on_caller_left: Callable[[], None] | None = None
         self.request_started_at = 0.0
+        self.reading_body = False
+        self.busy_at_close = False
         self.request_id = b""
         self.unsent = b""
 
@@ -158,7 +167,7 @@
                     )
                 )
             deadline = idle_deadline
-            if self.request_started_at:
+            if self.request_started_at and not self.reading_body:
                 deadline = self.request_started_at + self.limits.header_timeout_s
             remaining_s = deadline - clock.now()
             if remaining_s <= 0:
@@ -174,8 +183,7 @@
         parts: list[bytes] = []
         size = 0
         while True:
-            # Between parts of a body the idle timeout applies, not the header timeout.
-            event = self.next_body_event(clock.now() + self.limits.idle_timeout_s)
+            event = self.next_body_event()
             if isinstance(event, h11.Data):
                 size += len(event.data)
                 if size > self.limits.body_bytes:
@@ -186,13 +194,13 @@
             else:
                 raise CallerLeftError
 
-    def next_body_event(self, deadline: float) -> Any:
-        """Return the next body event, waiting with the idle timeout instead."""
-        started_at, self.request_started_at = self.request_started_at, 0.0
+    def next_body_event(self) -> Any:
+        """Return the next body event, waiting with the idle timeout."""
+        self.reading_body = True
         try:
-            return self.next_event(deadline)
+            return self.next_event(clock.now() + self.limits.idle_timeout_s)
         finally:
-            self.request_started_at = started_at
+            self.reading_body = False
 
     def process_request(self, request: CallerRequest) -> None:
         """Process a request while the connection is watched for a disconnect."""
@@ -269,6 +277,17 @@
         """Have the connection closed without the last chunk of the response."""
         self.caller_left = True
 
+    @property
+    def refuses_requests(self) -> bool:
+        """Return whether a request comes too late to be served before the end."""
+        return self.server.closing and not self.busy_at_close
+
+    def is_idle(self) -> bool:
+        """Return whether no byte of a request has arrived, not even an unread one."""
+        if self.processing or self.request_started_at:
+            return False
+        return not is_readable(self.socket)
+
     def shut_down_idle(self) -> None:
         """Shut down a connection that waits for a request."""
         try:
@@ -331,6 +350,13 @@
             return  # the caller is gone, so the response needs no protection
 
 
+def is_readable(sock: Any) -> bool:
+    """Return whether a socket has input, or a connection to accept."""
+    poller = select_module.poll()
+    poller.register(sock.fileno(), select_module.POLLIN)
+    return bool(poller.poll(0))
+
+
 def head_size(head: h11.Request) -> int:
     """Return the size in bytes of a request head with the usual separators."""
     size = len(head.method) + len(head.target) + len("  HTTP/1.1") + 4
@@ -364,26 +390,45 @@
     def accept_connections(self) -> None:
         """Accept connections until the process ends."""
         while True:
-            try:
-                sock, _address = self.socket.accept()
-            except OSError as exc:
-                logger.warning(
-                    "cannot accept a connection from a caller",
-                    extra={"error": str(exc)},
-                )
-                eventlet.sleep(0.05)
-                continue
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.setsockopt(
-                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
+            if not self.accept_connection():
+                eventlet.sleep(ACCEPT_RETRY_S)
+
+    def accept_connection(self) -> bool:
+        """Accept the next connection and serve it; return whether this succeeded."""
+        try:
+            sock, _address = self.socket.accept()
+        except OSError as exc:
+            logger.warning(
+                "cannot accept a connection from a caller", extra={"error": str(exc)}
             )
-            connection = CallerConnection(self, sock)
-            self.connections.add(connection)
-            eventlet.spawn(connection.serve)
+            return False
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
+        )
+        connection = CallerConnection(self, sock)
+        self.connections.add(connection)
+        eventlet.spawn(connection.serve)
+        return True
 
     def close_idle_connections(self) -> None:
-        """Close idle connections; the others close after their current request."""
+        """
+        Close idle connections; the others close after their current request.
+
+        Connections that callers opened before this are accepted first.
+        """
+        while is_readable(self.socket) and self.accept_connection():
+            pass
         self.closing = True
         for connection in list(self.connections):
-            if not connection.processing and not connection.request_started_at:
+            if connection.is_idle():
                 connection.shut_down_idle()
+            else:
+                connection.busy_at_close = True
+
+    def unfinished_count(self) -> int:
+        """Return how many connections have a request that must still be answered."""
+        return sum(
+            connection.processing or connection.busy_at_close
+            for connection in self.connections
+        )
--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -140,7 +140,7 @@
         self, request: CallerRequest, caller: CallerConnection
     ) -> RequestState | None:
         """Return the state of an admitted request; otherwise send an error."""
-        if caller.server.closing:
+        if caller.refuses_requests:
             # Another entry can take it at once; here shutdown would cut it off.
             self.send_error(request, caller, 503, "leaving", LEAVING_RETRY_AFTER_S)
             return None
--- a/packages/primroselever-entry/src/primroselever_entry/direct/process.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/process.py
@@ -156,7 +156,7 @@
         self.board.leaving = True
         eventlet.sleep(self.settings.turn_away_s)
         self.caller_server.close_idle_connections()
-        drained = drain(lambda: self.caller_server.in_flight, deadline)
+        drained = drain(self.caller_server.unfinished_count, deadline)
         eventlet.sleep(LAST_WRITES_S)
         return drained
 
--- a/packages/primroselever-entry/tests/direct/test_caller_connection.py
+++ b/packages/primroselever-entry/tests/direct/test_caller_connection.py
@@ -4,7 +4,9 @@
 
 import eventlet
 import pytest
-from hypothesis import HealthCheck, given, settings, strategies
+from eventlet import patcher
+from eventlet.greenio import GreenSocket
+from hypothesis import HealthCheck, example, given, settings, strategies
 
 from .conftest import HANG, LIMITS, Entry, ok_response, read_all, request
 
@@ -98,6 +100,56 @@
     assert read_all(busy).endswith(b"ok")
 
 
+def test_closing_completes_a_request_whose_first_bytes_are_unread(entry):
+    # The request arrived while other greenlets ran, so its connection looked idle.
+    entry.add("a").responses = [ok_response()]
+    busy = entry.connect()
+    with eventlet.Timeout(3):
+        while not entry.server.connections:
+            eventlet.sleep(0.001)
+    busy.sendall(request(close=False))
+    entry.server.close_idle_connections()
+    assert entry.server.unfinished_count() == 1
+    assert read_all(busy).endswith(b"ok")
+    assert entry.server.unfinished_count() == 0
+
+
+def test_closing_completes_a_request_on_a_connection_not_yet_accepted(entry):
+    entry.add("a").responses = [ok_response()]
+    # A plain socket connects without a switch to the greenlet that accepts.
+    plain = patcher.original("socket").create_connection(entry.address)
+    plain.sendall(request(close=False))
+    assert not entry.server.connections
+    busy = GreenSocket(plain)
+    entry.server.close_idle_connections()
+    assert read_all(busy).endswith(b"ok")
+
+
+def test_closing_completes_a_request_whose_body_still_arrives(entry):
+    # While the next part of a body was awaited, the connection looked idle.
+    entry.add("a").responses = [ok_response()]
+    busy = entry.connect()
+    data = request("/order/x", "POST", b"ink red", close=False)
+    busy.sendall(data[:-4])
+    eventlet.sleep(0.01)
+    entry.server.close_idle_connections()
+    busy.sendall(data[-4:])
+    assert read_all(busy).endswith(b"ok")
+
+
+def test_header_timeout_does_not_apply_to_a_slow_chunk_header(entry):
+    # The first byte of a chunk header restarted the header timeout.
+    entry.add("a").responses = [ok_response()]
+    connection = entry.connect()
+    head = request("/order/x", "POST", headers=["Transfer-Encoding: chunked"])
+    connection.sendall(head)
+    eventlet.sleep(0.01)
+    connection.sendall(b"3")
+    eventlet.sleep(LIMITS.header_timeout_s + 0.05)
+    connection.sendall(b"\r\nink\r\n0\r\n\r\n")
+    assert read_all(connection).endswith(b"ok")
+
+
 def test_closing_entry_refuses_new_requests(entry):
     backend = entry.add("a")
     entry.server.closing = True
