Load only the modules that a serving process uses

Change: the structures of the thrift files are generated and committed; the identity, validation findings and each binary's command line have modules of their own; the commands import urllib3 and the profiles' model where they use them.

--- a/Makefile
+++ b/Makefile
@@ -2,12 +2,12 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 PACKAGES := core node entry agent
-SOURCES := packages platform bench models soak conftest.py
+SOURCES := packages platform bench models soak tools conftest.py
 EXPERIMENT ?= routing
 ARGS ?=
 PYTEST_ARGS ?=
 
-.PHONY: setup format lint types contracts test model demo bench soak check
+.PHONY: setup schema format lint types contracts test model demo bench soak check
 
 $(VENV)/.ready: constraints.txt requirements-dev.txt $(foreach p,$(PACKAGES),packages/primroselever-$(p)/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -17,6 +17,11 @@
 
 setup: $(VENV)/.ready
 
+# Generate the Python modules of the thrift files again.
+schema: setup
+	$(BIN)/python -m tools.generate_schema
+	$(BIN)/ruff format packages/primroselever-node
+
 format: setup
 	$(BIN)/ruff format $(SOURCES)
 	$(BIN)/ruff check --fix $(SOURCES)
@@ -26,7 +31,7 @@
 	$(BIN)/ruff check $(SOURCES)
 
 types: setup
-	$(BIN)/mypy $(foreach p,$(PACKAGES),packages/primroselever-$(p)/src/primroselever_$(p)) bench models soak platform/primroselever_platform
+	$(BIN)/mypy $(foreach p,$(PACKAGES),packages/primroselever-$(p)/src/primroselever_$(p)) bench models soak tools/generate_schema.py platform/primroselever_platform
 
 contracts: setup
 	$(BIN)/lint-imports
--- a/bench/experiments/decisions.py
+++ b/bench/experiments/decisions.py
@@ -16,7 +16,7 @@
 from random import Random
 from typing import TYPE_CHECKING, Any
 
-from primroselever_core.board import Blackboard, Identity
+from primroselever_core.board import Blackboard
 from primroselever_core.identifiers import (
     FailureDomain,
     GroupName,
@@ -25,6 +25,7 @@
     VmId,
     WeightsDigest,
 )
+from primroselever_core.identity import Identity
 from primroselever_core.membership.events import PeerReported, VmListReceived, apply
 from primroselever_core.membership.peers import (
     compute_subset,
--- a/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
+++ b/packages/primroselever-agent/src/primroselever_agent/commands/serve.py
@@ -9,6 +9,7 @@
 
 from primroselever_core.admission.admission import Admission
 from primroselever_core.admission.limit import ConcurrencyLimit
+from primroselever_core.board import Blackboard
 from primroselever_core.identifiers import GroupName
 from primroselever_core.runs.registry import RunRegistry
 from primroselever_core.tickets.signing import TicketSigner
@@ -21,12 +22,12 @@
 from primroselever_node.control.plane import ControlPlane
 from primroselever_node.control.status import control_status
 from primroselever_node.http import HttpServer
+from primroselever_node.identity import create_identity
 from primroselever_node.metrics import observe_board
 from primroselever_node.process import (
     ShutdownSignal,
     drain,
     exit_code,
-    new_board,
     run_controller,
 )
 from primroselever_node.rpc.client_pool import ClientPool
@@ -81,7 +82,7 @@
 
     def __init__(self, settings: AgentSettings) -> None:
         self.settings = settings
-        self.board = new_board(settings)
+        self.board = Blackboard(create_identity(settings))
         self.registry = RunRegistry(ENDED_RUN_RETENTION_S)
         self.section = TransfersSection(ChunkStore(settings.chunk_memory_bytes))
         self.board.runs = self.registry
--- a/packages/primroselever-agent/src/primroselever_agent/direct/process.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/process.py
@@ -6,9 +6,9 @@
 
 from primroselever_core.filling.section import FillingBoard
 from primroselever_node.admin import AdminApplication
-from primroselever_node.direct.process import create_identity, explain_no_decisions
 from primroselever_node.direct.reload import SettingsReloader
 from primroselever_node.http import HttpServer
+from primroselever_node.identity import create_identity
 from primroselever_node.logs import log_decision
 from primroselever_node.process import ShutdownSignal, exit_code
 
@@ -23,6 +23,11 @@
     from .settings import DirectAgentSettings
 
 
+def explain_no_decisions(_query: dict[str, str]) -> dict[str, Any]:
+    """Return the ``/explain`` answer of a process that decides on no requests."""
+    return {"explanation": "this process decides nothing for a single request"}
+
+
 class DirectAgentProcess:
     """A running agent; ``model_server`` is the engine on its VM."""
 
--- a/packages/primroselever-agent/tests/admission/test_controller.py
+++ b/packages/primroselever-agent/tests/admission/test_controller.py
@@ -12,7 +12,7 @@
 from primroselever_agent.exceptions import BackendError, EngineCallError
 from primroselever_core.admission.admission import Admission
 from primroselever_core.admission.limit import ConcurrencyLimit
-from primroselever_core.board import Blackboard, Identity
+from primroselever_core.board import Blackboard
 from primroselever_core.identifiers import (
     FailureDomain,
     Fingerprint,
@@ -23,6 +23,7 @@
     VmId,
     WorkspaceName,
 )
+from primroselever_core.identity import Identity
 from primroselever_core.outcomes import Reason
 from primroselever_core.runs.answer_buffer import AnswerBuffer
 from primroselever_core.runs.registry import Run, RunState
--- a/packages/primroselever-agent/tests/direct/test_filling.py
+++ b/packages/primroselever-agent/tests/direct/test_filling.py
@@ -11,8 +11,8 @@
 
 from primroselever_agent.direct import filling
 from primroselever_agent.direct.filling import FillingController
-from primroselever_core.board import Identity
 from primroselever_core.filling.section import FillingBoard, WantedWeights
+from primroselever_core.identity import Identity
 from primroselever_node import clock
 from primroselever_node.direct.sources import EngineState, SourceError
 
--- a/packages/primroselever-agent/tests/transfer/conftest.py
+++ b/packages/primroselever-agent/tests/transfer/conftest.py
@@ -12,7 +12,7 @@
 from primroselever_agent.transfer.fetcher import Fetcher
 from primroselever_agent.transfer.instruments import TransferInstruments
 from primroselever_agent.transfer.rollout import RolloutController
-from primroselever_core.board import Blackboard, Identity
+from primroselever_core.board import Blackboard
 from primroselever_core.identifiers import (
     FailureDomain,
     GroupName,
@@ -20,6 +20,7 @@
     Region,
     VmId,
 )
+from primroselever_core.identity import Identity
 from primroselever_core.membership.contact import record_answer
 from primroselever_core.membership.vm import Role, Vm
 from primroselever_core.profiles.model import Profile, ProfileSet
--- a/packages/primroselever-agent/tests/transfer/test_paused_orders.py
+++ b/packages/primroselever-agent/tests/transfer/test_paused_orders.py
@@ -3,7 +3,7 @@
 from typing import TYPE_CHECKING, Any
 
 from primroselever_agent.transfer.engine_switch import EngineSwitch
-from primroselever_core.board import Blackboard, Identity
+from primroselever_core.board import Blackboard
 from primroselever_core.identifiers import (
     FailureDomain,
     Incarnation,
@@ -11,6 +11,7 @@
     VmId,
     WeightsDigest,
 )
+from primroselever_core.identity import Identity
 from primroselever_core.membership.contact import record_answer, record_tick
 from primroselever_core.transfer.chunk_store import ChunkStore
 from primroselever_core.transfer.section import TransfersSection
--- a/packages/primroselever-core/src/primroselever_core/board.py
+++ b/packages/primroselever-core/src/primroselever_core/board.py
@@ -16,21 +16,11 @@
 from .suspects.section import SuspectsSection
 
 if TYPE_CHECKING:
-    from .identifiers import FailureDomain, Incarnation, Region, VmId
+    from .identity import Identity
     from .runs.registry import RunRegistry
     from .transfer.section import TransfersSection
 
 
-@dataclass(frozen=True, slots=True)
-class Identity:
-    """The identity of this process, fixed for its lifetime."""
-
-    vm_id: VmId
-    failure_domain: FailureDomain
-    region: Region
-    incarnation: Incarnation
-
-
 @dataclass(slots=True)
 class Blackboard:
     """The sections of one process."""
--- a/packages/primroselever-core/src/primroselever_core/direct_board.py
+++ b/packages/primroselever-core/src/primroselever_core/direct_board.py
@@ -10,8 +10,8 @@
 from .suspects.section import SuspectsSection
 
 if TYPE_CHECKING:
-    from .board import Identity
     from .gossip.peers import Peers
+    from .identity import Identity
 
 
 @dataclass(slots=True)
--- a/packages/primroselever-core/src/primroselever_core/filling/section.py
+++ b/packages/primroselever-core/src/primroselever_core/filling/section.py
@@ -8,7 +8,7 @@
 from .targets import Targets
 
 if TYPE_CHECKING:
-    from ..board import Identity
+    from ..identity import Identity
     from .pieces import Staging
 
 ENTRY_TIMEOUT_S = 3.0  # entries send advice every second
--- a/packages/primroselever-core/src/primroselever_core/profiles/parse.py
+++ b/packages/primroselever-core/src/primroselever_core/profiles/parse.py
@@ -16,10 +16,11 @@
 
 from ..exceptions import FindingsError
 from ..findings import Finding
+from ..validation import findings_of
 from .model import ProfileSet
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Iterator
 
 MAX_VALUE_BYTES = 1_000_000
 
@@ -65,24 +66,6 @@
         return jsonc.loads(text)
 
 
-def findings_of(error: ValidationError, place: str) -> Iterator[Finding]:
-    """Yield a finding for each validation error of pydantic."""
-    for item in error.errors():
-        yield Finding(
-            f"{place}: {format_location(item['loc'])}",
-            item["msg"],
-            "see docs/operators.md for the fields and their values",
-        )
-
-
-def format_location(location: Iterable[int | str]) -> str:
-    """Return a location as a path such as ``profiles[0].version``."""
-    path = ""
-    for part in location:
-        path += f"[{part}]" if isinstance(part, int) else f".{part}"
-    return path.lstrip(".") or "(whole file)"
-
-
 def find_inconsistencies(profiles: ProfileSet, place: str) -> Iterator[Finding]:
     """Yield a finding for each inconsistency between valid parts of a value."""
     yield from find_repeated_names(
--- a/packages/primroselever-core/tests/golden/test_control_sessions.py
+++ b/packages/primroselever-core/tests/golden/test_control_sessions.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from primroselever_core.board import Blackboard, Identity
+from primroselever_core.board import Blackboard
 from primroselever_core.identifiers import (
     FailureDomain,
     GroupName,
@@ -21,6 +21,7 @@
     Region,
     VmId,
 )
+from primroselever_core.identity import Identity
 from primroselever_core.membership.contact import (
     is_cut_off,
     may_give_orders,
--- a/packages/primroselever-core/tests/golden/test_routing_sessions.py
+++ b/packages/primroselever-core/tests/golden/test_routing_sessions.py
@@ -9,7 +9,7 @@
 from primroselever_core.admission.admission import Admission, Admitted
 from primroselever_core.admission.fair_queue import WaitingRun
 from primroselever_core.admission.limit import ConcurrencyLimit
-from primroselever_core.board import Blackboard, Identity
+from primroselever_core.board import Blackboard
 from primroselever_core.budgets import TokenBucket
 from primroselever_core.identifiers import (
     FailureDomain,
@@ -21,6 +21,7 @@
     VmId,
     WorkspaceName,
 )
+from primroselever_core.identity import Identity
 from primroselever_core.membership.vm import Role, Vm
 from primroselever_core.outcomes import Done, NotRun, Reason, Unknown
 from primroselever_core.routing.choose import Choice
--- a/packages/primroselever-core/tests/membership/test_contact.py
+++ b/packages/primroselever-core/tests/membership/test_contact.py
@@ -2,8 +2,9 @@
 
 import pytest
 
-from primroselever_core.board import Blackboard, Identity
+from primroselever_core.board import Blackboard
 from primroselever_core.identifiers import FailureDomain, Incarnation, Region, VmId
+from primroselever_core.identity import Identity
 from primroselever_core.membership.contact import (
     CUT_OFF_FAILURES,
     PAUSE_THRESHOLD_S,
--- a/packages/primroselever-core/tests/membership/test_peers.py
+++ b/packages/primroselever-core/tests/membership/test_peers.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from primroselever_core.board import Blackboard, Identity
+from primroselever_core.board import Blackboard
 from primroselever_core.identifiers import (
     FailureDomain,
     GroupName,
@@ -12,6 +12,7 @@
     Region,
     VmId,
 )
+from primroselever_core.identity import Identity
 from primroselever_core.membership.events import PeerCallFailed, VmListReceived, apply
 from primroselever_core.membership.peers import (
     SPILL_SUBSET_SIZE,
--- a/packages/primroselever-core/tests/routing/conftest.py
+++ b/packages/primroselever-core/tests/routing/conftest.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from primroselever_core.board import Blackboard, Identity
+from primroselever_core.board import Blackboard
 from primroselever_core.budgets import TokenBucket
 from primroselever_core.identifiers import (
     FailureDomain,
@@ -16,6 +16,7 @@
     VmId,
     WorkspaceName,
 )
+from primroselever_core.identity import Identity
 from primroselever_core.membership.vm import Role, Vm
 from primroselever_core.routing.router import Router, RoutingRequest, prefix_of
 
--- a/packages/primroselever-entry/src/primroselever_entry/commands/serve.py
+++ b/packages/primroselever-entry/src/primroselever_entry/commands/serve.py
@@ -8,6 +8,7 @@
 import eventlet
 from opentelemetry.metrics import get_meter
 
+from primroselever_core.board import Blackboard
 from primroselever_core.budgets import TokenBucket
 from primroselever_core.routing.router import Router
 from primroselever_node import clock
@@ -16,12 +17,12 @@
 from primroselever_node.control.plane import ControlPlane
 from primroselever_node.control.status import control_status
 from primroselever_node.http import HttpServer
+from primroselever_node.identity import create_identity
 from primroselever_node.metrics import observe_board
 from primroselever_node.process import (
     ShutdownSignal,
     drain,
     exit_code,
-    new_board,
 )
 from primroselever_node.rpc.client_pool import ClientPool
 from primroselever_node.rpc.schema import schema
@@ -56,7 +57,7 @@
 
     def __init__(self, settings: EntrySettings) -> None:
         self.settings = settings
-        self.board = new_board(settings)
+        self.board = Blackboard(create_identity(settings))
         spill_budget = TokenBucket.full(
             settings.spill_bytes_per_s, settings.spill_bytes_per_s, clock.now()
         )
--- a/packages/primroselever-entry/src/primroselever_entry/direct/process.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/process.py
@@ -20,11 +20,11 @@
 from primroselever_node.direct.gossip import GossipController
 from primroselever_node.direct.peer_handler import DirectPeerHandler
 from primroselever_node.direct.pieces import PieceKeeper
-from primroselever_node.direct.process import create_identity
 from primroselever_node.direct.reload import SettingsReloader
 from primroselever_node.direct.schema import schema
 from primroselever_node.direct.sources import CataloguePart
 from primroselever_node.http import HttpServer
+from primroselever_node.identity import create_identity
 from primroselever_node.logs import log_decision
 from primroselever_node.process import ShutdownSignal, drain, exit_code
 from primroselever_node.rpc.server import RpcServer
--- a/packages/primroselever-entry/tests/requests/conftest.py
+++ b/packages/primroselever-entry/tests/requests/conftest.py
@@ -21,7 +21,7 @@
 from primroselever_agent.settings import AgentSettings
 from primroselever_core.admission.admission import Admission
 from primroselever_core.admission.limit import ConcurrencyLimit
-from primroselever_core.board import Blackboard, Identity
+from primroselever_core.board import Blackboard
 from primroselever_core.budgets import TokenBucket
 from primroselever_core.identifiers import (
     FailureDomain,
@@ -32,6 +32,7 @@
     VmId,
     WorkspaceName,
 )
+from primroselever_core.identity import Identity
 from primroselever_core.membership.vm import Role, Vm
 from primroselever_core.outcomes import Ending, Reason
 from primroselever_core.profiles.model import Service
--- a/packages/primroselever-node/src/primroselever_node/console/admin_client.py
+++ b/packages/primroselever-node/src/primroselever_node/console/admin_client.py
@@ -7,8 +7,6 @@
 from typing import Any
 from urllib.parse import urlencode
 
-import urllib3
-
 from ..exceptions import AdminError
 
 TIMEOUT_S = 3.0
@@ -30,6 +28,9 @@
 
 def fetch_json(address: tuple[str, int], path: str, query: dict[str, str]) -> Any:
     """Return the JSON document at a path, or raise ``AdminError``."""
+    # Imported here because a process that serves shares this module.
+    import urllib3
+
     host, port = address
     url = f"http://{host}:{port}{path}"
     if query:
--- a/packages/primroselever-node/src/primroselever_node/console/check.py
+++ b/packages/primroselever-node/src/primroselever_node/console/check.py
@@ -8,7 +8,6 @@
 
 from primroselever_core.exceptions import FindingsError
 from primroselever_core.findings import Finding
-from primroselever_core.profiles.parse import parse_profiles
 
 from ..settings.load import load_settings, read_text
 from .command import EXIT_OK, Command
@@ -65,6 +64,9 @@
 
 def check_profiles(path: Path) -> None:
     """Raise ``FindingsError`` if a file of profiles has findings."""
+    # Imported here because a process that serves shares this module.
+    from primroselever_core.profiles.parse import parse_profiles
+
     parse_profiles(read_text(path), str(path))
 
 
--- a/packages/primroselever-node/src/primroselever_node/direct/schema.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/schema.py
@@ -1,13 +1,9 @@
-"""The thrift schema of direct deployments, loaded from ``direct.thrift``."""
+"""The structures and services of ``direct.thrift``."""
 
 from __future__ import annotations
 
-from importlib import resources
 from typing import Any
 
-import thriftpy2
+from . import direct_thrift
 
-schema: Any = thriftpy2.load(
-    str(resources.files(__package__) / "direct.thrift"),
-    module_name="primroselever_direct_thrift",
-)
+schema: Any = direct_thrift
--- a/packages/primroselever-node/src/primroselever_node/process.py
+++ b/packages/primroselever-node/src/primroselever_node/process.py
@@ -4,42 +4,23 @@
 
 import logging
 import os
-import secrets
 import signal
 from typing import TYPE_CHECKING, Any
 
 import eventlet
 from eventlet.event import Event
 
-from primroselever_core.board import Blackboard, Identity
-from primroselever_core.identifiers import FailureDomain, Incarnation, Region, VmId
-
 from . import clock
 from .console.command import EXIT_FAILED, EXIT_OK
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from .settings.model import NodeSettings
-
 logger = logging.getLogger(__name__)
 
-INCARNATION_BITS = 62
 DRAIN_POLL_S = 0.05
 
 
-def new_board(settings: NodeSettings) -> Blackboard:
-    """Return an empty blackboard with a new random incarnation number."""
-    return Blackboard(
-        Identity(
-            vm_id=VmId(settings.vm_id),
-            failure_domain=FailureDomain(settings.failure_domain),
-            region=Region(settings.region),
-            incarnation=Incarnation(secrets.randbits(INCARNATION_BITS) | 1),
-        )
-    )
-
-
 def run_controller(step: Callable[[], None], interval_s: float) -> Any:
     """
     Call ``step`` in a new greenlet, sleeping ``interval_s`` seconds between calls.
--- a/packages/primroselever-node/src/primroselever_node/rpc/schema.py
+++ b/packages/primroselever-node/src/primroselever_node/rpc/schema.py
@@ -1,13 +1,9 @@
-"""The thrift schema, loaded once from the file in this package."""
+"""The structures and services of ``primroselever.thrift``."""
 
 from __future__ import annotations
 
-from importlib import resources
 from typing import Any
 
-import thriftpy2
+from . import primroselever_thrift
 
-schema: Any = thriftpy2.load(
-    str(resources.files(__package__) / "primroselever.thrift"),
-    module_name="primroselever_thrift",
-)
+schema: Any = primroselever_thrift
--- a/packages/primroselever-node/src/primroselever_node/settings/load.py
+++ b/packages/primroselever-node/src/primroselever_node/settings/load.py
@@ -10,7 +10,7 @@
 
 from primroselever_core.exceptions import FindingsError
 from primroselever_core.findings import Finding
-from primroselever_core.profiles.parse import findings_of
+from primroselever_core.validation import findings_of
 
 from .contradictions import contradictions
 from .model import Settings
--- a/packages/primroselever-node/tests/control/conftest.py
+++ b/packages/primroselever-node/tests/control/conftest.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from primroselever_core.board import Blackboard, Identity
+from primroselever_core.board import Blackboard
 from primroselever_core.identifiers import (
     FailureDomain,
     GroupName,
@@ -22,6 +22,7 @@
     Region,
     VmId,
 )
+from primroselever_core.identity import Identity
 from primroselever_core.membership.vm import Role, Vm
 from primroselever_node import clock
 from primroselever_node.control.heartbeats import HeartbeatController
--- a/packages/primroselever-node/tests/control/test_status.py
+++ b/packages/primroselever-node/tests/control/test_status.py
@@ -1,7 +1,8 @@
 from __future__ import annotations
 
-from primroselever_core.board import Blackboard, Identity
+from primroselever_core.board import Blackboard
 from primroselever_core.identifiers import FailureDomain, Incarnation, Region, VmId
+from primroselever_core.identity import Identity
 from primroselever_node.control.status import control_status
 
 
--- a/packages/primroselever-node/tests/direct/test_gossip.py
+++ b/packages/primroselever-node/tests/direct/test_gossip.py
@@ -11,7 +11,6 @@
 import eventlet
 import pytest
 
-from primroselever_core.board import Identity
 from primroselever_core.catalogue.model import (
     CallerLimits,
     Configuration,
@@ -23,6 +22,7 @@
 from primroselever_core.direct_board import DirectBoard
 from primroselever_core.gossip.peers import Peers
 from primroselever_core.identifiers import Fingerprint
+from primroselever_core.identity import Identity
 from primroselever_core.suspects.section import CrashId
 from primroselever_node import clock
 from primroselever_node.direct import gossip as gossip_module
--- a/packages/primroselever-node/tests/direct/test_pieces.py
+++ b/packages/primroselever-node/tests/direct/test_pieces.py
@@ -8,7 +8,6 @@
 import eventlet
 import pytest
 
-from primroselever_core.board import Identity
 from primroselever_core.catalogue.model import (
     CallerLimits,
     Configuration,
@@ -18,6 +17,7 @@
 from primroselever_core.direct_board import DirectBoard
 from primroselever_core.filling.pieces import PieceDigests
 from primroselever_core.gossip.peers import Peers
+from primroselever_core.identity import Identity
 from primroselever_node import clock
 from primroselever_node.direct import pieces as pieces_module
 from primroselever_node.direct.pieces import PieceKeeper
--- a/packages/primroselever-node/tests/test_metrics.py
+++ b/packages/primroselever-node/tests/test_metrics.py
@@ -6,8 +6,9 @@
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import InMemoryMetricReader
 
-from primroselever_core.board import Blackboard, Identity
+from primroselever_core.board import Blackboard
 from primroselever_core.identifiers import FailureDomain, Incarnation, Region, VmId
+from primroselever_core.identity import Identity
 from primroselever_node import clock
 from primroselever_node.metrics import observe_board
 
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for developers, which are not shipped."""
