Keep fills going when versions follow each other and the origin fails

Cause: the second version shared the origin's link while 7 of 96 pieces of the first were missing; agents then dropped the first for the second, of which no entry had a piece, and lost 1.4 to 3.5 s at each attempt. The first version was complete 11.6 s after it was named and 3.6 s after the bound of the old one. Ruled out: the link of the VMs (5.2 s for a version) and the engines' load time.

--- a/packages/primroselever-agent/src/primroselever_agent/direct/filling.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/filling.py
@@ -48,6 +48,7 @@
 MIN_SHARE_FOR_PLAN = 0.4  # of the pieces; with fewer, the rate is uncertain
 MIN_PLAN_CHANGE_S = 0.15  # smaller changes of a plan are not reported
 REOPEN_MARGIN_S = 0.5  # a closed engine reopens if its fill is this much delayed
+PROBE_INTERVAL_S = 0.3  # between attempts to fetch the first piece of a newer version
 LOAD_TIMEOUT_S = 15.0  # the longest answers take several seconds, loading under 1 s
 
 logger = logging.getLogger(__name__)
@@ -74,6 +75,8 @@
         self.entry_clients = ClientPool(schema.DirectPeer)
         self.manifest: PieceDigests | None = None
         self.verified_at = 0.0
+        self.probing = False
+        self.probe_again_at = 0.0
         meter = get_meter("primroselever.direct")
         self.fill_durations = meter.create_histogram(
             "primroselever.direct.fill.duration", "s", "From wanted to loaded"
@@ -192,6 +195,7 @@
                 workers.spawn(self.fetch_pieces, wanted, staging, failures)
             while workers.running():
                 self.plan_closing(wanted, staging, started_at, held_at_start)
+                self.probe_newer_version(wanted)
                 eventlet.sleep(STEP_INTERVAL_S)
             if failures and not staging.complete:
                 self.board.targets.mark_unavailable(wanted.version, clock.now())
@@ -202,8 +206,43 @@
                     failures[0],
                 )
                 eventlet.sleep(RETRY_DELAY_S)
+        if not held_at_start:
+            self.board.targets.fill_s = clock.now() - started_at
         self.plan_closing(wanted, staging, started_at, held_at_start)
 
+    def probe_newer_version(self, wanted: WantedWeights) -> None:
+        """
+        Start to fetch the first piece of a newer version, to learn if it is available.
+
+        The fill in progress continues meanwhile. It is not replaced by one whose
+        pieces no entry can send yet.
+        """
+        newer = self.board.targets.find_unconfirmed(wanted.version)
+        if newer is None or self.probing or clock.now() < self.probe_again_at:
+            return
+        self.probing = True
+        eventlet.spawn(self.run_probe, newer)
+
+    def run_probe(self, newer: WantedWeights) -> None:
+        """Fetch the first piece of a newer version and record that it arrived."""
+        try:
+            self.fetch_piece(self.read_manifest(newer), newer, 0)
+        except SourceError as exc:
+            logger.info(
+                "a newer version is not available yet", extra={"error": str(exc)}
+            )
+        else:
+            self.board.targets.confirm_available(newer.version)
+            log_decision(
+                "weights available",
+                f"{newer.model}/{newer.version}",
+                "confirmed",
+                "an entry sent the first piece",
+            )
+        finally:
+            self.probing = False
+            self.probe_again_at = clock.now() + PROBE_INTERVAL_S
+
     def fetch_pieces(
         self, wanted: WantedWeights, staging: Staging, failures: list[str]
     ) -> None:
@@ -224,8 +263,16 @@
     def fetch_and_stage_piece(
         self, wanted: WantedWeights, staging: Staging, index: int
     ) -> None:
+        """Fetch one piece and stage it, or raise ``SourceError``."""
+        data = self.fetch_piece(staging.wanted, wanted, index)
+        self.model_server.stage_piece(wanted.model, index, data)
+        staging.held.add(index)
+
+    def fetch_piece(
+        self, manifest: PieceDigests, wanted: WantedWeights, index: int
+    ) -> bytes:
         """
-        Fetch one piece from the first owner that has it, and stage it.
+        Return one piece from the first owner that has it.
 
         Raise ``SourceError`` if no owner sends the correct bytes.
         """
@@ -234,12 +281,10 @@
             data = self.read_piece_from(host, wanted, index)
             if data is None:
                 reason = f"{host} did not answer or does not have the piece yet"
-            elif not staging.wanted.matches(index, data):
+            elif not manifest.matches(index, data):
                 reason = f"{host} sent bytes that do not match the digest"
             else:
-                self.model_server.stage_piece(wanted.model, index, data)
-                staging.held.add(index)
-                return
+                return data
         raise SourceError(f"piece {index}: {reason}")
 
     def read_piece_from(
--- a/packages/primroselever-agent/tests/direct/test_filling.py
+++ b/packages/primroselever-agent/tests/direct/test_filling.py
@@ -62,6 +62,7 @@
 
     def __init__(self) -> None:
         self.unavailable_versions: set[int] = set()
+        self.missing_pieces: set[tuple[int, int]] = set()
         self.corrupt_replies: dict[str, int] = {}
         self.silent_hosts: set[str] = set()
         self.calls: list[tuple] = []
@@ -75,7 +76,8 @@
         if method == "fetch_digests":
             return [] if version in self.unavailable_versions else make_digests(version)
         index, _relayed, offset, length = args[2:]
-        if version in self.unavailable_versions:
+        missing = (version, index) in self.missing_pieces
+        if missing or version in self.unavailable_versions:
             return SimpleNamespace(state="pending", data=b"", size=0)
         data = make_pieces(version)[index]
         if self.corrupt_replies.get(host, 0) > 0:
@@ -221,3 +223,26 @@
     name_wanted_version(board, 1)
     run_until_loaded(controller, engine, 1)
     assert_loaded_pieces_match(engine)
+
+
+def test_a_fill_continues_while_the_newer_version_is_not_available(make_controller):
+    # Versions named in quick succession while the origin is down: entries have the
+    # digests of the newer one but none of its pieces, and lack one of the older.
+    controller, board, engine, entries = make_controller()
+    entries.missing_pieces = {(2, 4)} | {(3, index) for index in range(6)}
+    name_wanted_version(board, 2)
+    greenlet = eventlet.spawn(controller.run)
+    eventlet.sleep(0.02)
+    name_wanted_version(board, 3)
+    eventlet.sleep(0.05)
+    greenlet.kill()
+    assert engine.loaded == []
+    assert board.staging.wanted.version == 2
+    assert len(board.staging.held) == 5
+    entries.missing_pieces.discard((2, 4))
+    run_until_loaded(controller, engine, 1)
+    assert engine.loaded == [2]
+    entries.missing_pieces.clear()
+    run_until_loaded(controller, engine, 2)
+    assert engine.loaded == [2, 3]
+    assert_loaded_pieces_match(engine)
--- a/packages/primroselever-node/src/primroselever_node/direct/pieces.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/pieces.py
@@ -43,6 +43,9 @@
 ORIGIN_ATTEMPTS = 3
 ORIGIN_RETRY_S = 0.2
 VERSIONS_KEPT = 2
+# Half of a version takes the origin about 1.3 s.
+OLDER_VERSION_WAIT_S = 1.5
+OLDER_VERSION_POLL_S = 0.02
 REQUIRED_EQUAL_MANIFESTS = 2  # because the origin may send corrupt bytes
 MANIFEST_ATTEMPTS = 6
 MAX_CONCURRENT_PREFETCHES = 6
@@ -66,6 +69,8 @@
         self.pending_reads: dict[Key | tuple[str, int], Event] = {}
         self.origin_slots = Semaphore(MAX_CONCURRENT_ORIGIN_READS)
         self.origin_bytes = 0
+        # Pieces read from the origin, by model and version.
+        self.read_counts: Counter[tuple[str, int]] = Counter()
         self.prefetch_after = clock.now() + PREFETCH_START_DELAY_S
 
     def find_origin(self) -> WeightOrigin | None:
@@ -182,6 +187,7 @@
         for attempt in range(ORIGIN_ATTEMPTS):
             if attempt:
                 eventlet.sleep(ORIGIN_RETRY_S)
+            self.wait_for_older_version(manifest)
             try:
                 with self.origin_slots:
                     data = self.source.read_piece(
@@ -191,6 +197,7 @@
                 reason = str(exc)
                 continue
             self.origin_bytes += len(data)
+            self.read_counts[manifest.model, manifest.version] += 1
             if manifest.matches(index, data):
                 return data
             reason = "its bytes do not match the digest"
@@ -202,6 +209,27 @@
             f"{reason}"
         )
 
+    def wait_for_older_version(self, manifest: PieceDigests) -> None:
+        """
+        Wait while an older version is being read that has most of its pieces.
+
+        If two versions shared the origin's link, the older one would be complete later
+        and the newer one not earlier.
+        """
+        deadline = clock.now() + OLDER_VERSION_WAIT_S
+        while clock.now() < deadline and any(
+            self.is_nearly_read(older)
+            for older in self.manifests.values()
+            if older.model == manifest.model and older.version < manifest.version
+        ):
+            eventlet.sleep(OLDER_VERSION_POLL_S)
+
+    def is_nearly_read(self, manifest: PieceDigests) -> bool:
+        """Return whether most but not all requested pieces of a version are read."""
+        key = (manifest.model, manifest.version)
+        pending_count = sum(1 for pending in self.pending_reads if pending[:2] == key)
+        return 0 < pending_count < self.read_counts[key]
+
     def iter_relay_hosts(
         self, model: str, version: int, index: int, origin: WeightOrigin, relayed: bool
     ) -> Iterator[str]:
@@ -312,8 +340,13 @@
         return published is None or published.version <= version
 
     def prefetch_piece(self, model: str, version: int, index: int) -> None:
-        """Read a piece, and only log a failure: ``run_prefetch`` reads it again."""
-        try:
-            self.get_piece(model, version, index, False)
-        except SourceError as exc:
-            logger.warning("failed to prefetch a piece", extra={"error": str(exc)})
+        """Read a piece, again after a failure unless a newer version is known."""
+        while True:
+            try:
+                self.get_piece(model, version, index, False)
+                return
+            except SourceError as exc:
+                logger.warning("failed to prefetch a piece", extra={"error": str(exc)})
+            if not self.is_newest(model, version):
+                return
+            eventlet.sleep(ORIGIN_RETRY_S)
--- a/packages/primroselever-node/tests/direct/test_pieces.py
+++ b/packages/primroselever-node/tests/direct/test_pieces.py
@@ -35,7 +35,9 @@
         self.manifests = [MANIFEST]
         self.corrupt_indexes: list[int] = []
         self.reads: list[int] = []
+        self.read_versions: list[int] = []
         self.down = False
+        self.failing_indexes: set[int] = set()
 
     def read_manifest(self, origin, model, version):
         if self.down:
@@ -48,8 +50,9 @@
     def read_piece(self, origin, model, version, index):
         self.reads.append(index)
         eventlet.sleep(0)
-        if self.down:
+        if self.down or index in self.failing_indexes:
             raise SourceError("down")
+        self.read_versions.append(version)
         if index in self.corrupt_indexes:
             self.corrupt_indexes.remove(index)
             return b"spoilt"
@@ -197,3 +200,68 @@
 
 def test_a_lone_entry_prefetches_all_pieces(prefetching_keeper):
     assert run_prefetch(prefetching_keeper) == [0, 1, 2, 3]
+
+
+def test_a_piece_is_read_again_while_another_read_hangs(
+    prefetching_keeper, monkeypatch
+):
+    # The origin fails during a read and comes back. The missing pieces are read again
+    # at once, although a read from the time of the failure has not ended yet.
+    origin = prefetching_keeper.source
+    origin.failing_indexes = {1}
+    read_piece = origin.read_piece
+
+    def read_or_hang(address, model, version, index):
+        if index == 2:
+            eventlet.event.Event().wait()
+        return read_piece(address, model, version, index)
+
+    monkeypatch.setattr(origin, "read_piece", read_or_hang)
+    run_prefetch(prefetching_keeper)
+    assert {index for _, _, index in prefetching_keeper.pieces} == {0, 3}
+    origin.failing_indexes = set()
+    eventlet.sleep(0.05)
+    assert {index for _, _, index in prefetching_keeper.pieces} == {0, 1, 3}
+
+
+def test_a_version_that_is_nearly_read_is_completed_before_the_next(
+    make_keeper, monkeypatch
+):
+    # Versions named in quick succession share the origin's link. The last pieces of
+    # the first one would arrive late, and engines with old weights stop before that.
+    keeper = make_keeper()
+    newer = PieceDigests("m", 3, MANIFEST.digests)
+    keeper.manifests = {("m", 2): MANIFEST, ("m", 3): newer}
+    for index in (0, 1):
+        keeper.get_piece("m", 2, index, False)
+    release = eventlet.event.Event()
+    read_piece = keeper.source.read_piece
+
+    def slow_read(origin, model, version, index):
+        if version == 2:
+            release.wait()
+        return read_piece(origin, model, version, index)
+
+    monkeypatch.setattr(keeper.source, "read_piece", slow_read)
+    eventlet.spawn(keeper.get_piece, "m", 2, 2, False)
+    eventlet.sleep(0)
+    newer_read = eventlet.spawn(keeper.get_piece, "m", 3, 0, False)
+    eventlet.sleep(0.05)
+    assert keeper.source.read_versions == [2, 2]
+    release.send()
+    newer_read.wait()
+    assert keeper.source.read_versions == [2, 2, 2, 3]
+
+
+def test_the_wait_for_an_older_version_is_bounded(make_keeper, monkeypatch):
+    monkeypatch.setattr(pieces_module, "OLDER_VERSION_WAIT_S", 0.02)
+    keeper = make_keeper()
+    newer = PieceDigests("m", 3, MANIFEST.digests)
+    keeper.manifests = {("m", 2): MANIFEST, ("m", 3): newer}
+    for index in (0, 1):
+        keeper.get_piece("m", 2, index, False)
+    keeper.source.failing_indexes = {2}
+    monkeypatch.setattr(pieces_module, "ORIGIN_RETRY_S", 60.0)
+    eventlet.spawn(keeper.get_piece, "m", 2, 2, False)
+    eventlet.sleep(0)
+    assert keeper.get_piece("m", 3, 0, False) == PIECES[0]
