Send nothing to the earlier start of a server after a loss of power

Pattern: all VMs lose power; servers come back under new identifiers while the list still holds the starts before it until their leases lapse. Change: of two starts at an address, by listing or by report, the earlier one gets no requests; reports without a start match as in apply_report; advice is given to an agent whose present start is not listed; seeds receive each report until an entry answers.

--- a/packages/primroselever-agent/src/primroselever_agent/direct/news.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/news.py
@@ -142,6 +142,9 @@
             )
             if (
                 state_changed
+                # After a loss of power, entries start later than the agent, which
+                # cannot fill its engine before one of them answers.
+                or not self.board.entries
                 or now - self.last_sent_at.get(host, 0.0) >= interval_s * 0.95
             ):
                 self.last_sent_at[host] = now
--- /dev/null
+++ b/packages/primroselever-agent/tests/direct/test_news.py
@@ -0,0 +1,43 @@
+"""When an agent reports the state of its engine to entries."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import pytest
+
+from primroselever_agent.direct import news
+from primroselever_agent.direct.news import ReportController
+from primroselever_core.filling.section import FillingBoard
+from primroselever_core.identity import Identity
+from primroselever_node import clock
+from primroselever_node.direct.sources import EngineState
+
+SEED = "127.0.0.1"
+
+
+@pytest.fixture
+def controller(monkeypatch) -> ReportController:
+    monkeypatch.setattr(news, "DatagramPort", lambda *_: SimpleNamespace(send_all=None))
+    board = FillingBoard(Identity("v", "a", "r", 1), (SEED,))
+    controller = ReportController(board, None, "127.0.0.9:1", "127.0.0.9", 1, 8.0)
+    controller.state = EngineState(1, "m", 1, False, 0, 0, 0, 1.0)
+    controller.recipients = []
+    controller.port.send_all = lambda hosts, **_: controller.recipients.append(
+        list(hosts)
+    )
+    return controller
+
+
+def test_seeds_receive_every_report_until_an_entry_answers(controller):
+    # After a loss of power, agents start before the entries that advise them.
+    for _ in range(3):
+        controller.report_state()
+    assert controller.recipients == [[SEED]] * 3
+
+
+def test_an_unchanged_state_is_not_reported_again_at_once(controller):
+    controller.board.record_entry(SEED, "a", clock.now())
+    for _ in range(3):
+        controller.report_state()
+    assert controller.recipients == [[SEED], [], []]
--- a/packages/primroselever-core/src/primroselever_core/dispatch/section.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/section.py
@@ -20,6 +20,10 @@
     """
     Back ends by identifier; ``by_service`` holds those that are listed as ready.
 
+    After a loss of power the list holds a server twice for some seconds: its start
+    before, until the lease lapses, and its present one. The earlier start at an address
+    is left out of ``by_service``. It would seem to be idle and refuse all requests.
+
     ``reports`` holds the latest report by address. A report of a server that is not
     listed yet is kept until the next list of back ends is applied.
     """
@@ -42,21 +46,31 @@
             backend.listed = server
         self.by_service = {}
         self.by_address = {}
+        for backend in self.backends.values():
+            current = self.by_address.get(backend.listed.address)
+            if current is None or current.listed.born_ms <= backend.listed.born_ms:
+                self.by_address[backend.listed.address] = backend
         for backend in self.backends.values():
             server = backend.listed
-            if server.state is ServerState.READY:
+            if server.state is ServerState.READY and not self.is_replaced(server):
                 self.by_service.setdefault(server.service, []).append(backend)
-            self.by_address[server.address] = backend
         addresses = {server.address for server in listed.values()}
         for address in [a for a in self.reports if a not in addresses]:
             del self.reports[address]
 
+    def is_replaced(self, server: ListedServer) -> bool:
+        """Return whether a later start than this one is known at its address."""
+        if not server.born_ms:
+            return False
+        report = self.reports.get(server.address)
+        if report is not None and report.born_ms > server.born_ms:
+            return True
+        return self.by_address[server.address].listed.born_ms > server.born_ms
+
     def find_report(self, server: ListedServer) -> EngineReport | None:
         """Return the latest report for a start of a server, None without one."""
         report = self.reports.get(server.address)
-        if report is None or (server.born_ms and report.born_ms != server.born_ms):
-            return None
-        return report
+        return report if report is not None and is_same_start(server, report) else None
 
     def apply_report(self, address: Address, report: EngineReport) -> None:
         """Store a report of the agent on a back end's VM."""
@@ -64,8 +78,10 @@
         backend = self.by_address.get(address)
         if backend is None:
             return
-        born_ms = backend.listed.born_ms
-        if born_ms and report.born_ms and report.born_ms < born_ms:
+        if not is_same_start(backend.listed, report):
+            if self.is_replaced(backend.listed):
+                members = self.serving(backend.listed.service)
+                members[:] = [member for member in members if member is not backend]
             return
         backend.apply_report(replace(report, own_in_flight=backend.in_flight))
 
@@ -77,3 +93,8 @@
 def is_different_start(previous: ListedServer, listed: ListedServer) -> bool:
     """Return whether an identifier now belongs to another start of a server."""
     return (previous.address, previous.born_ms) != (listed.address, listed.born_ms)
+
+
+def is_same_start(server: ListedServer, report: EngineReport) -> bool:
+    """Return whether a report may be of this start of a server; 0 matches any start."""
+    return 0 in (server.born_ms, report.born_ms) or server.born_ms == report.born_ms
--- a/packages/primroselever-core/tests/dispatch/test_section.py
+++ b/packages/primroselever-core/tests/dispatch/test_section.py
@@ -50,3 +50,42 @@
     section.apply_report(listed.address, make_report(1.0, version=7))
     section.apply_listing([listed])
     assert section.backends["a"].loaded_version("m", 1.1) == 7
+
+
+def test_a_report_without_a_start_matches_a_server_whenever_it_is_listed(
+    make_backend, make_report
+):
+    section = BackendsSection()
+    listed = replace(make_backend("a").listed, born_ms=5)
+    section.apply_report(listed.address, make_report(1.0, born_ms=0, version=7))
+    section.apply_listing([listed])
+    assert section.backends["a"].loaded_version("m", 1.1) == 7
+
+
+# Pattern: a loss of power. Every server starts again under a new identifier, and the
+# list holds both starts until the leases of the earlier ones lapse.
+
+
+def test_the_earlier_of_two_starts_at_an_address_gets_no_requests(make_backend):
+    section = BackendsSection()
+    earlier = make_backend("a").listed
+    later = replace(earlier, server_id="b", born_ms=2, weights=())
+    for listing in ([earlier, later], [later, earlier]):
+        section.apply_listing(listing)
+        assert [each.listed.server_id for each in section.serving("s")] == ["b"]
+        assert section.by_address[earlier.address].listed.server_id == "b"
+
+
+def test_a_server_whose_agent_reports_a_later_start_gets_no_requests(
+    make_backend, make_report
+):
+    section = BackendsSection()
+    earlier, other = make_backend("a").listed, make_backend("b").listed
+    section.apply_listing([earlier, other])
+    section.apply_report(earlier.address, make_report(1.0, born_ms=2, version=0))
+    assert [each.listed.server_id for each in section.serving("s")] == ["b"]
+    section.apply_listing([earlier, other])
+    assert [each.listed.server_id for each in section.serving("s")] == ["b"]
+    later = replace(earlier, server_id="c", born_ms=2)
+    section.apply_listing([earlier, other, later])
+    assert [each.listed.server_id for each in section.serving("s")] == ["b", "c"]
--- a/packages/primroselever-node/src/primroselever_node/direct/gossip.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/gossip.py
@@ -429,14 +429,17 @@
             member.listed.server_id
             for member in self.board.backends.serving(service.name)
         )
-        rank = group.index(backend.listed.server_id)
+        server_id = backend.listed.server_id
+        if server_id not in group:
+            # Another start of the server runs at the address and is not listed yet.
+            group.append(server_id)
         return schema.FillingAdvice(
             self.host,
             self.board.identity.failure_domain,
             weights,
             ages,
             self.list_entries_for_agent(now),
-            rank,
+            group.index(server_id),
             len(group),
         )
 
--- a/packages/primroselever-node/tests/direct/test_gossip.py
+++ b/packages/primroselever-node/tests/direct/test_gossip.py
@@ -20,6 +20,7 @@
     Service,
 )
 from primroselever_core.direct_board import DirectBoard
+from primroselever_core.dispatch.backend import EngineReport
 from primroselever_core.gossip.peers import Peers
 from primroselever_core.identifiers import Fingerprint
 from primroselever_core.identity import Identity
@@ -225,6 +226,23 @@
     assert backend.closes_within(1.0, clock.now())
 
 
+def test_an_agent_whose_server_is_not_listed_yet_receives_advice(loopback_entries):
+    # After a loss of power, the list holds the start before it. The engine can be
+    # filled before its present start is listed.
+    entry = loopback_entries.add("127.0.0.1")
+    catalogue = entry.board.catalogue
+    catalogue.configure(configuration(7), clock.now())
+    catalogue.publish_weights("m", 3, clock.now())
+    entry.board.backends.apply_listing([SERVER])
+    entry.board.backends.apply_report(
+        SERVER.address, EngineReport(clock.now(), 2, "", 0, False, 0, 0, 1.0)
+    )
+    assert entry.board.backends.serving("gen") == []
+    advice = entry.build_advice(SERVER.address, clock.now())
+    assert advice.weights == {"m": 3}
+    assert (advice.rank, advice.group_size) == (0, 1)
+
+
 def test_an_invalid_datagram_does_not_affect_later_ones(loopback_entries):
     entry = loopback_entries.add("127.0.0.1")
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
