Avoid engines whose first events come later than predicted

Pattern: the links of some VMs are congested while their engines report a low load. Cause: requests were ranked by reports alone. Change: an entry measures by how much first events miss their prediction and ranks an engine lower by what exceeds the median of the service's engines; the measurement decays, so that the engine is tried again. Tests: four new ones, which use the new method and so cannot run without the change.

--- a/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
@@ -20,6 +20,8 @@
 FIRST_EJECTION_S = 0.5  # below the shortest restart, so a brief failure costs little
 MAX_EJECTION_S = 4.0  # crashed servers are back after some seconds
 FULL_MARK_S = 0.15  # about two passes of an engine, in which slots are freed
+DELAY_WEIGHT = 0.5  # of the latest measurement, since an entry makes few per server
+DELAY_HALF_LIFE_S = 2.0  # a server that gets no requests is tried again after this
 MAX_OUTCOMES = 24  # enough to distinguish a failing server from random failures
 MIN_OUTCOMES = 6
 FAILURE_SHARE_MARGIN = 0.25  # above the median of the service's servers
@@ -64,6 +66,8 @@
     moving average over finished requests. ``sent_by_others`` holds the times of
     requests by other entries that no report includes yet, and ``reading_until`` is when
     the engine will have read all prompts that are known to have been sent.
+    ``delay_s`` is by how much first events came later than predicted, as measured up to
+    ``delay_measured_at``.
     """
 
     listed: ListedServer
@@ -77,6 +81,8 @@
     mean_duration_s: float = 0.0
     sent_by_others: deque[float] = field(default_factory=deque)
     reading_until: float = 0.0
+    delay_s: float = 0.0
+    delay_measured_at: float = 0.0
 
     def record_sent(self, read_s: float, now: float) -> None:
         """Count the prompt of a request sent by this entry or by another one."""
@@ -94,6 +100,24 @@
         while self.sent_by_others and self.sent_by_others[0] < made_at:
             self.sent_by_others.popleft()
 
+    def record_first_event(self, late_by_s: float, now: float) -> None:
+        """
+        Record by how much a first event came later than predicted.
+
+        A negative value means earlier. Reports of the engine do not show such delays
+        if their cause is the link of its VM.
+        """
+        previous_s = self.unexpected_delay_s(now)
+        self.delay_s = max(0.0, previous_s + DELAY_WEIGHT * (late_by_s - previous_s))
+        self.delay_measured_at = now
+
+    def unexpected_delay_s(self, now: float) -> float:
+        """Return the measured delay beyond predictions, which decays with its age."""
+        if not self.delay_s:
+            return 0.0
+        age_s = now - self.delay_measured_at
+        return self.delay_s * float(0.5 ** (age_s / DELAY_HALF_LIFE_S))
+
     def pending_read_s(self, now: float) -> float:
         """Return the seconds that the engine needs to read the prompts sent so far."""
         return max(0.0, self.reading_until - now)
--- a/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
@@ -6,12 +6,15 @@
 the back end ranked first is refused before it takes a slot from one that would be in
 time. A back end that has no weights or fails more often than others is not chosen,
 although it looks idle. After it refused a request because it was full, an engine is
-ranked lower for a short time, and any other back end is not chosen.
+ranked lower for a short time, and any other back end is not chosen. An engine whose
+first events come later than predicted, by more than those of the others, is ranked
+lower: the link of its VM may be congested, which its reports do not show.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
+from statistics import median
 from typing import TYPE_CHECKING
 
 from .backend import find_failing_backends
@@ -104,9 +107,11 @@
         )
     failing = find_failing_backends(candidates)
     healthy = [b for b in candidates if b.listed.server_id not in failing] or candidates
+    usual_delay_s = median(b.unexpected_delay_s(now) for b in healthy)
     ranked = sorted(
         (
             predict_wait_s(backend, needs, figures, now)
+            + max(0.0, backend.unexpected_delay_s(now) - usual_delay_s)
             + (
                 0.0
                 if backend.listed.failure_domain == own_domain
--- a/packages/primroselever-core/tests/dispatch/test_choose.py
+++ b/packages/primroselever-core/tests/dispatch/test_choose.py
@@ -136,3 +136,60 @@
     silent.apply_report(make_report(9.0, running=1))
     busy.apply_report(make_report(10.0, running=7))
     assert choose([silent, busy], make_needs(), figures).backend is busy
+
+
+# Pattern: the links of some VMs are congested. Their engines report a low load, but the
+# first events arrive late.
+
+
+def test_an_engine_whose_first_events_come_late_is_avoided(
+    make_backend, make_report, make_needs, figures
+):
+    congested, busy = make_backend("congested"), make_backend("busy")
+    congested.apply_report(make_report(10.0))
+    busy.apply_report(make_report(10.0, running=7))
+    other = make_backend("other")
+    other.apply_report(make_report(10.0, running=8, waiting=1))
+    engines = [congested, busy, other]
+    needs = make_needs()
+    assert choose([congested, other], needs, figures).backend is congested
+    congested.record_first_event(0.6, 10.0)
+    busy.record_first_event(-0.05, 10.0)
+    for seed in range(10):
+        assert choose(engines, needs, figures, seed=seed).backend is busy
+
+
+def test_a_congested_engine_is_tried_again_after_some_seconds(
+    make_backend, make_report, make_needs, figures
+):
+    congested, busy = make_backend("congested"), make_backend("busy")
+    congested.record_first_event(0.6, 10.0)
+    congested.apply_report(make_report(18.0))
+    busy.apply_report(make_report(18.0, running=8, waiting=1))
+    chosen = choose([congested, busy], make_needs(), figures, now=18.0)
+    assert chosen.backend is congested
+    congested.record_first_event(-0.05, 18.1)
+    assert congested.unexpected_delay_s(18.1) < 0.02
+
+
+def test_delays_that_all_engines_share_refuse_no_request(
+    make_backend, make_report, make_needs, figures
+):
+    engines = [make_backend(name) for name in "abc"]
+    for engine in engines:
+        engine.apply_report(make_report(10.0, running=4))
+        engine.record_first_event(1.5, 10.0)
+    assert isinstance(choose(engines, make_needs(), figures), Chosen)
+
+
+def test_a_request_is_refused_if_only_congested_engines_are_left(
+    make_backend, make_report, make_needs, figures
+):
+    congested, closing, full = (make_backend(n) for n in ("a", "b", "c"))
+    for engine, running in ((congested, 0), (closing, 9), (full, 9)):
+        engine.apply_report(make_report(10.0, running=running, waiting=40))
+    congested.apply_report(make_report(10.0))
+    congested.record_first_event(1.5, 10.0)
+    assert isinstance(
+        choose([congested, closing, full], make_needs(), figures), Refused
+    )
--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -65,6 +65,7 @@
         self.caller = caller
         self.connection: HttpConnection | None = None
         self.started_at = clock.now()
+        self.first_event_recorded = False
 
     def run(self) -> Attempt:
         """Make the attempt and return its result."""
@@ -227,6 +228,7 @@
             if resumable:
                 data = state.event_buffer.feed(data)
             if streaming and data:
+                self.record_first_event()
                 self.flow.record_events(state)
             if not streaming:
                 body += data
@@ -246,6 +248,14 @@
         self.release_connection(connection, head)
         return Attempt(AttemptEnd.ANSWERED, head.status_code)
 
+    def record_first_event(self) -> None:
+        """Record by how much the first event of this attempt missed its prediction."""
+        if not self.first_event_recorded:
+            self.first_event_recorded = True
+            now = clock.now()
+            late_by_s = now - self.started_at - self.choice.predicted_s
+            self.backend.record_first_event(late_by_s, now)
+
     def body_deadline(self, streaming: bool) -> float:
         """Return until when the next part of a response must arrive."""
         if streaming and self.may_try_another_backend():
