Keep engines open while a fill is stalled, and change versions without delay

Pattern: the origin fails when entries have all but the last pieces of a version. After the origin was back, agents waited up to 1.2 s for calls about the version that they were leaving, and entries of other domains made three attempts at the origin after each request to a relay. Change: a fill without a new piece for 1 s has no predicted end and reopens its engine; calls of an abandoned fill are ended; one attempt at the origin after a relay that answers without the piece. Tests: five fail without the change; one of them has the new argument.

--- a/packages/primroselever-agent/src/primroselever_agent/direct/filling.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/filling.py
@@ -189,14 +189,20 @@
             worker_count = (
                 MAX_CONCURRENT_SLICES if self.may_serve() else MAX_CONCURRENT_PIECES
             )
-            workers = eventlet.GreenPool(worker_count)
             failures: list[str] = []
-            for _ in range(worker_count):
-                workers.spawn(self.fetch_pieces, wanted, staging, failures)
-            while workers.running():
-                self.plan_closing(wanted, staging, started_at, held_at_start)
-                self.probe_newer_version(wanted)
-                eventlet.sleep(STEP_INTERVAL_S)
+            workers = [
+                eventlet.spawn(self.fetch_pieces, wanted, staging, failures)
+                for _ in range(worker_count)
+            ]
+            try:
+                while not all(worker.dead for worker in workers):
+                    self.check_still_wanted(wanted)
+                    self.plan_closing(wanted, staging, started_at, held_at_start)
+                    self.probe_newer_version(wanted)
+                    eventlet.sleep(STEP_INTERVAL_S)
+            finally:
+                for worker in workers:
+                    worker.kill()
             if failures and not staging.complete:
                 self.board.targets.mark_unavailable(wanted.version, clock.now())
                 log_decision(
@@ -247,7 +253,7 @@
         self, wanted: WantedWeights, staging: Staging, failures: list[str]
     ) -> None:
         """Fetch pieces one by one until none is left or one fails."""
-        while wanted.same_version(self.current_target()):
+        while True:
             index = staging.next_piece()
             if index is None:
                 return
@@ -267,6 +273,7 @@
         data = self.fetch_piece(staging.wanted, wanted, index)
         self.model_server.stage_piece(wanted.model, index, data)
         staging.held.add(index)
+        staging.last_piece_at = clock.now()
 
     def fetch_piece(
         self, manifest: PieceDigests, wanted: WantedWeights, index: int
@@ -366,8 +373,11 @@
         total, held = len(staging.wanted.digests), len(staging.held)
         if held < MIN_SHARE_FOR_PLAN * total:
             return
-        complete_at = expected_complete_at(started_at, held_at_start, held, total, now)
+        complete_at = expected_complete_at(
+            started_at, held_at_start, held, total, staging.last_piece_at, now
+        )
         if complete_at is None:
+            self.reopen(wanted)
             return
         new_closes_at = closing_time(
             complete_at, wanted.bound_at, wanted.rank, wanted.group_size
@@ -397,10 +407,26 @@
             and self.board.switching
             and complete_at - now > (CLOSE_AHEAD_S + REOPEN_MARGIN_S)
         ):
-            # The last pieces are delayed, and serving old weights is better than
-            # serving nothing.
-            self.board.switching = False
-            self.report_controller.report_state()
+            self.reopen(wanted)
+
+    def reopen(self, wanted: WantedWeights) -> None:
+        """
+        Have the engine accept work again and cancel the plan to close it.
+
+        The last pieces are delayed, and serving old weights is better than serving
+        nothing.
+        """
+        if self.board.closes_at is None and not self.board.switching:
+            return
+        self.board.closes_at = None
+        self.board.switching = False
+        self.report_controller.report_state()
+        log_decision(
+            "switch delayed",
+            f"{wanted.model}/{wanted.version}",
+            "open",
+            "the last pieces have not arrived",
+        )
 
     def check_still_wanted(self, wanted: WantedWeights) -> None:
         """Raise ``WantedChangedError`` if other weights are wanted now."""
--- a/packages/primroselever-agent/tests/direct/test_filling.py
+++ b/packages/primroselever-agent/tests/direct/test_filling.py
@@ -11,6 +11,7 @@
 
 from primroselever_agent.direct import filling
 from primroselever_agent.direct.filling import FillingController
+from primroselever_core.filling import switching
 from primroselever_core.filling.section import FillingBoard, WantedWeights
 from primroselever_core.identity import Identity
 from primroselever_node import clock
@@ -246,3 +247,48 @@
     run_until_loaded(controller, engine, 2)
     assert engine.loaded == [2, 3]
     assert_loaded_pieces_match(engine)
+
+
+def test_an_engine_serves_old_weights_while_the_last_pieces_are_missing(
+    make_controller, monkeypatch
+):
+    # The origin fails when entries have all but the last piece.
+    monkeypatch.setattr(switching, "STALL_S", 0.05)
+    controller, board, engine, entries = make_controller(1)
+    entries.missing_pieces = {(2, 5)}
+    name_wanted_version(board, 2, 3.0)
+    greenlet = eventlet.spawn(controller.run)
+    with eventlet.Timeout(5):
+        while ("report", True) not in entries.calls:
+            eventlet.sleep(0.002)
+        while ("report", False) not in entries.calls:
+            eventlet.sleep(0.002)
+    assert not board.switching
+    assert board.closes_at is None
+    greenlet.kill()
+    entries.missing_pieces.clear()
+    run_until_loaded(controller, engine, 1)
+    assert_loaded_pieces_match(engine)
+
+
+def test_a_read_that_hangs_does_not_delay_a_fill_of_the_next_version(make_controller):
+    controller, board, engine, entries = make_controller()
+    call_entry = entries.call_entry
+
+    def call_or_hang(host, method, *args):
+        if method == "fetch_piece" and args[1] == 2 and args[2] > 1:
+            eventlet.event.Event().wait()
+        return call_entry(host, method, *args)
+
+    controller.call_entry = call_or_hang
+    board.targets.fill_s = 0.0
+    name_wanted_version(board, 2)
+    greenlet = eventlet.spawn(controller.run)
+    eventlet.sleep(0.05)
+    name_wanted_version(board, 3)
+    with eventlet.Timeout(3):
+        while not engine.loaded:
+            eventlet.sleep(0.002)
+    greenlet.kill()
+    assert engine.loaded == [3]
+    assert_loaded_pieces_match(engine)
--- a/packages/primroselever-core/src/primroselever_core/filling/pieces.py
+++ b/packages/primroselever-core/src/primroselever_core/filling/pieces.py
@@ -36,12 +36,14 @@
     """
     The staging area of one back end, by index of the pieces.
 
-    ``held`` holds the verified pieces, ``requested`` those being requested now.
+    ``held`` holds the verified pieces, ``requested`` those being requested now, and
+    ``last_piece_at`` is when the latest one arrived.
     """
 
     wanted: PieceDigests
     held: set[int] = field(default_factory=set)
     requested: set[int] = field(default_factory=set)
+    last_piece_at: float = 0.0
 
     def next_piece(self) -> int | None:
         """Return the next piece to request, None if all are held or requested."""
--- a/packages/primroselever-core/src/primroselever_core/filling/switching.py
+++ b/packages/primroselever-core/src/primroselever_core/filling/switching.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 CLOSE_AHEAD_S = 1.6  # an engine usually finishes most of its requests within this
+STALL_S = 1.0  # a fill without a new piece for this long has stalled
 BOUND_MARGIN_S = 1.2  # entries stop using old weights this long before the bound
 
 
@@ -31,16 +32,22 @@
 
 
 def expected_complete_at(
-    started_at: float, held_at_start: int, held: int, total: int, now: float
+    started_at: float,
+    held_at_start: int,
+    held: int,
+    total: int,
+    last_piece_at: float,
+    now: float,
 ) -> float | None:
     """
-    Return when a fill will be complete at its rate so far, None before any progress.
+    Return when a fill will be complete at its rate so far.
 
-    ``held_at_start``, ``held`` and ``total`` are numbers of pieces.
+    ``held_at_start``, ``held`` and ``total`` are numbers of pieces. Return None before
+    any progress, and when no piece has arrived for a while: the rate says nothing then.
     """
     fetched = held - held_at_start
     if held >= total:
         return now
-    if fetched <= 0:
+    if fetched <= 0 or now - last_piece_at > STALL_S:
         return None
     return now + (now - started_at) * (total - held) / fetched
--- a/packages/primroselever-core/tests/filling/test_switching.py
+++ b/packages/primroselever-core/tests/filling/test_switching.py
@@ -33,6 +33,14 @@
 
 
 def test_the_end_of_a_fill_is_predicted_from_its_rate():
-    assert expected_complete_at(10.0, 0, 32, 64, 12.0) == pytest.approx(14.0)
-    assert expected_complete_at(10.0, 8, 8, 64, 12.0) is None
-    assert expected_complete_at(10.0, 8, 64, 64, 12.0) == 12.0
+    assert expected_complete_at(10.0, 0, 32, 64, 11.9, 12.0) == pytest.approx(14.0)
+    assert expected_complete_at(10.0, 8, 8, 64, 0.0, 12.0) is None
+    assert expected_complete_at(10.0, 8, 64, 64, 11.9, 12.0) == 12.0
+
+
+def test_the_end_of_a_stalled_fill_is_not_predicted():
+    # The origin fails when entries have all but the last pieces. At the rate so far,
+    # these seem to be due at any time, and all engines would close and serve nothing.
+    assert expected_complete_at(18.0, 0, 89, 96, 24.0, 24.5) is not None
+    assert expected_complete_at(18.0, 0, 89, 96, 24.0, 25.5) is None
+    assert expected_complete_at(18.0, 0, 96, 96, 24.0, 25.5) == 25.5
--- a/packages/primroselever-node/src/primroselever_node/direct/pieces.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/pieces.py
@@ -158,22 +158,30 @@
         model, version, index = key
         manifest = self.get_manifest(model, version, relayed)
         origin = self.require_origin()
+        attempts = ORIGIN_ATTEMPTS
         for host in self.iter_relay_hosts(model, version, index, origin, relayed):
-            data = self.read_from_relay(host, key)
+            try:
+                data = self.read_from_relay(host, key)
+            except SourceError:
+                continue  # the relay is unreachable, but the origin may not be
             if data is not None and manifest.matches(index, data):
                 self.pieces[key] = data
                 return data
-        data = self.read_from_origin(origin, manifest, index)
+            # The relay cannot read the origin, so more attempts here would only delay
+            # the next request to a relay.
+            attempts = 1
+        data = self.read_from_origin(origin, manifest, index, attempts)
         self.pieces[key] = data
         return data
 
     def read_from_relay(self, host: str, key: Key) -> bytes | None:
-        """Return a piece from another entry, or None; call again while it reads."""
+        """
+        Return a piece from another entry, or None if it lacks the piece.
+
+        Call again while it reads; raise ``SourceError`` if it does not answer.
+        """
         for _ in range(RELAY_ATTEMPTS):
-            try:
-                reply = self.call_entry(host, "fetch_piece", *key, True, 0, 0)
-            except SourceError:
-                return None
+            reply = self.call_entry(host, "fetch_piece", *key, True, 0, 0)
             if reply.state == "held":
                 return bytes(reply.data)
             if reply.state != "reading":
@@ -181,10 +189,10 @@
         return None
 
     def read_from_origin(
-        self, origin: WeightOrigin, manifest: PieceDigests, index: int
+        self, origin: WeightOrigin, manifest: PieceDigests, index: int, attempts: int
     ) -> bytes:
         """Return a piece from the origin after verifying its digest."""
-        for attempt in range(ORIGIN_ATTEMPTS):
+        for attempt in range(attempts):
             if attempt:
                 eventlet.sleep(ORIGIN_RETRY_S)
             self.wait_for_older_version(manifest)
--- a/packages/primroselever-node/tests/direct/test_pieces.py
+++ b/packages/primroselever-node/tests/direct/test_pieces.py
@@ -140,6 +140,35 @@
     assert keeper.source.reads == [3]
 
 
+def test_the_origin_is_tried_once_if_a_relay_cannot_read_it(make_keeper):
+    # Each further attempt would delay the next request to the relay, which has the
+    # piece as soon as the origin is back.
+    keeper = make_keeper("abj-a")
+    keeper.board.peers.record_heartbeat("10.0.0.2", "lag-a", clock.now())
+    keeper.manifests["m", 2] = MANIFEST
+    keeper.source.down = True
+    reply = SimpleNamespace(state="pending", data=b"")
+    keeper.call_entry = lambda *_: reply
+    with pytest.raises(SourceError):
+        keeper.get_piece("m", 2, 3, False)
+    assert keeper.source.reads == [3]
+
+
+def test_the_origin_is_tried_repeatedly_if_no_relay_answers(make_keeper):
+    keeper = make_keeper("abj-a")
+    keeper.board.peers.record_heartbeat("10.0.0.2", "lag-a", clock.now())
+    keeper.manifests["m", 2] = MANIFEST
+    keeper.source.down = True
+
+    def call_entry(*_):
+        raise SourceError("no answer")
+
+    keeper.call_entry = call_entry
+    with pytest.raises(SourceError):
+        keeper.get_piece("m", 2, 3, False)
+    assert keeper.source.reads == [3] * pieces_module.ORIGIN_ATTEMPTS
+
+
 def test_only_the_newest_versions_are_kept(make_keeper):
     keeper = make_keeper()
     for version in (1, 2, 3):
