Count a server that holds a part of the layers as holding no weights

Cause: the decoder ignored the layers that a server reports beside its models. A server with a part of them refuses requests with 421, seems idle, and its agent would take it for filled. Change: a model counts if the layers of its version begin with the first, have no gap and, where the configuration names the number of layers, are complete. An agent does not know that number; its own orders always load all layers.

--- a/packages/primroselever-core/src/primroselever_core/catalogue/model.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/model.py
@@ -68,6 +68,7 @@
 
     Times are in seconds, rates in tokens per second. A step generates one token for
     each running request; a pass that generates tokens makes ``steps_per_pass`` steps.
+    ``layers`` is the number of layers of the service's models, 0 if not published.
     """
 
     slots: int
@@ -81,6 +82,7 @@
     usual_prompt_tokens: float
     usual_answer_tokens: float
     report_lag_s: float
+    layers: int = 0
 
 
 @dataclass(frozen=True, slots=True)
