Mend small faults that were found by reading

- An entry that was only reported counted as live at that instant: one word of a peer made it an owner or a reader.
Its own first heartbeat now decides.
- A line of an engine's answer that is not JSON, or no object, raised ValueError and AttributeError; it now ends the run as failed.
The tests fail without the change.
- Removed what nothing reads or calls: Attempt.retry_after_s, RequestState.timeout_at, EventBuffer.id_count, Reader.unfollow.
Checked and left: feed.py gives up at the fourth failure as its docstring says; times of unavailable versions are cleared with the model since; group.index of a back end that is not serving and reports without a start since.

--- a/packages/primroselever-agent/src/primroselever_agent/engine/engine_client.py
+++ b/packages/primroselever-agent/src/primroselever_agent/engine/engine_client.py
@@ -153,7 +153,8 @@
                 if line.startswith(b'{"text"'):
                     answer_lines.append(line + b"\n")
                 elif line:
-                    ended = self.check_boundary_record(run, json.loads(line)) or ended
+                    record = parse_record(line)
+                    ended = self.check_boundary_record(run, record) or ended
             if answer_lines:
                 yield b"".join(answer_lines)
         if not ended:
@@ -200,3 +201,16 @@
     return BackendError(
         Reason.ENGINE_REFUSED, f"the engine answered with status {status}"
     )
+
+
+def parse_record(line: bytes) -> dict[str, Any]:
+    """Return a record of an answer, or raise ``BackendError`` if it is invalid."""
+    try:
+        record = json.loads(line)
+    except ValueError as exc:
+        message = f"a line of the answer is not JSON: {line[:80]!r}"
+        raise BackendError(Reason.ENGINE_FAILED, message) from exc
+    if not isinstance(record, dict):
+        message = f"a record of the answer is not an object: {line[:80]!r}"
+        raise BackendError(Reason.ENGINE_FAILED, message)
+    return record
--- a/packages/primroselever-agent/tests/engine/test_engine_client.py
+++ b/packages/primroselever-agent/tests/engine/test_engine_client.py
@@ -47,6 +47,16 @@
         return [self.body]
 
 
+class FakeReply:
+    """A reply whose body is already received."""
+
+    def __init__(self, body: bytes) -> None:
+        self.body = body
+
+    def stream(self, _size: int) -> Iterator[bytes]:
+        yield self.body
+
+
 @pytest.fixture
 def engine() -> FakeEngine:
     return FakeEngine()
@@ -60,6 +70,15 @@
     server.stop()
 
 
+@pytest.mark.parametrize("line", [b"<html>", b"[1]", b"7", b'{"end": '])
+def test_a_line_that_is_no_record_ends_the_run_as_failed(
+    client: EngineClient, line: bytes
+) -> None:
+    with pytest.raises(BackendError) as exc_info:
+        list(client.read_records(RUN, FakeReply(line + b"\n")))
+    assert exc_info.value.reason is Reason.ENGINE_FAILED
+
+
 @pytest.mark.parametrize(
     ("status", "reason", "never_ran"),
     [
--- a/packages/primroselever-core/src/primroselever_core/gossip/peers.py
+++ b/packages/primroselever-core/src/primroselever_core/gossip/peers.py
@@ -32,6 +32,8 @@
     Another entry: its identity, its revisions and the time of its last heartbeat.
 
     ``store_age_s`` is the age of the store's last answer to that entry itself.
+    ``last_heartbeat_at`` of an entry that was only reported is when that happened, and
+    ``reported_only`` is set until its own first heartbeat.
     """
 
     host: str
@@ -42,11 +44,12 @@
     configuration_revision: int = 0
     store_revision: int = 0
     store_age_s: float = float("inf")
+    reported_only: bool = False
     weights: dict[str, int] = field(default_factory=dict)
 
     def live(self, now: float) -> bool:
         """Return whether the peer's last heartbeat is within the timeout."""
-        return now - self.last_heartbeat_at <= PEER_TIMEOUT_S
+        return not self.reported_only and now - self.last_heartbeat_at <= PEER_TIMEOUT_S
 
 
 @dataclass(slots=True)
@@ -73,6 +76,7 @@
             peer = self.by_host[host] = Peer(host, failure_domain)
         peer.failure_domain = failure_domain
         peer.last_heartbeat_at = now
+        peer.reported_only = False
         return peer
 
     def add_reported_peers(
@@ -82,7 +86,7 @@
         for host, failure_domain in failure_domains.items():
             if host != self.own_host and host not in self.by_host:
                 self.by_host[host] = Peer(
-                    host, failure_domain, last_heartbeat_at=now - PEER_TIMEOUT_S
+                    host, failure_domain, last_heartbeat_at=now, reported_only=True
                 )
 
     def expire_silent(self, now: float) -> list[str]:
--- a/packages/primroselever-core/src/primroselever_core/runs/reader.py
+++ b/packages/primroselever-core/src/primroselever_core/runs/reader.py
@@ -50,8 +50,3 @@
         self.offsets[run_id] = offset
         if more:
             self.changed[run_id] = None
-
-    def unfollow(self, run_id: RunId) -> None:
-        """Stop following a run."""
-        self.offsets.pop(run_id, None)
-        self.changed.pop(run_id, None)
--- a/packages/primroselever-core/tests/gossip/test_peers.py
+++ b/packages/primroselever-core/tests/gossip/test_peers.py
@@ -20,6 +20,7 @@
     peers = Peers("me", "a")
     peers.add_reported_peers({"other": "a", "me": "a"}, 10.0)
     assert peers.heartbeat_recipients() == ["other"]
+    assert peers.live_domain_hosts("a", 10.0) == ["me"]
     assert peers.live_domain_hosts("a", 10.1) == ["me"]
     peers.record_heartbeat("other", "a", 10.2)
     assert sorted(peers.live_domain_hosts("a", 10.3)) == ["me", "other"]
--- a/packages/primroselever-entry/src/primroselever_entry/direct/attempt.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/attempt.py
@@ -24,13 +24,11 @@
     The result of an attempt.
 
     ``status`` is the HTTP status from the back end, 0 if none was received.
-    ``retry_after_s`` is the delay to suggest to the caller, None for the default.
     """
 
     end: AttemptEnd
     status: int = 0
     reason: str = ""
-    retry_after_s: float | None = None
 
     @property
     def may_have_run(self) -> bool:
--- a/packages/primroselever-entry/src/primroselever_entry/direct/event_stream.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/event_stream.py
@@ -15,15 +15,10 @@
 
 @dataclass(slots=True)
 class EventBuffer:
-    """
-    Buffers the bytes of a stream and releases complete events only.
-
-    ``id_count`` is the number of ``id`` fields in the events released so far.
-    """
+    """Buffers the bytes of a stream and releases complete events only."""
 
     partial_event: bytes = b""
     last_event_id: bytes = b""
-    id_count: int = 0
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes; return those of all events that are now complete."""
@@ -37,7 +32,6 @@
             for line in event.split(b"\n"):
                 if line.startswith(ID_FIELD):
                     self.last_event_id = line[len(ID_FIELD) :].strip()
-                    self.id_count += 1
         return complete
 
     def drop_partial_event(self) -> None:
--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -77,9 +77,9 @@
     """
     The state of a request in progress.
 
-    ``timeout_at`` is when the route's timeout ends, ``deadline`` when the route or the
-    caller gives up, ``objective_at`` when the first event is due, and ``late`` whether
-    that time had already passed when the request arrived.
+    ``deadline`` is when the route or the caller gives up, ``objective_at`` when the
+    first event is due, and ``late`` whether that time had already passed when the
+    request arrived.
     """
 
     request: CallerRequest
@@ -87,7 +87,6 @@
     service: str
     workspace: str | None
     deadline: float
-    timeout_at: float
     objective_at: float
     late: bool
     event_buffer: EventBuffer
@@ -182,7 +181,6 @@
             service,
             workspace,
             deadline,
-            timeout_at,
             objective_at,
             objective_at <= request.received_at,
             EventBuffer(),
@@ -257,7 +255,7 @@
                 return
             refusal = self.retry_refusal_reason(state, attempt)
             if refusal is not None:
-                self.fail_request(state, caller, refusal, attempt.retry_after_s)
+                self.fail_request(state, caller, refusal)
                 return
 
     def record_sent_prompt(
