Spread long prompts over engines, and avoid only clearly congested links

Pattern: long prompts arrive together. An engine reads in one pass all prompts that arrived before it, and the requests that it runs get no event meanwhile. Cause: a prompt counted as read once its own reading time had passed, although its pass had not begun. Change: the order of engines counts the pause that a prompt would cause to the requests that run, by the longest pause that the route allows; no request is refused for it. A measured delay counts if it is 0.2 s above the usual one, and decays more slowly.

--- a/packages/primroselever-core/src/primroselever_core/catalogue/model.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/model.py
@@ -37,8 +37,9 @@
     The services and limits for the paths of a host that begin with a prefix.
 
     ``timeout_s`` limits how long a caller waits; ``objective_s`` is the target time to
-    the answer or, for streams, to the first event. ``max_attempts`` limits how many
-    back ends one request is sent to.
+    the answer or, for streams, to the first event; ``pause_s`` is the longest pause
+    between events of a stream that is still on time, 0 if none is published.
+    ``max_attempts`` limits how many back ends one request is sent to.
     """
 
     name: str
@@ -52,6 +53,7 @@
     max_attempts: int
     anonymous: bool
     resumable: bool
+    pause_s: float = 0.0
 
     @property
     def repeatable(self) -> bool:
--- a/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
@@ -20,8 +20,8 @@
 FIRST_EJECTION_S = 0.5  # below the shortest restart, so a brief failure costs little
 MAX_EJECTION_S = 4.0  # crashed servers are back after some seconds
 FULL_MARK_S = 0.15  # about two passes of an engine, in which slots are freed
-DELAY_WEIGHT = 0.5  # of the latest measurement, since an entry makes few per server
-DELAY_HALF_LIFE_S = 2.0  # a server that gets no requests is tried again after this
+DELAY_WEIGHT = 0.5  # of the latest measurement, as an entry makes few per server
+DELAY_HALF_LIFE_S = 4.0  # a server that gets no requests is tried again after this
 MAX_OUTCOMES = 24  # enough to distinguish a failing server from random failures
 MIN_OUTCOMES = 6
 FAILURE_SHARE_MARGIN = 0.25  # above the median of the service's servers
@@ -66,8 +66,9 @@
     moving average over finished requests. ``sent_by_others`` holds the times of
     requests by other entries that no report includes yet, and ``reading_until`` is when
     the engine will have read all prompts that are known to have been sent.
-    ``delay_s`` is by how much first events came later than predicted, as measured up to
-    ``delay_measured_at``.
+    ``unread_prompts`` holds the latest prompts that were sent, as the time of sending
+    and the seconds that the engine needs to read them. ``delay_s`` is by how much first
+    events came later than predicted, as measured up to ``delay_measured_at``.
     """
 
     listed: ListedServer
@@ -81,12 +82,26 @@
     mean_duration_s: float = 0.0
     sent_by_others: deque[float] = field(default_factory=deque)
     reading_until: float = 0.0
+    unread_prompts: deque[tuple[float, float]] = field(default_factory=deque)
     delay_s: float = 0.0
     delay_measured_at: float = 0.0
 
     def record_sent(self, read_s: float, now: float) -> None:
         """Count the prompt of a request sent by this entry or by another one."""
         self.reading_until = max(now, self.reading_until) + read_s
+        self.unread_prompts.append((now, read_s))
+
+    def unread_s(self, pass_s: float, now: float) -> float:
+        """
+        Return the seconds of reading that the engine's next pass already has.
+
+        An engine begins to read a prompt with the pass after its arrival. ``pass_s`` is
+        the duration of a pass.
+        """
+        prompts = self.unread_prompts
+        while prompts and prompts[0][0] < now - pass_s:
+            prompts.popleft()
+        return sum(read_s for _sent_at, read_s in prompts)
 
     def record_sent_by_other(self, read_s: float, now: float) -> None:
         """Count a request that another entry sent."""
--- a/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
@@ -8,7 +8,8 @@
 although it looks idle. After it refused a request because it was full, an engine is
 ranked lower for a short time, and any other back end is not chosen. An engine whose
 first events come later than predicted, by more than those of the others, is ranked
-lower: the link of its VM may be congested, which its reports do not show.
+lower: the link of its VM may be congested, which its reports do not show. So is an
+engine whose next pass would read so many prompts that the requests that it runs pause.
 """
 
 from __future__ import annotations
@@ -18,7 +19,13 @@
 from typing import TYPE_CHECKING
 
 from .backend import find_failing_backends
-from .predict import predict_answer_s, predict_first_event_s, predict_request_s
+from .predict import (
+    predict_answer_s,
+    predict_first_event_s,
+    predict_read_s,
+    predict_request_s,
+    predict_step_s,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
@@ -32,6 +39,12 @@
 SILENT_AGENT_PENALTY_S = 0.3
 CLOSING_PENALTY_S = 0.1  # for a request that would still run when the engine closes
 OTHER_DOMAIN_PENALTY_S = 0.04  # traffic between failure domains costs more
+# Smaller differences between engines are prediction errors.
+MIN_UNEXPECTED_DELAY_S = 0.2
+# Of the longest pause between events that a route allows: the time that a pass may
+# spend on reading prompts. The rest is for its steps and for the way to the caller.
+READ_SHARE_OF_PAUSE = 0.35
+PAUSE_WEIGHT = 3.0  # all requests that the engine runs pause, not only this one
 JITTER_S = 0.005  # keeps entries with the same reports from choosing the same server
 NO_SERVER_RETRY_S = 0.5
 LONGEST_RETRY_S = 2.0
@@ -45,7 +58,8 @@
 
     ``first_event_within_s`` is the time left until the objective is missed,
     ``deadline_within_s`` the time left until the caller gives up. ``min_version`` is 0
-    if weights of any version may answer.
+    if weights of any version may answer. ``pause_s`` is the longest pause between
+    events that the route allows, 0 if it names none.
     """
 
     model: str
@@ -54,6 +68,7 @@
     answer_tokens: float
     first_event_within_s: float
     deadline_within_s: float
+    pause_s: float = 0.0
 
     @property
     def is_late(self) -> bool:
@@ -108,22 +123,25 @@
     failing = find_failing_backends(candidates)
     healthy = [b for b in candidates if b.listed.server_id not in failing] or candidates
     usual_delay_s = median(b.unexpected_delay_s(now) for b in healthy)
+    predictions = [
+        predict_wait_s(backend, needs, figures, now)
+        + congestion_s(backend, usual_delay_s, now)
+        + (
+            0.0
+            if backend.listed.failure_domain == own_domain
+            else OTHER_DOMAIN_PENALTY_S
+        )
+        + JITTER_S * random.random()
+        for backend in healthy
+    ]
     ranked = sorted(
-        (
-            predict_wait_s(backend, needs, figures, now)
-            + max(0.0, backend.unexpected_delay_s(now) - usual_delay_s)
-            + (
-                0.0
-                if backend.listed.failure_domain == own_domain
-                else OTHER_DOMAIN_PENALTY_S
-            )
-            + JITTER_S * random.random(),
-            index,
+        (predicted_s + pause_cost_s(backend, needs, figures, now), index)
+        for index, (backend, predicted_s) in enumerate(
+            zip(healthy, predictions, strict=True)
         )
-        for index, backend in enumerate(healthy)
     )
-    predicted_s, index = ranked[0]
-    backend = healthy[index]
+    index = ranked[0][1]
+    backend, predicted_s = healthy[index], predictions[index]
     summary = " ".join(
         describe_candidate(healthy[i], now, due_s) for due_s, i in ranked[:3]
     )
@@ -180,6 +198,33 @@
     return due_s
 
 
+def congestion_s(backend: Backend, usual_delay_s: float, now: float) -> float:
+    """Return the delay of a back end's link, 0 if it is not above the usual one."""
+    excess_s = backend.unexpected_delay_s(now) - usual_delay_s
+    return excess_s if excess_s > MIN_UNEXPECTED_DELAY_S else 0.0
+
+
+def pause_cost_s(
+    backend: Backend, needs: RequestNeeds, figures: EngineFigures | None, now: float
+) -> float:
+    """
+    Return the cost, in seconds, of the pause that a prompt causes to other requests.
+
+    A pass reads all prompts that arrived before it, and the requests that run get no
+    event meanwhile. The cost counts for the order of engines but refuses no request.
+    """
+    if figures is None or not needs.pause_s:
+        return 0.0
+    pass_s = figures.steps_per_pass * predict_step_s(
+        figures, min(backend.load(now), figures.slots)
+    )
+    unread_s = backend.unread_s(pass_s, now)
+    if not unread_s:
+        return 0.0
+    read_s = unread_s + predict_read_s(figures, needs.prompt_tokens)
+    return PAUSE_WEIGHT * max(0.0, read_s - READ_SHARE_OF_PAUSE * needs.pause_s)
+
+
 def lateness_s(
     backend: Backend,
     needs: RequestNeeds,
--- a/packages/primroselever-core/tests/dispatch/test_choose.py
+++ b/packages/primroselever-core/tests/dispatch/test_choose.py
@@ -153,7 +153,8 @@
     engines = [congested, busy, other]
     needs = make_needs()
     assert choose([congested, other], needs, figures).backend is congested
-    congested.record_first_event(0.6, 10.0)
+    for _ in range(2):
+        congested.record_first_event(0.6, 10.0)
     busy.record_first_event(-0.05, 10.0)
     for seed in range(10):
         assert choose(engines, needs, figures, seed=seed).backend is busy
@@ -193,3 +194,53 @@
     assert isinstance(
         choose([congested, closing, full], make_needs(), figures), Refused
     )
+
+
+def test_small_delays_do_not_change_the_choice(
+    make_backend, make_report, make_needs, figures
+):
+    slower, busy, other = (make_backend(name) for name in "abc")
+    for engine, running in ((slower, 4), (busy, 8), (other, 8)):
+        engine.apply_report(make_report(10.0, running=running, waiting=running // 8))
+    slower.record_first_event(0.15, 10.0)
+    assert choose([slower, busy, other], make_needs(), figures).backend is slower
+
+
+# Pattern: long prompts arrive at the same time. An engine reads in one pass all prompts
+# that arrived before it, and the requests that it runs get no event meanwhile.
+
+
+def test_long_prompts_that_arrive_together_go_to_different_engines(
+    make_backend, make_report, make_needs, figures
+):
+    reading, other = make_backend("reading"), make_backend("other")
+    for engine in (reading, other):
+        engine.apply_report(make_report(10.0, running=4))
+    reading.record_sent(0.08, 9.98)
+    reading.reading_until = 0.0  # so that only the pause counts
+
+    def choices(prompt_tokens: float, now: float) -> set[str]:
+        needs = make_needs(prompt_tokens=prompt_tokens, pause_s=0.3)
+        return {
+            choose(
+                [reading, other], needs, figures, now=now, seed=seed
+            ).backend.listed.server_id
+            for seed in range(20)
+        }
+
+    assert choices(800.0, 10.0) == {"other"}
+    assert choices(100.0, 10.0) == {"reading", "other"}
+    # The pass that reads the first prompt has begun.
+    assert choices(800.0, 10.2) == {"reading", "other"}
+
+
+def test_a_request_is_not_refused_for_the_pause_that_it_causes(
+    make_backend, make_report, make_needs, figures
+):
+    engines = [make_backend(name) for name in "ab"]
+    for engine in engines:
+        engine.apply_report(make_report(10.0, running=4))
+        engine.record_sent(0.15, 9.99)
+        engine.reading_until = 0.0
+    needs = make_needs(prompt_tokens=1500.0, pause_s=0.3)
+    assert isinstance(choose(engines, needs, figures), Chosen)
--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -294,6 +294,7 @@
             answer_tokens=request.answer_tokens,
             first_event_within_s=state.objective_at - now,
             deadline_within_s=state.deadline - now,
+            pause_s=state.route.pause_s,
         )
         if state.attempts and state.route.kind is RouteKind.STREAMING:
             # A retry of a stream is not refused for being late, since a part of its
