Report engines to a bounded number of entries of other failure domains

Cause: each agent reported to all entries, 2.5 to 5 times a second. Change: an agent reports to the entries of its own failure domain and to four of each other domain, selected by rendezvous hashing; an entry that sends a request to another domain tells the entries that the same selection names; an engine elsewhere without reports ranks behind all that are known; requests of others end without a report. Tests: the number of recipients does not grow with the other domains; agents and entries select alike; an unreported engine elsewhere is not taken for an idle one.

--- a/packages/primroselever-agent/src/primroselever_agent/direct/news.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/news.py
@@ -122,19 +122,13 @@
         reported_state = (state.born_ms, state.version, switching, closes_at)
         state_changed = reported_state != self.last_reported_state
         self.last_reported_state = reported_state
-        own_domain = self.board.identity.failure_domain
-        report_hosts = {
-            host: domain for host, (domain, _) in self.board.entries.items()
-        }
-        for seed in self.board.seeds:
-            report_hosts.setdefault(seed, "")
         load = state.running + state.waiting
         due_hosts = []
-        for host, domain in report_hosts.items():
+        for host, in_own_domain in self.board.report_recipients(self.host).items():
             load_changed = (
                 abs(load - self.last_sent_load.get(host, 0)) >= MIN_LOAD_CHANGE_REQUESTS
             )
-            frequent = domain == own_domain or load_changed
+            frequent = in_own_domain or load_changed
             interval_s = (
                 OWN_DOMAIN_REPORT_INTERVAL_S
                 if frequent
--- a/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
@@ -16,6 +16,7 @@
 
 REPORT_TRANSIT_S = 0.02  # between reading an engine's state and receiving the report
 REPORT_LATE_S = 0.8  # two periods of the slower reports, which are sent every 0.4 s
+UNREPORTED_REQUEST_S = 3.0  # after which a request of another entry has ended
 REPORT_VALID_S = 1.5  # over three periods of 0.4 s; an older report is ignored
 FIRST_EJECTION_S = 0.5  # below the shortest restart, so a brief failure costs little
 MAX_EJECTION_S = 4.0  # crashed servers are back after some seconds
@@ -107,6 +108,9 @@
         """Count a request that another entry sent."""
         self.record_sent(read_s, now)
         self.sent_by_others.append(now)
+        # Reports drop what they include; without reports, requests end after a while.
+        while self.sent_by_others[0] < now - UNREPORTED_REQUEST_S:
+            self.sent_by_others.popleft()
 
     def apply_report(self, report: EngineReport) -> None:
         """Store a report, which includes the requests sent before it was made."""
--- a/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
@@ -126,11 +126,7 @@
     predictions = [
         predict_wait_s(backend, needs, figures, now)
         + congestion_s(backend, usual_delay_s, now)
-        + (
-            0.0
-            if backend.listed.failure_domain == own_domain
-            else OTHER_DOMAIN_PENALTY_S
-        )
+        + domain_cost_s(backend, figures, own_domain)
         + JITTER_S * random.random()
         for backend in healthy
     ]
@@ -198,6 +194,22 @@
     return due_s
 
 
+def domain_cost_s(
+    backend: Backend, figures: EngineFigures | None, own_domain: str
+) -> float:
+    """
+    Return the cost, in seconds, of a back end in another failure domain.
+
+    An agent reports to a few entries of each other domain. To the others its engine
+    would always seem to be idle.
+    """
+    if backend.listed.failure_domain == own_domain:
+        return 0.0
+    if figures is not None and backend.report is None:
+        return OTHER_DOMAIN_PENALTY_S + SILENT_AGENT_PENALTY_S
+    return OTHER_DOMAIN_PENALTY_S
+
+
 def congestion_s(backend: Backend, usual_delay_s: float, now: float) -> float:
     """Return the delay of a back end's link, 0 if it is not above the usual one."""
     excess_s = backend.unexpected_delay_s(now) - usual_delay_s
--- a/packages/primroselever-core/src/primroselever_core/filling/section.py
+++ b/packages/primroselever-core/src/primroselever_core/filling/section.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from .reporting import reported_hosts
 from .targets import Targets
 
 if TYPE_CHECKING:
@@ -77,6 +78,23 @@
             if now - received_at > ENTRY_TIMEOUT_S:
                 del self.entries[host]
 
+    def report_recipients(self, own_host: str) -> dict[str, bool]:
+        """
+        Return the hosts that get reports, and whether each is in the own domain.
+
+        Seeds that have not answered yet are included.
+        """
+        own = self.identity.failure_domain
+        domains = {host: domain for host, (domain, _at) in self.entries.items()}
+        recipients = {
+            host: domains[host] == own
+            for host in reported_hosts(own_host, own, domains)
+        }
+        for seed in self.seeds:
+            if seed not in self.entries:
+                recipients[seed] = False
+        return recipients
+
     def own_domain_hosts(self) -> list[str]:
         """Return the hosts of the entries in the agent's failure domain."""
         own = self.identity.failure_domain
--- a/packages/primroselever-core/tests/dispatch/test_backend.py
+++ b/packages/primroselever-core/tests/dispatch/test_backend.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from primroselever_core.dispatch.backend import REPORT_VALID_S, find_failing_backends
+from primroselever_core.dispatch.backend import (
+    REPORT_VALID_S,
+    UNREPORTED_REQUEST_S,
+    find_failing_backends,
+)
 
 
 def test_a_fresh_report_takes_precedence_over_the_list(make_backend, make_report):
@@ -61,3 +65,10 @@
         for _ in range(10):
             backend.record_outcome(False)
     assert find_failing_backends(backends) == set()
+
+
+def test_requests_of_other_entries_end_without_a_report(make_backend):
+    backend = make_backend("a")
+    for second in range(100):
+        backend.record_sent_by_other(0.01, float(second))
+    assert backend.load(99.0) <= UNREPORTED_REQUEST_S + 1
--- a/packages/primroselever-core/tests/dispatch/test_choose.py
+++ b/packages/primroselever-core/tests/dispatch/test_choose.py
@@ -244,3 +244,15 @@
         engine.reading_until = 0.0
     needs = make_needs(prompt_tokens=1500.0, pause_s=0.3)
     assert isinstance(choose(engines, needs, figures), Chosen)
+
+
+def test_an_engine_elsewhere_without_reports_is_used_last(
+    make_backend, make_report, make_needs, figures
+):
+    # An agent reports to a few entries of each other failure domain. To this one, its
+    # engine would always seem to be idle.
+    unknown, reported = make_backend("unknown", "there"), make_backend("known", "there")
+    reported.apply_report(make_report(10.0, running=8))
+    needs = make_needs(first_event_within_s=1.0)
+    assert choose([unknown, reported], needs, figures).backend is reported
+    assert choose([unknown], needs, figures).backend is unknown
--- a/packages/primroselever-node/src/primroselever_node/direct/gossip.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/gossip.py
@@ -15,6 +15,7 @@
 from primroselever_core.catalogue.model import ServerState
 from primroselever_core.dispatch.backend import EngineReport
 from primroselever_core.dispatch.predict import predict_read_s
+from primroselever_core.filling.reporting import reported_hosts
 from primroselever_core.gossip.readers import reads_store
 
 from .. import clock
@@ -76,7 +77,8 @@
         self.pool = ClientPool(schema.DirectPeer)
         self.pulling = False
         self.sent_requests: list[Any] = []
-        self.sent_outside_domain = False
+        # The agents in other failure domains to whose engines requests were sent.
+        self.agents_sent_to: dict[str, str] = {}
         self.changed_suspects: set[Fingerprint] = set()
         self.next_suspects_repeat_at = 0.0
         self.early_heartbeat_pending = False
@@ -218,14 +220,14 @@
         Schedule reporting a sent request to other entries.
 
         The entries of this failure domain receive the report. If the back end is in
-        another domain, all entries receive it: the entries of all domains see the back
-        end's spare capacity at the same time, and without the report each would fill
-        it.
+        another domain, all entries to which its agent reports receive it as well: they
+        see the back end's spare capacity at the same time, and without the report each
+        would fill it.
         """
         backend = self.board.backends.by_address.get(address)
         own = self.board.identity.failure_domain
         if backend is not None and backend.listed.failure_domain != own:
-            self.sent_outside_domain = True
+            self.agents_sent_to[address[0]] = backend.listed.failure_domain
         sent = schema.Sent(f"{address[0]}:{address[1]}", prompt_tokens)
         self.sent_requests.append(sent)
         if len(self.sent_requests) == 1:
@@ -234,15 +236,14 @@
     def send_request_report(self) -> None:
         """Report the latest requests sent since the last call; drop older ones."""
         requests, self.sent_requests = self.sent_requests, []
-        outside_domain, self.sent_outside_domain = self.sent_outside_domain, False
+        agents, self.agents_sent_to = self.agents_sent_to, {}
         report = schema.SentNews(requests[-MAX_SENT_PER_DATAGRAM:])
         now = clock.now()
+        live = {peer.host: peer.failure_domain for peer in self.board.peers.live(now)}
         own = self.board.identity.failure_domain
-        recipients = (
-            peer.host
-            for peer in self.board.peers.live(now)
-            if outside_domain or peer.failure_domain == own
-        )
+        recipients = {host for host, domain in live.items() if domain == own}
+        for host, domain in agents.items():
+            recipients.update(reported_hosts(host, domain, live))
         self.datagram_port.send_all(recipients, sent=report)
 
     def receive_request_report(self, report: Any) -> None:
