Keep large configurations from saturating the links between regions

Ruled out: the configurations follow each other by 1.1 s, so a watch rarely returns two. Change: a body of which bytes arrive may take longer than the call's timeout; catalogues are compressed between entries (old ones get JSON); a starting entry that is no seed waits up to 0.8 s for the seeds' catalogue, which they send at once, since a new peer's first heartbeat is answered; several large configurations in one watch lead to a full read of the newest.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/process.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/process.py
@@ -47,6 +47,8 @@
 # seconds for a head to arrive and for a connection to be idle.
 DEFAULT_CALLER_LIMITS = CallerLimits(16384, 1 << 20, 3.0, 15.0)
 POOL_SWEEP_INTERVAL_S = 1.0
+# A seed reads and sends a large configuration in about 0.5 s; it may start 0.3 s later.
+SEEDS_READ_S = 0.8
 # Interpreter startup and imports take about 0.5 s before started_at is set.
 STARTUP_MARGIN_S = 1.0
 LAST_WRITES_S = 0.3  # for the last response bytes to be sent
@@ -79,6 +81,7 @@
             catalogue_source,
             self.apply_catalogue_change,
             should_read=self.reads_store,
+            first_read_at=first_read_time(settings),
         )
         self.gossip = GossipController(
             self.board,
@@ -249,6 +252,18 @@
             self.pool.close_removed_servers(self.board.backends.backends.keys())
 
 
+def first_read_time(settings: DirectEntrySettings) -> float:
+    """
+    Return when a starting entry may read the store.
+
+    Seeds read it at once. The others wait for the seeds to send them the catalogue: if
+    all entries of a domain started at once and read the store, their copies of a large
+    configuration would share one link between regions.
+    """
+    is_seed = any(host == settings.host for host, _port in settings.seeds)
+    return clock.now() + (0.0 if is_seed or not settings.seeds else SEEDS_READ_S)
+
+
 def flow_limits(settings: DirectEntrySettings) -> FlowLimits:
     """Return the limits of the request flow from the settings."""
     retries = RetryLimits(
--- a/packages/primroselever-node/src/primroselever_node/direct/calls.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/calls.py
@@ -12,6 +12,8 @@
 if TYPE_CHECKING:
     from primroselever_core.catalogue.model import Address
 
+PROGRESS_S = 0.6  # without new bytes of a body, after which its transfer has stalled
+
 
 @dataclass(frozen=True, slots=True)
 class Answer:
@@ -36,11 +38,14 @@
         body: bytes = b"",
         *,
         timeout_s: float,
+        transfer_s: float = 0.0,
     ) -> Answer:
         """
         Return the answer, or raise ``ConnectError`` or ``BrokenExchangeError``.
 
-        Use it for idempotent calls only, because a call may be made twice.
+        A body of which bytes keep arriving may take up to ``transfer_s`` seconds longer
+        than ``timeout_s``. Use it for idempotent calls only, because a call may be made
+        twice.
         """
         deadline = clock.now() + timeout_s
         authority = f"{address[0]}:{address[1]}"
@@ -50,7 +55,7 @@
         had_idle_connection = bool(self.pool.idle.get(authority))
         try:
             return self.call_once(
-                authority, address, method, target, headers, body, deadline
+                authority, address, method, target, headers, body, deadline, transfer_s
             )
         except BrokenExchangeError:
             if not had_idle_connection or clock.now() >= deadline:
@@ -58,7 +63,7 @@
         for connection in self.pool.idle.pop(authority, []):
             connection.abort()
         return self.call_once(
-            authority, address, method, target, headers, body, deadline
+            authority, address, method, target, headers, body, deadline, transfer_s
         )
 
     def call_once(
@@ -70,6 +75,7 @@
         headers: list[tuple[bytes, bytes]],
         body: bytes,
         deadline: float,
+        transfer_s: float,
     ) -> Answer:
         """Make a call on one connection, without repeating it."""
         connection = self.pool.acquire_connection(
@@ -78,7 +84,7 @@
         try:
             connection.send(method.encode(), target.encode(), headers, body, deadline)
             head = connection.read_head(deadline, b"", b"")
-            data = connection.read_body(deadline)
+            data = connection.read_body(deadline, deadline + transfer_s, PROGRESS_S)
         except BaseException:
             connection.abort()
             raise
--- a/packages/primroselever-node/src/primroselever_node/direct/direct.thrift
+++ b/packages/primroselever-node/src/primroselever_node/direct/direct.thrift
@@ -94,7 +94,8 @@
 }
 
 service DirectPeer {
-  binary fetch_catalogue(1: i64 store_revision),
+  /* JSON, and compressed with zlib if packed is set. */
+  binary fetch_catalogue(1: i64 store_revision, 2: bool packed),
   /* length 0 requests all bytes from the offset on. */
   PieceReply fetch_piece(1: string model, 2: i32 version, 3: i32 index, 4: bool relayed, 5: i32 offset, 6: i32 length),
   list<string> fetch_digests(1: string model, 2: i32 version, 3: bool relayed),
--- a/packages/primroselever-node/src/primroselever_node/direct/direct_thrift.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/direct_thrift.py
@@ -164,9 +164,11 @@
     class fetch_catalogue_args(TPayload):
         thrift_spec: ClassVar[dict[int, Any]] = {
             1: (TType.I64, "store_revision", False),
+            2: (TType.BOOL, "packed", False),
         }
         default_spec: ClassVar[list[Any]] = [
             ("store_revision", None),
+            ("packed", None),
         ]
 
     class fetch_catalogue_result(TPayload):
--- a/packages/primroselever-node/src/primroselever_node/direct/exchange.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/exchange.py
@@ -183,11 +183,19 @@
         if closed:
             self.protocol.receive_data(b"")
 
-    def read_body(self, deadline: float) -> bytes:
-        """Return the body of the answer."""
+    def read_body(
+        self, deadline: float, last_deadline: float = 0.0, progress_s: float = 0.0
+    ) -> bytes:
+        """
+        Return the body of the answer.
+
+        While bytes arrive at least every ``progress_s`` seconds, it may take longer
+        than ``deadline``, until ``last_deadline``.
+        """
         parts: list[bytes] = []
         while True:
-            event = self.next_event(deadline)
+            progress_deadline = min(last_deadline, clock.now() + progress_s)
+            event = self.next_event(max(deadline, progress_deadline))
             if isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
--- a/packages/primroselever-node/src/primroselever_node/direct/follower.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/follower.py
@@ -8,7 +8,11 @@
 import eventlet
 
 from primroselever_core.backoff import backoff_s
-from primroselever_core.catalogue.events import ServerListed, apply
+from primroselever_core.catalogue.events import (
+    ConfigurationPublished,
+    ServerListed,
+    apply,
+)
 
 from .. import clock
 from ..logs import log_decision
@@ -31,6 +35,8 @@
 # A back end's lease lasts three of its heartbeats, so none lapses in a shorter outage.
 MIN_LAPSE_OUTAGE_S = 0.8
 EXPIRY_CHECK_S = 0.25
+LARGE_CONFIGURATION_ROUTES = 150  # about 40 KB
+START_CHECK_S = 0.02
 # How often a process that relies on peers checks ``should_read``.
 READ_ROLE_CHECK_S = 0.2
 
@@ -43,7 +49,8 @@
 
     ``on_change`` is called after each change with the part that changed. While
     ``should_read`` returns false, the store is not called, and the catalogue comes from
-    peers.
+    peers. It is not called before ``first_read_at`` either, unless peers have sent the
+    catalogue.
     """
 
     def __init__(
@@ -53,12 +60,14 @@
         on_change: Callable[[CataloguePart], None],
         parts: Iterable[CataloguePart] = tuple(CataloguePart),
         should_read: Callable[[], bool] = lambda: True,
+        first_read_at: float = 0.0,
     ) -> None:
         self.catalogue = catalogue
         self.source = source
         self.on_change = on_change
         self.parts = tuple(parts)
         self.should_read = should_read
+        self.first_read_at = first_read_at
         self.answered_at: dict[CataloguePart, float] = {}
         self.unavailable_parts: set[CataloguePart] = set()
 
@@ -72,6 +81,8 @@
         """Follow one part forever."""
         revision: int | None = None
         failures = 0
+        while self.catalogue.configuration is None and clock.now() < self.first_read_at:
+            eventlet.sleep(START_CHECK_S)
         while True:
             if not self.should_read():
                 eventlet.sleep(READ_ROLE_CHECK_S)
@@ -102,6 +113,10 @@
                 failures = 0
                 if part is CataloguePart.SERVERS and changes.events:
                     eventlet.sleep(SERVERS_WATCH_PAUSE_S)
+                elif is_burst_of_large_configurations(changes):
+                    # The watch returns each of them in full. A full read, which returns
+                    # the newest only, is many times smaller.
+                    revision = None
                 continue
             eventlet.sleep(backoff_s(failures, FIRST_RETRY_S, MAX_RETRY_S))
 
@@ -201,3 +216,16 @@
                     "their leases lapsed",
                 )
                 self.on_change(CataloguePart.SERVERS)
+
+
+def is_burst_of_large_configurations(changes: CatalogueChanges) -> bool:
+    """Return whether changes hold several configurations, of which one has many routes.
+
+    The next watch would return even more of them if the link is busy.
+    """
+    route_counts = [
+        len(event.configuration.routes)
+        for event in changes.events
+        if isinstance(event, ConfigurationPublished)
+    ]
+    return len(route_counts) > 1 and max(route_counts) >= LARGE_CONFIGURATION_ROUTES
--- a/packages/primroselever-node/src/primroselever_node/direct/gossip.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/gossip.py
@@ -28,7 +28,7 @@
     suspicion_to_thrift,
 )
 from .datagrams import DatagramPort
-from .peer_handler import catalogue_serializer
+from .peer_handler import unpack_catalogue
 from .schema import schema
 from .sources import CataloguePart
 
@@ -274,6 +274,8 @@
                 heartbeat.failure_domain,
                 "received a heartbeat",
             )
+            # A peer that has just started learns at once from whom to pull.
+            self.datagram_port.send(heartbeat.host, entry=self.build_heartbeat(now))
         peer.incarnation = heartbeat.incarnation
         peer.leaving = heartbeat.leaving
         peer.configuration_revision = heartbeat.configuration_revision
@@ -316,6 +318,8 @@
         This entry's own watch of the store, or a peer in its own failure domain, may
         deliver the same change by a shorter path.
         """
+        if self.board.catalogue.configuration is None:
+            return False
         peers = self.board.peers
         return peer.failure_domain != peers.own_domain or reads_store(
             peers, clock.now()
@@ -328,13 +332,14 @@
                 eventlet.sleep(PULL_DELAY_S)
             if not self.peer_is_ahead(peer):
                 return
-            text = self.pool.call_with_retry(
+            data = self.pool.call_with_retry(
                 (peer.host, self.control_port),
                 "fetch_catalogue",
                 self.board.catalogue.store_revision,
+                True,
                 timeout_s=PULL_TIMEOUT_S,
             )
-            copy = catalogue_serializer.validate_json(text)
+            copy = unpack_catalogue(data)
         except (NeverSentError, LostReplyError, ValueError) as exc:
             logger.warning(
                 "failed to fetch the catalogue from a peer", extra={"error": str(exc)}
--- a/packages/primroselever-node/src/primroselever_node/direct/peer_handler.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/peer_handler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import zlib
 from typing import TYPE_CHECKING, Any
 
 import eventlet
@@ -22,6 +23,8 @@
 # Below the timeout of the calling process, which learns from the "reading" reply that
 # this entry is alive.
 READ_WAIT_S = 1.2
+PACKED_LEVEL = 1  # the fastest; routes compress to about a tenth
+PACKED_PREFIX = b"\x78"  # the first byte of zlib's format; JSON begins with a brace
 
 logger = logging.getLogger(__name__)
 catalogue_serializer: TypeAdapter[CatalogueCopy] = TypeAdapter(CatalogueCopy)
@@ -33,10 +36,16 @@
     def __init__(self, board: DirectBoard, keeper: PieceKeeper) -> None:
         self.board = board
         self.keeper = keeper
+        self.packed_copy: CatalogueCopy | None = None
+        self.packed_text = b""
 
-    def fetch_catalogue(self, store_revision: int) -> bytes:
-        """Return the whole catalogue as JSON."""
-        return catalogue_serializer.dump_json(self.board.catalogue.copy())
+    def fetch_catalogue(self, store_revision: int, packed: bool) -> bytes:
+        """Return the whole catalogue as JSON, compressed if ``packed`` is set."""
+        copy = self.board.catalogue.copy()
+        if copy != self.packed_copy:
+            text = catalogue_serializer.dump_json(copy)
+            self.packed_copy, self.packed_text = copy, zlib.compress(text, PACKED_LEVEL)
+        return self.packed_text if packed else zlib.decompress(self.packed_text)
 
     def fetch_piece(
         self,
@@ -66,3 +75,12 @@
         except SourceError as exc:
             logger.warning("failed to read a manifest", extra={"error": str(exc)})
             return []
+
+
+def unpack_catalogue(data: bytes) -> CatalogueCopy:
+    """Return a received copy of a catalogue; raise ``ValueError`` if it is invalid."""
+    try:
+        text = zlib.decompress(data) if data.startswith(PACKED_PREFIX) else data
+    except zlib.error as exc:
+        raise ValueError(f"the catalogue cannot be decompressed: {exc}") from exc
+    return catalogue_serializer.validate_json(text)
--- a/packages/primroselever-node/tests/direct/test_follower.py
+++ b/packages/primroselever-node/tests/direct/test_follower.py
@@ -7,11 +7,19 @@
 
 from primroselever_core.catalogue.catalogue import Catalogue
 from primroselever_core.catalogue.events import (
+    ConfigurationPublished,
     ServerListed,
     ServerRemoved,
     WeightsPublished,
 )
-from primroselever_core.catalogue.model import ListedServer, ServerState
+from primroselever_core.catalogue.model import (
+    CallerLimits,
+    Configuration,
+    ListedServer,
+    Route,
+    RouteKind,
+    ServerState,
+)
 from primroselever_node import clock
 from primroselever_node.direct import follower as follower_module
 from primroselever_node.direct.follower import CatalogueFollower
@@ -141,3 +149,77 @@
     assert source.calls[0] == ("read",)
     assert set(catalogue.servers) == {"a"}
     assert catalogue.own_read_at is not None
+
+
+def configuration(revision: int, route_count: int) -> ConfigurationPublished:
+    route = Route("r", "h", "/", RouteKind.IDEMPOTENT, (), 1.0, 1.0, 0, 1, False, False)
+    limits = CallerLimits(1, 1, 1.0, 1.0)
+    return ConfigurationPublished(
+        Configuration(revision, (route,) * route_count, (), limits)
+    )
+
+
+# Pattern: a burst of large configurations. A watch returns each of them in full, and
+# the link between regions takes longer for one than the time between two.
+
+
+def test_after_a_burst_of_large_configurations_the_newest_is_read(follow):
+    catalogue, source, _changed = follow(
+        CatalogueChanges(5, [configuration(1, 200)]),
+        CatalogueChanges(6, [configuration(2, 200)]),
+        CatalogueChanges(9, [configuration(number, 200) for number in (3, 4, 5)]),
+        CatalogueChanges(14, [configuration(9, 200)]),
+        part=CataloguePart.OPERATOR,
+    )
+    assert [call[0] for call in source.calls] == [
+        "read",
+        "watch",
+        "watch",
+        "read",
+        "watch",
+    ]
+    assert source.calls[-1][1] == 14
+    assert catalogue.configuration.revision == 9
+
+
+def test_after_a_burst_of_small_configurations_the_watch_goes_on(follow):
+    _catalogue, source, _changed = follow(
+        CatalogueChanges(5, [configuration(1, 10)]),
+        CatalogueChanges(6, [configuration(2, 10), configuration(3, 10)]),
+        part=CataloguePart.OPERATOR,
+    )
+    assert [call[0] for call in source.calls] == ["read", "watch", "watch"]
+
+
+# Pattern: all processes start at the same time. If every entry read the store, the
+# copies of a large configuration would share one link between regions.
+
+
+def start_follower(first_read_in_s: float) -> tuple[Catalogue, ScriptedSource]:
+    catalogue = Catalogue()
+    source = ScriptedSource(CatalogueChanges(5, [configuration(1, 10)]))
+    CatalogueFollower(
+        catalogue,
+        source,
+        lambda part: None,
+        [CataloguePart.OPERATOR],
+        should_read=lambda: catalogue.configuration is None,
+        first_read_at=clock.now() + first_read_in_s,
+    ).start()
+    return catalogue, source
+
+
+def test_a_starting_process_waits_for_the_catalogue_of_its_peers():
+    catalogue, source = start_follower(30.0)
+    eventlet.sleep(0.03)
+    catalogue.configure(configuration(1, 10).configuration, clock.now())
+    eventlet.sleep(0.05)
+    assert source.calls == []
+
+
+def test_a_starting_process_reads_the_store_if_no_peer_sends_the_catalogue():
+    catalogue, source = start_follower(0.05)
+    assert source.calls == []
+    eventlet.sleep(0.15)
+    assert source.calls[0] == ("read",)
+    assert catalogue.configuration is not None
--- a/packages/primroselever-node/tests/direct/test_gossip.py
+++ b/packages/primroselever-node/tests/direct/test_gossip.py
@@ -29,7 +29,10 @@
 from primroselever_node.direct import gossip as gossip_module
 from primroselever_node.direct.datagrams import DatagramPort
 from primroselever_node.direct.gossip import GossipController
-from primroselever_node.direct.peer_handler import DirectPeerHandler
+from primroselever_node.direct.peer_handler import (
+    DirectPeerHandler,
+    unpack_catalogue,
+)
 from primroselever_node.direct.schema import schema
 from primroselever_node.rpc.server import RpcServer
 
@@ -147,6 +150,37 @@
     assert other.board.catalogue.expire_lapsed_servers(now + 60.0) == ["i-1"]
 
 
+def test_a_starting_entry_pulls_the_catalogue_at_once(loopback_entries, monkeypatch):
+    # All entries but the seeds wait for the catalogue when they start. Neither the
+    # next heartbeat of the seed nor the delay of a pull is waited for.
+    seed = loopback_entries.add("127.0.0.1")
+    seed.board.catalogue.configure(configuration(7), clock.now())
+    eventlet.sleep(0.05)
+    monkeypatch.setattr(gossip_module, "HEARTBEAT_S", 3600.0)
+    monkeypatch.setattr(gossip_module, "PULL_DELAY_S", 3600.0)
+    eventlet.sleep(0.05)
+    started = loopback_entries.add("127.0.0.2")
+    wait_until(lambda: started.board.catalogue.configuration is not None)
+
+
+def test_catalogues_are_compressed_for_entries_that_ask_for_it():
+    board = DirectBoard(Identity("e", "a", "r", 1), Peers("10.0.0.1", "a"))
+    board.catalogue.configure(configuration(7), clock.now())
+    handler = DirectPeerHandler(board, SimpleNamespace())
+    plain, packed = (handler.fetch_catalogue(0, flag) for flag in (False, True))
+    assert len(packed) < len(plain)
+    assert unpack_catalogue(plain) == unpack_catalogue(packed) == board.catalogue.copy()
+    board.catalogue.list_server(SERVER)
+    changed = handler.fetch_catalogue(0, True)
+    assert unpack_catalogue(changed).servers == {"i-1": SERVER}
+
+
+@pytest.mark.parametrize("data", [b"", b"\x78", b"\x78\x01junk", b"{", b"\xff" * 9])
+def test_an_invalid_catalogue_raises_a_value_error(data):
+    with pytest.raises(ValueError):
+        unpack_catalogue(data)
+
+
 def test_an_older_configuration_does_not_replace_a_newer_one(loopback_entries):
     behind, ahead = loopback_entries.add("127.0.0.1"), loopback_entries.add("127.0.0.2")
     behind.board.catalogue.configure(configuration(7), clock.now())
