Read each piece from its owner within the origin's failure domain

Cause: an entry hears heartbeats of about four entries of each other domain and relays its reads to the owner among those. Ruled out: the links of the VMs (5.2 s) and between regions. Change: an entry of the origin's domain that does not own a piece reads it from the owner there; calls carry the number of hops, two at most. Tests: two new ones (with the new argument, so they cannot run without the change).

--- a/packages/primroselever-agent/src/primroselever_agent/direct/filling.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/filling.py
@@ -163,7 +163,7 @@
         # The index -1 takes the place of a piece index in the ranking of owners.
         for host in self.source_hosts(wanted, -1):
             digests = self.call_entry(
-                host, "fetch_digests", wanted.model, wanted.version, False
+                host, "fetch_digests", wanted.model, wanted.version, False, 0
             )
             if digests:
                 return PieceDigests(wanted.model, wanted.version, tuple(digests))
@@ -310,6 +310,7 @@
                 False,
                 len(data),
                 slice_bytes,
+                0,
             )
             if reply is not None and reply.state == "reading":
                 if not wanted.same_version(self.current_target()):
--- a/packages/primroselever-agent/tests/direct/test_filling.py
+++ b/packages/primroselever-agent/tests/direct/test_filling.py
@@ -76,7 +76,7 @@
         model, version = args[:2]
         if method == "fetch_digests":
             return [] if version in self.unavailable_versions else make_digests(version)
-        index, _relayed, offset, length = args[2:]
+        index, _relayed, offset, length, _hops = args[2:]
         missing = (version, index) in self.missing_pieces
         if missing or version in self.unavailable_versions:
             return SimpleNamespace(state="pending", data=b"", size=0)
--- a/packages/primroselever-node/src/primroselever_node/direct/direct.thrift
+++ b/packages/primroselever-node/src/primroselever_node/direct/direct.thrift
@@ -96,7 +96,11 @@
 service DirectPeer {
   /* JSON, and compressed with zlib if packed is set. */
   binary fetch_catalogue(1: i64 store_revision, 2: bool packed),
-  /* length 0 requests all bytes from the offset on. */
-  PieceReply fetch_piece(1: string model, 2: i32 version, 3: i32 index, 4: bool relayed, 5: i32 offset, 6: i32 length),
-  list<string> fetch_digests(1: string model, 2: i32 version, 3: bool relayed),
+  /*
+   * length 0 requests all bytes from the offset on. hops is how many entries have
+   * relayed the call; relayed is set if it is above 0, and callers that do not know
+   * hops set relayed only.
+   */
+  PieceReply fetch_piece(1: string model, 2: i32 version, 3: i32 index, 4: bool relayed, 5: i32 offset, 6: i32 length, 7: i32 hops),
+  list<string> fetch_digests(1: string model, 2: i32 version, 3: bool relayed, 4: i32 hops),
 }
--- a/packages/primroselever-node/src/primroselever_node/direct/direct_thrift.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/direct_thrift.py
@@ -188,6 +188,7 @@
             4: (TType.BOOL, "relayed", False),
             5: (TType.I32, "offset", False),
             6: (TType.I32, "length", False),
+            7: (TType.I32, "hops", False),
         }
         default_spec: ClassVar[list[Any]] = [
             ("model", None),
@@ -196,6 +197,7 @@
             ("relayed", None),
             ("offset", None),
             ("length", None),
+            ("hops", None),
         ]
 
     class fetch_piece_result(TPayload):
@@ -212,11 +214,13 @@
             1: (TType.STRING, "model", False),
             2: (TType.I32, "version", False),
             3: (TType.BOOL, "relayed", False),
+            4: (TType.I32, "hops", False),
         }
         default_spec: ClassVar[list[Any]] = [
             ("model", None),
             ("version", None),
             ("relayed", None),
+            ("hops", None),
         ]
 
     class fetch_digests_result(TPayload):
--- a/packages/primroselever-node/src/primroselever_node/direct/peer_handler.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/peer_handler.py
@@ -23,6 +23,7 @@
 # Below the timeout of the calling process, which learns from the "reading" reply that
 # this entry is alive.
 READ_WAIT_S = 1.2
+MAX_HOPS = 2  # an entry that gets a call with this many reads the origin itself
 PACKED_LEVEL = 1  # the fastest; routes compress to about a tenth
 PACKED_PREFIX = b"\x78"  # the first byte of zlib's format; JSON begins with a brace
 
@@ -55,11 +56,14 @@
         relayed: bool,
         offset: int,
         length: int,
+        hops: int | None,
     ) -> Any:
         """Return a slice of a piece, which is read first if this entry lacks it."""
         try:
             with eventlet.Timeout(READ_WAIT_S):
-                data = self.keeper.get_piece(model, version, index, relayed)
+                data = self.keeper.get_piece(
+                    model, version, index, count_hops(relayed, hops)
+                )
         except eventlet.Timeout:
             return schema.PieceReply("reading", b"", 0, 0)
         except SourceError as exc:
@@ -68,15 +72,25 @@
         end = offset + length if length else len(data)
         return schema.PieceReply("held", data[offset:end], 0, len(data))
 
-    def fetch_digests(self, model: str, version: int, relayed: bool) -> list[str]:
+    def fetch_digests(
+        self, model: str, version: int, relayed: bool, hops: int | None
+    ) -> list[str]:
         """Return the digests of a version, or an empty list if they are unavailable."""
         try:
-            return list(self.keeper.get_manifest(model, version, relayed).digests)
+            manifest = self.keeper.get_manifest(
+                model, version, count_hops(relayed, hops)
+            )
+            return list(manifest.digests)
         except SourceError as exc:
             logger.warning("failed to read a manifest", extra={"error": str(exc)})
             return []
 
 
+def count_hops(relayed: bool, hops: int | None) -> int:
+    """Return how often a call was relayed; older callers only say whether it was."""
+    return hops if hops is not None else MAX_HOPS if relayed else 0
+
+
 def unpack_catalogue(data: bytes) -> CatalogueCopy:
     """Return a received copy of a catalogue; raise ``ValueError`` if it is invalid."""
     try:
--- a/packages/primroselever-node/src/primroselever_node/direct/pieces.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/pieces.py
@@ -3,7 +3,8 @@
 
 In each failure domain one entry owns each piece and reads it for the others. In the
 origin's failure domain the owner reads it from the origin, in any other domain from
-the owner in the origin's domain, or from the origin if that fails.
+the owner in the origin's domain, or from the origin if that fails. An entry in the
+origin's domain that does not own a piece reads it from the owner.
 """
 
 from __future__ import annotations
@@ -83,19 +84,19 @@
                 return service.origin
         return None
 
-    def get_manifest(self, model: str, version: int, relayed: bool) -> PieceDigests:
+    def get_manifest(self, model: str, version: int, hops: int) -> PieceDigests:
         """Return the manifest of a version, or raise ``SourceError``."""
         key = (model, version)
         if key in self.manifests:
             return self.manifests[key]
-        return self.read_once(key, lambda: self.read_manifest(model, version, relayed))
+        return self.read_once(key, lambda: self.read_manifest(model, version, hops))
 
-    def get_piece(self, model: str, version: int, index: int, relayed: bool) -> bytes:
+    def get_piece(self, model: str, version: int, index: int, hops: int) -> bytes:
         """Return a verified piece, or raise ``SourceError``."""
         key = (model, version, index)
         if key in self.pieces:
             return self.pieces[key]
-        return self.read_once(key, lambda: self.read_piece(key, relayed))
+        return self.read_once(key, lambda: self.read_piece(key, hops))
 
     def read_once(self, key: Any, read: Any) -> Any:
         """Return the result of ``read``, run once for all concurrent calls of a key."""
@@ -116,14 +117,16 @@
             del self.pending_reads[key]
             event.send(value)
 
-    def read_manifest(self, model: str, version: int, relayed: bool) -> PieceDigests:
-        """Read a manifest from an entry in the origin's domain, or from the origin."""
+    def read_manifest(self, model: str, version: int, hops: int) -> PieceDigests:
+        """Read a manifest from its owner in the origin's domain, or from the origin."""
         origin = self.require_origin()
         manifest: PieceDigests | None = None
         # The index -1 stands for the manifest, which thus has owners as a piece has.
-        for host in self.iter_relay_hosts(model, version, -1, origin, relayed):
+        for host in self.iter_relay_hosts(model, version, -1, origin, hops):
             try:
-                digests = self.call_entry(host, "fetch_digests", model, version, True)
+                digests = self.call_entry(
+                    host, "fetch_digests", model, version, True, self.next_hops(origin)
+                )
             except SourceError:
                 continue
             if digests:
@@ -153,15 +156,15 @@
                 return copy
         raise SourceError("the origin sent too few equal copies of the manifest")
 
-    def read_piece(self, key: Key, relayed: bool) -> bytes:
+    def read_piece(self, key: Key, hops: int) -> bytes:
         """Read a piece from an owner in the origin's domain, or from the origin."""
         model, version, index = key
-        manifest = self.get_manifest(model, version, relayed)
+        manifest = self.get_manifest(model, version, hops)
         origin = self.require_origin()
         attempts = ORIGIN_ATTEMPTS
-        for host in self.iter_relay_hosts(model, version, index, origin, relayed):
+        for host in self.iter_relay_hosts(model, version, index, origin, hops):
             try:
-                data = self.read_from_relay(host, key)
+                data = self.read_from_relay(host, key, self.next_hops(origin))
             except SourceError:
                 continue  # the relay is unreachable, but the origin may not be
             if data is not None and manifest.matches(index, data):
@@ -174,14 +177,14 @@
         self.pieces[key] = data
         return data
 
-    def read_from_relay(self, host: str, key: Key) -> bytes | None:
+    def read_from_relay(self, host: str, key: Key, hops: int) -> bytes | None:
         """
         Return a piece from another entry, or None if it lacks the piece.
 
         Call again while it reads; raise ``SourceError`` if it does not answer.
         """
         for _ in range(RELAY_ATTEMPTS):
-            reply = self.call_entry(host, "fetch_piece", *key, True, 0, 0)
+            reply = self.call_entry(host, "fetch_piece", *key, True, 0, 0, hops)
             if reply.state == "held":
                 return bytes(reply.data)
             if reply.state != "reading":
@@ -239,19 +242,31 @@
         return 0 < pending_count < self.read_counts[key]
 
     def iter_relay_hosts(
-        self, model: str, version: int, index: int, origin: WeightOrigin, relayed: bool
+        self, model: str, version: int, index: int, origin: WeightOrigin, hops: int
     ) -> Iterator[str]:
         """
         Yield the hosts to call before the origin, in order of ownership.
 
-        There are none in the origin's own domain, nor for a ``relayed`` call, which
-        another entry made.
+        In the origin's own domain this is the owner, unless it is this entry. An entry
+        of another domain knows only some of the entries there, so that its call often
+        comes to another one than the owner; without the second hop each of these would
+        read the piece from the origin. ``hops`` is how often the call was relayed.
         """
-        own_domain = self.board.identity.failure_domain
-        if relayed or own_domain == origin.failure_domain:
+        peers = self.board.peers
+        own_domain = peers.own_domain
+        if hops >= relay_limit(own_domain, origin):
             return
-        hosts = self.board.peers.live_domain_hosts(origin.failure_domain, clock.now())
-        yield from piece_owners(model, version, index, hosts)[:2]
+        hosts = peers.live_domain_hosts(origin.failure_domain, clock.now())
+        owners = piece_owners(model, version, index, hosts)
+        if own_domain == origin.failure_domain:
+            if owners[0] != peers.own_host:
+                yield owners[0]
+            return
+        yield from owners[:2]
+
+    def next_hops(self, origin: WeightOrigin) -> int:
+        """Return the number of hops of a call that this entry relays."""
+        return relay_limit(self.board.peers.own_domain, origin)
 
     def call_entry(self, host: str, method: str, *args: Any) -> Any:
         """Call another entry, or raise ``SourceError``."""
@@ -294,7 +309,7 @@
         eventlet.sleep(max(0.0, self.prefetch_after - clock.now()))
         while True:
             try:
-                manifest = self.get_manifest(model, version, False)
+                manifest = self.get_manifest(model, version, 0)
             except SourceError as exc:
                 logger.warning(
                     "failed to prefetch a manifest", extra={"error": str(exc)}
@@ -351,10 +366,19 @@
         """Read a piece, again after a failure unless a newer version is known."""
         while True:
             try:
-                self.get_piece(model, version, index, False)
+                self.get_piece(model, version, index, 0)
                 return
             except SourceError as exc:
                 logger.warning("failed to prefetch a piece", extra={"error": str(exc)})
             if not self.is_newest(model, version):
                 return
             eventlet.sleep(ORIGIN_RETRY_S)
+
+
+def relay_limit(domain: str, origin: WeightOrigin) -> int:
+    """
+    Return how many hops a call has at most when an entry of a domain relays it.
+
+    The first hop leads to the origin's domain, the second one to the owner there.
+    """
+    return 2 if domain == origin.failure_domain else 1
--- a/packages/primroselever-node/tests/direct/test_pieces.py
+++ b/packages/primroselever-node/tests/direct/test_pieces.py
@@ -82,7 +82,7 @@
 def test_a_piece_is_read_once_for_concurrent_callers(make_keeper):
     keeper = make_keeper()
     pool = eventlet.GreenPool()
-    pieces = list(pool.imap(lambda _: keeper.get_piece("m", 2, 1, False), range(5)))
+    pieces = list(pool.imap(lambda _: keeper.get_piece("m", 2, 1, 0), range(5)))
     assert pieces == [PIECES[1]] * 5
     assert keeper.source.reads == [1]
 
@@ -90,7 +90,7 @@
 def test_a_corrupt_piece_is_read_again(make_keeper):
     keeper = make_keeper()
     keeper.source.corrupt_indexes = [2]
-    assert keeper.get_piece("m", 2, 2, False) == PIECES[2]
+    assert keeper.get_piece("m", 2, 2, 0) == PIECES[2]
     assert keeper.source.reads == [2, 2]
 
 
@@ -98,16 +98,16 @@
     keeper = make_keeper()
     wrong = PieceDigests("m", 2, ("00",))
     keeper.source.manifests = [MANIFEST, wrong, MANIFEST]
-    assert keeper.get_manifest("m", 2, False) == MANIFEST
+    assert keeper.get_manifest("m", 2, 0) == MANIFEST
 
 
 def test_a_failed_read_raises_and_a_later_one_succeeds(make_keeper):
     keeper = make_keeper()
     keeper.source.down = True
     with pytest.raises(SourceError):
-        keeper.get_piece("m", 2, 0, False)
+        keeper.get_piece("m", 2, 0, 0)
     keeper.source.down = False
-    assert keeper.get_piece("m", 2, 0, False) == PIECES[0]
+    assert keeper.get_piece("m", 2, 0, 0) == PIECES[0]
 
 
 def test_another_domain_reads_from_an_owner_in_the_origins_domain(make_keeper):
@@ -124,7 +124,7 @@
         return SimpleNamespace(state="held", data=PIECES[3])
 
     keeper.call_entry = call_entry
-    assert keeper.get_piece("m", 2, 3, False) == PIECES[3]
+    assert keeper.get_piece("m", 2, 3, 0) == PIECES[3]
     assert keeper.source.reads == []
     assert [method for _host, method in calls] == [
         "fetch_digests",
@@ -133,10 +133,47 @@
     ]
 
 
+def add_entries_beside_the_origin(keeper, count: int = 5) -> list[str]:
+    hosts = [f"10.0.0.{index}" for index in range(2, 2 + count)]
+    for host in hosts:
+        keeper.board.peers.record_heartbeat(host, "lag-a", clock.now())
+    return hosts
+
+
+def test_a_piece_is_read_from_its_owner_in_the_origins_domain(make_keeper):
+    # Entries of other domains know some of the entries here only, and call others than
+    # the owner. Each of these would read a copy from the origin.
+    keeper = make_keeper()
+    hosts = add_entries_beside_the_origin(keeper)
+    keeper.manifests["m", 2] = MANIFEST
+    calls = []
+
+    def call_entry(host, method, *args):
+        calls.append((host, *args[2:]))
+        return SimpleNamespace(state="held", data=PIECES[args[2]])
+
+    keeper.call_entry = call_entry
+    for index in range(len(PIECES)):
+        assert keeper.get_piece("m", 2, index, 1) == PIECES[index]
+    owned = find_owned_indexes(keeper, [*hosts, "10.0.0.1"])
+    assert sorted(keeper.source.reads) == owned
+    assert {index for _, index, *_ in calls} == set(range(4)) - set(owned)
+    assert {hops for *_, hops in calls} == {2}
+
+
+def test_a_call_that_was_relayed_twice_is_not_relayed_again(make_keeper):
+    keeper = make_keeper()
+    add_entries_beside_the_origin(keeper)
+    keeper.manifests["m", 2] = MANIFEST
+    for index in range(len(PIECES)):
+        keeper.get_piece("m", 2, index, 2)
+    assert sorted(keeper.source.reads) == [0, 1, 2, 3]
+
+
 def test_a_relayed_piece_is_read_from_the_origin(make_keeper):
     keeper = make_keeper("abj-a")
     keeper.board.peers.record_heartbeat("10.0.0.2", "lag-a", clock.now())
-    assert keeper.get_piece("m", 2, 3, True) == PIECES[3]
+    assert keeper.get_piece("m", 2, 3, 1) == PIECES[3]
     assert keeper.source.reads == [3]
 
 
@@ -150,7 +187,7 @@
     reply = SimpleNamespace(state="pending", data=b"")
     keeper.call_entry = lambda *_: reply
     with pytest.raises(SourceError):
-        keeper.get_piece("m", 2, 3, False)
+        keeper.get_piece("m", 2, 3, 0)
     assert keeper.source.reads == [3]
 
 
@@ -165,7 +202,7 @@
 
     keeper.call_entry = call_entry
     with pytest.raises(SourceError):
-        keeper.get_piece("m", 2, 3, False)
+        keeper.get_piece("m", 2, 3, 0)
     assert keeper.source.reads == [3] * pieces_module.ORIGIN_ATTEMPTS
 
 
@@ -173,7 +210,7 @@
     keeper = make_keeper()
     for version in (1, 2, 3):
         keeper.source.manifests = [PieceDigests("m", version, MANIFEST.digests)]
-        keeper.get_piece("m", version, 0, False)
+        keeper.get_piece("m", version, 0, 0)
     assert {version for _model, version, _index in keeper.pieces} == {2, 3}
 
 
@@ -262,7 +299,7 @@
     newer = PieceDigests("m", 3, MANIFEST.digests)
     keeper.manifests = {("m", 2): MANIFEST, ("m", 3): newer}
     for index in (0, 1):
-        keeper.get_piece("m", 2, index, False)
+        keeper.get_piece("m", 2, index, 0)
     release = eventlet.event.Event()
     read_piece = keeper.source.read_piece
 
@@ -272,9 +309,9 @@
         return read_piece(origin, model, version, index)
 
     monkeypatch.setattr(keeper.source, "read_piece", slow_read)
-    eventlet.spawn(keeper.get_piece, "m", 2, 2, False)
+    eventlet.spawn(keeper.get_piece, "m", 2, 2, 0)
     eventlet.sleep(0)
-    newer_read = eventlet.spawn(keeper.get_piece, "m", 3, 0, False)
+    newer_read = eventlet.spawn(keeper.get_piece, "m", 3, 0, 0)
     eventlet.sleep(0.05)
     assert keeper.source.read_versions == [2, 2]
     release.send()
@@ -288,9 +325,9 @@
     newer = PieceDigests("m", 3, MANIFEST.digests)
     keeper.manifests = {("m", 2): MANIFEST, ("m", 3): newer}
     for index in (0, 1):
-        keeper.get_piece("m", 2, index, False)
+        keeper.get_piece("m", 2, index, 0)
     keeper.source.failing_indexes = {2}
     monkeypatch.setattr(pieces_module, "ORIGIN_RETRY_S", 60.0)
-    eventlet.spawn(keeper.get_piece, "m", 2, 2, False)
+    eventlet.spawn(keeper.get_piece, "m", 2, 2, 0)
     eventlet.sleep(0)
-    assert keeper.get_piece("m", 3, 0, False) == PIECES[0]
+    assert keeper.get_piece("m", 3, 0, 0) == PIECES[0]
