Bound the list of prompts that an engine has not read

Cause: the list was pruned only for routes that name a longest pause; without one it grew with each request. Change: it holds the latest 64 prompts, more than an engine reads in one pass.

--- a/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
@@ -23,6 +23,7 @@
 FULL_MARK_S = 0.15  # about two passes of an engine, in which slots are freed
 DELAY_WEIGHT = 0.5  # of the latest measurement, as an entry makes few per server
 DELAY_HALF_LIFE_S = 4.0  # a server that gets no requests is tried again after this
+MAX_UNREAD_PROMPTS = 64  # more than an engine reads in one pass
 MAX_OUTCOMES = 24  # enough to distinguish a failing server from random failures
 MIN_OUTCOMES = 6
 FAILURE_SHARE_MARGIN = 0.25  # above the median of the service's servers
@@ -83,7 +84,9 @@
     mean_duration_s: float = 0.0
     sent_by_others: deque[float] = field(default_factory=deque)
     reading_until: float = 0.0
-    unread_prompts: deque[tuple[float, float]] = field(default_factory=deque)
+    unread_prompts: deque[tuple[float, float]] = field(
+        default_factory=lambda: deque(maxlen=MAX_UNREAD_PROMPTS)
+    )
     delay_s: float = 0.0
     delay_measured_at: float = 0.0
 
