--- a/packages/primroselever-core/src/primroselever_core/filling/targets.py
+++ b/packages/primroselever-core/src/primroselever_core/filling/targets.py
@@ -101,15 +101,15 @@
         lapses_at = bound_at if served else now
         started = next((wanted for wanted in newer if wanted.version == filling), None)
         if started is None or not held_share:
-            chosen = self.choose_unstarted(newer, now)
+            chosen = self.choose_new_fill(newer, now)
         else:
-            chosen = self.choose_beside(started, newer, held_share, lapses_at, now)
+            chosen = self.choose_during_fill(started, newer, held_share, lapses_at, now)
         newest = newer[-1]
         return replace(
             chosen, bound_at=bound_at, rank=newest.rank, group_size=newest.group_size
         )
 
-    def choose_unstarted(self, newer: list[WantedWeights], now: float) -> WantedWeights:
+    def choose_new_fill(self, newer: list[WantedWeights], now: float) -> WantedWeights:
         """Return the newest version that is available, or the newest of all."""
         newest = newer[-1]
         available = [
@@ -120,7 +120,7 @@
         ]
         return (available or newer)[-1]
 
-    def choose_beside(
+    def choose_during_fill(
         self,
         started: WantedWeights,
         newer: list[WantedWeights],
@@ -133,20 +133,20 @@
 
         ``lapses_at`` is when the engine stops serving without newer weights. The fill
         is replaced by one of the newest version if that shortens the time in which the
-        engine can serve neither.
+        engine has no weights that may serve.
         """
         newest = newer[-1]
         if started is newest:
             if held_share >= KEPT_SHARE:
                 return newest
-            return self.choose_unstarted(newer, now)
+            return self.choose_new_fill(newer, now)
         if newest.version not in self.confirmed:
             return started
-        started_at = now + (1.0 - held_share) * self.fill_s + LOAD_S
-        newest_after_at = started_at + self.fill_s + LOAD_S
-        newest_now_at = now + self.fill_s + LOAD_S
-        gap_after_s = max(0.0, started_at - lapses_at) + max(
-            0.0, newest_after_at - newest.bound_at
+        started_complete_at = now + (1.0 - held_share) * self.fill_s + LOAD_S
+        newest_second_at = started_complete_at + self.fill_s + LOAD_S
+        newest_first_at = now + self.fill_s + LOAD_S
+        gap_started_first_s = max(0.0, started_complete_at - lapses_at) + max(
+            0.0, newest_second_at - newest.bound_at
         )
-        gap_now_s = max(0.0, newest_now_at - lapses_at)
-        return started if gap_after_s < gap_now_s else newest
+        gap_newest_first_s = max(0.0, newest_first_at - lapses_at)
+        return started if gap_started_first_s < gap_newest_first_s else newest
