--- a/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
@@ -21,7 +21,6 @@
 FIRST_EJECTION_S = 0.5  # below the shortest restart, so a brief failure costs little
 MAX_EJECTION_S = 4.0  # crashed servers are back after some seconds
 FULL_MARK_S = 0.15  # about two passes of an engine, in which slots are freed
-DELAY_WEIGHT = 0.5  # of the latest measurement, as an entry makes few per server
 DELAY_HALF_LIFE_S = 4.0  # a server that gets no requests is tried again after this
 MAX_UNREAD_PROMPTS = 64  # more than an engine reads in one pass
 MAX_OUTCOMES = 24  # enough to distinguish a failing server from random failures
@@ -69,8 +68,9 @@
     requests by other entries that no report includes yet, and ``reading_until`` is when
     the engine will have read all prompts that are known to have been sent.
     ``unread_prompts`` holds the latest prompts that were sent, as the time of sending
-    and the seconds that the engine needs to read them. ``delay_s`` is by how much first
-    events came later than predicted, as measured up to ``delay_measured_at``.
+    and the seconds that the engine needs to read them. ``late_by_s`` is by how much the
+    latest first event came later than predicted, and ``delay_s`` by how much the latest
+    two did at least, measured at ``delay_measured_at``.
     """
 
     listed: ListedServer
@@ -87,6 +87,7 @@
     unread_prompts: deque[tuple[float, float]] = field(
         default_factory=lambda: deque(maxlen=MAX_UNREAD_PROMPTS)
     )
+    late_by_s: float = 0.0
     delay_s: float = 0.0
     delay_measured_at: float = 0.0
 
@@ -127,10 +128,10 @@
         Record by how much a first event came later than predicted.
 
         A negative value means earlier. Reports of the engine do not show such delays
-        if their cause is the link of its VM.
+        if their cause is the link of its VM. A single late event is a prediction error.
         """
-        previous_s = self.unexpected_delay_s(now)
-        self.delay_s = max(0.0, previous_s + DELAY_WEIGHT * (late_by_s - previous_s))
+        self.delay_s = max(0.0, min(self.late_by_s, late_by_s))
+        self.late_by_s = late_by_s
         self.delay_measured_at = now
 
     def unexpected_delay_s(self, now: float) -> float:
