--- a/packages/primroselever-node/tests/direct/test_pieces.py
+++ b/packages/primroselever-node/tests/direct/test_pieces.py
@@ -27,7 +27,7 @@
 MANIFEST = PieceDigests(
     "m", 2, tuple(hashlib.sha256(piece).hexdigest() for piece in PIECES)
 )
-ORIGIN = WeightOrigin(("10.0.0.9", 1), "lag-a", 8)
+ORIGIN = WeightOrigin(("10.0.0.9", 1), "a", 8)
 
 
 class FakeOrigin:
@@ -63,7 +63,7 @@
 def make_keeper(monkeypatch):
     monkeypatch.setattr(pieces_module, "ORIGIN_RETRY_S", 0.001)
 
-    def make(domain: str = "lag-a") -> PieceKeeper:
+    def make(domain: str = "a") -> PieceKeeper:
         board = DirectBoard(Identity("e", domain, "r", 1), Peers("10.0.0.1", domain))
         board.catalogue.configure(
             Configuration(
@@ -111,8 +111,8 @@
 
 
 def test_another_domain_reads_from_an_owner_in_the_origins_domain(make_keeper):
-    keeper = make_keeper("abj-a")
-    keeper.board.peers.record_heartbeat("10.0.0.2", "lag-a", clock.now())
+    keeper = make_keeper("b")
+    keeper.board.peers.record_heartbeat("10.0.0.2", "a", clock.now())
     calls = []
 
     def call_entry(host, method, *args):
@@ -136,7 +136,7 @@
 def add_entries_beside_the_origin(keeper, count: int = 5) -> list[str]:
     hosts = [f"10.0.0.{index}" for index in range(2, 2 + count)]
     for host in hosts:
-        keeper.board.peers.record_heartbeat(host, "lag-a", clock.now())
+        keeper.board.peers.record_heartbeat(host, "a", clock.now())
     return hosts
 
 
@@ -171,8 +171,8 @@
 
 
 def test_a_relayed_piece_is_read_from_the_origin(make_keeper):
-    keeper = make_keeper("abj-a")
-    keeper.board.peers.record_heartbeat("10.0.0.2", "lag-a", clock.now())
+    keeper = make_keeper("b")
+    keeper.board.peers.record_heartbeat("10.0.0.2", "a", clock.now())
     assert keeper.get_piece("m", 2, 3, 1) == PIECES[3]
     assert keeper.source.reads == [3]
 
@@ -180,8 +180,8 @@
 def test_the_origin_is_tried_once_if_a_relay_cannot_read_it(make_keeper):
     # Each further attempt would delay the next request to the relay, which has the
     # piece as soon as the origin is back.
-    keeper = make_keeper("abj-a")
-    keeper.board.peers.record_heartbeat("10.0.0.2", "lag-a", clock.now())
+    keeper = make_keeper("b")
+    keeper.board.peers.record_heartbeat("10.0.0.2", "a", clock.now())
     keeper.manifests["m", 2] = MANIFEST
     keeper.source.down = True
     reply = SimpleNamespace(state="pending", data=b"")
@@ -192,8 +192,8 @@
 
 
 def test_the_origin_is_tried_repeatedly_if_no_relay_answers(make_keeper):
-    keeper = make_keeper("abj-a")
-    keeper.board.peers.record_heartbeat("10.0.0.2", "lag-a", clock.now())
+    keeper = make_keeper("b")
+    keeper.board.peers.record_heartbeat("10.0.0.2", "a", clock.now())
     keeper.manifests["m", 2] = MANIFEST
     keeper.source.down = True
 
@@ -239,9 +239,7 @@
 def test_an_entry_that_is_cut_off_prefetches_its_own_pieces_only(prefetching_keeper):
     hosts = [f"10.0.0.{n}" for n in range(1, 6)]
     for host in hosts[1:]:
-        prefetching_keeper.board.peers.record_heartbeat(
-            host, "lag-a", clock.now() - 5.0
-        )
+        prefetching_keeper.board.peers.record_heartbeat(host, "a", clock.now() - 5.0)
     assert (
         run_prefetch(prefetching_keeper)
         == find_owned_indexes(prefetching_keeper, hosts)
@@ -254,7 +252,7 @@
 
     def receive_heartbeats() -> None:
         for host in hosts[1:]:
-            prefetching_keeper.board.peers.record_heartbeat(host, "lag-a", clock.now())
+            prefetching_keeper.board.peers.record_heartbeat(host, "a", clock.now())
 
     eventlet.spawn_after(0.01, receive_heartbeats)
     assert (
