Log how long a silent back end was silent and when this was noticed

Cause: the log of an attempt that ended for silence said neither how long the back end was silent nor whether this process ran meanwhile, so that a pause of a back end and one of the process looked the same; an unexpected error while a request was handled named no request. Change: the line 'back end silent' with both times, and the identifier in the line of the error. Result: no decision changes; tests of entry and node pass.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
@@ -95,7 +95,10 @@
         except OSError as exc:
             logger.info("connection to a caller broke", extra={"error": str(exc)})
         except Exception:
-            logger.exception("unexpected error on a connection to a caller")
+            logger.exception(
+                "unexpected error on a connection to a caller",
+                extra={"request": self.request_id.decode("latin-1")},
+            )
         finally:
             self.server.connections.discard(self)
             self.socket.close()
--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -15,6 +15,7 @@
     ExchangeTimeoutError,
     header,
 )
+from primroselever_node.logs import log_decision
 
 from .attempt import Attempt, AttemptEnd
 from .caller_connection import CallerLeftError
@@ -65,6 +66,7 @@
         self.caller = caller
         self.connection: HttpConnection | None = None
         self.started_at = clock.now()
+        self.last_received_at = self.started_at
         self.first_event_recorded = False
 
     def run(self) -> Attempt:
@@ -104,6 +106,15 @@
     def handle_silence(self, exc: ExchangeTimeoutError) -> Attempt:
         """Record that no data arrived in time; return the result."""
         now = clock.now()
+        log_decision(
+            "back end silent",
+            self.state.request.log_id,
+            self.backend.listed.server_id,
+            str(exc),
+            silent_ms=round((now - self.last_received_at) * 1000),
+            noticed_late_ms=round(exc.noticed_late_s * 1000),
+            answer_begun=self.state.head_forwarded,
+        )
         if now >= self.state.deadline:
             return Attempt(AttemptEnd.OUT_OF_TIME, reason="the deadline passed")
         self.backend.record_failure(now)
@@ -123,6 +134,7 @@
         head = connection.read_head(
             self.head_deadline(), request.request_id, names.request_id
         )
+        self.last_received_at = clock.now()
         status = head.status_code
         not_run = status == 421 or bool(header(head.headers, names.not_run))
         if not_run and status in (*NOT_RUN_STATUSES, 400):
@@ -220,6 +232,7 @@
         body = b""
         while True:
             event = connection.next_event(self.body_deadline(streaming))
+            self.last_received_at = clock.now()
             if isinstance(event, h11.EndOfMessage):
                 break
             if not isinstance(event, h11.Data):
--- a/packages/primroselever-node/src/primroselever_node/direct/exchange.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/exchange.py
@@ -40,7 +40,16 @@
 
 
 class ExchangeTimeoutError(BrokenExchangeError):
-    """The request was not written, or not answered, before the deadline."""
+    """
+    The request was not written, or not answered, before the deadline.
+
+    ``noticed_late_s`` is how many seconds after the deadline the process noticed it.
+    More than some milliseconds mean that the process itself did not run meanwhile.
+    """
+
+    def __init__(self, message: str, noticed_late_s: float = 0.0) -> None:
+        super().__init__(message)
+        self.noticed_late_s = noticed_late_s
 
 
 class MalformedAnswerError(BrokenExchangeError):
@@ -124,11 +133,12 @@
                 return event
             remaining_s = deadline - clock.now()
             if remaining_s <= 0:
-                raise ExchangeTimeoutError("no answer in time")
+                raise ExchangeTimeoutError("no answer in time", -remaining_s)
             try:
                 data = receive_bytes(self.socket, remaining_s)
             except TimeoutError as exc:
-                raise ExchangeTimeoutError("no answer in time") from exc
+                late_s = clock.now() - deadline
+                raise ExchangeTimeoutError("no answer in time", late_s) from exc
             except OSError as exc:
                 raise BrokenExchangeError("the connection was reset") from exc
             try:
