Keep waiting for a silent back end until another one has taken over

What callers saw: streams that ended without their last event, and 502 for requests that may be repeated, although their back end answered later.

Cause: an attempt whose back end sent nothing for 1.2 s (streams) or for the objective (others) was ended before it was known whether another back end would take the request.

Change: the connection to the silent back end stays open. The entry looks for another one; while there is none, or if that one fails, it goes on with the first, unless another has sent events meanwhile. A stream may be silent for 1.6 s, more than the second or so for which a sound back end may pause and less than the 2 s after which callers stop waiting.

Evidence: of the seven tests in test_silence.py four fail without the change (the only back end pauses; the other one refuses; no retry is left; a repeatable request), three guard the other side: a back end that stays silent loses its stream, no event comes twice, and a caller that leaves ends the work.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/event_stream.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/event_stream.py
@@ -15,10 +15,15 @@
 
 @dataclass(slots=True)
 class EventBuffer:
-    """Buffers the bytes of a stream and releases complete events only."""
+    """
+    Buffers the bytes of a stream and releases complete events only.
+
+    ``released_bytes`` counts the bytes of the events that were released.
+    """
 
     partial_event: bytes = b""
     last_event_id: bytes = b""
+    released_bytes: int = 0
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes; return those of all events that are now complete."""
@@ -28,6 +33,7 @@
             return b""
         complete = self.partial_event[: end + len(EVENT_END)]
         self.partial_event = self.partial_event[end + len(EVENT_END) :]
+        self.released_bytes += len(complete)
         for event in complete.split(EVENT_END):
             for line in event.split(b"\n"):
                 if line.startswith(ID_FIELD):
--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -53,6 +53,7 @@
 OLD_WEIGHTS_MARGIN_S = 1.2
 RESEND_OLD_WEIGHTS_MARGIN_S = 2.5  # a retry may get a late place in the queue
 CRASHED_SERVERS_REASON = "earlier runs of this request crashed servers"
+SILENCE_RECHECK_S = 0.2  # how often another back end is sought for a silent request
 # Of the longest time left on the route; a request with less time left is a retry.
 MIN_FIRST_ATTEMPT_SHARE = 0.8
 
@@ -79,7 +80,8 @@
 
     ``deadline`` is when the route or the caller gives up, ``objective_at`` when the
     first event is due, and ``late`` whether that time had already passed when the
-    request arrived.
+    request arrived. ``silent_sender`` is the attempt whose back end fell silent; its
+    connection stays open until another back end answers.
     """
 
     request: CallerRequest
@@ -97,6 +99,7 @@
     first_event_at: float | None = None
     last_event_at: float = 0.0
     longest_gap_s: float = 0.0
+    silent_sender: AttemptSender | None = None
 
 
 class DirectFlow:
@@ -209,54 +212,102 @@
 
     def send_until_ended(self, state: RequestState, caller: CallerConnection) -> None:
         """Make attempts until a request is answered, fails or is abandoned."""
-        while True:
-            now = clock.now()
-            if now >= state.deadline:
-                self.fail_request(state, caller, "out of time")
-                return
-            choice = self.choose_next_backend(state, now)
-            if isinstance(choice, Refused):
+        no_retry_reason: str | None = None
+        try:
+            while clock.now() < state.deadline:
+                attempt_count = len(state.attempts)
+                attempt = self.make_attempt(state, caller, no_retry_reason)
+                if isinstance(attempt, Refused):
+                    self.fail_request(
+                        state, caller, attempt.reason, attempt.retry_after_s
+                    )
+                    return
+                if attempt.end is AttemptEnd.ANSWERED:
+                    self.log_request_end(
+                        state.request, "answered", str(attempt.status), state
+                    )
+                    return
+                if attempt.end is AttemptEnd.CALLER_LEFT:
+                    self.log_request_end(
+                        state.request,
+                        "caller left",
+                        "the work for it is cancelled",
+                        state,
+                    )
+                    return
+                if len(state.attempts) > attempt_count:
+                    no_retry_reason = self.retry_refusal_reason(state, attempt)
+            self.fail_request(state, caller, "out of time")
+        finally:
+            if state.silent_sender is not None:
+                state.silent_sender.close()
+
+    def make_attempt(
+        self,
+        state: RequestState,
+        caller: CallerConnection,
+        no_retry_reason: str | None,
+    ) -> Attempt | Refused:
+        """
+        Send a request to the next back end, or go on waiting for a silent one.
+
+        Return a refusal if neither is possible. ``no_retry_reason`` is why the request
+        may not be sent again, None if it may.
+        """
+        now = clock.now()
+        silent = state.silent_sender
+        if silent is not None and not silent.may_continue():
+            silent.close()
+            silent = state.silent_sender = None
+        if no_retry_reason is not None:
+            if silent is None:
+                return Refused(no_retry_reason, DEFAULT_RETRY_AFTER_S)
+            return self.record_attempt(
+                state, silent, silent.keep_waiting(state.deadline)
+            )
+        choice = self.choose_next_backend(state, now)
+        if isinstance(choice, Refused):
+            if silent is None:
                 self.log_choice(state, "none", choice.reason, choice.candidates)
-                self.fail_request(state, caller, choice.reason, choice.retry_after_s)
-                return
-            backend = choice.backend
-            self.log_choice(
-                state,
-                backend.listed.server_id,
-                "first event due first",
-                choice.candidates,
+                return choice
+            until = min(state.deadline, now + SILENCE_RECHECK_S)
+            return self.record_attempt(state, silent, silent.keep_waiting(until))
+        backend = choice.backend
+        self.log_choice(
+            state, backend.listed.server_id, "first event due first", choice.candidates
+        )
+        state.tried_server_ids.append(backend.listed.server_id)
+        self.record_sent_prompt(state, backend, now)
+        sender = AttemptSender(self, state, choice, caller)
+        sender.known_crashes = self.crash_watch.known_crashes(
+            state.request, state.workspace
+        )
+        sender.index = len(state.attempts)
+        return self.record_attempt(state, sender, sender.run())
+
+    def record_attempt(
+        self, state: RequestState, sender: AttemptSender, attempt: Attempt
+    ) -> Attempt:
+        """Record the result of an attempt, or of a longer wait for its response."""
+        newly_sent = sender.index == len(state.attempts)
+        state.attempts[sender.index : sender.index + 1] = [attempt]
+        if newly_sent or attempt.end is not AttemptEnd.SILENT:
+            self.instruments.count_attempt(attempt.end)
+        if attempt.suggests_crash:
+            self.crash_watch.record_broken_run(
+                state.request, state.workspace, sender.backend, sender.known_crashes
             )
-            state.tried_server_ids.append(backend.listed.server_id)
-            self.record_sent_prompt(state, backend, now)
-            known_crashes = self.crash_watch.known_crashes(
-                state.request, state.workspace
+        if attempt.end is AttemptEnd.SILENT:
+            if state.silent_sender not in (None, sender):
+                state.silent_sender.close()
+            state.silent_sender = sender
+        if attempt.may_have_run:
+            state.may_have_run = True
+        if attempt.end is AttemptEnd.ANSWERED:
+            self.crash_watch.record_answer(
+                state.request, state.workspace, sender.known_crashes
             )
-            attempt = AttemptSender(self, state, choice, caller).run()
-            state.attempts.append(attempt)
-            if attempt.suggests_crash:
-                self.crash_watch.record_broken_run(
-                    state.request, state.workspace, backend, known_crashes
-                )
-            self.instruments.count_attempt(attempt.end)
-            if attempt.may_have_run:
-                state.may_have_run = True
-            if attempt.end is AttemptEnd.ANSWERED:
-                self.crash_watch.record_answer(
-                    state.request, state.workspace, known_crashes
-                )
-                self.log_request_end(
-                    state.request, "answered", str(attempt.status), state
-                )
-                return
-            if attempt.end is AttemptEnd.CALLER_LEFT:
-                self.log_request_end(
-                    state.request, "caller left", "the work for it is cancelled", state
-                )
-                return
-            refusal = self.retry_refusal_reason(state, attempt)
-            if refusal is not None:
-                self.fail_request(state, caller, refusal)
-                return
+        return attempt
 
     def record_sent_prompt(
         self, state: RequestState, backend: Backend, now: float
--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -22,7 +22,10 @@
 from .caller_request import forwardable_headers
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from primroselever_core.dispatch.choose import Chosen
+    from primroselever_core.suspects.section import CrashId
     from primroselever_node.direct.exchange import HttpConnection
 
     from .caller_connection import CallerConnection
@@ -35,12 +38,12 @@
 MAX_IDLE_NON_REPEATABLE_S = 0.5
 MAX_IDLE_S = 60.0  # for requests that may be repeated
 # A streaming back end that sends nothing before its first event for this many times the
-# objective of the route is considered stuck.
+# objective of the route is considered silent.
 MAX_SILENCE_FACTOR = 3.0
 MIN_SILENCE_LIMIT_S = 0.15
-# The longest wait for the next event of a stream: several passes of an engine with a
-# full batch, and less than the 2 s after which callers stop waiting.
-MAX_EVENT_GAP_S = 1.2
+# A stream that is silent for this long is resumed elsewhere if possible. A sound back
+# end may pause for a second or so, and callers stop waiting after 2 s.
+MAX_STREAM_SILENCE_S = 1.6
 # These statuses and 400 mean, together with the not_run header, that the request did
 # not run; 421 also means it without the header.
 NOT_RUN_STATUSES = (421, 429, 503)
@@ -50,7 +53,15 @@
 
 
 class AttemptSender:
-    """Sends a request to the chosen back end and forwards the response."""
+    """
+    Sends a request to the chosen back end and forwards the response.
+
+    ``known_crashes`` are the crashes of the request's earlier runs that were known when
+    it was sent, and ``index`` is the position of the attempt among those of the
+    request. ``wait_until`` is how long a silent back end is waited for at least.
+    ``partial_event`` and ``released_bytes`` are the state of the stream when the back
+    end became silent.
+    """
 
     def __init__(
         self,
@@ -65,29 +76,70 @@
         self.backend = choice.backend
         self.caller = caller
         self.connection: HttpConnection | None = None
+        self.head: h11.Response | None = None
+        self.body = b""
+        self.partial_event = b""
+        self.released_bytes = 0
         self.started_at = clock.now()
         self.last_received_at = self.started_at
+        self.wait_until = 0.0
         self.first_event_recorded = False
+        self.known_crashes: frozenset[CrashId] = frozenset()
+        self.index = 0
+        self.attempt: Attempt | None = None
+        self.closed = False
+        self.backend.in_flight += 1
 
     def run(self) -> Attempt:
-        """Make the attempt and return its result."""
-        listed = self.backend.listed
-        route = self.state.route
-        max_idle_s = MAX_IDLE_S if route.repeatable else MAX_IDLE_NON_REPEATABLE_S
-        self.backend.in_flight += 1
+        """
+        Make the attempt and return its result.
+
+        After a result of ``SILENT`` the connection stays open, for ``keep_waiting`` or
+        until ``close`` is called.
+        """
         self.state.event_buffer.drop_partial_event()
+        return self.receive_result(self.start_exchange)
+
+    def keep_waiting(self, until: float) -> Attempt:
+        """Wait until a time for a back end that was silent; return the result."""
+        self.wait_until = until
+        self.state.event_buffer.partial_event = self.partial_event
+        return self.receive_result(self.receive_response)
+
+    def may_continue(self) -> bool:
+        """Return whether the response may still go on where it became silent."""
+        return (
+            not self.closed
+            and self.released_bytes == self.state.event_buffer.released_bytes
+        )
+
+    def close(self) -> None:
+        """End the attempt, and the work of the back end if it still runs."""
+        if self.closed:
+            return
+        self.closed = True
+        self.backend.in_flight -= 1
+        if self.connection is not None:
+            self.connection.abort()
+
+    def receive_result(self, exchange: Callable[[], Attempt]) -> Attempt:
+        """Do a part of the exchange; return the result of the attempt."""
+        self.attempt = None
         try:
-            try:
-                self.connection = self.flow.pool.acquire_connection(
-                    listed.server_id, listed.address, self.state.deadline, max_idle_s
-                )
-            except ConnectError as exc:
-                self.backend.record_failure(clock.now())
-                return Attempt(AttemptEnd.NOT_SENT, reason=str(exc))
-            if self.caller.caller_left:
-                return Attempt(AttemptEnd.CALLER_LEFT)
-            self.caller.on_caller_left = self.connection.interrupt
-            return self.exchange_messages(self.connection)
+            self.attempt = self.exchange_or_fail(exchange)
+        finally:
+            self.caller.on_caller_left = None
+            if self.attempt is None or self.attempt.end is not AttemptEnd.SILENT:
+                self.close()
+        return self.attempt
+
+    def exchange_or_fail(self, exchange: Callable[[], Attempt]) -> Attempt:
+        """Return the result of a part of the exchange, also if it fails."""
+        try:
+            return exchange()
+        except ConnectError as exc:
+            self.backend.record_failure(clock.now())
+            return Attempt(AttemptEnd.NOT_SENT, reason=str(exc))
         except CallerLeftError:
             return Attempt(AttemptEnd.CALLER_LEFT)
         except ExchangeTimeoutError as exc:
@@ -97,15 +149,22 @@
                 return Attempt(AttemptEnd.CALLER_LEFT)
             self.backend.record_failure(clock.now())
             return Attempt(AttemptEnd.BROKEN, reason=str(exc))
-        finally:
-            self.caller.on_caller_left = None
-            self.backend.in_flight -= 1
-            if self.connection is not None:
-                self.connection.abort()
 
     def handle_silence(self, exc: ExchangeTimeoutError) -> Attempt:
         """Record that no data arrived in time; return the result."""
         now = clock.now()
+        if self.wait_until == 0.0:
+            self.log_silence(exc, now)
+        if now >= self.state.deadline:
+            return Attempt(AttemptEnd.OUT_OF_TIME, reason="the deadline passed")
+        if self.wait_until == 0.0:
+            self.backend.record_failure(now)
+        self.partial_event = self.state.event_buffer.partial_event
+        self.released_bytes = self.state.event_buffer.released_bytes
+        return Attempt(AttemptEnd.SILENT, reason=str(exc))
+
+    def log_silence(self, exc: ExchangeTimeoutError, now: float) -> None:
+        """Log how long the back end was silent, and how late this was noticed."""
         log_decision(
             "back end silent",
             self.state.request.log_id,
@@ -115,24 +174,41 @@
             noticed_late_ms=round(exc.noticed_late_s * 1000),
             answer_begun=self.state.head_forwarded,
         )
-        if now >= self.state.deadline:
-            return Attempt(AttemptEnd.OUT_OF_TIME, reason="the deadline passed")
-        self.backend.record_failure(now)
-        return Attempt(AttemptEnd.SILENT, reason=str(exc))
 
-    def exchange_messages(self, connection: HttpConnection) -> Attempt:
-        """Send the request, read the response head and handle the response."""
+    def start_exchange(self) -> Attempt:
+        """Send the request on a connection, and handle the response."""
+        listed = self.backend.listed
+        route = self.state.route
+        max_idle_s = MAX_IDLE_S if route.repeatable else MAX_IDLE_NON_REPEATABLE_S
+        self.connection = self.flow.pool.acquire_connection(
+            listed.server_id, listed.address, self.state.deadline, max_idle_s
+        )
         request = self.state.request
-        connection.send(
+        if self.caller.caller_left:
+            return Attempt(AttemptEnd.CALLER_LEFT)
+        self.caller.on_caller_left = self.connection.interrupt
+        self.connection.send(
             request.method,
             request.target,
             self.backend_headers(),
             request.body,
             self.state.deadline,
         )
+        self.last_received_at = clock.now()
+        return self.receive_response()
+
+    def receive_response(self) -> Attempt:
+        """Receive the response, or the rest of it, and handle it."""
+        if self.caller.caller_left:
+            return Attempt(AttemptEnd.CALLER_LEFT)
+        connection = self.connection
+        assert connection is not None
+        self.caller.on_caller_left = connection.interrupt
+        if self.head is not None:
+            return self.forward_response(connection, self.head)
         names = self.flow.names
         head = connection.read_head(
-            self.head_deadline(), request.request_id, names.request_id
+            self.head_deadline(), self.state.request.request_id, names.request_id
         )
         self.last_received_at = clock.now()
         status = head.status_code
@@ -145,20 +221,18 @@
                 return Attempt(
                     AttemptEnd.BROKEN, status, f"the back end answered {status}"
                 )
+        self.head = head
         return self.forward_response(connection, head)
 
     def may_try_another_backend(self) -> bool:
         """Return whether the request may be retried on another back end."""
         state = self.state
-        sent_count = (
-            sum(
-                1
-                for attempt in state.attempts
-                if attempt.end is not AttemptEnd.NOT_SENT
-            )
-            + 1
+        others = sum(
+            1
+            for attempt in state.attempts
+            if attempt is not self.attempt and attempt.end is not AttemptEnd.NOT_SENT
         )
-        return state.route.repeatable and sent_count < state.route.max_attempts
+        return state.route.repeatable and others + 1 < state.route.max_attempts
 
     def handle_refusal(self, connection: HttpConnection, head: h11.Response) -> Attempt:
         """Record that the back end did not run the request; return the result."""
@@ -210,17 +284,19 @@
 
         Unless the deadline is earlier, this is at least twice the predicted wait.
         """
-        state = self.state
+        route = self.state.route
+        if route.kind is RouteKind.STREAMING:
+            limit_s = max(MAX_STREAM_SILENCE_S, MAX_SILENCE_FACTOR * route.objective_s)
+        else:
+            limit_s = max(MIN_SILENCE_LIMIT_S, route.objective_s)
+        return self.silence_deadline(max(limit_s, 2 * self.choice.predicted_s))
+
+    def silence_deadline(self, limit_s: float) -> float:
+        """Return until when a back end may be silent before another one is tried."""
+        deadline = self.state.deadline
         if not self.may_try_another_backend():
-            return state.deadline
-        max_silence_s = max(
-            MIN_SILENCE_LIMIT_S,
-            MAX_SILENCE_FACTOR * state.route.objective_s
-            if state.route.kind is RouteKind.STREAMING
-            else state.route.objective_s,
-            2 * self.choice.predicted_s,
-        )
-        return min(state.deadline, clock.now() + max_silence_s)
+            return deadline
+        return min(deadline, max(self.last_received_at + limit_s, self.wait_until))
 
     def forward_response(
         self, connection: HttpConnection, head: h11.Response
@@ -229,7 +305,6 @@
         state = self.state
         streaming = state.route.kind is RouteKind.STREAMING and head.status_code == 200
         resumable = streaming and state.route.resumable
-        body = b""
         while True:
             event = connection.next_event(self.body_deadline(streaming))
             self.last_received_at = clock.now()
@@ -244,13 +319,13 @@
                 self.record_first_event()
                 self.flow.record_events(state)
             if not streaming:
-                body += data
+                self.body += data
                 continue
             if data:
                 self.forward_head(head)
                 self.caller.send_data(data)
         self.forward_head(head)
-        unsent_data = body if not streaming else state.event_buffer.partial_event
+        unsent_data = self.body if not streaming else state.event_buffer.partial_event
         if unsent_data:
             self.caller.send_data(unsent_data)
         self.caller.finish_response()
@@ -271,11 +346,11 @@
 
     def body_deadline(self, streaming: bool) -> float:
         """Return until when the next part of a response must arrive."""
-        if streaming and self.may_try_another_backend():
-            if self.state.first_event_at is None:
-                return self.head_deadline()
-            return min(self.state.deadline, clock.now() + MAX_EVENT_GAP_S)
-        return self.state.deadline
+        if not streaming:
+            return self.state.deadline
+        if self.state.first_event_at is None:
+            return self.head_deadline()
+        return self.silence_deadline(MAX_STREAM_SILENCE_S)
 
     def forward_head(self, head: h11.Response) -> None:
         """Forward the response head, unless one has already been forwarded."""
--- a/packages/primroselever-entry/tests/direct/conftest.py
+++ b/packages/primroselever-entry/tests/direct/conftest.py
@@ -45,7 +45,8 @@
     not_run=b"x-not-run",
 )
 LIMITS = CallerLimits(4096, 10_000, 0.3, 0.5)
-RESET, HANG, CLOSE = b"<reset>", b"<hang>", b"<close>"
+RESET, HANG, CLOSE, PAUSE = b"<reset>", b"<hang>", b"<close>", b"<pause>"
+PAUSE_S = 0.12
 FIGURES = EngineFigures(
     8, 500_000, 0.01, 0.0, 0.0, 10_000.0, 2048, 5, 1000.0, 100.0, 0.2
 )
@@ -56,7 +57,8 @@
     A back end on loopback that sends a list of parts for each request.
 
     The parts RESET and CLOSE end the connection; HANG waits until the entry closes it,
-    which ``disconnects`` counts. ``requests`` holds the received heads and bodies.
+    which ``disconnects`` counts. PAUSE sends nothing for PAUSE_S. ``requests`` holds
+    the received heads and bodies.
     """
 
     def __init__(self, name: str, service: str) -> None:
@@ -95,8 +97,9 @@
                         self.disconnects += 1
                     connection.close()
                     return
-                eventlet.sleep(0.002)
-                connection.sendall(part)
+                eventlet.sleep(PAUSE_S if part == PAUSE else 0.002)
+                if part != PAUSE:
+                    connection.sendall(part)
 
     def listed(self) -> ListedServer:
         return ListedServer(
--- /dev/null
+++ b/packages/primroselever-entry/tests/direct/test_silence.py
@@ -0,0 +1,131 @@
+"""
+Back ends that send nothing for a while and go on, or stay silent.
+
+The limits on silence are shortened to well below PAUSE_S, the pause of a back end.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import eventlet
+import pytest
+
+from primroselever_core.dispatch.retry_share import RetryLimits
+from primroselever_entry.direct import sending
+
+from .conftest import (
+    HANG,
+    PAUSE,
+    chunk,
+    ok_response,
+    refusal,
+    request,
+    stream_head,
+)
+
+EVENTS = [b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n", b"id: 3\ndata: c\n\n"]
+STREAM_END = b"0\r\n\r\n"
+PAUSED_STREAM = [
+    stream_head() + chunk(EVENTS[0] + EVENTS[1][:6]),
+    PAUSE,
+    chunk(EVENTS[1][6:]),
+    chunk(EVENTS[2]) + STREAM_END,
+]
+
+
+@pytest.fixture(autouse=True)
+def short_silence(monkeypatch):
+    monkeypatch.setattr(sending, "MAX_STREAM_SILENCE_S", 0.04)
+    monkeypatch.setattr(sending, "MAX_SILENCE_FACTOR", 0.1)
+    monkeypatch.setattr(sending, "MIN_SILENCE_LIMIT_S", 0.04)
+
+
+def ask(entry) -> bytes:
+    return entry.send("/ask/x", method="POST", body=b"p", headers=["x-model: m"])
+
+
+def events_of(response: bytes) -> bytes:
+    body = response.partition(b"\r\n\r\n")[2]
+    return b"".join(
+        line + b"\n"
+        for line in body.replace(b"\r\n", b"\n").split(b"\n")
+        if line.startswith((b"id:", b"data:"))
+    )
+
+
+def assert_complete(response: bytes) -> None:
+    assert response.startswith(b"HTTP/1.1 200")
+    assert response.endswith(STREAM_END)
+    assert events_of(response) == b"".join(EVENTS).replace(b"\n\n", b"\n")
+
+
+# Guards against streams that are cut off because their back end paused and no other
+# could take over.
+def test_stream_of_the_only_back_end_goes_on_after_a_pause(entry):
+    entry.add("a", "engine").responses = [PAUSED_STREAM]
+    assert_complete(ask(entry))
+
+
+# Guards against streams that are cut off because the back end that was to take over
+# after a pause refused: it had become full since its last report.
+def test_stream_goes_on_after_a_pause_when_the_other_back_end_refuses(entry):
+    first, second = entry.add("a", "engine"), entry.add("b", "engine")
+    entry.board.backends.backends["b"].in_flight = 7
+    first.responses, second.responses = [PAUSED_STREAM], [refusal()]
+    assert_complete(ask(entry))
+    assert len(second.requests) == 1
+
+
+# Guards against streams that are cut off because no retry was left in the budget.
+def test_stream_goes_on_after_a_pause_when_no_retry_is_left(entry):
+    entry.flow.limits = replace(entry.flow.limits, retries=RetryLimits(0.0, 0.0, 10.0))
+    first, second = entry.add("a", "engine"), entry.add("b", "engine")
+    entry.board.backends.backends["b"].in_flight = 7
+    first.responses = [PAUSED_STREAM]
+    assert_complete(ask(entry))
+    assert second.requests == []
+
+
+# Guards against waiting for a back end that is silent for good while another is free.
+def test_stream_of_a_back_end_that_stays_silent_is_resumed_elsewhere(entry):
+    first, second = entry.add("a", "engine"), entry.add("b", "engine")
+    entry.board.backends.backends["b"].in_flight = 7
+    first.responses = [[stream_head() + chunk(EVENTS[0]), HANG]]
+    second.responses = [
+        [stream_head() + chunk(EVENTS[1]), chunk(EVENTS[2]) + STREAM_END]
+    ]
+    assert_complete(ask(entry))
+    eventlet.sleep(0.01)
+    assert first.disconnects == 1
+
+
+# Guards against events that come twice: the silent back end may not go on after another
+# one has sent events.
+def test_silent_back_end_does_not_go_on_after_another_has_sent_events(entry):
+    first, second = entry.add("a", "engine"), entry.add("b", "engine")
+    entry.board.backends.backends["b"].in_flight = 7
+    first.responses = [PAUSED_STREAM]
+    second.responses = [[stream_head() + chunk(EVENTS[1]), b"<reset>"]]
+    response = ask(entry)
+    assert events_of(response) == b"".join(EVENTS[:2]).replace(b"\n\n", b"\n")
+    assert not response.endswith(STREAM_END)
+
+
+# Guards against a failure that is reported although the only back end still answers.
+def test_repeatable_request_is_answered_after_a_pause_of_the_only_back_end(entry):
+    entry.add("a").responses = [[PAUSE, *ok_response()]]
+    assert entry.send().startswith(b"HTTP/1.1 200")
+
+
+# Guards against work that goes on at a silent back end after the caller has left.
+def test_caller_that_leaves_during_a_silence_ends_the_work(entry):
+    backend = entry.add("a", "engine")
+    backend.responses = [[stream_head() + chunk(EVENTS[0]), HANG]]
+    connection = entry.connect()
+    connection.sendall(request("/ask/x", "POST", b"p", ["x-model: m"]))
+    eventlet.sleep(0.1)
+    connection.close()
+    eventlet.sleep(0.02)
+    assert backend.disconnects == 1
+    assert entry.board.backends.backends["a"].in_flight == 0
