Read what has arrived before a timeout counts

What callers saw: beside a change of the configuration a request that had been sent whole got neither an answer nor a refusal; its connection was closed.

Cause: the event loop handles expired timers before it reads sockets. After the process has not run for a while, since it applied a large configuration, was slowed or was suspended, a timeout was raised although the awaited bytes lay unread in the socket. An idle connection was closed with a request in it, an answer of a sound back end counted as silence (and the back end was ejected), and a connection that had opened counted as failed.

Change: after a timeout the socket is read once more before the timeout counts: for callers' bytes, for answers of back ends, store, engines and origin, and for connections that are being opened.

The connections of peers (thrift) keep their timeouts; a call that fails so is made again.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
@@ -172,15 +172,28 @@
             deadline = idle_deadline
             if self.request_started_at and not self.reading_body:
                 deadline = self.request_started_at + self.limits.header_timeout_s
-            remaining_s = deadline - clock.now()
-            if remaining_s <= 0:
-                raise TimeoutError
-            self.socket.settimeout(remaining_s)
-            data = self.socket.recv(READ_BYTES)
+            data = self.receive_bytes(deadline)
             if data and not self.request_started_at:
                 self.request_started_at = clock.now()
             self.protocol.receive_data(data)
 
+    def receive_bytes(self, deadline: float) -> bytes:
+        """
+        Return received bytes, or raise ``TimeoutError`` after the deadline.
+
+        Bytes that arrived while this process did not run count as received in time.
+        """
+        remaining_s = deadline - clock.now()
+        if remaining_s > 0:
+            try:
+                self.socket.settimeout(remaining_s)
+                return bytes(self.socket.recv(READ_BYTES))
+            except TimeoutError:
+                pass  # whether bytes have arrived is checked below
+        if not is_readable(self.socket):
+            raise TimeoutError
+        return bytes(self.socket.recv(READ_BYTES))
+
     def read_body(self) -> bytes | None:
         """Return the body, or None if it is larger than allowed."""
         parts: list[bytes] = []
--- a/packages/primroselever-node/src/primroselever_node/direct/exchange.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/exchange.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING, Any
 
 import h11
+from eventlet import patcher
 from eventlet.hubs import trampoline
 
 from primroselever_core.exceptions import PrimroseleverError
@@ -30,6 +31,9 @@
 # Answers to earlier requests that may precede the answer to the current request.
 MAX_STALE_ANSWERS = 2
 
+# The unpatched module polls without switching greenlets.
+select_module = patcher.original("select")
+
 
 class ConnectError(PrimroseleverError):
     """No connection could be opened, so nothing was sent."""
@@ -74,8 +78,7 @@
         self.sent_head: h11.Request | None = None
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
-            self.socket.settimeout(max(0.001, deadline - clock.now()))
-            self.socket.connect(address)
+            self.connect(deadline)
             self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.socket.setsockopt(
                 socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
@@ -84,6 +87,16 @@
             self.socket.close()
             raise ConnectError(f"no connection to {address[0]}:{address[1]}") from exc
 
+    def connect(self, deadline: float) -> None:
+        """Connect before the deadline, or raise ``OSError``."""
+        try:
+            self.socket.settimeout(max(0.001, deadline - clock.now()))
+            self.socket.connect(self.address)
+        except TimeoutError:
+            # The connection may have been opened while this process did not run.
+            if not is_connected(self.socket):
+                raise
+
     def send(
         self,
         method: bytes,
@@ -131,11 +144,8 @@
                 raise MalformedAnswerError(str(exc)) from exc
             if event is not h11.NEED_DATA:
                 return event
-            remaining_s = deadline - clock.now()
-            if remaining_s <= 0:
-                raise ExchangeTimeoutError("no answer in time", -remaining_s)
             try:
-                data = receive_bytes(self.socket, remaining_s)
+                data = receive_bytes(self.socket, deadline)
             except TimeoutError as exc:
                 late_s = clock.now() - deadline
                 raise ExchangeTimeoutError("no answer in time", late_s) from exc
@@ -250,20 +260,40 @@
         self.socket.close()
 
 
-def receive_bytes(sock: Any, timeout_s: float) -> bytes:
+def receive_bytes(sock: Any, deadline: float) -> bytes:
     """
     Receive bytes, or raise ``OSError`` if the connection was reset.
 
+    ``TimeoutError`` is raised only if there are no bytes after the deadline: expired
+    timers are handled first when the process has not run for a while, and bytes may
+    have arrived in that time.
+
     The green socket's own ``recv`` returns no bytes after a reset, as after an orderly
     close, so an answer without a length would look complete.
     """
     raw = sock.fd
     raw.setblocking(False)
     while True:
+        remaining_s = deadline - clock.now()
         try:
             return bytes(raw.recv(READ_BYTES))
         except BlockingIOError:
-            trampoline(raw, read=True, timeout=timeout_s, timeout_exc=TimeoutError)
+            if remaining_s <= 0:
+                raise TimeoutError from None
+            with suppress(TimeoutError):
+                trampoline(
+                    raw, read=True, timeout=remaining_s, timeout_exc=TimeoutError
+                )
+
+
+def is_connected(sock: Any) -> bool:
+    """Return whether a connection attempt has succeeded."""
+    poller = select_module.poll()
+    poller.register(sock.fileno(), select_module.POLLOUT)
+    events = poller.poll(0)
+    if not events or events[0][1] & (select_module.POLLERR | select_module.POLLHUP):
+        return False
+    return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0
 
 
 def header(headers: object, name: bytes) -> bytes:
--- a/packages/primroselever-node/tests/direct/test_exchange.py
+++ b/packages/primroselever-node/tests/direct/test_exchange.py
@@ -4,6 +4,7 @@
 
 import eventlet
 import pytest
+from eventlet.greenio import GreenSocket
 
 from primroselever_node import clock
 from primroselever_node.direct.connection_pool import ConnectionPool, allowed_idle_s
@@ -84,6 +85,34 @@
         exchange(server)
 
 
+# Guards against sound servers that are ejected because this process did not run while
+# a connection to them was opened.
+def test_a_connection_that_opened_during_a_pause_of_the_process_is_used(
+    server, monkeypatch
+):
+    connect = GreenSocket.connect
+
+    def connect_late(sock, address):
+        connect(sock, address)
+        raise TimeoutError
+
+    monkeypatch.setattr(GreenSocket, "connect", connect_late)
+    server.script = [OK]
+    _connection, head, body = exchange(server)
+    assert (head.status_code, body) == (200, b"ok")
+
+
+def test_a_connection_that_did_not_open_in_time_raises_a_connect_error(
+    server, monkeypatch
+):
+    def time_out(sock, address):
+        raise TimeoutError
+
+    monkeypatch.setattr(GreenSocket, "connect", time_out)
+    with pytest.raises(ConnectError):
+        exchange(server)
+
+
 def test_interrupting_a_connection_wakes_a_waiting_reader(server):
     server.script = [b""]
     deadline = clock.now() + 5
