Answer requests that meet an unexpected error

What callers saw: nothing; the connection was closed without an answer, so that they could not know whether the request had run.

Cause: an exception that no code expects ended the connection's greenlet. The same class of fault ended the greenlet that accepts connections when a caller had reset its connection before its options were set.

Change: an error while a request is processed is logged with the request's identifier and answered with 503 if nothing was sent, and with 502 if the request may have run; a begun response is cut off. A connection whose options cannot be set is dropped with a log line.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
@@ -289,6 +289,10 @@
         unsent, self.unsent = self.unsent, b""
         self.write(unsent + (data or b""))
 
+    def response_begun(self) -> bool:
+        """Return whether any part of the current response was generated."""
+        return self.protocol.our_state is not h11.SEND_RESPONSE
+
     def abandon_response(self) -> None:
         """Have the connection closed without the last chunk of the response."""
         self.caller_left = True
@@ -413,15 +417,15 @@
         """Accept the next connection and serve it; return whether this succeeded."""
         try:
             sock, _address = self.socket.accept()
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
+            )
         except OSError as exc:
             logger.warning(
                 "cannot accept a connection from a caller", extra={"error": str(exc)}
             )
             return False
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
-        )
         connection = CallerConnection(self, sock)
         self.connections.add(connection)
         eventlet.spawn(connection.serve)
--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -129,15 +129,44 @@
 
     def handle(self, request: CallerRequest, caller: CallerConnection) -> None:
         """Process one request and send its response."""
+        state: RequestState | None = None
         try:
             state = self.admit_request(request, caller)
             if state is not None:
                 self.send_until_ended(state, caller)
         except CallerLeftError:
             self.log_request_end(request, "caller left", "no further bytes are sent")
+        except Exception:
+            logger.exception(
+                "unexpected error while a request was processed",
+                extra={"request": request.log_id},
+            )
+            self.answer_unexpected_error(request, state, caller)
         finally:
             self.instruments.record_duration(clock.now() - request.received_at)
 
+    def answer_unexpected_error(
+        self,
+        request: CallerRequest,
+        state: RequestState | None,
+        caller: CallerConnection,
+    ) -> None:
+        """Answer a request that met an unexpected error, if no response has begun."""
+        reason = "unexpected error"
+        if caller.response_begun():
+            self.log_request_end(request, "cut off", reason, state)
+            caller.abandon_response()
+            return
+        may_have_run = state is not None and (
+            state.may_have_run or len(state.tried_server_ids) > len(state.attempts)
+        )
+        status = 502 if may_have_run else 503
+        retry_after_s = None if may_have_run else DEFAULT_RETRY_AFTER_S
+        try:
+            self.send_error(request, caller, status, reason, retry_after_s, state)
+        except CallerLeftError:
+            self.log_request_end(request, "caller left", reason, state)
+
     def admit_request(
         self, request: CallerRequest, caller: CallerConnection
     ) -> RequestState | None:
