Apply a longer idle time to connections that already wait

What callers saw: a request that they sent on a kept connection right after a change of the configuration met the close of that connection.

Cause: a waiting connection kept the idle time that was in force when it began to wait. After a configuration with a longer one callers use it longer.

Change: the longer of both applies. Evidence: the new test fails without the change (the connection was closed after the earlier time).

--- a/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
@@ -119,9 +119,8 @@
         self.limits = self.server.limits()
         buffered = bool(self.protocol.trailing_data[0])
         self.request_started_at = clock.now() if buffered else 0.0
-        idle_deadline = clock.now() + self.limits.idle_timeout_s
         try:
-            head = self.next_event(idle_deadline)
+            head = self.next_event(clock.now())
             if not isinstance(head, h11.Request):
                 return None
             if head_size(head) > self.limits.header_bytes:
@@ -157,8 +156,13 @@
         self.request_id = request.request_id
         return request
 
-    def next_event(self, idle_deadline: float) -> Any:
-        """Return the next h11 event; raise ``TimeoutError`` after the time limit."""
+    def next_event(self, idle_since: float) -> Any:
+        """
+        Return the next h11 event; raise ``TimeoutError`` after the time limit.
+
+        The idle timeout counts from ``idle_since``. If a configuration prolongs it, the
+        longer one applies at once, since callers rely on it.
+        """
         while True:
             event = self.protocol.next_event()
             if event is not h11.NEED_DATA:
@@ -169,14 +173,26 @@
                         h11.InformationalResponse(status_code=100, headers=[])
                     )
                 )
-            deadline = idle_deadline
-            if self.request_started_at and not self.reading_body:
-                deadline = self.request_started_at + self.limits.header_timeout_s
-            data = self.receive_bytes(deadline)
+            deadline = self.receive_deadline(idle_since)
+            try:
+                data = self.receive_bytes(deadline)
+            except TimeoutError:
+                if self.receive_deadline(idle_since) > deadline:
+                    continue
+                raise
             if data and not self.request_started_at:
                 self.request_started_at = clock.now()
             self.protocol.receive_data(data)
 
+    def receive_deadline(self, idle_since: float) -> float:
+        """Return until when the next bytes must arrive."""
+        if self.request_started_at and not self.reading_body:
+            return self.request_started_at + self.limits.header_timeout_s
+        current_limits = self.server.limits()
+        return idle_since + max(
+            self.limits.idle_timeout_s, current_limits.idle_timeout_s
+        )
+
     def receive_bytes(self, deadline: float) -> bytes:
         """
         Return received bytes, or raise ``TimeoutError`` after the deadline.
@@ -214,7 +230,7 @@
         """Return the next body event, waiting with the idle timeout."""
         self.reading_body = True
         try:
-            return self.next_event(clock.now() + self.limits.idle_timeout_s)
+            return self.next_event(clock.now())
         finally:
             self.reading_body = False
 
--- a/packages/primroselever-entry/tests/direct/test_caller_connection.py
+++ b/packages/primroselever-entry/tests/direct/test_caller_connection.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import eventlet
 import pytest
 from eventlet import patcher
@@ -75,6 +77,19 @@
         assert connection.recv(4096) == b""
 
 
+# Guards against requests that meet a close beside a change of the configuration:
+# callers use a connection for as long as the configuration in force says.
+def test_longer_idle_timeout_applies_to_connections_that_already_wait(entry):
+    entry.add("a").responses = [ok_response()]
+    entry.server.limits = lambda: replace(LIMITS, idle_timeout_s=0.05)
+    connection = entry.connect()
+    eventlet.sleep(0.02)
+    entry.server.limits = lambda: replace(LIMITS, idle_timeout_s=0.5)
+    eventlet.sleep(0.08)
+    connection.sendall(request())
+    assert read_all(connection).startswith(b"HTTP/1.1 200")
+
+
 def test_leaving_entry_answers_with_connection_close(entry):
     backend = entry.add("a")
     backend.responses = [ok_response()]
