Count requests that fail together as one failure of a server

What callers saw: after a pause of a second of a sound server, refusals and long ways round while it was left out for up to 4 s.

Cause: each of the requests that a server ran when it paused, crashed or was cut off doubled the time for which it gets no work.

Change: a failure while a server is already left out is recorded, but does not prolong that. Evidence: the new test (eight requests fail at once) fails without the change; a failure after each return still doubles the time.

--- a/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
@@ -197,8 +197,15 @@
         self.record_outcome(True)
 
     def record_failure(self, now: float) -> None:
-        """Record a failure caused by the back end, and eject it for some time."""
+        """
+        Record a failure caused by the back end, and eject it for some time.
+
+        Requests that fail together count as one failure. Each of them would otherwise
+        double the time, and a short pause would eject the back end for the longest.
+        """
         self.record_outcome(False)
+        if now < self.ejected_until:
+            return
         self.ejections += 1
         ejection_s = min(MAX_EJECTION_S, FIRST_EJECTION_S * 2 ** (self.ejections - 1))
         self.ejected_until = max(self.ejected_until, now + ejection_s)
--- a/packages/primroselever-core/tests/dispatch/test_backend.py
+++ b/packages/primroselever-core/tests/dispatch/test_backend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from primroselever_core.dispatch.backend import (
+    FIRST_EJECTION_S,
     REPORT_VALID_S,
     UNREPORTED_REQUEST_S,
     find_failing_backends,
@@ -48,6 +49,15 @@
     assert backend.ejected_until - 9.0 == first
 
 
+# Guards against a sound server that is left out for seconds, since all requests that it
+# ran when it paused for a moment counted as failures in a row.
+def test_requests_that_fail_together_eject_a_server_once(make_backend):
+    backend = make_backend("a")
+    for _ in range(8):
+        backend.record_failure(1.0)
+    assert backend.available(1.0 + FIRST_EJECTION_S)
+
+
 def test_a_server_that_fails_more_than_the_others_is_found(make_backend):
     backends = [make_backend(name) for name in "abcd"]
     for backend in backends:
