Leave out servers that announced that they leave or are closed

Cause: a server may say in its answers that it leaves, and may name in a 503 for how long it wants no requests. The choice of a back end knew neither, and the store lists such a server as ready for a while.

Change: dispatch/announcements.py holds what each start of a server announced. A leaving server gets no request until another start is listed; a closed one none before the end that it named, plus a random part of at most 0.3 s. The announcements outlast a list that lacks the server and the heartbeats of the same start. A service whose servers are all closed refuses at once, with the earliest return as Retry-After; callers with little time left come first. Nothing sets the announcements yet.

--- a/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from .announcements import Announced
+
 if TYPE_CHECKING:
     from ..catalogue.model import ListedServer
 
@@ -70,7 +72,8 @@
     ``unread_prompts`` holds the latest prompts that were sent, as the time of sending
     and the seconds that the engine needs to read them. ``late_by_s`` is by how much the
     latest first event came later than predicted, and ``delay_s`` by how much the latest
-    two did at least, measured at ``delay_measured_at``.
+    two did at least, measured at ``delay_measured_at``. ``announced`` is what this
+    start of the server said about itself.
     """
 
     listed: ListedServer
@@ -90,6 +93,7 @@
     late_by_s: float = 0.0
     delay_s: float = 0.0
     delay_measured_at: float = 0.0
+    announced: Announced = field(default_factory=Announced)
 
     def record_sent(self, read_s: float, now: float) -> None:
         """Count the prompt of a request sent by this entry or by another one."""
@@ -189,7 +193,11 @@
 
     def available(self, now: float) -> bool:
         """Return whether the back end may be given work, regardless of its load."""
-        return now >= self.ejected_until and now >= self.mismatched_until
+        return (
+            now >= self.ejected_until
+            and now >= self.mismatched_until
+            and self.announced.admits_requests(now)
+        )
 
     def record_success(self) -> None:
         """Record a successful answer and reset the count of ejections."""
--- a/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
@@ -18,6 +18,7 @@
 from statistics import median
 from typing import TYPE_CHECKING
 
+from .announcements import caller_return_s, earliest_return
 from .backend import find_failing_backends
 from .predict import (
     predict_answer_s,
@@ -111,11 +112,19 @@
     """
     Return the back end with the earliest predicted first event, or a refusal.
 
-    ``excluded`` holds the identifiers of back ends that are not considered.
+    ``excluded`` holds the identifiers of back ends that are not considered. A caller of
+    a service whose back ends are all closed is told when the first one returns.
     """
+    backends = list(backends)
     considered = [b for b in backends if b.listed.server_id not in excluded]
     candidates = [b for b in considered if is_candidate(b, needs, figures, now)]
     if not candidates:
+        returns_at = earliest_return((each.announced for each in backends), now)
+        if returns_at is not None:
+            return Refused(
+                "all back ends turn requests away for a time",
+                caller_return_s(returns_at, needs.deadline_within_s, now, random),
+            )
         return Refused(
             explain_no_candidate(considered, needs, now),
             spread_retry_s(NO_SERVER_RETRY_S, random),
@@ -266,6 +275,8 @@
     """Return the reason why no back end is a candidate, for the caller."""
     if not backends:
         return "no back end is listed"
+    if not any(backend.announced.admits_requests(now) for backend in backends):
+        return "all back ends are leaving or turn requests away for a time"
     if not any(backend.available(now) for backend in backends):
         return "all back ends failed lately"
     if needs.model and not any(b.loaded_version(needs.model, now) for b in backends):
--- a/packages/primroselever-core/src/primroselever_core/dispatch/section.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/section.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ..catalogue.model import ServerState
+from .announcements import AnnouncementsSection, start_of
 from .backend import Backend
 
 if TYPE_CHECKING:
@@ -25,13 +26,15 @@
     is left out of ``by_service``. It would seem to be idle and refuse all requests.
 
     ``reports`` holds the latest report by address. A report of a server that is not
-    listed yet is kept until the next list of back ends is applied.
+    listed yet is kept until the next list of back ends is applied. ``announcements``
+    outlast a list that lacks their server.
     """
 
     backends: dict[str, Backend] = field(default_factory=dict)
     by_service: dict[str, list[Backend]] = field(default_factory=dict)
     by_address: dict[Address, Backend] = field(default_factory=dict)
     reports: dict[Address, EngineReport] = field(default_factory=dict)
+    announcements: AnnouncementsSection = field(default_factory=AnnouncementsSection)
 
     def apply_listing(self, servers: Iterable[ListedServer]) -> None:
         """Apply the list of back ends and keep the state of those that stay listed."""
@@ -43,7 +46,9 @@
             if backend is None or is_different_start(backend.listed, server):
                 backend = self.backends[server_id] = Backend(server)
                 backend.report = self.find_report(server)
+                backend.announced = self.announcements.of_start(start_of(server))
             backend.listed = server
+        self.announcements.drop_unlisted({start_of(each) for each in listed.values()})
         self.by_service = {}
         self.by_address = {}
         for backend in self.backends.values():
