Tell the entries of a failure domain which servers leave

Cause: a server announces its leaving in its answers only to the VM that reads them, so each entry would send requests to it until it got such an answer itself.

Change: an entry sends the start of a leaving server to the other entries of its domain in a datagram, batched by 16, and repeats it each second for 8 s. What it received it does not send on. A closure with Retry-After concerns one VM and is not sent.

--- a/packages/primroselever-node/src/primroselever_node/direct/direct.thrift
+++ b/packages/primroselever-node/src/primroselever_node/direct/direct.thrift
@@ -74,12 +74,25 @@
   1: list<primroselever.Suspicion> suspicions,
 }
 
+/* The start of a back end that announced in an answer that it leaves. */
+struct LeavingServer {
+  1: string server_id,
+  2: string host,
+  3: i32 port,
+  4: i64 born_ms,
+}
+
+struct LeavingNews {
+  1: list<LeavingServer> servers,
+}
+
 struct Datagram {
   1: optional EntryNews entry,
   2: optional EngineNews engine,
   3: optional FillingAdvice advice,
   4: optional SentNews sent,
   5: optional SuspicionNews suspects,
+  6: optional LeavingNews leaving,
 }
 
 /*
--- a/packages/primroselever-node/src/primroselever_node/direct/direct_thrift.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/direct_thrift.py
@@ -122,6 +122,30 @@
     ]
 
 
+class LeavingServer(TPayload):
+    thrift_spec: ClassVar[dict[int, Any]] = {
+        1: (TType.STRING, "server_id", False),
+        2: (TType.STRING, "host", False),
+        3: (TType.I32, "port", False),
+        4: (TType.I64, "born_ms", False),
+    }
+    default_spec: ClassVar[list[Any]] = [
+        ("server_id", None),
+        ("host", None),
+        ("port", None),
+        ("born_ms", None),
+    ]
+
+
+class LeavingNews(TPayload):
+    thrift_spec: ClassVar[dict[int, Any]] = {
+        1: (TType.LIST, "servers", (TType.STRUCT, LeavingServer), False),
+    }
+    default_spec: ClassVar[list[Any]] = [
+        ("servers", None),
+    ]
+
+
 class Datagram(TPayload):
     thrift_spec: ClassVar[dict[int, Any]] = {
         1: (TType.STRUCT, "entry", EntryNews, False),
@@ -129,6 +153,7 @@
         3: (TType.STRUCT, "advice", FillingAdvice, False),
         4: (TType.STRUCT, "sent", SentNews, False),
         5: (TType.STRUCT, "suspects", SuspicionNews, False),
+        6: (TType.STRUCT, "leaving", LeavingNews, False),
     }
     default_spec: ClassVar[list[Any]] = [
         ("entry", None),
@@ -136,6 +161,7 @@
         ("advice", None),
         ("sent", None),
         ("suspects", None),
+        ("leaving", None),
     ]
 
 
--- a/packages/primroselever-node/src/primroselever_node/direct/gossip.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/gossip.py
@@ -28,6 +28,7 @@
     suspicion_to_thrift,
 )
 from .datagrams import DatagramPort
+from .leaving_news import LeavingNews
 from .peer_handler import unpack_catalogue
 from .schema import schema
 from .sources import CataloguePart
@@ -74,6 +75,7 @@
         self.control_port = control_port
         self.on_change = on_change
         self.datagram_port = DatagramPort(host, port, self.receive)
+        self.leaving_news = LeavingNews(board, self.datagram_port)
         self.pool = ClientPool(schema.DirectPeer)
         self.pulling = False
         self.sent_requests: list[Any] = []
@@ -91,6 +93,7 @@
         """Start to receive datagrams and to send heartbeats, each in a greenlet."""
         self.datagram_port.start()
         run_controller(self.send_heartbeat, HEARTBEAT_S)
+        self.leaving_news.start()
 
     def send_heartbeat(self) -> None:
         """Send a heartbeat to the peers, and repeat the suspicions when due."""
@@ -176,6 +179,8 @@
             self.receive_request_report(datagram.sent)
         elif datagram.suspects is not None:
             self.receive_suspicions(datagram.suspects.suspicions or [], host)
+        elif datagram.leaving is not None:
+            self.leaving_news.receive(datagram.leaving, host)
 
     def publish_suspicion(self, fingerprint: Fingerprint) -> None:
         """Schedule sending the suspicion of a request to all live entries."""
--- a/packages/primroselever-node/tests/direct/test_gossip.py
+++ b/packages/primroselever-node/tests/direct/test_gossip.py
@@ -20,6 +20,7 @@
     Service,
 )
 from primroselever_core.direct_board import DirectBoard
+from primroselever_core.dispatch.announcements import start_of
 from primroselever_core.dispatch.backend import EngineReport
 from primroselever_core.gossip.peers import Peers
 from primroselever_core.identifiers import Fingerprint
@@ -286,6 +287,15 @@
     assert other.board.peers.own_host == "127.0.0.2"
 
 
+# Guards against news that no entry receives, as its datagrams are not dispatched.
+def test_an_entry_learns_of_a_leaving_server_from_its_peer(loopback_entries):
+    sender, other = loopback_entries.add("127.0.0.1"), loopback_entries.add("127.0.0.2")
+    wait_until(lambda: sender.board.peers.live(clock.now()))
+    other.board.backends.apply_listing([SERVER])
+    sender.leaving_news.publish(start_of(SERVER))
+    wait_until(lambda: other.board.backends.backends["i-1"].announced.is_leaving)
+
+
 SUSPECT = Fingerprint("bad")
 
 
