Name the closed servers in the log line of a refused request

Cause: the line "back end chosen" of a request to a closed service had no candidates, so nothing led from the request to the server that had closed.

--- a/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
@@ -124,6 +124,7 @@
             return Refused(
                 "all back ends turn requests away for a time",
                 caller_return_s(returns_at, needs.deadline_within_s, now, random),
+                describe_closed(backends, now),
             )
         return Refused(
             explain_no_candidate(considered, needs, now),
@@ -291,6 +292,19 @@
     return min(LONGEST_RETRY_S, max(0.1, wait_s) * (1.0 + random.random()))
 
 
+def describe_closed(backends: list[Backend], now: float) -> str:
+    """Return the identifiers of the first back ends to return, and when, as text."""
+    returns = sorted(
+        (backend.announced.returns_at, backend.listed.server_id)
+        for backend in backends
+        if not backend.announced.is_leaving
+    )
+    return " ".join(
+        f"{server_id}:closed:{(returns_at - now) * 1000:.0f}ms"
+        for returns_at, server_id in returns[:3]
+    )
+
+
 def describe_candidate(backend: Backend, now: float, due_s: float) -> str:
     """Return a candidate's identifier, load and predicted milliseconds as text."""
     server_id = backend.listed.server_id
--- a/packages/primroselever-core/tests/dispatch/test_announcements.py
+++ b/packages/primroselever-core/tests/dispatch/test_announcements.py
@@ -97,6 +97,9 @@
         assert min(delays) >= first_return - NOW + CALLER_MARGIN_S
         assert max(delays) <= first_return - NOW + 0.6
         assert len({round(delay, 3) for delay in delays}) > 25
+        # The log line of the request shows which servers are closed and until when.
+        shown = [each.partition(":")[0] for each in refusals[0].candidates.split()]
+        assert shown == ["c", "b", "a"]
 
 
 def test_a_service_with_an_open_server_keeps_its_usual_delay(make_backend, make_needs):
