Bound the announcements that are remembered and name mixed refusals

Cause: beyond 4,096 starts in all, unlisted starts would have been forgotten however few they were; a sum of rounded times could end before the end that a server named; a service of ejected and closed servers was refused as "all back ends failed lately".

Change: the bound counts unlisted starts only; the return is never before the stored end; such a refusal names both reasons, and its candidates hold the closed servers.

--- a/packages/primroselever-core/src/primroselever_core/dispatch/announcements.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/announcements.py
@@ -28,7 +28,7 @@
 CALLER_MARGIN_S = 0.02  # callers return a little later than the server
 CALLER_SPREAD_S = 0.5
 CALLER_SPREAD_SHARE = 0.1  # of the caller's time: those with little left return first
-MAX_STARTS = 4096
+MAX_UNLISTED_STARTS = 4096
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,7 +76,7 @@
         extension_s = closed_until - self.closed_until
         if self.is_closed(now):
             self.closed_until = closed_until
-            self.returns_at += extension_s
+            self.returns_at = max(closed_until, self.returns_at + extension_s)
             return extension_s >= MIN_EXTENSION_S
         spread_s = min(RETURN_SPREAD_S, RETURN_SPREAD_SHARE * (closed_until - now))
         self.closed_until = closed_until
@@ -109,13 +109,13 @@
         """
         Drop starts that are not listed and announced nothing.
 
-        Beyond ``MAX_STARTS``, the oldest unlisted starts are dropped with their
-        announcements.
+        Of the others that are not listed, the latest ``MAX_UNLISTED_STARTS`` are kept.
         """
         unlisted = [start for start in self.by_start if start not in listed]
-        kept = [start for start in unlisted if self.by_start[start] != Announced()]
-        excess = max(0, len(self.by_start) - len(unlisted) + len(kept) - MAX_STARTS)
-        remembered = set(kept[excess:])
+        announcing = [
+            start for start in unlisted if self.by_start[start] != Announced()
+        ]
+        remembered = set(announcing[-MAX_UNLISTED_STARTS:])
         for start in unlisted:
             if start not in remembered:
                 del self.by_start[start]
--- a/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
@@ -129,6 +129,7 @@
         return Refused(
             explain_no_candidate(considered, needs, now),
             spread_retry_s(NO_SERVER_RETRY_S, random),
+            describe_closed(backends, now),
         )
     failing = find_failing_backends(candidates)
     healthy = [b for b in candidates if b.listed.server_id not in failing] or candidates
@@ -279,7 +280,9 @@
     if not any(backend.announced.admits_requests(now) for backend in backends):
         return "all back ends are leaving or turn requests away for a time"
     if not any(backend.available(now) for backend in backends):
-        return "all back ends failed lately"
+        if all(backend.announced.admits_requests(now) for backend in backends):
+            return "all back ends failed lately"
+        return "all back ends failed lately, are leaving or turn requests away"
     if needs.model and not any(b.loaded_version(needs.model, now) for b in backends):
         return "no back end has loaded the weights"
     if needs.min_version:
@@ -297,7 +300,7 @@
     returns = sorted(
         (backend.announced.returns_at, backend.listed.server_id)
         for backend in backends
-        if not backend.announced.is_leaving
+        if backend.announced.is_closed(now) and not backend.announced.is_leaving
     )
     return " ".join(
         f"{server_id}:closed:{(returns_at - now) * 1000:.0f}ms"
