Merge what servers announce: that they leave, or want nothing for a time

The connection of an attempt is checked against announcements right before the request is written, also for attempts that go on after a silence.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -186,6 +186,9 @@
         request = self.state.request
         if self.caller.caller_left:
             return Attempt(AttemptEnd.CALLER_LEFT)
+        if not self.flow.announcements.admits_requests(listed):
+            # Announced while the connection was opened.
+            return Attempt(AttemptEnd.NOT_SENT, reason="it closed meanwhile")
         self.caller.on_caller_left = self.connection.interrupt
         self.connection.send(
             request.method,
@@ -211,6 +214,9 @@
             self.head_deadline(), self.state.request.request_id, names.request_id
         )
         self.last_received_at = clock.now()
+        self.flow.announcements.read_head(
+            head, self.backend.listed, self.state.request.log_id
+        )
         status = head.status_code
         not_run = status == 421 or bool(header(head.headers, names.not_run))
         if not_run and status in (*NOT_RUN_STATUSES, 400):
