Adopt the whole value after a failed patch under its own revision

Cause: when a patch of the profiles did not apply, as after another pull changed the value held, the whole value was fetched, but adopted under the revision of the patch. If the peer's value changed between the two calls, the newer text came into force as a second value of the older revision, which no source had published. Before: the new test fails, with revision 6 in force for the text of revision 7. Change: the whole value is adopted under the revision of the reply that carried it. After: the test passes, and so do the 19 tests of packages/primroselever-node/tests/control.

--- a/packages/primroselever-node/src/primroselever_node/control/profiles.py
+++ b/packages/primroselever-node/src/primroselever_node/control/profiles.py
@@ -183,13 +183,18 @@
             return False
         if reply.revision:
             text = self.decode_profiles(reply)
-            if text is None:
-                whole = self.peers.fetch_publication(vm, PROFILES, held.number, "", 0)
-                text = whole.text.decode() if whole and whole.revision else None
             if text is not None:
                 self.adopt_value(reply.revision, text, vm.vm_id)
+            else:
+                self.pull_whole_value(vm, held.number)
         return True
 
+    def pull_whole_value(self, vm: Vm, held_number: int) -> None:
+        """Fetch a VM's profiles without a patch, and adopt them."""
+        reply = self.peers.fetch_publication(vm, PROFILES, held_number, "", 0)
+        if reply is not None and reply.revision:
+            self.adopt_value(reply.revision, reply.text.decode(), vm.vm_id)
+
     def decode_profiles(self, reply: Any) -> str | None:
         """Return the full text of a publication, or None if a patch does not apply."""
         if not reply.patched:
