Explain the router's own choice without changing the entry's state

Cause: the explanation of an entry looked servers up with a function that creates their records, refreshed the loads of those that it found, and chose among them by prefix and load only. It left out quarantined and suspect requests, servers that are full for a workspace, requests that already run, the subset of servers that the entry connects to and the link budget. For calls that need a ticket it showed a choice that is never made: their server is the issuer of the ticket. The issuer of a ticket is found by the function that the request path uses. The command sends the fingerprint and the size of the whole body.

--- a/packages/primroselever-entry/src/primroselever_entry/commands/explain.py
+++ b/packages/primroselever-entry/src/primroselever_entry/commands/explain.py
@@ -4,8 +4,11 @@
 
 from typing import TYPE_CHECKING
 
+from primroselever_core.runs.fingerprint import fingerprint_of
 from primroselever_node.console.explain import BaseExplainCommand
 
+from ..requests.caller_request import DEFAULT_PRIORITY
+
 if TYPE_CHECKING:
     from argparse import ArgumentParser, Namespace
 
@@ -19,20 +22,31 @@
     description = (
         "Ask a running entry which backend server it would choose now for a "
         "request, and for the state of each server of the service. Nothing is "
-        "sent to any server. The choice is partly random: the next answer may name "
-        "another server."
+        "sent to any server. The choice is the one for the next request, and may "
+        "change with each request."
     )
 
     def add_query_arguments(self, parser: ArgumentParser) -> None:
         """Add the arguments that describe the request."""
         parser.add_argument("service", help="name of the service")
         parser.add_argument("--workspace", default="", help="workspace of the caller")
-        parser.add_argument("--body", default="", help="request body, or its beginning")
+        parser.add_argument("--body", default="", help="body of the request")
+        parser.add_argument(
+            "--priority", default=str(DEFAULT_PRIORITY), help="0 (first) to 9 (last)"
+        )
+        parser.add_argument(
+            "--idempotency-key", default="", help="key of a call that needs a ticket"
+        )
 
     def query_parameters(self, arguments: Namespace) -> dict[str, str]:
         """Return the query of /explain, with the beginning of the body only."""
+        body = arguments.body.encode()
         return {
             "service": arguments.service,
             "workspace": arguments.workspace,
             "body": arguments.body[:MAX_BODY_CHARACTERS],
+            "fingerprint": fingerprint_of(arguments.service, arguments.workspace, body),
+            "size_bytes": str(len(body)),
+            "priority": arguments.priority,
+            "idempotency_key": arguments.idempotency_key,
         }
--- a/packages/primroselever-entry/src/primroselever_entry/requests/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/flow.py
@@ -5,7 +5,7 @@
 import uuid
 from typing import TYPE_CHECKING
 
-from primroselever_core.identifiers import GroupName, RunId, VmId
+from primroselever_core.identifiers import RunId, VmId
 from primroselever_core.outcomes import Done, Ending, NotRun, Reason, Unknown
 from primroselever_node import clock
 
@@ -13,7 +13,7 @@
 from .feed import AnswerFeeds
 from .reading import AnswerForwarder
 from .starting import RunStarter
-from .ticketing import TicketRouter
+from .ticketing import TicketRouter, find_issuers
 
 if TYPE_CHECKING:
     from collections.abc import Generator
@@ -21,7 +21,6 @@
 
     from primroselever_core.board import Blackboard
     from primroselever_core.profiles.model import Service
-    from primroselever_core.routing.section import Server
     from primroselever_node.rpc.client_pool import ClientPool
 
     from ..routing.request_router import RequestRouter
@@ -73,7 +72,7 @@
                 )
             else:
                 yield self.ticket_router.obtain_ticket(
-                    request, self.candidate_servers(service)
+                    request, find_issuers(self.board, service)
                 )
         finally:
             self.in_flight -= 1
@@ -129,23 +128,3 @@
         if not isinstance(started, ActiveRun):
             return started
         return (yield from self.forwarder.forward_answer(request, started))
-
-    def candidate_servers(self, service: Service) -> list[Server]:
-        """
-        Return the servers of a service in this failure domain.
-
-        If none of them is usable, return the servers of all failure domains, or an
-        empty list if none of those is usable either.
-        """
-        accepted = self.board.profiles.accepted
-        group = accepted.profiles.group_of(service) if accepted else None
-        if group is None:
-            return []
-        now = clock.now()
-        members = self.board.members
-        for domain in (self.board.identity.failure_domain, None):
-            vms = members.agents(GroupName(group), domain)
-            servers = [self.board.servers.get_server(vm) for vm in vms]
-            if any(server.usable(now) for server in servers):
-                return servers
-        return []
--- a/packages/primroselever-entry/src/primroselever_entry/requests/ticketing.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/ticketing.py
@@ -10,7 +10,7 @@
 
 from typing import TYPE_CHECKING
 
-from primroselever_core.identifiers import VmId
+from primroselever_core.identifiers import GroupName, VmId
 from primroselever_core.membership.vm import Role
 from primroselever_core.outcomes import NotRun, Reason, Unknown
 from primroselever_core.rendezvous import ranked
@@ -26,6 +26,8 @@
     from random import Random
 
     from primroselever_core.board import Blackboard
+    from primroselever_core.identifiers import WorkspaceName
+    from primroselever_core.profiles.model import Service
     from primroselever_core.routing.section import Server
     from primroselever_node.rpc.client_pool import ClientPool
 
@@ -58,7 +60,14 @@
         key.
         """
         refusal = NotRun(Reason.NO_SERVER, NO_ISSUER_RETRY_S)
-        for server in self.rank_issuers(request, servers)[:MAX_ISSUERS]:
+        ranked_servers = rank_issuers(
+            request.service,
+            request.workspace,
+            request.idempotency_key,
+            servers,
+            self.random,
+        )
+        for server in ranked_servers[:MAX_ISSUERS]:
             if clock.now() >= request.deadline:
                 return NotRun(Reason.DEADLINE_PASSED)
             refusal = self.request_ticket(request, server)
@@ -67,16 +76,6 @@
                 break
         return refusal
 
-    def rank_issuers(
-        self, request: CallerRequest, servers: list[Server]
-    ) -> list[Server]:
-        """Return the servers in the order in which to ask them for a ticket."""
-        if not request.idempotency_key:
-            return self.random.sample(servers, len(servers))
-        server_by_vm_id = {server.vm.vm_id: server for server in servers}
-        key = "\x00".join((request.service, request.workspace, request.idempotency_key))
-        return [server_by_vm_id[vm_id] for vm_id in ranked(key, server_by_vm_id)]
-
     def request_ticket(self, request: CallerRequest, server: Server) -> NotRun:
         """Ask one server for a ticket; return a refusal with it, or with the reason."""
         ticket_request = schema.TicketRequest(
@@ -103,7 +102,7 @@
             "ticket",
             request.fingerprint,
             server.vm.vm_id,
-            "issuer for the key" if request.idempotency_key else "random server",
+            describe_issuer_choice(request.idempotency_key),
             workspace=request.workspace,
         )
         return NotRun(Reason.TICKET_REQUIRED, ticket=reply.ticket)
@@ -125,3 +124,43 @@
         )
         server = self.board.servers.get_server(vm)
         return self.starter.start_ticket_run(request, ticket, server)
+
+
+def find_issuers(board: Blackboard, service: Service) -> list[Server]:
+    """
+    Return the servers of a service in this failure domain.
+
+    If none of them is usable, return the servers of all failure domains, or an empty
+    list if none of those is usable either.
+    """
+    accepted = board.profiles.accepted
+    group = accepted.profiles.group_of(service) if accepted else None
+    if group is None:
+        return []
+    now = clock.now()
+    for domain in (board.identity.failure_domain, None):
+        vms = board.members.agents(GroupName(group), domain)
+        servers = [board.servers.get_server(vm) for vm in vms]
+        if any(server.usable(now) for server in servers):
+            return servers
+    return []
+
+
+def rank_issuers(
+    service_name: str,
+    workspace: WorkspaceName,
+    idempotency_key: str,
+    servers: list[Server],
+    random: Random,
+) -> list[Server]:
+    """Return the servers in the order in which to ask them for a ticket."""
+    if not idempotency_key:
+        return random.sample(servers, len(servers))
+    server_by_vm_id = {server.vm.vm_id: server for server in servers}
+    key = "\x00".join((service_name, workspace, idempotency_key))
+    return [server_by_vm_id[vm_id] for vm_id in ranked(key, server_by_vm_id)]
+
+
+def describe_issuer_choice(idempotency_key: str) -> str:
+    """Return the reason why a server is asked for a ticket."""
+    return "issuer for the key" if idempotency_key else "random server"
