Report no age of a revision before any is accepted

Cause: the control section of /status counted the age of the revision from time 0 of the monotonic clock while none was accepted, so it showed the uptime of the machine. Before: the new test fails with the uptime in place of None. Change: it uses the function that the common part of /status uses, which returns None for a time that is not set, and rounds to a tenth of a second. After: the tests of control and of the commands pass.

--- a/packages/primroselever-node/src/primroselever_node/control/status.py
+++ b/packages/primroselever-node/src/primroselever_node/control/status.py
@@ -29,7 +29,7 @@
     return {
         "revision": profiles.revision.number,
         "revision_digest": profiles.revision.digest,
-        "revision_age_s": now - profiles.accepted_at,
+        "revision_age_s": age_s(profiles.accepted_at),
         "revision_from": profiles.accepted_from,
         "service_age_s": age_s(profiles.service.last_answer_at),
         "position": place.position,
