Count an agent's reads of the origin only if it was counted twice

Cause: in the experiment rollout_faults, the bytes that agents had read from the origin were summed by failure domain before and after the faults. The agents killed in between were in the first sum only, so origin_copies_by_domain could be negative; an agent whose status page came late counted as 0 in either. Before: two agents in a domain with 12 MiB each, then one killed and the other at 14 MiB, with versions of 4 MiB: -2.5 copies. Change: the bytes are kept by VM, and the difference is taken over the VMs in the second count, which are all in the first. A late page is read again, as control pages are; a missing one is an error. The experiment itself was not run.

--- a/bench/experiments/rollout_faults.py
+++ b/bench/experiments/rollout_faults.py
@@ -20,6 +20,7 @@
     build_profiles,
     build_source_faults,
     get_control_page,
+    get_page,
     parse_link_arguments,
     wait_for_serving_times,
 )
@@ -169,7 +170,7 @@
         self.record_manifest("1")
         self.record_manifest("2")
         old_digest = self.manifests[0].digest
-        bytes_before = self.count_origin_bytes_by_domain()
+        bytes_before = self.count_origin_bytes_by_vm()
         sent_before = int(get_control_page(fleet, layout.origin_port)["sent_bytes"])
         published_at = time.time()
         fleet.publish_profiles(build_profiles("2", objective=OBJECTIVE))
@@ -178,18 +179,16 @@
             fleet, "2", published_at, LIMIT_S, self.lost_vm_ids
         )
         self.wait_for_same_content(published_at + LIMIT_S)
-        bytes_after = self.count_origin_bytes_by_domain()
+        copies = count_copies_by_domain(
+            {vm.vm_id: vm.failure_domain for vm in layout.agents()},
+            bytes_before,
+            self.count_origin_bytes_by_vm(),
+            self.links.version_bytes,
+        )
         sent_bytes = (
             int(get_control_page(fleet, layout.origin_port)["sent_bytes"]) - sent_before
         )
         survivors = [vm for vm in layout.agents() if vm.vm_id not in self.lost_vm_ids]
-        copies = {
-            domain: round(
-                (bytes_after[domain] - bytes_before[domain]) / self.links.version_bytes,
-                3,
-            )
-            for domain in bytes_after
-        }
         wrong_chunks, handed_chunks = self.count_wrong_chunks()
         return {
             "vms": len(layout.agents()),
@@ -270,17 +269,15 @@
         while time.time() < deadline and self.count_serving_final() < count:
             time.sleep(0.5)
 
-    def count_origin_bytes_by_domain(self) -> dict[str, int]:
-        """Return the bytes that agents read from the origin, by failure domain."""
-        totals: dict[str, int] = {}
-        for vm in self.fleet.layout.agents():
-            if vm.vm_id in self.lost_vm_ids:
-                continue
-            status = self.fleet.get_json(vm.admin_port, "/status") or {}
-            count = status.get("bytes_by_source", {}).get("origin", 0)
-            domain = vm.failure_domain
-            totals[domain] = totals.get(domain, 0) + count
-        return totals
+    def count_origin_bytes_by_vm(self) -> dict[str, int]:
+        """Return the bytes that each agent but the lost ones read from the origin."""
+        return {
+            vm.vm_id: get_page(self.fleet, vm.admin_port, "/status")
+            .get("bytes_by_source", {})
+            .get("origin", 0)
+            for vm in self.fleet.layout.agents()
+            if vm.vm_id not in self.lost_vm_ids
+        }
 
     def count_corrupt_chunks(self) -> int:
         """Return the number of damaged chunks that the corrupt peer sent."""
@@ -305,6 +302,25 @@
         return wrong_chunks, handed_chunks
 
 
+def count_copies_by_domain(
+    domain_by_vm: dict[str, str],
+    bytes_before: dict[str, int],
+    bytes_after: dict[str, int],
+    version_bytes: int,
+) -> dict[str, float]:
+    """
+    Return the copies that agents read from the origin, by failure domain.
+
+    Agents that were lost between the two counts are in neither sum, as their counts
+    were lost with them; the origin's own count includes what they read.
+    """
+    totals: dict[str, int] = {}
+    for vm_id, count in bytes_after.items():
+        domain = domain_by_vm[vm_id]
+        totals[domain] = totals.get(domain, 0) + count - bytes_before[vm_id]
+    return {domain: round(total / version_bytes, 3) for domain, total in totals.items()}
+
+
 def sleep_until(wall_time: float) -> None:
     """Sleep until a wall-clock time."""
     time.sleep(max(0.0, wall_time - time.time()))
--- a/bench/rollout_fleet.py
+++ b/bench/rollout_fleet.py
@@ -209,14 +209,17 @@
 
 def get_control_page(fleet: Launcher, port: int) -> dict[str, Any]:
     """Return a stand-in's control page; retry, since a busy host answers late."""
+    return get_page(fleet, port, "/control")
+
+
+def get_page(fleet: Launcher, port: int, path: str) -> dict[str, Any]:
+    """Return a JSON object of a process; retry, since a busy host answers late."""
     for _ in range(MAX_PAGE_ATTEMPTS):
-        page = fleet.get_json(port, "/control")
+        page: dict[str, Any] | None = fleet.get_json(port, path)
         if page is not None:
             return page
         time.sleep(POLL_INTERVAL_S)
-    raise WaitFailedError(
-        f"the stand-in at port {port} does not return its control page"
-    )
+    raise WaitFailedError(f"the process at port {port} does not return {path}")
 
 
 def peak_memories_mib(fleet: Launcher, names: list[str]) -> list[float]:
