Log reasons of agents that the entry does not know

Cause: a reason of a later release became Reason.INTERNAL without a log line. The handler of ValueError in the feed that should log it was unreachable, since Reason returns INTERNAL for any value that it lacks; start, resolve and ticket replies had none. Before: the new test fails in all seven cases, as the log is empty. Change: one function logs such a reason where a reply is read; the unreachable handler is removed. The outcome follows from the state of the reply as before, so a run that an agent refused stays not_run.

--- a/packages/primroselever-entry/src/primroselever_entry/requests/feed.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/feed.py
@@ -20,6 +20,7 @@
 from primroselever_node.rpc.schema import schema
 from primroselever_node.rpc.suspicions import merge_suspicions
 
+from .reasons import log_unknown_reason
 from .resolving import CALL_ATTEMPTS, SERVER_RETRY_S, mark_unreachable, rpc_address
 
 if TYPE_CHECKING:
@@ -251,21 +252,11 @@
 
 
 def ending_from_slice(run: ActiveRun, run_slice: Any) -> Ending:
-    """
-    Return the ending that the last slice of a run's answer reports.
-
-    If this release does not know the reason, it is unknown whether the request ran.
-    """
-    try:
-        ending = run.cursor.ending(
-            run_slice.state,
-            run_slice.reason,
-            run_slice.length or 0,
-            run_slice.digest or "",
-        )
-    except ValueError:
-        logger.warning("unknown reason %r in the last slice of a run", run_slice.reason)
-        return Unknown(Reason.INTERNAL)
+    """Return the ending that the last slice of a run's answer reports."""
+    log_unknown_reason(run_slice.reason, "the last slice of a run")
+    ending = run.cursor.ending(
+        run_slice.state, run_slice.reason, run_slice.length or 0, run_slice.digest or ""
+    )
     if isinstance(ending, NotRun) and run_slice.retry_after_ms:
         return NotRun(ending.reason, run_slice.retry_after_ms / 1000)
     return ending
--- a/packages/primroselever-entry/src/primroselever_entry/requests/resolving.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/resolving.py
@@ -19,6 +19,8 @@
 from primroselever_node import clock
 from primroselever_node.rpc.client_pool import LostReplyError, NeverSentError
 
+from .reasons import log_unknown_reason
+
 if TYPE_CHECKING:
     from primroselever_core.routing.section import Server
     from primroselever_node.rpc.client_pool import ClientPool
@@ -67,6 +69,7 @@
             epoch,
             timeout_s=timeout_s,
         )
+        log_unknown_reason(reply.reason, "the reply to a resolve")
         return ending_of_resolve_reply(reply.state, reply.reason, SERVER_RETRY_S)
 
     def prevent_or_cancel_run(self, run: ActiveRun, epoch: int) -> None:
--- a/packages/primroselever-entry/src/primroselever_entry/requests/starting.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/starting.py
@@ -16,6 +16,7 @@
 from primroselever_node.rpc.suspicions import merge_suspicions, suspicion_as_list
 
 from .active_run import ActiveRun
+from .reasons import log_unknown_reason
 from .resolving import (
     CALL_ATTEMPTS,
     SERVER_RETRY_S,
@@ -161,6 +162,7 @@
         merge_suspicions(self.board.suspects, reply.suspicions)
         self.store_epoch(server, reply.incarnation, reply.epoch)
         retry_after_s = (reply.retry_after_ms or 0) / 1000 or None
+        log_unknown_reason(reply.reason, "the reply to a start")
         return ending_of_start_reply(reply.state, reply.reason, retry_after_s)
 
     def refresh_epoch(self, server: Server, deadline: float) -> None:
--- a/packages/primroselever-entry/src/primroselever_entry/requests/ticketing.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/ticketing.py
@@ -20,6 +20,7 @@
 from primroselever_node.rpc.client_pool import LostReplyError, NeverSentError
 from primroselever_node.rpc.schema import schema
 
+from .reasons import log_unknown_reason
 from .resolving import SERVER_RETRY_S, call_timeout_s, rpc_address
 
 if TYPE_CHECKING:
@@ -95,6 +96,7 @@
             self.agents.close_idle_connections(rpc_address(server))
             return NotRun(Reason.SERVER_LOST, SERVER_RETRY_S)
         if not reply.ticket:
+            log_unknown_reason(reply.reason, "the reply to a request for a ticket")
             return NotRun(
                 Reason(reply.reason), (reply.retry_after_ms or 0) / 1000 or None
             )
--- a/packages/primroselever-entry/tests/requests/test_flow.py
+++ b/packages/primroselever-entry/tests/requests/test_flow.py
@@ -9,8 +9,9 @@
 import pytest
 from eventlet.event import Event
 
-from primroselever_core.outcomes import Done, NotRun, Reason, Unknown
+from primroselever_core.outcomes import Done, NotRun, Outcome, Reason, Unknown
 from primroselever_core.runs.registry import RunState
+from primroselever_core.runs.starting import StartState
 from primroselever_node import clock
 from primroselever_node.rpc.client_pool import LostReplyError
 
@@ -299,3 +300,46 @@
 
     assert endings.count(Unknown(Reason.INTERNAL)) == 1
     assert sum(isinstance(ending, Done) for ending in endings) == 3
+
+
+@pytest.mark.parametrize(
+    ("method", "state", "outcome"),
+    [
+        ("start", StartState.REFUSED, Outcome.NOT_RUN),
+        ("start", StartState.UNKNOWN, Outcome.UNKNOWN),
+        ("resolve", RunState.NOT_RUN, Outcome.NOT_RUN),
+        ("resolve", RunState.MISSING, Outcome.UNKNOWN),
+        ("issue_ticket", None, Outcome.NOT_RUN),
+        ("read", RunState.NOT_RUN, Outcome.NOT_RUN),
+        ("read", RunState.FAILED, Outcome.UNKNOWN),
+    ],
+)
+def test_a_reason_of_a_later_release_is_logged_and_keeps_the_outcome(
+    fleet: Fleet,
+    only_agent: FakeAgent,
+    caplog: pytest.LogCaptureFixture,
+    method: str,
+    state: str | None,
+    outcome: Outcome,
+) -> None:
+    """The caller gets the reason ``internal``; only the log has the one sent."""
+
+    def set_unknown_reason(called_method: str, reply: Any) -> None:
+        if called_method != method:
+            return
+        if method == "issue_ticket":
+            reply.ticket = ""
+        for part in reply.slices if method == "read" else (reply,):
+            part.reason = "of_a_later_release"
+            if state is not None:
+                part.state = state
+
+    fleet.client_pool.modify_reply = set_unknown_reason
+    if method == "resolve":
+        fleet.client_pool.faults["start"] = ["reply_lost"]
+    service = "renewals" if method == "issue_ticket" else "summaries"
+
+    _, ending = collect_answer(fleet.new_request_flow(), new_request(service))
+
+    assert (ending.outcome, ending.reason) == (outcome, Reason.INTERNAL)
+    assert "of_a_later_release" in caplog.text
