Report an engine's invalid records and numbers as errors of the engine

Cause: a start or end record that is not an object raised AttributeError, and a state with an invalid number ValueError, TypeError or OverflowError. The callers handle BackendError and EngineCallError only. The run was still ended, by the runner's handler of unexpected exceptions, but without the check for a crash; and the crash check or a switch itself was ended by such a state. A line that is not JSON was already reported as BackendError. Change: both become the error that the callers handle.

--- a/packages/primroselever-agent/src/primroselever_agent/engine/engine_client.py
+++ b/packages/primroselever-agent/src/primroselever_agent/engine/engine_client.py
@@ -47,11 +47,16 @@
     def state(self) -> EngineState:
         """Return the engine's state, or raise ``EngineCallError``."""
         reply = self.call_engine("GET", "/v1/state", b"", STATE_TIMEOUT_S)
-        return EngineState(
-            digest=WeightsDigest(str(reply.get("digest") or "")),
-            fencing=int(reply.get("fencing") or 0),
-            in_flight=int(reply.get("in_flight") or 0),
-        )
+        try:
+            return EngineState(
+                digest=WeightsDigest(str(reply.get("digest") or "")),
+                fencing=int(reply.get("fencing") or 0),
+                in_flight=int(reply.get("in_flight") or 0),
+            )
+        except (TypeError, ValueError, OverflowError) as exc:
+            raise EngineCallError(
+                f"/v1/state: the engine's state has an invalid number: {exc}"
+            ) from exc
 
     def is_reachable(self) -> bool:
         """Return whether the engine's address answers HTTP requests."""
@@ -165,7 +170,7 @@
     def check_boundary_record(self, run: Run, record: dict[str, Any]) -> bool:
         """Check the digest of a start or end record; return whether it is the end."""
         boundary = record.get("end") or record.get("start")
-        if boundary is None:
+        if not isinstance(boundary, dict):
             raise BackendError(
                 Reason.ENGINE_FAILED, f"unexpected record from the engine: {record}"
             )
--- a/packages/primroselever-agent/tests/engine/test_engine_client.py
+++ b/packages/primroselever-agent/tests/engine/test_engine_client.py
@@ -70,7 +70,10 @@
     server.stop()
 
 
-@pytest.mark.parametrize("line", [b"<html>", b"[1]", b"7", b'{"end": '])
+@pytest.mark.parametrize(
+    "line",
+    [b"<html>", b"[1]", b"7", b'{"end": ', b'{"end": 7}', b'{"start": "v1"}'],
+)
 def test_a_line_that_is_no_record_ends_the_run_as_failed(
     client: EngineClient, line: bytes
 ) -> None:
@@ -116,8 +119,18 @@
     )
 
 
-@pytest.mark.parametrize("body", [b"not yet", b"[1, 2]", b"7"])
-def test_a_state_that_is_not_a_json_object_raises_order_error(
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"not yet",
+        b"[1, 2]",
+        b"7",
+        b'{"fencing": "seven"}',
+        b'{"in_flight": [1]}',
+        b'{"fencing": Infinity}',
+    ],
+)
+def test_a_state_that_cannot_be_read_raises_engine_call_error(
     engine: FakeEngine, client: EngineClient, body: bytes
 ) -> None:
     engine.body = body
