Go on accepting connections after an error of one accept

Cause: the servers of thrift calls, of the admin port and of callers of an entry run eventlet's loops, which end when accept raises an error, as while the process has no free file descriptor. The process went on, logged nothing, and refused all connections until it was restarted. Ruled out: the callers' port of direct deployments, which has its own loop with a retry. Change: these servers listen on a socket whose accept logs the error and tries again after 0.1 s, unless the listening socket itself is closed.

--- a/packages/primroselever-node/src/primroselever_node/http.py
+++ b/packages/primroselever-node/src/primroselever_node/http.py
@@ -14,7 +14,7 @@
 import eventlet.wsgi
 
 from . import clock
-from .listen import listen
+from .listen import listen_and_retry
 
 StartResponse = Callable[..., Any]
 Application = Callable[[dict[str, Any], StartResponse], Iterable[bytes]]
@@ -115,7 +115,7 @@
         self.application = application
         self.limits = limits or Limits()
         self.in_flight = 0
-        self.socket = listen(host, port)
+        self.socket = listen_and_retry(host, port)
         self.host, self.port = self.socket.getsockname()
         self.greenlet: Any = None
 
--- a/packages/primroselever-node/src/primroselever_node/listen.py
+++ b/packages/primroselever-node/src/primroselever_node/listen.py
@@ -2,17 +2,42 @@
 
 from __future__ import annotations
 
+import errno
+import logging
 import socket
-from typing import TYPE_CHECKING
+from typing import Any
 
 import eventlet
+from eventlet.greenio import GreenSocket
 
 from .exceptions import ListenError
 
-if TYPE_CHECKING:
-    from eventlet.greenio import GreenSocket
-
 BACKLOG = 1024
+ACCEPT_RETRY_S = 0.1
+# Errors of the listening socket itself, as after it was closed.
+LISTENER_ERRORS = (errno.EBADF, errno.EINVAL, errno.ENOTSOCK)
+
+logger = logging.getLogger(__name__)
+
+
+class RetryingListener(GreenSocket):
+    """
+    A listening socket that waits and tries again if a connection is not accepted.
+
+    It may have been reset meanwhile, or the process has no free file descriptor.
+    eventlet's servers end at such an error.
+    """
+
+    def accept(self) -> Any:
+        """Return the next connection and its address; log connections that failed."""
+        while True:
+            try:
+                return super().accept()
+            except OSError as exc:
+                if exc.errno in LISTENER_ERRORS:
+                    raise
+                logger.warning("a connection was not accepted: %s", exc)
+            eventlet.sleep(ACCEPT_RETRY_S)
 
 
 def listen(host: str, port: int) -> GreenSocket:
@@ -31,3 +56,11 @@
         raise ListenError(message) from exc
     listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return listener
+
+
+def listen_and_retry(host: str, port: int) -> RetryingListener:
+    """Return a listening socket as ``listen`` does, for a server of eventlet."""
+    listener = listen(host, port)
+    duplicate = RetryingListener(listener.fd.dup())
+    listener.close()
+    return duplicate
--- a/packages/primroselever-node/src/primroselever_node/rpc/server.py
+++ b/packages/primroselever-node/src/primroselever_node/rpc/server.py
@@ -10,7 +10,7 @@
 from thriftpy2.thrift import TException, TProcessor
 from thriftpy2.transport import TCyBufferedTransportFactory
 
-from ..listen import listen
+from ..listen import listen_and_retry
 from .client_pool import IDLE_CONNECTION_S
 from .counting_socket import CountingSocket
 
@@ -42,7 +42,7 @@
     ) -> None:
         self.processor = TProcessor(service, handler)
         self.idle_s = idle_s
-        self.socket = listen(host, port)
+        self.socket = listen_and_retry(host, port)
         self.host, self.port = self.socket.getsockname()
         self.greenlet: Any = None
 
