Finish the check for a crash when the run that began it is cancelled

Cause: the greenlet of a failed run asks the engine for its state, and runs that fail at the same time wait for it. If the caller left meanwhile, the cancellation killed that greenlet: the waiting runs took it for a check that found no crash, no request became a suspect, and the runs that waited for a start were not ended. Before: the new test fails, no suspicion is recorded.

--- a/packages/primroselever-agent/src/primroselever_agent/admission/controller.py
+++ b/packages/primroselever-agent/src/primroselever_agent/admission/controller.py
@@ -6,6 +6,8 @@
 from itertools import count
 from typing import TYPE_CHECKING
 
+import eventlet
+
 from primroselever_core.admission.fair_queue import WaitingRun
 from primroselever_core.outcomes import NotRun, Reason
 from primroselever_core.runs.registry import RunState
@@ -18,7 +20,7 @@
 if TYPE_CHECKING:
     from primroselever_core.admission.admission import Admission
     from primroselever_core.board import Blackboard
-    from primroselever_core.identifiers import RunId, WorkspaceName
+    from primroselever_core.identifiers import Fingerprint, RunId, WorkspaceName
     from primroselever_core.runs.registry import Run
     from primroselever_core.suspects.section import CrashId
 
@@ -157,7 +159,11 @@
         self.step()
 
     def on_failure(self, run: Run, error: BackendError) -> None:
-        """Check whether the engine crashed, before the run's end is reported."""
+        """
+        Check whether the engine crashed, before the run's end is reported.
+
+        The check goes on if this greenlet is killed because the run's caller left.
+        """
         if error.reason is not Reason.ENGINE_FAILED:
             return
         runs_in_flight = [started for started, _ in self.admission.in_flight.values()]
@@ -166,7 +172,11 @@
                 started for started in runs_in_flight if started.run_id != run.run_id
             ]
         fingerprints = [started.fingerprint for started in runs_in_flight]
-        if self.crash_watch.detect_new_crash(run.weights_digest, fingerprints):
+        eventlet.spawn(self.check_for_crash, run.weights_digest, fingerprints).wait()
+
+    def check_for_crash(self, digest: str, fingerprints: list[Fingerprint]) -> None:
+        """Count a crash that was not detected before, and end all waiting runs."""
+        if self.crash_watch.detect_new_crash(digest, fingerprints):
             self.instruments.crashes.add(1)
             self.refuse_waiting_runs(NotRun(Reason.NO_WEIGHTS, CRASH_RETRY_AFTER_S))
 
--- a/packages/primroselever-agent/tests/admission/test_controller.py
+++ b/packages/primroselever-agent/tests/admission/test_controller.py
@@ -5,7 +5,9 @@
 from dataclasses import dataclass, field
 from types import SimpleNamespace
 
+import eventlet
 import pytest
+from eventlet.event import Event
 
 from primroselever_agent.admission.controller import AdmissionController
 from primroselever_agent.admission.crash_watch import CrashWatch
@@ -200,3 +202,34 @@
     assert runs[3] not in admission.runner.started
     admission.on_first_data(runs[0])
     assert runs[3] in admission.runner.started
+
+
+def test_a_crash_is_recorded_although_the_run_that_checks_is_cancelled(
+    admission, engine, monkeypatch
+):
+    """
+    The caller of a failed run may leave while the engine is asked for its state.
+
+    The run's greenlet is then killed. If that ended the check, nothing would know of
+    the crash, and the requests in flight at it could crash the next engine.
+    """
+    runs = [offer_run(admission, name) for name in ("bad", "beside", "other")]
+    waiting = offer_run(admission, "waiting")
+    engine_answers = Event()
+
+    def wait_and_fail():
+        engine_answers.wait()
+        raise EngineCallError("no answer")
+
+    monkeypatch.setattr(engine, "state", wait_and_fail)
+    failing = [eventlet.spawn(admission.runner.fail, run) for run in runs[:2]]
+    eventlet.sleep(0)
+    eventlet.sleep(0)
+    for greenlet in failing:
+        greenlet.kill()
+    engine_answers.send()
+    eventlet.sleep(0)
+    eventlet.sleep(0)
+
+    assert set(admission.board.suspects.records) == {"bad", "beside", "other"}
+    assert admission.runner.ends[waiting.run_id][1] is Reason.NO_WEIGHTS
