Log the errors of thrift handlers that look like a closed connection

Cause: the server of thrift calls ignored OSError, EOFError and all thrift errors, since these are what a connection raises that its caller closed. The same errors raised by the handler of a call, or by a message that cannot be decoded, were ignored too: the caller's connection was closed, and no log line said why. Change: an error of the handler is wrapped, and only errors of the transport are ignored. The connection is closed as before, so the caller gets a lost reply.

--- a/packages/primroselever-node/src/primroselever_node/rpc/server.py
+++ b/packages/primroselever-node/src/primroselever_node/rpc/server.py
@@ -7,8 +7,8 @@
 
 import eventlet
 from thriftpy2.protocol import TCyBinaryProtocolFactory
-from thriftpy2.thrift import TException, TProcessor
-from thriftpy2.transport import TCyBufferedTransportFactory
+from thriftpy2.thrift import TProcessor
+from thriftpy2.transport import TCyBufferedTransportFactory, TTransportException
 
 from ..listen import listen_and_retry
 from .client_pool import IDLE_CONNECTION_S
@@ -23,6 +23,20 @@
 logger = logging.getLogger(__name__)
 
 
+class HandlerError(Exception):
+    """A handler raised an error that the called method does not declare."""
+
+
+class HandlerProcessor(TProcessor):
+    """Distinguishes errors of the handler from those of the caller's connection."""
+
+    def handle_exception(self, e: Exception, result: Any) -> bool:
+        """Store a declared exception in the reply; raise ``HandlerError`` otherwise."""
+        if super().handle_exception(e, result):
+            return True
+        raise HandlerError(str(e)) from e
+
+
 class RpcServer:
     """
     Serves one thrift service on one address until it is stopped.
@@ -40,7 +54,7 @@
         port: int,
         idle_s: float = IDLE_TIMEOUT_S,
     ) -> None:
-        self.processor = TProcessor(service, handler)
+        self.processor = HandlerProcessor(service, handler)
         self.idle_s = idle_s
         self.socket = listen_and_retry(host, port)
         self.host, self.port = self.socket.getsockname()
@@ -59,7 +73,11 @@
         self.socket.close()
 
     def serve_connection(self, connection: GreenSocket, _peer: object) -> None:
-        """Answer calls on one connection until it is closed or idle for too long."""
+        """
+        Answer calls on one connection until it is closed or idle for too long.
+
+        An error of a handler, and a message that cannot be read, close it too.
+        """
         connection.settimeout(self.idle_s)
         handle = CountingSocket()
         handle.set_handle(connection)
@@ -68,7 +86,7 @@
         try:
             while True:
                 self.processor.process(protocol, protocol)
-        except (TException, OSError, EOFError):
+        except (TTransportException, OSError, EOFError):
             pass
         except Exception:
             logger.exception("a call failed; closing its connection")
