Log the errors of greenlets that nothing waits for

Cause: calls that no request waits for, as to cancel a run, to resolve an abandoned start, to pull newer profiles or to read a chunk, run in greenlets of their own. eventlet writes an unexpected error there to standard error only, not to the log. Before: an error while a run is cancelled or an abandoned start is resolved leaves the log empty in both cases of the new test. Change: such greenlets are started by one function that logs the error.

--- a/packages/primroselever-agent/src/primroselever_agent/admission/crash_watch.py
+++ b/packages/primroselever-agent/src/primroselever_agent/admission/crash_watch.py
@@ -11,13 +11,13 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
-import eventlet
 from eventlet.event import Event
 
 from primroselever_core.membership.vm import Role
 from primroselever_core.suspects.section import CrashId
 from primroselever_node import clock
 from primroselever_node.logs import log_decision
+from primroselever_node.process import spawn_task
 from primroselever_node.rpc.client_pool import LostReplyError, NeverSentError
 
 from ..exceptions import EngineCallError
@@ -107,7 +107,7 @@
             log_decision("suspect", fingerprint, standing, "was in flight at a crash")
         own_heartbeat = self.new_heartbeat()
         for vm in self.agents_to_notify()[:MAX_NOTIFIED_PEERS]:
-            eventlet.spawn_n(self.notify_peer, vm, own_heartbeat)
+            spawn_task(self.notify_peer, vm, own_heartbeat)
 
     def agents_to_notify(self) -> list[Vm]:
         """Return the other agents of the failure domain, those of this group first."""
--- a/packages/primroselever-agent/src/primroselever_agent/transfer/rollout.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/rollout.py
@@ -6,8 +6,6 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-import eventlet
-
 from primroselever_core.exceptions import PrimroseleverError
 from primroselever_core.transfer.manifest import VersionName
 from primroselever_core.transfer.neighbourhood import Neighbourhood
@@ -15,6 +13,7 @@
 from primroselever_core.transfer.read_outcomes import apply_read_event
 from primroselever_core.transfer.sources import Held, Silent, Source, SourceKind
 from primroselever_node import clock
+from primroselever_node.process import spawn_task
 
 from .fetcher import new_bucket
 
@@ -256,7 +255,7 @@
             if read is None:
                 return
             self.active_reads += 1
-            eventlet.spawn_n(self.complete_read, manifest, planner, read)
+            spawn_task(self.complete_read, manifest, planner, read)
 
     def complete_read(
         self, manifest: Manifest, planner: TransferPlanner, read: Read
--- a/packages/primroselever-entry/src/primroselever_entry/requests/feed.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/feed.py
@@ -16,6 +16,7 @@
 from primroselever_core.outcomes import NotRun, Reason, Unknown
 from primroselever_core.runs.registry import RunState
 from primroselever_node import clock
+from primroselever_node.process import spawn_task
 from primroselever_node.rpc.client_pool import LostReplyError, NeverSentError
 from primroselever_node.rpc.schema import schema
 from primroselever_node.rpc.suspicions import merge_suspicions
@@ -88,7 +89,7 @@
         """
         run.accepted = True
         if run.reader_name != self.reader_name:
-            eventlet.spawn_n(self.send_cursor, run)
+            spawn_task(self.send_cursor, run)
 
     def send_cursor(self, run: ActiveRun) -> None:
         """Send one run's cursor without waiting for the pending long poll."""
--- a/packages/primroselever-entry/src/primroselever_entry/requests/reading.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/reading.py
@@ -8,6 +8,7 @@
 
 from primroselever_core.outcomes import Ending, Reason, Unknown
 from primroselever_node import clock
+from primroselever_node.process import spawn_task
 from primroselever_node.rpc.client_pool import LostReplyError, NeverSentError
 
 from .resolving import rpc_address
@@ -54,7 +55,7 @@
             timer.cancel()
             self.feeds.get_feed(run.server).remove_run(run)
             if should_cancel(run):
-                eventlet.spawn_n(self.cancel_run, run)
+                spawn_task(self.cancel_run, run)
 
     def cancel_run(self, run: ActiveRun) -> None:
         """Ask the agent to cancel a run; an error only closes the connections."""
--- a/packages/primroselever-entry/src/primroselever_entry/requests/resolving.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/resolving.py
@@ -11,12 +11,11 @@
 
 from typing import TYPE_CHECKING
 
-import eventlet
-
 from primroselever_core.outcomes import NotRun, Reason, Unknown
 from primroselever_core.routing.section import UNKNOWN_INCARNATION
 from primroselever_core.runs.starting import ending_of_resolve_reply
 from primroselever_node import clock
+from primroselever_node.process import spawn_task
 from primroselever_node.rpc.client_pool import LostReplyError, NeverSentError
 
 from .reasons import log_unknown_reason
@@ -47,7 +46,7 @@
         """
         for _ in range(CALL_ATTEMPTS):
             if clock.now() >= run.deadline:
-                eventlet.spawn_n(self.prevent_or_cancel_run, run, epoch)
+                spawn_task(self.prevent_or_cancel_run, run, epoch)
                 return Unknown(Reason.DEADLINE_PASSED)
             timeout_s = call_timeout_s(self.progress_s, run.deadline)
             try:
--- a/packages/primroselever-entry/tests/requests/test_flow.py
+++ b/packages/primroselever-entry/tests/requests/test_flow.py
@@ -343,3 +343,41 @@
 
     assert (ending.outcome, ending.reason) == (outcome, Reason.INTERNAL)
     assert "of_a_later_release" in caplog.text
+
+
+@pytest.mark.parametrize("method", ["cancel", "resolve"])
+def test_an_error_of_a_call_that_no_request_waits_for_is_logged(
+    fleet: Fleet,
+    only_agent: FakeAgent,
+    caplog: pytest.LogCaptureFixture,
+    monkeypatch: pytest.MonkeyPatch,
+    method: str,
+) -> None:
+    """The caller has left, or its deadline has passed, so only the log can tell."""
+    now = clock.now()
+    monkeypatch.setattr(clock, "now", lambda: now)
+
+    def pass_deadline() -> None:
+        nonlocal now
+        now += 1.0
+
+    def fail() -> None:
+        raise ValueError("an unreadable reply")
+
+    if method == "resolve":
+        fleet.client_pool.faults["start"] = ["request_lost"]
+        fleet.client_pool.call_hooks["start"] = pass_deadline
+    fleet.client_pool.call_hooks[method] = fail
+    gate = Event()
+    only_agent.backend.before_last_piece = gate.wait
+    answer = fleet.new_request_flow().answer_request(
+        new_request(deadline=now + 0.25), new_service("summaries")
+    )
+    next(answer)
+    answer.close()
+    for _ in range(5):
+        eventlet.sleep(0)
+    gate.send()
+
+    assert method in fleet.client_pool.calls
+    assert "an unreadable reply" in caplog.text
--- a/packages/primroselever-node/src/primroselever_node/control/heartbeats.py
+++ b/packages/primroselever-node/src/primroselever_node/control/heartbeats.py
@@ -17,6 +17,7 @@
 
 from .. import clock
 from ..logs import log_decision
+from ..process import spawn_task
 
 if TYPE_CHECKING:
     from random import Random
@@ -61,7 +62,7 @@
                 "contact peers",
                 "the process was paused",
             )
-            eventlet.spawn_n(self.exchange_with_peers)
+            spawn_task(self.exchange_with_peers)
 
     def exchange_with_peers(self) -> None:
         """Exchange heartbeats with one or two peers and pull newer profiles."""
--- a/packages/primroselever-node/src/primroselever_node/control/plane.py
+++ b/packages/primroselever-node/src/primroselever_node/control/plane.py
@@ -5,13 +5,11 @@
 from random import Random
 from typing import TYPE_CHECKING, Any
 
-import eventlet
-
 from primroselever_core.membership.contact import TICK_INTERVAL_S
 
 from ..platform.configuration_service import ConfigurationService
 from ..platform.vm_list_service import VmListService
-from ..process import run_controller
+from ..process import run_controller, spawn_task
 from ..rpc.client_pool import ClientPool
 from ..rpc.handler import NodeHandler
 from ..rpc.publications import Publications
@@ -67,10 +65,10 @@
         for them.
         """
         if not self.board.members.vms:
-            eventlet.spawn_n(self.members.fetch_first_list, heartbeat)
+            spawn_task(self.members.fetch_first_list, heartbeat)
         held = self.board.profiles.revision
         if (heartbeat.revision, heartbeat.revision_digest) > (held.number, held.digest):
-            eventlet.spawn_n(self.profiles.pull_if_behind, heartbeat)
+            spawn_task(self.profiles.pull_if_behind, heartbeat)
 
     def start(self, send_server_heartbeats: bool = False) -> None:
         """Start the controllers; an entry also sends heartbeats to its servers."""
--- a/packages/primroselever-node/src/primroselever_node/process.py
+++ b/packages/primroselever-node/src/primroselever_node/process.py
@@ -40,6 +40,23 @@
     return eventlet.spawn(loop)
 
 
+def spawn_task(function: Callable[..., object], *args: Any) -> None:
+    """
+    Call a function in a new greenlet that nothing waits for, and log its error.
+
+    eventlet itself would only write the error to standard error.
+    """
+
+    def run() -> None:
+        try:
+            function(*args)
+        except Exception:
+            # In the text, since repetitions are limited for each text.
+            logger.exception(f"{function.__qualname__} failed in the background")
+
+    eventlet.spawn_n(run)
+
+
 class ShutdownSignal:
     """
     Waits for the first SIGTERM or SIGINT.
