Go on filling an engine after an unexpected error of one fetch

Cause: a greenlet that fetched pieces ended at any error but SourceError, without a log line and without noting the failure. The next one began with the same piece at the same entry, so one entry with unreadable replies kept an engine from being filled; so did a staging area that raised another error, while it lasted. Before: with one of two entries sending pieces without bytes, the engine is not loaded within 5 s; an error while staging is not in the log. Change: a piece without bytes or size counts as missing at that entry, and another error is logged and counts as a failure of the round. A probe of a newer version logs its error.

--- a/packages/primroselever-agent/src/primroselever_agent/direct/filling.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/filling.py
@@ -22,6 +22,7 @@
 from primroselever_node.direct.schema import schema
 from primroselever_node.direct.sources import SourceError
 from primroselever_node.logs import log_decision
+from primroselever_node.process import spawn_task
 from primroselever_node.rpc.client_pool import (
     ClientPool,
     LostReplyError,
@@ -227,7 +228,7 @@
         if newer is None or self.probing or clock.now() < self.probe_again_at:
             return
         self.probing = True
-        eventlet.spawn(self.run_probe, newer)
+        spawn_task(self.run_probe, newer)
 
     def run_probe(self, newer: WantedWeights) -> None:
         """Fetch the first piece of a newer version and record that it arrived."""
@@ -263,6 +264,10 @@
             except SourceError as exc:
                 failures.append(str(exc))
                 return
+            except Exception as exc:
+                logger.exception("unexpected error while fetching a piece")
+                failures.append(f"{type(exc).__name__}: {exc}")
+                return
             finally:
                 staging.requested.discard(index)
 
@@ -318,6 +323,9 @@
                 continue
             if reply is None or reply.state != "held":
                 return None
+            if reply.data is None or reply.size is None:
+                logger.warning("entry %s sent a piece without bytes or size", host)
+                return None
             data += reply.data
             if not reply.data or len(data) >= reply.size:
                 return data
--- a/packages/primroselever-agent/tests/direct/test_filling.py
+++ b/packages/primroselever-agent/tests/direct/test_filling.py
@@ -292,3 +292,48 @@
     greenlet.kill()
     assert engine.loaded == [3]
     assert_loaded_pieces_match(engine)
+
+
+def test_an_engine_is_filled_although_one_entry_sends_unreadable_replies(
+    make_controller, caplog
+):
+    """
+    An unexpected error ended the worker that fetched the piece.
+
+    Each new worker began with the same entry, so the engine was never filled, and no
+    log line said so.
+    """
+    controller, board, engine, entries = make_controller()
+    call_entry = entries.call_entry
+
+    def call_or_fail(host, method, *args):
+        if host == "e1" and method == "fetch_piece":
+            return SimpleNamespace(state="held", data=None, size=None)
+        return call_entry(host, method, *args)
+
+    controller.call_entry = call_or_fail
+    name_wanted_version(board, 1)
+    run_until_loaded(controller, engine, 1)
+
+    assert_loaded_pieces_match(engine)
+    assert "e1" in caplog.text
+
+
+def test_an_unexpected_error_while_staging_is_logged_and_retried(
+    make_controller, caplog
+):
+    controller, board, engine, _entries = make_controller()
+    errors = [ValueError("no such area")] * 8
+    stage_piece = engine.stage_piece
+
+    def fail_then_stage(model, index, data):
+        if errors:
+            raise errors.pop()
+        stage_piece(model, index, data)
+
+    engine.stage_piece = fail_then_stage
+    name_wanted_version(board, 1)
+    run_until_loaded(controller, engine, 1)
+
+    assert_loaded_pieces_match(engine)
+    assert "no such area" in caplog.text
