Send datagrams to the other hosts after one that is invalid

Cause: hosts come from messages of other processes. One that is missing or has a null character raises TypeError in sendto, while only OSError was handled, so the hosts after it got none of the reports, with each report anew. Names that cannot be resolved raise OSError and were handled. Change: such a host is logged and left out, as an unreachable one is.

--- a/packages/primroselever-node/src/primroselever_node/direct/datagrams.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/datagrams.py
@@ -47,7 +47,7 @@
             data = data or serialize(schema.Datagram(**structure), self.protocol)
             try:
                 self.socket.sendto(data, (host, self.port))
-            except OSError as exc:
+            except (OSError, TypeError, ValueError) as exc:  # invalid hosts too
                 logger.warning("failed to send a datagram", extra={"error": str(exc)})
 
     def run(self) -> None:
