Go on reading the settings file after settings that were not applied

Cause: the file is read every 2 s in one greenlet, which handled invalid files only. Any other error ended it for good, without a log line. The settings also counted as applied before they were, so that a SIGHUP did not apply them either. Before: the new test, in which applying fails twice, waits for the change in vain. Change: another error is logged and tried again, and settings count as applied once they are. No present cause is known: neither entry nor agent fails to apply valid settings.

--- a/packages/primroselever-node/src/primroselever_node/direct/reload.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/reload.py
@@ -57,11 +57,22 @@
             self.reload("the file changed")
 
     def reload(self, reason: str) -> None:
-        """Read the file, and apply its settings if they are valid and changed."""
+        """
+        Read the file, and apply its settings if they are valid and changed.
+
+        An unexpected error is logged, and the file is read again at the next check.
+        """
         if self.path is None:
             return
         try:
-            settings = load_settings(self.path, type(self.settings))
+            self.read_and_apply(self.path, reason)
+        except Exception:
+            logger.exception("failed to reload the settings, it is retried")
+
+    def read_and_apply(self, path: Path, reason: str) -> None:
+        """Read the file, and apply its settings if they are valid and changed."""
+        try:
+            settings = load_settings(path, type(self.settings))
         except FindingsError as exc:
             logger.warning(
                 "ignored an invalid settings file", extra={"error": str(exc)}
@@ -69,8 +80,8 @@
             return
         if settings == self.settings:
             if reason == "SIGHUP":
-                log_decision("settings", str(self.path), "unchanged", reason)
+                log_decision("settings", str(path), "unchanged", reason)
             return
-        self.settings = settings
         self.apply(settings)
-        log_decision("settings", str(self.path), "reloaded", reason)
+        self.settings = settings
+        log_decision("settings", str(path), "reloaded", reason)
--- a/packages/primroselever-node/tests/direct/test_reload.py
+++ b/packages/primroselever-node/tests/direct/test_reload.py
@@ -63,3 +63,30 @@
     reloader.path.write_text("{")
     send_sighup()
     assert reloader.applied == []
+
+
+def test_changes_are_applied_after_settings_that_could_not_be_applied(
+    reloader, monkeypatch, caplog
+):
+    """
+    The file is checked in one greenlet, which no error may end.
+
+    Settings that were not applied are tried again, since the file may not change again.
+    """
+    monkeypatch.setattr(reload_module, "CHECK_INTERVAL_S", 0.005)
+    failures = [ValueError("no such domain"), ValueError("no such domain")]
+
+    def fail_then_apply(settings):
+        if failures:
+            raise failures.pop()
+        reloader.applied.append(settings)
+
+    reloader.apply = fail_then_apply
+    reloader.start()
+    reloader.path.write_text(SETTINGS % "DEBUG")
+    with eventlet.Timeout(1):
+        while not reloader.applied:
+            eventlet.sleep(0.005)
+
+    assert [settings.log_level for settings in reloader.applied] == ["DEBUG"]
+    assert "no such domain" in caplog.text
