Go on prefetching weights after unexpected errors, and log failed reads

Cause: an entry prefetches the pieces that it owns in one greenlet, which handled SourceError only. Any other error, as of an origin whose model name does not fit into a request line, ended it for good without a log line. Change: any error of a prefetched read is tried again, and a failed read is logged where it ends. Callers that wait get the same errors as before.

--- a/packages/primroselever-node/src/primroselever_node/direct/pieces.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/pieces.py
@@ -21,6 +21,7 @@
 
 from .. import clock
 from ..logs import log_decision
+from ..process import spawn_task
 from ..rpc.client_pool import ClientPool, LostReplyError, NeverSentError
 from .schema import schema
 from .sources import SourceError
@@ -107,10 +108,18 @@
         return event.wait()
 
     def read_and_notify(self, key: Any, read: Any, event: Event) -> None:
-        """Read and wake all waiters; a waiter's timeout does not cancel the read."""
+        """
+        Read and wake all waiters; a waiter's timeout does not cancel the read.
+
+        An error is logged, since all waiters may have left.
+        """
         try:
             value = read()
         except Exception as exc:
+            if isinstance(exc, SourceError):
+                logger.warning("failed to read weights", extra={"error": str(exc)})
+            else:
+                logger.exception("unexpected error while reading weights")
             del self.pending_reads[key]
             event.send_exception(exc)
         else:
@@ -302,7 +311,7 @@
 
     def prefetch(self, model: str, version: int) -> None:
         """Start to read the pieces that this entry owns, in a greenlet."""
-        eventlet.spawn(self.run_prefetch, model, version)
+        spawn_task(self.run_prefetch, model, version)
 
     def run_prefetch(self, model: str, version: int) -> None:
         """Read the owned pieces in the order of agents' requests, several at a time."""
@@ -310,7 +319,7 @@
         while True:
             try:
                 manifest = self.get_manifest(model, version, 0)
-            except SourceError as exc:
+            except Exception as exc:  # any error, since nothing starts this again
                 logger.warning(
                     "failed to prefetch a manifest", extra={"error": str(exc)}
                 )
@@ -368,7 +377,7 @@
             try:
                 self.get_piece(model, version, index, 0)
                 return
-            except SourceError as exc:
+            except Exception as exc:
                 logger.warning("failed to prefetch a piece", extra={"error": str(exc)})
             if not self.is_newest(model, version):
                 return
--- a/packages/primroselever-node/tests/direct/test_pieces.py
+++ b/packages/primroselever-node/tests/direct/test_pieces.py
@@ -329,3 +329,49 @@
     eventlet.spawn(keeper.get_piece, "m", 2, 2, 0)
     eventlet.sleep(0)
     assert keeper.get_piece("m", 3, 0, 0) == PIECES[0]
+
+
+def test_prefetching_goes_on_after_unexpected_errors(prefetching_keeper, caplog):
+    """An error other than SourceError ended it for good, without a log line."""
+    keeper = prefetching_keeper
+    errors = [ValueError("no such manifest"), ValueError("no such piece")]
+    read_manifest, read_piece = keeper.source.read_manifest, keeper.source.read_piece
+
+    def fail_or_read_manifest(*args):
+        if len(errors) == 2:
+            raise errors.pop(0)
+        return read_manifest(*args)
+
+    def fail_or_read_piece(*args):
+        if errors:
+            raise errors.pop()
+        return read_piece(*args)
+
+    keeper.source.read_manifest = fail_or_read_manifest
+    keeper.source.read_piece = fail_or_read_piece
+    keeper.prefetch("m", 2)
+    with eventlet.Timeout(5):
+        while len(keeper.pieces) < len(PIECES):
+            eventlet.sleep(0.001)
+
+    assert "no such manifest" in caplog.text
+    assert "no such piece" in caplog.text
+
+
+def test_a_failed_read_is_logged_although_nothing_waits_for_it(make_keeper, caplog):
+    """A caller waits for a short time only; the read goes on without it."""
+    keeper = make_keeper()
+    keeper.manifests["m", 2] = MANIFEST
+
+    def fail_late(*_args):
+        eventlet.sleep(0.02)
+        raise SourceError("the origin is down")
+
+    keeper.source.read_piece = fail_late
+    with eventlet.Timeout(0.005, False):
+        keeper.get_piece("m", 2, 1, 0)
+    with eventlet.Timeout(5):
+        while keeper.pending_reads:
+            eventlet.sleep(0.001)
+
+    assert any("the origin is down" in str(vars(record)) for record in caplog.records)
