Log each failed call of an entry for a request, and each lost run

Cause: calls to agents that were not sent or got no reply changed how a request was answered, and which servers were avoided, without a log line; so did the loss of the runs of an agent. The end of such a request could not be explained from the log. Before: the new tests fail in all ten cases, as there is no such line. Change: a line `call failed` for each such call, with the run, the VM, the method and the error, and a line `run lost` for each run that is given up with its agent. After: the 103 tests of the entry's requests and commands pass.

--- a/packages/primroselever-entry/src/primroselever_entry/requests/feed.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/feed.py
@@ -16,13 +16,20 @@
 from primroselever_core.outcomes import NotRun, Reason, Unknown
 from primroselever_core.runs.registry import RunState
 from primroselever_node import clock
+from primroselever_node.logs import log_decision
 from primroselever_node.process import spawn_task
 from primroselever_node.rpc.client_pool import LostReplyError, NeverSentError
 from primroselever_node.rpc.schema import schema
 from primroselever_node.rpc.suspicions import merge_suspicions
 
 from .reasons import log_unknown_reason
-from .resolving import CALL_ATTEMPTS, SERVER_RETRY_S, mark_unreachable, rpc_address
+from .resolving import (
+    CALL_ATTEMPTS,
+    SERVER_RETRY_S,
+    log_failed_call,
+    mark_unreachable,
+    rpc_address,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -96,7 +103,8 @@
         reader_name, first_read = self.reader_name, self.first_read
         try:
             self.call_read([cursor_to_thrift(run)], 0, reader_name, first_read)
-        except (NeverSentError, LostReplyError):
+        except (NeverSentError, LostReplyError) as exc:
+            log_failed_call("read", run.cursor.run_id, self.server, exc)
             return
         run.reader_name = reader_name
 
@@ -138,7 +146,8 @@
             reply = self.call_read(
                 map(cursor_to_thrift, unfollowed), wait_ms, reader_name, self.first_read
             )
-        except (NeverSentError, LostReplyError):
+        except (NeverSentError, LostReplyError) as exc:
+            log_failed_call("read", reader_name, self.server, exc)
             self.handle_read_failure()
             return
         self.consecutive_failures = 0
@@ -177,11 +186,14 @@
         if self.consecutive_failures > CALL_ATTEMPTS:
             self.consecutive_failures = 0
             mark_unreachable(self.server)
-            self.end_lost_runs(lambda run: run.accepted)
+            self.end_lost_runs(
+                lambda run: run.accepted, "consecutive reads of its answer failed"
+            )
 
-    def end_lost_runs(self, is_lost: Callable[[ActiveRun], bool]) -> None:
+    def end_lost_runs(self, is_lost: Callable[[ActiveRun], bool], reason: str) -> None:
         """End the runs that were lost with their agent."""
         for run in [run for run in self.runs.values() if is_lost(run)]:
+            log_decision("run lost", run.cursor.run_id, self.server.vm.vm_id, reason)
             run.record_ending(Unknown(Reason.SERVER_LOST, SERVER_RETRY_S))
             self.remove_run(run)
 
@@ -194,7 +206,8 @@
             if run is not None:
                 self.process_slice(run, reply.incarnation, run_slice)
         self.end_lost_runs(
-            lambda run: run.accepted and run.cursor.incarnation != reply.incarnation
+            lambda run: run.accepted and run.cursor.incarnation != reply.incarnation,
+            "its agent restarted",
         )
 
     def process_slice(self, run: ActiveRun, incarnation: int, run_slice: Any) -> None:
--- a/packages/primroselever-entry/src/primroselever_entry/requests/reading.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/reading.py
@@ -11,7 +11,7 @@
 from primroselever_node.process import spawn_task
 from primroselever_node.rpc.client_pool import LostReplyError, NeverSentError
 
-from .resolving import rpc_address
+from .resolving import log_failed_call, rpc_address
 
 if TYPE_CHECKING:
     from collections.abc import Generator
@@ -64,7 +64,8 @@
             self.agents.call(
                 address, "cancel", run.cursor.run_id, timeout_s=self.progress_s
             )
-        except (NeverSentError, LostReplyError):
+        except (NeverSentError, LostReplyError) as exc:
+            log_failed_call("cancel", run.cursor.run_id, run.server, exc)
             self.agents.close_idle_connections(address)
 
 
--- a/packages/primroselever-entry/src/primroselever_entry/requests/resolving.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/resolving.py
@@ -15,6 +15,7 @@
 from primroselever_core.routing.section import UNKNOWN_INCARNATION
 from primroselever_core.runs.starting import ending_of_resolve_reply
 from primroselever_node import clock
+from primroselever_node.logs import log_decision
 from primroselever_node.process import spawn_task
 from primroselever_node.rpc.client_pool import LostReplyError, NeverSentError
 
@@ -51,8 +52,8 @@
             timeout_s = call_timeout_s(self.progress_s, run.deadline)
             try:
                 return self.query_agent(run, epoch, timeout_s)
-            except (NeverSentError, LostReplyError):
-                continue
+            except (NeverSentError, LostReplyError) as exc:
+                log_failed_call("resolve", run.cursor.run_id, run.server, exc)
         mark_unreachable(run.server)
         return Unknown(Reason.SERVER_LOST, SERVER_RETRY_S)
 
@@ -81,7 +82,8 @@
                     run.cursor.run_id,
                     timeout_s=self.progress_s,
                 )
-        except (NeverSentError, LostReplyError):
+        except (NeverSentError, LostReplyError) as exc:
+            log_failed_call("resolve", run.cursor.run_id, run.server, exc)
             mark_unreachable(run.server)
 
 
@@ -90,6 +92,13 @@
     return max(MIN_CALL_TIMEOUT_S, min(progress_s, deadline - clock.now()))
 
 
+def log_failed_call(
+    method: str, subject: str, server: Server, error: Exception
+) -> None:
+    """Log a call to a server's agent that was not sent or got no reply."""
+    log_decision("call failed", subject, server.vm.vm_id, str(error), method=method)
+
+
 def rpc_address(server: Server) -> tuple[str, int]:
     """Return host and port of the agent of a server."""
     return server.vm.address, server.vm.rpc_port
--- a/packages/primroselever-entry/src/primroselever_entry/requests/starting.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/starting.py
@@ -22,6 +22,7 @@
     SERVER_RETRY_S,
     StartResolver,
     call_timeout_s,
+    log_failed_call,
     mark_unreachable,
     rpc_address,
 )
@@ -62,7 +63,8 @@
         """Start an idempotent run on a server; return the run or its ending."""
         try:
             self.refresh_epoch(server, request.deadline)
-        except (NeverSentError, LostReplyError):
+        except (NeverSentError, LostReplyError) as exc:
+            log_failed_call("heartbeat", run_id, server, exc)
             if clock.now() >= request.deadline:
                 return NotRun(Reason.DEADLINE_PASSED)
             return mark_unreachable(server)
@@ -80,9 +82,11 @@
         """Send a start; if its reply is lost, ask the agent what became of it."""
         try:
             return self.send_start(run, start_request)
-        except NeverSentError:
+        except NeverSentError as exc:
+            log_failed_call("start", run.cursor.run_id, run.server, exc)
             return mark_unreachable(run.server)
-        except LostReplyError:
+        except LostReplyError as exc:
+            log_failed_call("start", run.cursor.run_id, run.server, exc)
             self.agents.close_idle_connections(rpc_address(run.server))
             return self.resolver.resolve_start(run, start_request.epoch)
 
@@ -115,7 +119,8 @@
             start_request.remaining_ms = clock.remaining_ms(run.deadline)
             try:
                 return self.send_start(run, start_request)
-            except (NeverSentError, LostReplyError):
+            except (NeverSentError, LostReplyError) as exc:
+                log_failed_call("start", run.cursor.run_id, run.server, exc)
                 self.agents.close_idle_connections(rpc_address(run.server))
         return Unknown(Reason.SERVER_LOST, SERVER_RETRY_S)
 
--- a/packages/primroselever-entry/src/primroselever_entry/requests/ticketing.py
+++ b/packages/primroselever-entry/src/primroselever_entry/requests/ticketing.py
@@ -21,7 +21,12 @@
 from primroselever_node.rpc.schema import schema
 
 from .reasons import log_unknown_reason
-from .resolving import SERVER_RETRY_S, call_timeout_s, rpc_address
+from .resolving import (
+    SERVER_RETRY_S,
+    call_timeout_s,
+    log_failed_call,
+    rpc_address,
+)
 
 if TYPE_CHECKING:
     from random import Random
@@ -92,7 +97,8 @@
                 ticket_request,
                 timeout_s=call_timeout_s(self.starter.progress_s, request.deadline),
             )
-        except (NeverSentError, LostReplyError):
+        except (NeverSentError, LostReplyError) as exc:
+            log_failed_call("issue_ticket", request.fingerprint, server, exc)
             self.agents.close_idle_connections(rpc_address(server))
             return NotRun(Reason.SERVER_LOST, SERVER_RETRY_S)
         if not reply.ticket:
--- a/packages/primroselever-entry/tests/requests/test_flow.py
+++ b/packages/primroselever-entry/tests/requests/test_flow.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from copy import copy
 from typing import TYPE_CHECKING, Any
 
@@ -381,3 +382,66 @@
 
     assert method in fleet.client_pool.calls
     assert "an unreadable reply" in caplog.text
+
+
+@pytest.mark.parametrize(
+    ("method", "faults"),
+    [
+        ("heartbeat", ["never_sent"]),
+        ("heartbeat", ["reply_lost"]),
+        ("start", ["never_sent"]),
+        ("start", ["reply_lost"]),
+        ("resolve", ["reply_lost", "reply_lost"]),
+        ("issue_ticket", ["never_sent"]),
+        ("issue_ticket", ["reply_lost"]),
+        ("read", ["reply_lost", "never_sent", "reply_lost", "reply_lost"]),
+        ("cancel", ["never_sent"]),
+    ],
+)
+def test_each_failed_call_for_a_request_is_logged(
+    fleet: Fleet,
+    only_agent: FakeAgent,
+    caplog: pytest.LogCaptureFixture,
+    method: str,
+    faults: list[str],
+) -> None:
+    """A lost request cannot be explained from logs that omit the calls that failed."""
+    caplog.set_level(logging.INFO, "primroselever.decisions")
+    fleet.client_pool.faults[method] = list(faults)
+    if method == "resolve":
+        fleet.client_pool.faults["start"] = ["reply_lost"]
+    service = "renewals" if method == "issue_ticket" else "summaries"
+    gate = Event()
+    if method == "cancel":
+        only_agent.backend.before_last_piece = gate.wait
+        answer = fleet.new_request_flow().answer_request(
+            new_request(service), new_service(service)
+        )
+        next(answer)
+        answer.close()
+        for _ in range(5):
+            eventlet.sleep(0)
+        gate.send()
+    else:
+        collect_answer(fleet.new_request_flow(), new_request(service))
+
+    failed = [
+        record
+        for record in caplog.records
+        if record.getMessage() == "call failed" and record.method == method  # type: ignore[attr-defined]
+    ]
+    assert len(failed) == len(faults)
+    assert {record.choice for record in failed} == {"portal-1"}  # type: ignore[attr-defined]
+
+
+def test_the_end_of_lost_runs_is_logged(
+    fleet: Fleet, only_agent: FakeAgent, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level(logging.INFO, "primroselever.decisions")
+    fleet.client_pool.faults["read"] = ["reply_lost"] * 4
+
+    _, ending = collect_answer(fleet.new_request_flow(), new_request())
+
+    assert ending == Unknown(Reason.SERVER_LOST, 1.0)
+    lost = [record for record in caplog.records if record.getMessage() == "run lost"]
+    assert len(lost) == 1
