Order the catalogue by the store's era and each server's writes

Cause: after a restore from an older copy, the store's revisions go back and are given out again. A revision then hid all writes of the new era, missing servers were kept forever, and a watch from a revision that both eras have missed the writes before it. Change: StorePosition (era, revision) orders lists, removals, lapses, copies and heartbeats. Entries of one server from different eras are ordered by its start and the counter of its writes; an earlier one is withheld for the grace period. The adapter reads Store-Era; an answer of an earlier era, or without one once an era is known, is dropped, and a changed era leads to one full read of each part after a random delay. Copies and heartbeats carry the era in new optional fields. models/catalogue.py passes positions where it passed revisions; its histories and invariants are unchanged.

--- a/models/catalogue.py
+++ b/models/catalogue.py
@@ -17,12 +17,14 @@
 from primroselever_core.catalogue.catalogue import Catalogue
 from primroselever_core.catalogue.catalogue_copy import CatalogueCopy
 from primroselever_core.catalogue.events import ServerListed, ServerRemoved, apply
+from primroselever_core.catalogue.known_servers import Removal
 from primroselever_core.catalogue.model import (
     CallerLimits,
     Configuration,
     ListedServer,
     ServerState,
 )
+from primroselever_core.catalogue.store_position import StorePosition
 
 from .checking import Specification
 
@@ -208,7 +210,7 @@
     def load_catalogue(self, entry: Entry) -> Catalogue:
         """Return the catalogue that corresponds to the state of an entry."""
         catalogue = self.catalogue_class(
-            store_revision=entry.store_revision,
+            store_position=StorePosition(revision=entry.store_revision),
             configuration=make_configuration(entry.configuration_revision),
             store_contact_at=NOW_S,
             lapse_grace_until=GRACE_END_S if entry.in_grace else 0.0,
@@ -216,9 +218,13 @@
         if entry.listed_revision:
             catalogue.servers[SERVER_ID] = self.history.server_at(entry.listed_revision)
         if entry.removed_revision:
-            catalogue.removed[SERVER_ID] = entry.removed_revision
+            catalogue.removed[SERVER_ID] = Removal(
+                StorePosition(revision=entry.removed_revision)
+            )
         if entry.lapsed_revision >= 0:
-            catalogue.mark_lapsed(SERVER_ID, entry.lapsed_revision)
+            catalogue.mark_lapsed(
+                SERVER_ID, StorePosition(revision=entry.lapsed_revision)
+            )
         return catalogue
 
     def save_entry(
@@ -230,19 +236,18 @@
         ``unlisted_revision`` is the revision as of which the entry learned that the
         back end is not listed, 0 if it did not.
         """
-        listed_revision, removed_revision = (
-            get_listed_revision(catalogue),
-            catalogue.removed.get(SERVER_ID, 0),
-        )
+        listed_revision = get_listed_revision(catalogue)
+        removal = catalogue.removed.get(SERVER_ID)
+        removed_revision = removal.position.revision if removal else 0
         lapse = catalogue.lapsed.get(SERVER_ID)
         configuration = catalogue.configuration
         configuration_revision = configuration.revision if configuration else 0
         return entry._replace(
-            store_revision=catalogue.store_revision,
+            store_revision=catalogue.store_position.revision,
             configuration_revision=configuration_revision,
             listed_revision=listed_revision,
             removed_revision=removed_revision,
-            lapsed_revision=lapse.revision if lapse else -1,
+            lapsed_revision=lapse.position.revision if lapse else -1,
             newest_listed_revision=max(entry.newest_listed_revision, listed_revision),
             newest_unlisted_revision=max(
                 entry.newest_unlisted_revision, unlisted_revision
@@ -269,8 +274,7 @@
             if listed_revision
             else {}
         )
-        catalogue.replace_servers(servers, revision, NOW_S)
-        catalogue.store_revision = max(revision, catalogue.store_revision)
+        catalogue.replace_servers(servers, StorePosition(revision=revision), NOW_S)
         unlisted_revision = 0 if listed_revision else revision
         return self.save_entry(
             entry, catalogue, unlisted_revision, watched_revision=revision
@@ -294,7 +298,9 @@
                 NOW_S,
             )
             if changed:
-                catalogue.store_revision = max(revision, catalogue.store_revision)
+                catalogue.store_position = max(
+                    StorePosition(revision=revision), catalogue.store_position
+                )
         unlisted_revision = revision if event == REMOVED else 0
         return self.save_entry(
             entry, catalogue, unlisted_revision, watched_revision=revision
@@ -349,9 +355,9 @@
 class ForgetsWhatWent(Catalogue):
     """A mutant that does not remember the revisions of removals."""
 
-    def drop_server(self, server_id: str, revision: int) -> None:
+    def drop_server(self, server_id: str, position: StorePosition) -> None:
         """Remove a back end and forget all removals."""
-        super().drop_server(server_id, revision)
+        super().drop_server(server_id, position)
         self.removed.clear()
 
 
--- a/packages/primroselever-core/src/primroselever_core/catalogue/catalogue_copy.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/catalogue_copy.py
@@ -6,15 +6,17 @@
 
 # pydantic reads the annotations at run time when it validates a received copy.
 from .model import Configuration, ListedServer  # noqa: TC001
+from .store_position import StorePosition
 
 
 @dataclass(frozen=True, slots=True)
 class CatalogueCopy:
     """
-    The content of a catalogue, with the revision of its list of back ends.
+    The content of a catalogue, with the store's position of its list of back ends.
 
     ``lapsed`` maps those of ``servers`` whose entries were missing after an outage of
-    the store to the revision at which they were found missing.
+    the store to the revision in the same era at which they were found missing.
+    ``withheld`` holds entries of a restored store that the sender does not use yet.
     """
 
     store_revision: int
@@ -22,3 +24,10 @@
     weights: dict[str, int]
     servers: dict[str, ListedServer]
     lapsed: dict[str, int] = field(default_factory=dict)
+    store_era: int = 0
+    withheld: dict[str, ListedServer] = field(default_factory=dict)
+
+    @property
+    def store_position(self) -> StorePosition:
+        """Return the store's position of the list of back ends."""
+        return StorePosition(self.store_era, self.store_revision)
--- a/packages/primroselever-core/src/primroselever_core/catalogue/events.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/events.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from .catalogue import Catalogue
+from .store_position import StorePosition
 
 if TYPE_CHECKING:
     from .model import Configuration, ListedServer
@@ -40,6 +41,12 @@
 
     server_id: str
     revision: int
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """Return the store's position of the removal."""
+        return StorePosition(self.era, self.revision)
 
 
 CatalogueEvent = (
@@ -70,4 +77,4 @@
 
 @apply.register
 def _(event: ServerRemoved, catalogue: Catalogue, now: float) -> bool:
-    return catalogue.process_missing_entry(event.server_id, event.revision, now)
+    return catalogue.process_missing_entry(event.server_id, event.position, now)
--- a/packages/primroselever-core/src/primroselever_core/catalogue/model.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/model.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from .store_position import StorePosition
+
 Address = tuple[str, int]
 
 
@@ -144,8 +146,9 @@
 
     ``weights`` holds the model and version of all weights that are loaded completely.
     ``born_ms`` distinguishes starts of a server under the same identifier; it is 0 if
-    none is published. ``revision`` is the store's revision of this entry: the entry
-    with the higher revision is the later one.
+    none is published. ``sequence`` counts the server's writes since its start, None if
+    it is not published. ``revision`` is the store's revision of this entry in ``era``:
+    in the same era, the entry with the higher revision is the later one.
     """
 
     server_id: str
@@ -157,3 +160,17 @@
     born_ms: int = 0
     weights: tuple[tuple[str, int], ...] = ()
     revision: int = 0
+    era: int = 0
+    sequence: int | None = None
+
+    @property
+    def position(self) -> StorePosition:
+        """Return the store's position of this entry."""
+        return StorePosition(self.era, self.revision)
+
+    @property
+    def write_order(self) -> tuple[int, int] | None:
+        """Return the order of the server's writes in all eras, None if unknown."""
+        if not self.born_ms or self.sequence is None:
+            return None
+        return self.born_ms, self.sequence
--- a/packages/primroselever-core/src/primroselever_core/gossip/peers.py
+++ b/packages/primroselever-core/src/primroselever_core/gossip/peers.py
@@ -14,11 +14,14 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from ..catalogue.store_position import START_POSITION, StorePosition
 from ..rendezvous import top_ranked
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from ..catalogue.catalogue import Catalogue
+
 PEER_TIMEOUT_S = 1.5  # three heartbeat intervals of 0.5 s
 PEER_EXPIRY_S = 20.0  # the platform's restarts and network partitions end within this
 MAX_OWN_DOMAIN_RECIPIENTS = 16
@@ -29,9 +32,10 @@
 @dataclass(slots=True)
 class Peer:
     """
-    Another entry: its identity, its revisions and the time of its last heartbeat.
+    Another entry: its identity, its versions and the time of its last heartbeat.
 
     ``store_age_s`` is the age of the store's last answer to that entry itself.
+    ``sends_era`` is not set for an entry of an earlier release, which knows no eras.
     ``last_heartbeat_at`` of an entry that was only reported is when that happened, and
     ``reported_only`` is set until its own first heartbeat.
     """
@@ -42,7 +46,8 @@
     last_heartbeat_at: float = float("-inf")
     leaving: bool = False
     configuration_revision: int = 0
-    store_revision: int = 0
+    store_position: StorePosition = START_POSITION
+    sends_era: bool = True
     store_age_s: float = float("inf")
     reported_only: bool = False
     weights: dict[str, int] = field(default_factory=dict)
@@ -51,6 +56,24 @@
         """Return whether the peer's last heartbeat is within the timeout."""
         return not self.reported_only and now - self.last_heartbeat_at <= PEER_TIMEOUT_S
 
+    def is_ahead_of(self, catalogue: Catalogue) -> bool:
+        """
+        Return whether the peer has something later than a catalogue in any part.
+
+        Merging the peer's catalogue makes this false, whatever the eras of both, so
+        that no two entries pull from each other in turn.
+        """
+        configuration = catalogue.configuration
+        own_revision = configuration.revision if configuration else 0
+        if self.configuration_revision > own_revision:
+            return True
+        if self.store_position > catalogue.store_position:
+            return True
+        return any(
+            model not in catalogue.weights or version > catalogue.weights[model].version
+            for model, version in self.weights.items()
+        )
+
 
 @dataclass(slots=True)
 class Peers:
--- a/packages/primroselever-core/src/primroselever_core/gossip/readers.py
+++ b/packages/primroselever-core/src/primroselever_core/gossip/readers.py
@@ -24,13 +24,19 @@
 READERS_PER_DOMAIN = 3
 
 
-def reads_store(peers: Peers, now: float) -> bool:
-    """Return whether this process should read the store itself."""
+def reads_store(peers: Peers, now: float, store_era: int = 0) -> bool:
+    """
+    Return whether this process should read the store itself.
+
+    ``store_era`` is the era of its list of back ends. Once the store was restored, an
+    entry of an earlier release, which sends no era, does not replace this reader.
+    """
     own_rank = reader_rank(peers, peers.own_host)
     higher_ranked = sum(
         1
         for peer in peers.live(now)
         if is_reader(peer, peers.own_domain)
+        and (peer.sends_era or store_era == 0)
         and reader_rank(peers, peer.host) > own_rank
     )
     return higher_ranked < READERS_PER_DOMAIN
--- a/packages/primroselever-core/tests/catalogue/test_catalogue.py
+++ b/packages/primroselever-core/tests/catalogue/test_catalogue.py
@@ -6,6 +6,7 @@
 
 from primroselever_core.catalogue.catalogue import LAPSE_GRACE_S, Catalogue
 from primroselever_core.catalogue.model import ServerState
+from primroselever_core.catalogue.store_position import StorePosition
 
 
 def test_an_older_configuration_is_ignored(make_configuration):
@@ -36,7 +37,7 @@
 def test_a_removed_server_is_dropped_immediately(make_server):
     catalogue = Catalogue()
     catalogue.list_server(make_server("a"))
-    assert catalogue.process_missing_entry("a", 1, 5.0)
+    assert catalogue.process_missing_entry("a", StorePosition(0, 1), 5.0)
     assert not catalogue.servers
 
 
@@ -45,8 +46,8 @@
     catalogue.list_server(make_server("a"))
     catalogue.list_server(make_server("b"))
     catalogue.start_lapse_grace(10.0)
-    assert not catalogue.process_missing_entry("a", 1, 10.1)
-    assert not catalogue.process_missing_entry("b", 1, 10.1)
+    assert not catalogue.process_missing_entry("a", StorePosition(0, 1), 10.1)
+    assert not catalogue.process_missing_entry("b", StorePosition(0, 1), 10.1)
     catalogue.list_server(make_server("a", revision=2))
     assert catalogue.expire_lapsed_servers(10.0 + LAPSE_GRACE_S) == ["b"]
     assert set(catalogue.servers) == {"a"}
@@ -56,7 +57,7 @@
     catalogue = Catalogue()
     catalogue.list_server(make_server("a", revision=1))
     catalogue.start_lapse_grace(10.0)
-    catalogue.process_missing_entry("a", 2, 10.1)
+    catalogue.process_missing_entry("a", StorePosition(0, 2), 10.1)
     catalogue.list_server(make_server("a", revision=1))
     assert catalogue.expire_lapsed_servers(10.0 + LAPSE_GRACE_S) == ["a"]
     catalogue.list_server(make_server("a", revision=1))
@@ -69,9 +70,9 @@
     behind, ahead = Catalogue(), Catalogue()
     ahead.configure(make_configuration(4), 1.0)
     ahead.list_server(make_server("a"))
-    ahead.store_revision = 10
+    ahead.store_position = StorePosition(0, 10)
     behind.list_server(make_server("b"))
-    behind.store_revision = 9
+    behind.store_position = StorePosition(0, 9)
     behind.store_contact_at = 1.5
     assert behind.merge(ahead.copy(), 2.0)
     assert set(behind.servers) == {"a"}
@@ -82,10 +83,10 @@
 def test_a_stale_copy_reverts_nothing(make_configuration, make_server):
     fresh, stale = Catalogue(), Catalogue()
     fresh.configure(make_configuration(4, keys=("new",)), 1.0)
-    fresh.store_revision = 10
+    fresh.store_position = StorePosition(0, 10)
     stale.configure(make_configuration(3, keys=("revoked",)), 1.0)
     stale.list_server(make_server("gone"))
-    stale.store_revision = 8
+    stale.store_position = StorePosition(0, 8)
     assert not fresh.merge(stale.copy(), 2.0)
     assert set(fresh.routes.workspaces) == {"new"}
     assert not fresh.servers
@@ -116,7 +117,7 @@
     cut_off.list_server(make_server("beside"))
     cut_off.store_contact_at = 10.0
     other.list_server(make_server("far"))
-    other.store_revision = 5
+    other.store_position = StorePosition(0, 5)
     assert cut_off.merge(other.copy(), 20.0)
     assert set(cut_off.servers) == {"beside", "far"}
     assert cut_off.expire_lapsed_servers(20.0 + LAPSE_GRACE_S) == ["beside"]
@@ -141,8 +142,8 @@
     catalogue.list_server(leaving)
     assert not catalogue.list_server(ready)
     assert catalogue.servers["a"].state is ServerState.LEAVING
-    assert not catalogue.process_missing_entry("a", 34, 1.0)
-    assert catalogue.process_missing_entry("a", 36, 1.0)
+    assert not catalogue.process_missing_entry("a", StorePosition(0, 34), 1.0)
+    assert catalogue.process_missing_entry("a", StorePosition(0, 36), 1.0)
     assert not catalogue.list_server(leaving)
     assert not catalogue.servers
 
@@ -150,11 +151,11 @@
 def test_a_peers_copy_does_not_restore_an_older_state(make_server):
     fresh, peer = Catalogue(), Catalogue()
     fresh.list_server(replace(make_server("a", ServerState.LEAVING), revision=35))
-    fresh.store_revision = 36
+    fresh.store_position = StorePosition(0, 36)
     fresh.store_contact_at = 1.0
     peer.list_server(replace(make_server("a"), revision=30))
     peer.list_server(replace(make_server("b"), revision=37))
-    peer.store_revision = 37
+    peer.store_position = StorePosition(0, 37)
     fresh.merge(peer.copy(), 1.5)
     assert fresh.servers["a"].state is ServerState.LEAVING
     assert "b" in fresh.servers
--- a/packages/primroselever-core/tests/gossip/test_peers.py
+++ b/packages/primroselever-core/tests/gossip/test_peers.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+from random import Random
+
+from primroselever_core.catalogue.catalogue import Catalogue
+from primroselever_core.catalogue.model import CallerLimits, Configuration
+from primroselever_core.catalogue.store_position import StorePosition
 from primroselever_core.gossip.peers import (
     MAX_OTHER_DOMAIN_RECIPIENTS,
     MAX_OWN_DOMAIN_RECIPIENTS,
     PEER_EXPIRY_S,
     PEER_TIMEOUT_S,
+    Peer,
     Peers,
 )
 
@@ -40,3 +46,61 @@
         peers.record_heartbeat(f"h{index}", "abcdef"[index % 6], 1.0)
     max_recipients = MAX_OWN_DOMAIN_RECIPIENTS + 5 * MAX_OTHER_DOMAIN_RECIPIENTS
     assert len(peers.heartbeat_recipients()) == max_recipients
+
+
+def make_configuration(revision: int) -> Configuration:
+    return Configuration(revision, (), (), CallerLimits(1, 1, 1.0, 1.0))
+
+
+def make_catalogue(position: StorePosition, configuration: int, weights: int):
+    catalogue = Catalogue(store_contact_at=1.0)
+    catalogue.replace_servers({}, position, 1.0)
+    catalogue.configure(make_configuration(configuration), 1.0)
+    catalogue.publish_weights("m", weights, 1.0)
+    return catalogue
+
+
+def send_heartbeat(catalogue: Catalogue) -> Peer:
+    """Return what an entry with a catalogue makes known of itself."""
+    return Peer(
+        "sender",
+        "a",
+        configuration_revision=catalogue.configuration.revision,
+        store_position=catalogue.store_position,
+        weights={model: known.version for model, known in catalogue.weights.items()},
+    )
+
+
+# Failure: the era before has the later configuration and the new era the later list, so
+# that two entries pull from each other at each heartbeat, forever.
+def test_entries_in_different_eras_stop_pulling_from_each_other():
+    random = Random(5)
+    for _round in range(200):
+        catalogues = [
+            make_catalogue(
+                StorePosition(random.randint(0, 3), random.randint(1, 300)),
+                random.randint(1, 9),
+                random.randint(1, 9),
+            )
+            for _entry in range(4)
+        ]
+        pulls = 0
+        for _heartbeat in range(60):
+            sender, receiver = random.sample(catalogues, 2)
+            if send_heartbeat(sender).is_ahead_of(receiver):
+                pulls += 1
+                receiver.merge(sender.copy(), 1.0)
+                assert not send_heartbeat(sender).is_ahead_of(receiver)
+        assert pulls <= 3 * 3 * len(catalogues)
+        for sender in catalogues:
+            assert not any(
+                send_heartbeat(sender).is_ahead_of(other) for other in catalogues
+            )
+
+
+# Failure: the list of a restored store is not pulled since its revision is lower.
+def test_a_peer_with_a_list_of_a_later_era_is_ahead():
+    before = make_catalogue(StorePosition(1, 200), 7, 2)
+    restored = make_catalogue(StorePosition(2, 95), 7, 2)
+    assert send_heartbeat(restored).is_ahead_of(before)
+    assert not send_heartbeat(before).is_ahead_of(restored)
--- a/packages/primroselever-core/tests/gossip/test_readers.py
+++ b/packages/primroselever-core/tests/gossip/test_readers.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from primroselever_core.catalogue.catalogue import OUTAGE_S
+from primroselever_core.catalogue.store_position import StorePosition
 from primroselever_core.gossip.peers import PEER_TIMEOUT_S, Peers
 from primroselever_core.gossip.readers import READERS_PER_DOMAIN, reads_store
 
@@ -83,3 +84,26 @@
     for host in set(domain.hosts) - readers:
         known_hosts = {peer.host for peer in domain.peers[host].by_host.values()}
         assert len(known_hosts & readers) >= READERS_PER_DOMAIN
+
+
+# Failure: the readers are entries of an earlier release, whose lists have no era, so
+# that the list of this entry is never updated again.
+def test_readers_that_send_no_era_do_not_replace_a_reader_after_a_restore():
+    peers = Peers("10.0.0.1", "a")
+    for n in range(2, 40):
+        peers.record_heartbeat(f"10.0.0.{n}", "a", NOW).store_age_s = 0.1
+        peers.by_host[f"10.0.0.{n}"].sends_era = False
+    assert not reads_store(peers, NOW)
+    assert reads_store(peers, NOW, store_era=1)
+
+
+# Pattern: a restore. The first reader has its list of the new era while the others
+# still have that of the era before. If those did not count as readers, all entries of
+# the domain would read the store.
+def test_during_a_restore_the_readers_of_the_era_before_count():
+    peers = Peers("10.0.0.1", "a")
+    for n in range(2, 40):
+        peer = peers.record_heartbeat(f"10.0.0.{n}", "a", NOW)
+        peer.store_age_s = 0.1
+        peer.store_position = StorePosition(0, 200)
+    assert not reads_store(peers, NOW, store_era=1)
--- a/packages/primroselever-entry/src/primroselever_entry/direct/process.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/process.py
@@ -174,7 +174,8 @@
 
     def reads_store(self) -> bool:
         """Return whether this entry reads the store instead of asking its peers."""
-        return reads_store(self.board.peers, clock.now())
+        era = self.board.catalogue.store_position.era
+        return reads_store(self.board.peers, clock.now(), era)
 
     def apply_catalogue_change(self, part: CataloguePart) -> None:
         """Publish a catalogue change and update back ends or prefetch weights."""
@@ -224,6 +225,7 @@
             "configuration": configuration.revision if configuration else None,
             "configuration_age_s": round(now - catalogue.configuration_at, 3),
             "reads_store": self.reads_store(),
+            "store_era": catalogue.store_position.era,
             "store_age_s": None
             if catalogue.store_contact_at is None
             else round(now - catalogue.store_contact_at, 3),
--- a/packages/primroselever-node/src/primroselever_node/direct/direct.thrift
+++ b/packages/primroselever-node/src/primroselever_node/direct/direct.thrift
@@ -12,6 +12,7 @@
  * The heartbeat of an entry. peers maps the hosts of other entries to their failure
  * domains. weights_age_ms is the time since each version of a model was learned, where
  * it is known. store_age_ms is negative if the store never answered this entry itself.
+ * store_era is the era in which store_revision counts; older entries send none.
  */
 struct EntryNews {
   1: string host,
@@ -24,6 +25,7 @@
   8: map<string, i32> weights,
   9: map<string, string> peers,
   10: map<string, map<i32, i32>> weights_age_ms,
+  11: optional i64 store_era,
 }
 
 /*
--- a/packages/primroselever-node/src/primroselever_node/direct/direct_thrift.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/direct_thrift.py
@@ -28,6 +28,7 @@
             (TType.STRING, (TType.MAP, (TType.I32, TType.I32))),
             False,
         ),
+        11: (TType.I64, "store_era", False),
     }
     default_spec: ClassVar[list[Any]] = [
         ("host", None),
@@ -40,6 +41,7 @@
         ("weights", None),
         ("peers", None),
         ("weights_age_ms", None),
+        ("store_era", None),
     ]
 
 
--- a/packages/primroselever-node/src/primroselever_node/direct/follower.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from random import Random
 from typing import TYPE_CHECKING
 
 import eventlet
@@ -16,12 +17,20 @@
 
 from .. import clock
 from ..logs import log_decision
-from .sources import CatalogueChanges, CataloguePart, HistoryLostError, SourceError
+from .restores import record_late_answer, record_restore
+from .sources import (
+    CatalogueChanges,
+    CataloguePart,
+    HistoryLostError,
+    SourceError,
+    StoreRestoredError,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     from primroselever_core.catalogue.catalogue import Catalogue
+    from primroselever_core.catalogue.store_position import StorePosition
 
     from .sources import CatalogueSource
 
@@ -37,12 +46,18 @@
 EXPIRY_CHECK_S = 0.25
 LARGE_CONFIGURATION_ROUTES = 150  # about 40 KB
 START_CHECK_S = 0.02
+# The store limits its reads, and a new configuration must be in force within 2 s.
+RESTORE_READ_SPREAD_S = 0.25
 # How often a process that relies on peers checks ``should_read``.
 READ_ROLE_CHECK_S = 0.2
 
 logger = logging.getLogger(__name__)
 
 
+class LateAnswerError(SourceError):
+    """An answer is of an earlier era of the store than the latest known one."""
+
+
 class CatalogueFollower:
     """
     Keeps the catalogue up to date with the store.
@@ -61,6 +76,7 @@
         parts: Iterable[CataloguePart] = tuple(CataloguePart),
         should_read: Callable[[], bool] = lambda: True,
         first_read_at: float = 0.0,
+        random: Random | None = None,
     ) -> None:
         self.catalogue = catalogue
         self.source = source
@@ -68,6 +84,9 @@
         self.parts = tuple(parts)
         self.should_read = should_read
         self.first_read_at = first_read_at
+        self.random = random or Random()
+        # When the full read of a part after a restore of the store is due.
+        self.next_read_at: dict[CataloguePart, float] = {}
         self.answered_at: dict[CataloguePart, float] = {}
         self.unavailable_parts: set[CataloguePart] = set()
 
@@ -79,7 +98,7 @@
 
     def follow(self, part: CataloguePart) -> None:
         """Follow one part forever."""
-        revision: int | None = None
+        position: StorePosition | None = None
         failures = 0
         while self.catalogue.configuration is None and clock.now() < self.first_read_at:
             eventlet.sleep(START_CHECK_S)
@@ -87,39 +106,83 @@
             if not self.should_read():
                 eventlet.sleep(READ_ROLE_CHECK_S)
                 continue
+            if position is not None and position.era < self.catalogue.latest_era:
+                self.schedule_restore_read(part, self.catalogue.latest_era)
+                position = None
             try:
-                if revision is None:
-                    changes = self.source.read(part)
-                    self.record_answer(part)
+                changes = self.request_changes(part, position, failures)
+                if position is None:
                     self.apply_snapshot(part, changes)
                 else:
-                    wait_s = 0.0 if failures else WATCH_WAIT_S
-                    changes = self.source.watch(part, revision, wait_s)
-                    self.record_answer(part)
                     self.apply_changes(part, changes)
             except HistoryLostError as exc:
-                self.record_failure(part, exc)
-                revision = None
+                if position is not None and exc.era > position.era:
+                    self.schedule_restore_read(part, exc.era)
+                else:
+                    self.record_failure(part, exc)
+                position = None
                 continue
+            except StoreRestoredError as exc:
+                failures += 1
+                self.schedule_restore_read(part, exc.era)
+                position = None
+            except LateAnswerError:
+                failures += 1
+                position = None
             except SourceError as exc:
                 failures += 1
                 self.record_failure(part, exc)
             except Exception:
                 failures += 1
                 logger.exception("failed to follow the store; it is read in full again")
-                revision = None
+                position = None
             else:
-                revision = changes.revision
+                position = changes.position
                 failures = 0
                 if part is CataloguePart.SERVERS and changes.events:
                     eventlet.sleep(SERVERS_WATCH_PAUSE_S)
                 elif is_burst_of_large_configurations(changes):
                     # The watch returns each of them in full. A full read, which returns
                     # the newest only, is many times smaller.
-                    revision = None
+                    position = None
                 continue
             eventlet.sleep(backoff_s(failures, FIRST_RETRY_S, MAX_RETRY_S))
 
+    def request_changes(
+        self, part: CataloguePart, position: StorePosition | None, failures: int
+    ) -> CatalogueChanges:
+        """
+        Return a full read, or the changes after a position, of the latest known era.
+
+        Raise ``LateAnswerError`` for an answer of an earlier era, which may have been
+        sent before a restore, and ``StoreRestoredError`` if a watch does not continue
+        in the era of its position.
+        """
+        if position is None:
+            eventlet.sleep(max(0.0, self.next_read_at.pop(part, 0.0) - clock.now()))
+            changes = self.source.read(part)
+        else:
+            wait_s = 0.0 if failures else WATCH_WAIT_S
+            changes = self.source.watch(part, position.revision, wait_s)
+        if changes.era < self.catalogue.latest_era:
+            record_late_answer("store", changes.position, self.catalogue.latest_era)
+            raise LateAnswerError("the answer is of an earlier era")
+        self.catalogue.latest_era = changes.era
+        if position is not None and changes.era != position.era:
+            raise StoreRestoredError("the watch continued in a new era", changes.era)
+        self.record_answer(part)
+        return changes
+
+    def schedule_restore_read(self, part: CataloguePart, era: int) -> None:
+        """
+        Schedule the full read after a restore.
+
+        All readers learn of the restore at the same time, and the store limits reads.
+        """
+        self.catalogue.latest_era = max(era, self.catalogue.latest_era)
+        delay_s = self.random.uniform(0.0, RESTORE_READ_SPREAD_S)
+        self.next_read_at[part] = clock.now() + delay_s
+
     def record_answer(self, part: CataloguePart) -> None:
         """Record that the store answered for a part."""
         now = clock.now()
@@ -151,9 +214,6 @@
         """Apply a full read, and remove the back ends that it lacks."""
         now = clock.now()
         changed = False
-        for event in changes.events:
-            if not isinstance(event, ServerListed):
-                changed |= apply(event, self.catalogue, now)
         if part is CataloguePart.SERVERS:
             listed = [
                 event.server
@@ -161,13 +221,15 @@
                 if isinstance(event, ServerListed)
             ]
             previous_servers = dict(self.catalogue.servers)
+            previous_position = self.catalogue.store_position
             self.catalogue.replace_servers(
-                {server.server_id: server for server in listed}, changes.revision, now
-            )
-            self.catalogue.store_revision = max(
-                changes.revision, self.catalogue.store_revision
+                {server.server_id: server for server in listed}, changes.position, now
             )
+            record_restore("store", previous_position, self.catalogue)
             changed |= previous_servers != self.catalogue.servers
+        for event in changes.events:
+            if not isinstance(event, ServerListed):
+                changed |= apply(event, self.catalogue, now)
         self.report_change(part, changed, changes)
 
     def apply_changes(self, part: CataloguePart, changes: CatalogueChanges) -> None:
@@ -177,8 +239,8 @@
         for event in changes.events:
             changed |= apply(event, self.catalogue, now)
         if part is CataloguePart.SERVERS and changed:
-            self.catalogue.store_revision = max(
-                changes.revision, self.catalogue.store_revision
+            self.catalogue.store_position = max(
+                changes.position, self.catalogue.store_position
             )
         self.report_change(part, changed, changes)
 
@@ -204,10 +266,20 @@
         self.on_change(part)
 
     def expire_lapsed_servers(self) -> None:
-        """Remove, periodically, back ends whose leases lapsed in an outage."""
+        """Process, periodically, back ends whose grace periods ended."""
         while True:
             eventlet.sleep(EXPIRY_CHECK_S)
-            expired = self.catalogue.expire_lapsed_servers(clock.now())
+            now = clock.now()
+            adopted = self.catalogue.adopt_withheld_servers(now)
+            if adopted:
+                log_decision(
+                    "back ends adopted",
+                    " ".join(adopted),
+                    "used as listed",
+                    "the restored store still lists them",
+                )
+                self.on_change(CataloguePart.SERVERS)
+            expired = self.catalogue.expire_lapsed_servers(now)
             if expired:
                 log_decision(
                     "back ends expired",
--- a/packages/primroselever-node/src/primroselever_node/direct/gossip.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/gossip.py
@@ -13,6 +13,7 @@
 import eventlet
 
 from primroselever_core.catalogue.model import ServerState
+from primroselever_core.catalogue.store_position import StorePosition
 from primroselever_core.dispatch.backend import EngineReport
 from primroselever_core.dispatch.predict import predict_read_s
 from primroselever_core.filling.reporting import reported_hosts
@@ -29,12 +30,14 @@
 )
 from .datagrams import DatagramPort
 from .peer_handler import unpack_catalogue
+from .restores import record_late_answer, record_restore
 from .schema import schema
 from .sources import CataloguePart
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from primroselever_core.catalogue.catalogue_copy import CatalogueCopy
     from primroselever_core.catalogue.model import Address
     from primroselever_core.direct_board import DirectBoard
     from primroselever_core.gossip.peers import Peer
@@ -147,7 +150,8 @@
             incarnation=self.board.identity.incarnation,
             leaving=self.board.leaving,
             configuration_revision=configuration.revision if configuration else 0,
-            store_revision=catalogue.store_revision,
+            store_revision=catalogue.store_position.revision,
+            store_era=catalogue.store_position.era,
             store_age_ms=-1 if read_at is None else int((now - read_at) * 1000),
             weights={
                 model: published.version
@@ -279,7 +283,10 @@
         peer.incarnation = heartbeat.incarnation
         peer.leaving = heartbeat.leaving
         peer.configuration_revision = heartbeat.configuration_revision
-        peer.store_revision = heartbeat.store_revision
+        peer.store_position = StorePosition(
+            heartbeat.store_era or 0, heartbeat.store_revision
+        )
+        peer.sends_era = heartbeat.store_era is not None
         store_age_ms = heartbeat.store_age_ms
         peer.store_age_s = float("inf") if store_age_ms < 0 else store_age_ms / 1000
         peer.weights = dict(heartbeat.weights or {})
@@ -291,26 +298,12 @@
                     published.record_peer_learned_at(
                         version, now - learned_age_ms / 1000
                     )
-        if not self.peer_is_ahead(peer):
+        if not peer.is_ahead_of(self.board.catalogue):
             self.board.catalogue.record_peer_contact(now - peer.store_age_s)
         elif not self.pulling:
             self.pulling = True
             eventlet.spawn(self.pull_catalogue, peer)
 
-    def peer_is_ahead(self, peer: Peer) -> bool:
-        """Return whether a peer has a newer catalogue than this process in any part."""
-        catalogue = self.board.catalogue
-        configuration = catalogue.configuration
-        own_revision = configuration.revision if configuration else 0
-        if peer.configuration_revision > own_revision:
-            return True
-        if peer.store_revision > catalogue.store_revision:
-            return True
-        return any(
-            model not in catalogue.weights or version > catalogue.weights[model].version
-            for model, version in peer.weights.items()
-        )
-
     def should_delay_pull(self, peer: Peer) -> bool:
         """
         Return whether to wait before pulling from a peer.
@@ -321,8 +314,9 @@
         if self.board.catalogue.configuration is None:
             return False
         peers = self.board.peers
+        era = self.board.catalogue.store_position.era
         return peer.failure_domain != peers.own_domain or reads_store(
-            peers, clock.now()
+            peers, clock.now(), era
         )
 
     def pull_catalogue(self, peer: Peer) -> None:
@@ -330,12 +324,12 @@
         try:
             if self.should_delay_pull(peer):
                 eventlet.sleep(PULL_DELAY_S)
-            if not self.peer_is_ahead(peer):
+            if not peer.is_ahead_of(self.board.catalogue):
                 return
             data = self.pool.call_with_retry(
                 (peer.host, self.control_port),
                 "fetch_catalogue",
-                self.board.catalogue.store_revision,
+                self.board.catalogue.store_position.revision,
                 True,
                 timeout_s=PULL_TIMEOUT_S,
             )
@@ -347,8 +341,17 @@
             return
         finally:
             self.pulling = False
-        if self.board.catalogue.merge(copy, clock.now()):
-            configuration = self.board.catalogue.configuration
+        self.merge_copy(copy, peer)
+
+    def merge_copy(self, copy: CatalogueCopy, peer: Peer) -> None:
+        """Merge the copy of a peer's catalogue into the own one."""
+        catalogue = self.board.catalogue
+        previous_position = catalogue.store_position
+        if copy.store_era < previous_position.era:
+            record_late_answer(peer.host, copy.store_position, previous_position.era)
+        if catalogue.merge(copy, clock.now()):
+            record_restore(peer.host, previous_position, catalogue)
+            configuration = catalogue.configuration
             log_decision(
                 "catalogue changed",
                 "peer",
@@ -356,7 +359,7 @@
                 "the peer's catalogue was newer",
                 configuration=configuration.revision if configuration else None,
                 weights=copy.weights,
-                servers=len(self.board.catalogue.servers),
+                servers=len(catalogue.servers),
             )
             self.on_change(CataloguePart.OPERATOR)
             self.on_change(CataloguePart.SERVERS)
--- a/packages/primroselever-node/src/primroselever_node/direct/sources.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/sources.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING, Protocol
 
+from primroselever_core.catalogue.store_position import StorePosition
 from primroselever_core.exceptions import PrimroseleverError
 
 if TYPE_CHECKING:
@@ -19,7 +20,23 @@
 
 
 class HistoryLostError(SourceError):
-    """The requested changes are no longer kept, so a full read is required."""
+    """
+    The requested changes are no longer kept, so a full read is required.
+
+    ``era`` is the era of the store that answered, 0 if it named none.
+    """
+
+    def __init__(self, message: str, era: int = 0) -> None:
+        super().__init__(message)
+        self.era = era
+
+
+class StoreRestoredError(SourceError):
+    """The store was restored while its answers were read, so they do not fit."""
+
+    def __init__(self, message: str, era: int) -> None:
+        super().__init__(message)
+        self.era = era
 
 
 class CataloguePart(StrEnum):
@@ -36,17 +53,31 @@
 
 @dataclass(frozen=True, slots=True)
 class CatalogueChanges:
-    """Events up to and including a revision of the source."""
+    """
+    Events up to and including a revision of the source.
+
+    ``era`` is 0 if the source named none, or none that can be used.
+    """
 
     revision: int
     events: list[CatalogueEvent]
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """Return the position up to which the events are included."""
+        return StorePosition(self.era, self.revision)
 
 
 class CatalogueSource(Protocol):
     """Read access to the platform's store."""
 
     def read(self, part: CataloguePart) -> CatalogueChanges:
-        """Return the current contents of a part, or raise ``SourceError``."""
+        """
+        Return the current contents of a part, or raise ``SourceError``.
+
+        Raise ``StoreRestoredError`` if the store was restored between two pages.
+        """
 
     def watch(self, part: CataloguePart, after: int, wait_s: float) -> CatalogueChanges:
         """
--- a/packages/primroselever-node/tests/direct/test_follower.py
+++ b/packages/primroselever-node/tests/direct/test_follower.py
@@ -20,6 +20,7 @@
     RouteKind,
     ServerState,
 )
+from primroselever_core.catalogue.store_position import StorePosition
 from primroselever_node import clock
 from primroselever_node.direct import follower as follower_module
 from primroselever_node.direct.follower import CatalogueFollower
@@ -88,7 +89,7 @@
         ("watch", 7),
     ]
     assert len(changed) == 2
-    assert catalogue.store_revision == 7
+    assert catalogue.store_position == StorePosition(0, 7)
 
 
 def test_after_a_lost_history_a_full_read_removes_missing_servers(follow):
--- a/packages/primroselever-node/tests/direct/test_gossip.py
+++ b/packages/primroselever-node/tests/direct/test_gossip.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+import logging
 import socket
 from contextlib import suppress
 from dataclasses import replace
@@ -19,6 +21,7 @@
     ServerState,
     Service,
 )
+from primroselever_core.catalogue.store_position import StorePosition
 from primroselever_core.direct_board import DirectBoard
 from primroselever_core.dispatch.backend import EngineReport
 from primroselever_core.gossip.peers import Peers
@@ -108,7 +111,7 @@
     ahead.board.catalogue.publish_weights("m", 2, clock.now() - 7.0)
     ahead.board.catalogue.publish_weights("m", 3, clock.now() - 5.0)
     ahead.board.catalogue.list_server(SERVER)
-    ahead.board.catalogue.store_revision = 40
+    ahead.board.catalogue.store_position = StorePosition(0, 40)
     catalogue = behind.board.catalogue
     wait_until(lambda: catalogue.configuration is not None and catalogue.servers)
     assert catalogue.configuration == ahead.board.catalogue.configuration
@@ -144,8 +147,8 @@
     catalogue = reader.board.catalogue
     catalogue.list_server(replace(SERVER, revision=3))
     catalogue.start_lapse_grace(now)
-    catalogue.process_missing_entry("i-1", 5, now)
-    catalogue.store_revision = 5
+    catalogue.process_missing_entry("i-1", StorePosition(0, 5), now)
+    catalogue.store_position = StorePosition(0, 5)
     wait_until(lambda: other.board.catalogue.servers)
     assert other.board.catalogue.expire_lapsed_servers(now + 60.0) == ["i-1"]
 
@@ -175,6 +178,66 @@
     assert unpack_catalogue(changed).servers == {"i-1": SERVER}
 
 
+# Failure: an entry of an earlier release, which knows no eras, cannot read a copy, or
+# its own copy is invalid.
+def test_copies_of_entries_that_know_no_eras_are_exchanged():
+    board = DirectBoard(Identity("e", "a", "r", 1), Peers("10.0.0.1", "a"))
+    board.catalogue.replace_servers({"i-1": SERVER}, StorePosition(2, 95), clock.now())
+    data = DirectPeerHandler(board, SimpleNamespace()).fetch_catalogue(0, False)
+    assert unpack_catalogue(data).store_position == StorePosition(2, 95)
+    fields = json.loads(data)
+    for name in ("store_era", "withheld"):
+        del fields[name]
+    for name in ("era", "sequence"):
+        del fields["servers"]["i-1"][name]
+    earlier = unpack_catalogue(json.dumps(fields).encode())
+    assert earlier.store_position == StorePosition(0, 95)
+    assert earlier.servers == {"i-1": SERVER}
+    later = unpack_catalogue(json.dumps(fields | {"unknown": 1}).encode())
+    assert later == earlier
+
+
+# Failure: the heartbeat of an entry of an earlier release stops this one.
+def test_a_heartbeat_without_an_era_is_of_era_0(loopback_entries):
+    entry = loopback_entries.add("127.0.0.1")
+    heartbeat = entry.build_heartbeat(clock.now())
+    heartbeat.host, heartbeat.store_era, heartbeat.store_revision = "127.0.0.8", None, 9
+    entry.receive_heartbeat(heartbeat)
+    peer = entry.board.peers.by_host["127.0.0.8"]
+    assert peer.store_position == StorePosition(0, 9)
+    assert not peer.sends_era
+
+
+# Failure: entries without own reads keep the list of the era before, or two entries
+# pull from each other at each heartbeat: one has the later list, the other the later
+# configuration.
+def test_entries_in_different_eras_exchange_what_is_later(loopback_entries, caplog):
+    caplog.set_level(logging.INFO)
+    before, after = loopback_entries.add("127.0.0.1"), loopback_entries.add("127.0.0.2")
+    now = clock.now()
+    for entry in (before, after):
+        entry.board.catalogue.store_contact_at = now
+    lost = replace(SERVER, server_id="i-0", revision=190, era=1)
+    listed = replace(SERVER, revision=40, era=2)
+    before.board.catalogue.replace_servers({"i-0": lost}, StorePosition(1, 200), now)
+    before.board.catalogue.configure(configuration(9), now)
+    after.board.catalogue.replace_servers({"i-1": listed}, StorePosition(2, 95), now)
+    after.board.catalogue.configure(configuration(7), now)
+    wait_until(lambda: after.board.catalogue.configuration.revision == 9)
+    wait_until(lambda: before.board.catalogue.store_position == StorePosition(2, 95))
+    assert set(before.board.catalogue.servers) == {"i-0", "i-1"}
+    assert set(after.board.catalogue.servers) == {"i-1"}
+    (line,) = [line for line in caplog.records if line.msg == "store restored"]
+    assert (line.era_before, line.era_after, line.missing) == (1, 2, 1)
+    changes = {
+        host: list(parts) for host, parts in loopback_entries.changed_parts.items()
+    }
+    eventlet.sleep(0.3)
+    assert loopback_entries.changed_parts == changes
+    assert not before.pulling
+    assert not after.pulling
+
+
 @pytest.mark.parametrize("data", [b"", b"\x78", b"\x78\x01junk", b"{", b"\xff" * 9])
 def test_an_invalid_catalogue_raises_a_value_error(data):
     with pytest.raises(ValueError):
