Pass lapses on to entries that do not read the store

Cause: a watch that reports a missing entry within the grace period changes no back end yet, so the position of the list stayed and no peer fetched the copy that holds the lapse. The peers used the back end until another change of the list. Change: each event of the servers' part moves the position of the list.

--- a/packages/primroselever-node/src/primroselever_node/direct/follower.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/follower.py
@@ -238,7 +238,9 @@
         changed = False
         for event in changes.events:
             changed |= apply(event, self.catalogue, now)
-        if part is CataloguePart.SERVERS and changed:
+        if part is CataloguePart.SERVERS and changes.events:
+            # A lapse, or the removal of a withheld entry, changes no back end now, but
+            # peers must learn of it.
             self.catalogue.store_position = max(
                 changes.position, self.catalogue.store_position
             )
--- a/packages/primroselever-node/tests/direct/test_follower.py
+++ b/packages/primroselever-node/tests/direct/test_follower.py
@@ -122,6 +122,20 @@
     assert catalogue.expire_lapsed_servers(clock.now() + 2.1) == ["a"]
 
 
+# Failure: the position stays, so that entries without own reads never fetch the lapse,
+# and use the back end after its grace period.
+def test_a_lapse_counts_as_a_change_of_the_list_for_peers(follow, monkeypatch):
+    monkeypatch.setattr(follower_module, "MIN_LAPSE_OUTAGE_S", 0.0)
+    catalogue, _source, _changed = follow(
+        CatalogueChanges(5, [ServerListed(server("a"))]),
+        SourceError("silent"),
+        CatalogueChanges(8, [ServerRemoved("a", 8)]),
+        CatalogueChanges(9, []),
+    )
+    assert set(catalogue.servers) == {"a"}
+    assert catalogue.store_position == StorePosition(0, 8)
+
+
 def test_versions_of_weights_are_applied(follow):
     catalogue, _source, changed = follow(
         CatalogueChanges(5, [WeightsPublished("m", 2)]), part=CataloguePart.OPERATOR
