--- a/packages/primroselever-node/tests/direct/test_follower.py
+++ b/packages/primroselever-node/tests/direct/test_follower.py
@@ -20,6 +20,7 @@
     RouteKind,
     ServerState,
 )
+from primroselever_core.catalogue.store_position import StorePosition
 from primroselever_node import clock
 from primroselever_node.direct import follower as follower_module
 from primroselever_node.direct.follower import CatalogueFollower
@@ -88,7 +89,7 @@
         ("watch", 7),
     ]
     assert len(changed) == 2
-    assert catalogue.store_revision == 7
+    assert catalogue.store_position == StorePosition(0, 7)
 
 
 def test_after_a_lost_history_a_full_read_removes_missing_servers(follow):
@@ -121,6 +122,20 @@
     assert catalogue.expire_lapsed_servers(clock.now() + 2.1) == ["a"]
 
 
+# Failure: the position stays, so that entries without own reads never fetch the lapse,
+# and use the back end after its grace period.
+def test_a_lapse_counts_as_a_change_of_the_list_for_peers(follow, monkeypatch):
+    monkeypatch.setattr(follower_module, "MIN_LAPSE_OUTAGE_S", 0.0)
+    catalogue, _source, _changed = follow(
+        CatalogueChanges(5, [ServerListed(server("a"))]),
+        SourceError("silent"),
+        CatalogueChanges(8, [ServerRemoved("a", 8)]),
+        CatalogueChanges(9, []),
+    )
+    assert set(catalogue.servers) == {"a"}
+    assert catalogue.store_position == StorePosition(0, 8)
+
+
 def test_versions_of_weights_are_applied(follow):
     catalogue, _source, changed = follow(
         CatalogueChanges(5, [WeightsPublished("m", 2)]), part=CataloguePart.OPERATOR
