Log when a VM is suspected or reached again, and unusable VM lists

Cause: a failed call to another VM makes it unavailable for a time, an empty VM list of the platform and a peer's list with a wrong digest are not applied; none of these left a log line.

--- a/packages/primroselever-node/src/primroselever_node/control/members.py
+++ b/packages/primroselever-node/src/primroselever_node/control/members.py
@@ -92,6 +92,7 @@
             vm.vm_id: held[vm.vm_id] if held.get(vm.vm_id) == vm else vm for vm in vms
         }
         if not listed:
+            logger.warning("the VM list is empty; the last one stays in force")
             self.service_contact.record_failure(now, self.random)
             return
         self.service_contact.record_answer(now)
@@ -173,6 +174,7 @@
             logger.warning("ignoring a VM list from a peer: %s", exc)
             return
         if digest_of(vms) != reply.digest:
+            logger.warning("a VM list from a peer does not match its digest")
             copy.digest = ""
             return
         copy.replace_list(version, vms, now)
--- a/packages/primroselever-node/src/primroselever_node/control/peer_client.py
+++ b/packages/primroselever-node/src/primroselever_node/control/peer_client.py
@@ -8,6 +8,7 @@
 from primroselever_core.membership.events import PeerCallFailed, apply
 
 from .. import clock
+from ..logs import log_decision
 from ..rpc.client_pool import LostReplyError, NeverSentError
 
 if TYPE_CHECKING:
@@ -56,9 +57,11 @@
         contact = self.board.members.contact
         try:
             reply = self.pool.call(address, method, *args, timeout_s=timeout_s)
-        except (NeverSentError, LostReplyError):
+        except (NeverSentError, LostReplyError) as exc:
             self.pool.close_idle_connections(address)
             apply(PeerCallFailed(vm.vm_id), self.board.members, clock.now())
+            if self.board.members.evidence[vm.vm_id].failures == 1:
+                log_decision("peer", vm.vm_id, "suspected", str(exc))
             record_failed_call(contact, clock.now())
             return None
         record_answer(contact, clock.now())
--- a/packages/primroselever-node/src/primroselever_node/rpc/handler.py
+++ b/packages/primroselever-node/src/primroselever_node/rpc/handler.py
@@ -8,6 +8,7 @@
 from primroselever_core.membership.events import PeerReported, apply
 
 from .. import clock
+from ..logs import log_decision
 from .schema import schema
 from .suspicions import merge_suspicions, most_severe_to_thrift
 
@@ -71,6 +72,9 @@
         event = PeerReported(
             VmId(heartbeat.vm_id), Incarnation(heartbeat.incarnation), heartbeat.leaving
         )
+        evidence = self.board.members.evidence.get(event.vm_id)
+        if evidence is not None and evidence.failures:
+            log_decision("peer", event.vm_id, "reached", "it sent a heartbeat")
         apply(event, self.board.members, now)
         if heartbeat.service_age_ms is not None:
             age_s = heartbeat.service_age_ms / 1000
