Log the failed reads and calls of an agent that changed its decisions

Cause: a chunk that a source did not send, a call to another agent without a reply, a failed read of the engine's state, a run that was not cancelled at the engine and the reason why an engine counts as crashed left no log line, though each changes what the agent does next. Change: each is logged as a warning with its error.

--- a/packages/primroselever-agent/src/primroselever_agent/admission/crash_watch.py
+++ b/packages/primroselever-agent/src/primroselever_agent/admission/crash_watch.py
@@ -87,7 +87,8 @@
             return not self.engine.is_reachable()
         try:
             return self.engine.state().digest != digest
-        except EngineCallError:
+        except EngineCallError as exc:
+            logger.warning("the engine counts as crashed: %s", exc)
             return True
 
     def record_crash(self, fingerprints: list[Fingerprint]) -> None:
--- a/packages/primroselever-agent/src/primroselever_agent/engine/engine_client.py
+++ b/packages/primroselever-agent/src/primroselever_agent/engine/engine_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import logging
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
@@ -27,6 +28,8 @@
 READ_TIMEOUT_S = 10.0
 STREAM_READ_BYTES = 1 << 16
 
+logger = logging.getLogger(__name__)
+
 
 @dataclass(frozen=True, slots=True)
 class EngineState:
@@ -64,7 +67,8 @@
             self.http.request(
                 "GET", self.url + "/", timeout=new_timeout(STATE_TIMEOUT_S)
             )
-        except urllib3.exceptions.HTTPError:
+        except urllib3.exceptions.HTTPError as exc:
+            logger.warning("%s cannot be reached: %s", self.url, exc)
             return False
         return True
 
@@ -182,15 +186,17 @@
         return "end" in record
 
     def cancel(self, run: Run) -> None:
-        """Stop a run; do nothing if the engine does not answer."""
+        """Stop a run; only log it if the engine does not answer."""
         try:
             self.http.request(
                 "DELETE",
                 f"{self.url}/v1/runs/{run.run_id}",
                 timeout=new_timeout(STATE_TIMEOUT_S),
             )
-        except urllib3.exceptions.HTTPError:
-            return
+        except urllib3.exceptions.HTTPError as exc:
+            logger.warning(
+                "run %s was not cancelled at the engine: %s", run.run_id, exc
+            )
 
 
 def error_for_status(status: int) -> BackendError:
--- a/packages/primroselever-agent/src/primroselever_agent/transfer/engine_switch.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/engine_switch.py
@@ -198,6 +198,7 @@
             digest = self.engine.state().digest
         except EngineCallError as exc:
             self.failed_state_reads += 1
+            logger.warning("the engine's state cannot be read: %s", exc)
             if (
                 self.failed_state_reads >= FAILED_READS_TO_STOP
                 and self.section.serving == serving
--- a/packages/primroselever-agent/src/primroselever_agent/transfer/fetcher.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/fetcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
 import eventlet
@@ -35,6 +36,8 @@
 BUDGET_BURST_S = 0.25
 MIN_RETRY_DELAY_S = 0.05
 
+logger = logging.getLogger(__name__)
+
 
 def new_bucket(bytes_per_s: int) -> TokenBucket | None:
     """Return a full token bucket, or None for a rate of 0, which means no limit."""
@@ -85,9 +88,11 @@
         """Read a chunk from the weight store or the origin."""
         try:
             data = self.sources[read.source.name].fetch_chunk(manifest, read.index)
-        except WeightSourceStatusError:
+        except WeightSourceStatusError as exc:
+            logger.warning("a chunk was not read: %s", exc)
             return Refused(read)
-        except WeightSourceError:
+        except WeightSourceError as exc:
+            logger.warning("a chunk was not read: %s", exc)
             return Silent(read)
         return self.store_chunk(manifest, read, data)
 
--- a/packages/primroselever-agent/src/primroselever_agent/transfer/peers.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING, Any
 
 import eventlet
@@ -25,6 +26,8 @@
 CHUNK_REPLY_MARGIN_S = 4.0
 MAX_PARALLEL_HEARTBEATS = 16
 
+logger = logging.getLogger(__name__)
+
 
 class Peers:
     """Calls other agents; a call without a reply returns None."""
@@ -48,7 +51,8 @@
         address = (vm.address, vm.rpc_port)
         try:
             return self.pool.call(address, method, *args, timeout_s=timeout_s)
-        except (NeverSentError, LostReplyError):
+        except (NeverSentError, LostReplyError) as exc:
+            logger.warning("a call to another agent failed: %s", exc)
             self.pool.close_idle_connections(address)
             return None
 
--- a/packages/primroselever-agent/tests/admission/test_controller.py
+++ b/packages/primroselever-agent/tests/admission/test_controller.py
@@ -233,3 +233,11 @@
 
     assert set(admission.board.suspects.records) == {"bad", "beside", "other"}
     assert admission.runner.ends[waiting.run_id][1] is Reason.NO_WEIGHTS
+
+
+def test_the_reason_why_the_engine_counts_as_crashed_is_logged(
+    admission, engine, caplog
+):
+    engine.digest = None
+    admission.runner.fail(offer_run(admission, "bad"))
+    assert "no answer" in caplog.text
--- a/packages/primroselever-agent/tests/engine/test_engine_client.py
+++ b/packages/primroselever-agent/tests/engine/test_engine_client.py
@@ -16,6 +16,7 @@
 from primroselever_core.runs.answer_buffer import AnswerBuffer
 from primroselever_core.runs.registry import Run
 from primroselever_node.http import HttpServer
+from primroselever_node.listen import listen
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -136,3 +137,16 @@
     engine.body = body
     with pytest.raises(EngineCallError):
         client.state()
+
+
+def test_a_run_that_cannot_be_cancelled_is_logged(
+    client: EngineClient, caplog: pytest.LogCaptureFixture
+) -> None:
+    """The engine may go on with it, and has a slot less meanwhile."""
+    unused = listen("127.0.0.1", 0)
+    client.url = f"http://127.0.0.1:{unused.getsockname()[1]}"
+    unused.close()
+
+    client.cancel(RUN)
+
+    assert "r1" in caplog.text
