Treat bytes that are no thrift reply as a lost reply

Cause: thriftpy2's compiled decoder raises ProtocolError, which is no thrift exception, for bytes of another protocol, and SystemError for a negative length. Neither was handled by the client pool, whose callers handle its own two errors only: a start whose agent's address was taken over by another program became an internal error without a resolve, and reads, heartbeats and the fetching of pieces ended with an unexpected error. Before: the new test fails in all three cases. Change: any error while a call is sent and its reply is read is a lost reply that names the error; a method that the service lacks still raises AttributeError. After: 240 tests of the node and of the entry's requests pass.

--- a/packages/primroselever-node/src/primroselever_node/rpc/client_pool.py
+++ b/packages/primroselever-node/src/primroselever_node/rpc/client_pool.py
@@ -65,13 +65,23 @@
         connection = self.acquire_connection(address)
         connection.socket.set_timeout(timeout_s * 1000)
         try:
-            result = getattr(connection.client, method)(*args)
+            call_method = getattr(connection.client, method)
+        except AttributeError:
+            connection.transport.close()
+            raise
+        try:
+            result = call_method(*args)
         except TApplicationException as exc:
             self.release_connection(address, connection)
             raise LostReplyError(f"{method} at {address} failed: {exc}") from exc
         except (TException, OSError, EOFError) as exc:
             connection.transport.close()
             raise LostReplyError(f"{method} at {address} got no reply") from exc
+        except Exception as exc:
+            # The decoder raises several kinds of errors for bytes that are no reply.
+            connection.transport.close()
+            message = f"{method} at {address} got an unreadable reply: {exc!r}"
+            raise LostReplyError(message) from exc
         except BaseException:
             connection.transport.close()
             raise
--- a/packages/primroselever-node/tests/rpc/test_client_pool.py
+++ b/packages/primroselever-node/tests/rpc/test_client_pool.py
@@ -2,6 +2,7 @@
 
 from typing import TYPE_CHECKING, Any
 
+import eventlet
 import pytest
 
 from primroselever_node import clock
@@ -80,3 +81,47 @@
     call_once(pool, addresses[0]).socket.sock.close()
     reply = pool.call_with_retry(addresses[0], "heartbeat", heartbeat, timeout_s=5.0)
     assert reply.vm_id == "a-0"
+
+
+# A reply whose first string has the length -1: version 1, reply, "heartbeat", sequence
+# number 0, field 0 (a struct), field 1 (a string).
+NEGATIVE_LENGTH = (
+    b"\x80\x01\x00\x02\x00\x00\x00\x09heartbeat\x00\x00\x00\x00"
+    b"\x0c\x00\x00\x0b\x00\x01\xff\xff\xff\xff"
+)
+
+
+@pytest.mark.parametrize(
+    "received",
+    [b"HTTP/1.1 400 Bad Request\r\n\r\n", b"\x80\x02\x00\x02abcd", NEGATIVE_LENGTH],
+)
+def test_bytes_that_are_no_reply_are_a_lost_reply(received: bytes) -> None:
+    """
+    Another program may listen at the address of a VM that left.
+
+    The callers handle the errors of the pool only, so any other error would end their
+    request or their greenlet.
+    """
+
+    def answer(connection: Any, _address: object) -> None:
+        connection.recv(4096)
+        connection.sendall(received)
+
+    listener = eventlet.listen(("127.0.0.1", 0))
+    server = eventlet.spawn(eventlet.serve, listener, answer)
+    pool = ClientPool(schema.Node)
+    address = listener.getsockname()
+
+    with pytest.raises(LostReplyError):
+        pool.call(address, "heartbeat", schema.Heartbeat(vm_id="a"), timeout_s=5.0)
+
+    assert not pool.idle[address]
+    server.kill()
+
+
+def test_a_method_that_the_service_lacks_is_no_lost_reply(
+    addresses: list[Address],
+) -> None:
+    """It is an error of this program."""
+    with pytest.raises(AttributeError):
+        ClientPool(schema.Node).call(addresses[0], "no_such_method", timeout_s=5.0)
