Drop the unreachable choice among failing back ends only

Cause: the choice fell back to all candidates if all of them fail more often than the others. At most half of those with enough outcomes are named as failing, and none if fewer than two have enough, so the list of the others is never empty. Change: the fallback is removed. A new test covers one to four back ends with all mixes of failures, some listed twice; it passes before and after. Ruled out: that the test cannot fail.

--- a/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
@@ -121,7 +121,7 @@
             spread_retry_s(NO_SERVER_RETRY_S, random),
         )
     failing = find_failing_backends(candidates)
-    healthy = [b for b in candidates if b.listed.server_id not in failing] or candidates
+    healthy = [b for b in candidates if b.listed.server_id not in failing]
     usual_delay_s = median(b.unexpected_delay_s(now) for b in healthy)
     predictions = [
         predict_wait_s(backend, needs, figures, now)
--- a/packages/primroselever-core/tests/dispatch/test_choose.py
+++ b/packages/primroselever-core/tests/dispatch/test_choose.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from itertools import product
 from random import Random
 
+import pytest
+
 from primroselever_core.dispatch.choose import Chosen, Refused, choose_backend
 
 
@@ -261,3 +264,26 @@
     needs = make_needs(first_event_within_s=1.0)
     assert choose([unknown, reported], needs, figures).backend is reported
     assert choose([unknown], needs, figures).backend is unknown
+
+
+@pytest.mark.parametrize("count", [1, 2, 3, 4])
+def test_a_back_end_is_left_however_many_of_them_fail(
+    make_backend, make_report, make_needs, figures, count
+):
+    """
+    Those that fail more often than the others are left out, at most half of them.
+
+    So the list of the others is never empty, even if a server is listed twice.
+    """
+    for failures in product((0, 3, 6), repeat=count):
+        backends = []
+        for index, failure_count in enumerate(failures):
+            backend = make_backend(f"server-{index}")
+            backend.apply_report(make_report(10.0))
+            for number in range(6):
+                if number < failure_count:
+                    backend.record_answered_failure()
+                else:
+                    backend.record_success()
+            backends += [backend] * (1 + index % 2)
+        assert isinstance(choose(backends, make_needs(), figures), Chosen), failures
