--- a/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
@@ -132,7 +132,7 @@
             describe_closed(backends, now),
         )
     failing = find_failing_backends(candidates)
-    healthy = [b for b in candidates if b.listed.server_id not in failing] or candidates
+    healthy = [b for b in candidates if b.listed.server_id not in failing]
     usual_delay_s = median(b.unexpected_delay_s(now) for b in healthy)
     predictions = [
         predict_wait_s(backend, needs, figures, now)
