Wait for the pieces themselves in the test of a hanging read

Cause: test_a_piece_is_read_again_while_another_read_hangs failed once in a full run on a busy machine.

Change: the test waits until exactly the same pieces are there, for up to 2 s. It is as strict: the hanging read never ends, and any other set of pieces fails.

--- a/packages/primroselever-node/tests/direct/test_pieces.py
+++ b/packages/primroselever-node/tests/direct/test_pieces.py
@@ -227,6 +227,12 @@
     return sorted(keeper.source.reads)
 
 
+def wait_for_pieces(keeper, indexes: set[int]) -> None:
+    with eventlet.Timeout(2):
+        while {index for _, _, index in keeper.pieces} != indexes:
+            eventlet.sleep(0.005)
+
+
 def find_owned_indexes(keeper, hosts) -> list[int]:
     return [
         index
@@ -282,10 +288,9 @@
 
     monkeypatch.setattr(origin, "read_piece", read_or_hang)
     run_prefetch(prefetching_keeper)
-    assert {index for _, _, index in prefetching_keeper.pieces} == {0, 3}
+    wait_for_pieces(prefetching_keeper, {0, 3})
     origin.failing_indexes = set()
-    eventlet.sleep(0.05)
-    assert {index for _, _, index in prefetching_keeper.pieces} == {0, 1, 3}
+    wait_for_pieces(prefetching_keeper, {0, 1, 3})
 
 
 def test_a_version_that_is_nearly_read_is_completed_before_the_next(
