Wait for the end of a prefetch in its tests

Cause: test_a_lone_entry_prefetches_all_pieces failed once on a busy machine: it read the result 0.1 s after the start. A stall of 0.12 s in that time fails it the same way (trial). Change: the tests wait until the prefetch ends, for 2 s at most, which also shows that it ends. Result: the tests of the file pass.

--- a/packages/primroselever-node/tests/direct/test_pieces.py
+++ b/packages/primroselever-node/tests/direct/test_pieces.py
@@ -222,8 +222,8 @@
 
 def run_prefetch(keeper) -> list[int]:
     keeper.board.catalogue.publish_weights("m", 2, clock.now())
-    keeper.prefetch("m", 2)
-    eventlet.sleep(0.1)
+    with eventlet.Timeout(2):
+        keeper.run_prefetch("m", 2)
     return sorted(keeper.source.reads)
 
 
@@ -287,7 +287,8 @@
         return read_piece(address, model, version, index)
 
     monkeypatch.setattr(origin, "read_piece", read_or_hang)
-    run_prefetch(prefetching_keeper)
+    prefetching_keeper.board.catalogue.publish_weights("m", 2, clock.now())
+    prefetching_keeper.prefetch("m", 2)
     wait_for_pieces(prefetching_keeper, {0, 3})
     origin.failing_indexes = set()
     wait_for_pieces(prefetching_keeper, {0, 1, 3})
