Look for another back end while the only one is silent

What callers saw: a stream, or a request that may be repeated, whose back end stayed silent was waited for until its deadline, although another back end had become free meanwhile.

Cause: while the entry waits on for a silent back end, the attempt counted itself among the other attempts of the request. On routes with two attempts none seemed to be left, so the wait of 0.2 s became one until the deadline. An error that the back end then answered was not retried either.

Change: an attempt keeps its earlier result while it waits, and so does not count itself. Evidence: the new test fails without the change; the stream was cut off at the deadline.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -124,14 +124,15 @@
 
     def receive_result(self, exchange: Callable[[], Attempt]) -> Attempt:
         """Do a part of the exchange; return the result of the attempt."""
-        self.attempt = None
+        attempt: Attempt | None = None
         try:
-            self.attempt = self.exchange_or_fail(exchange)
+            attempt = self.exchange_or_fail(exchange)
         finally:
             self.caller.on_caller_left = None
-            if self.attempt is None or self.attempt.end is not AttemptEnd.SILENT:
+            if attempt is None or attempt.end is not AttemptEnd.SILENT:
                 self.close()
-        return self.attempt
+        self.attempt = attempt
+        return attempt
 
     def exchange_or_fail(self, exchange: Callable[[], Attempt]) -> Attempt:
         """Return the result of a part of the exchange, also if it fails."""
--- a/packages/primroselever-entry/tests/direct/test_silence.py
+++ b/packages/primroselever-entry/tests/direct/test_silence.py
@@ -17,8 +17,10 @@
 from .conftest import (
     HANG,
     PAUSE,
+    RESET,
     chunk,
     ok_response,
+    read_all,
     refusal,
     request,
     stream_head,
@@ -106,7 +108,7 @@
     first, second = entry.add("a", "engine"), entry.add("b", "engine")
     entry.board.backends.backends["b"].in_flight = 7
     first.responses = [PAUSED_STREAM]
-    second.responses = [[stream_head() + chunk(EVENTS[1]), b"<reset>"]]
+    second.responses = [[stream_head() + chunk(EVENTS[1]), RESET]]
     response = ask(entry)
     assert events_of(response) == b"".join(EVENTS[:2]).replace(b"\n\n", b"\n")
     assert not response.endswith(STREAM_END)
@@ -129,3 +131,18 @@
     eventlet.sleep(0.02)
     assert backend.disconnects == 1
     assert entry.board.backends.backends["a"].in_flight == 0
+
+
+# Guards against waiting until the deadline for a back end that is silent for good
+# although another one has become free meanwhile.
+def test_back_end_that_appears_during_a_silence_takes_over(entry):
+    first = entry.add("a", "engine")
+    first.responses = [[stream_head() + chunk(EVENTS[0]), HANG]]
+    connection = entry.connect()
+    connection.sendall(request("/ask/x", "POST", b"p", ["x-model: m"]))
+    eventlet.sleep(0.1)
+    second = entry.add("b", "engine")
+    second.responses = [
+        [stream_head() + chunk(EVENTS[1]), chunk(EVENTS[2]) + STREAM_END]
+    ]
+    assert_complete(read_all(connection))
