End a silent attempt once another back end has sent events

What callers saw: less capacity. A back end that had paused went on with a stream that another one had taken over, and held a slot for it until the stream of the other one ended.

Cause: the connection to a silent back end was closed only before the next attempt or at the end of the request, although it can no longer go on once another one has sent events.

Change: it is closed when the first events of another attempt are forwarded. Evidence: the new test fails without the change (the first back end was still connected while the second one streamed).

--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -329,6 +329,7 @@
                 self.body += data
                 continue
             if data:
+                self.end_replaced_attempt()
                 self.forward_head(head)
                 self.caller.send_data(data)
         self.forward_head(head)
@@ -343,6 +344,12 @@
         self.release_connection(connection, head)
         return Attempt(AttemptEnd.ANSWERED, head.status_code)
 
+    def end_replaced_attempt(self) -> None:
+        """End the silent attempt if it can no longer go on after this one's events."""
+        silent = self.state.silent_sender
+        if silent is not None and silent is not self and not silent.may_continue():
+            silent.close()
+
     def record_first_event(self) -> None:
         """Record by how much the first event of this attempt missed its prediction."""
         if not self.first_event_recorded:
--- a/packages/primroselever-entry/tests/direct/test_silence.py
+++ b/packages/primroselever-entry/tests/direct/test_silence.py
@@ -146,3 +146,20 @@
         [stream_head() + chunk(EVENTS[1]), chunk(EVENTS[2]) + STREAM_END]
     ]
     assert_complete(read_all(connection))
+
+
+# Guards against work that a silent back end goes on with for nobody, and against its
+# slot being held, once another back end has sent events.
+def test_silent_back_end_is_released_once_another_has_sent_events(entry):
+    first, second = entry.add("a", "engine"), entry.add("b", "engine")
+    entry.board.backends.backends["b"].in_flight = 7
+    first.responses = [[stream_head() + chunk(EVENTS[0]), HANG]]
+    second.responses = [[stream_head() + chunk(EVENTS[1]), HANG]]
+    connection = entry.connect()
+    connection.sendall(request("/ask/x", "POST", b"p", ["x-model: m"]))
+    with eventlet.Timeout(1):
+        while EVENTS[1] not in connection.recv(4096):
+            pass
+    eventlet.sleep(0.01)
+    assert (first.disconnects, second.disconnects) == (1, 0)
+    assert entry.board.backends.backends["a"].in_flight == 0
