Never join an error to the events of a stream

What callers saw: a stream that ended as if it were complete, with the body of an error behind its last event.

Cause: if the back end that was to resume a stream answered with an error that is not retried (4xx, or 5xx at the last attempt), the error's body was forwarded as the rest of the begun response, and the response was finished. A silent back end that could have gone on was given up for it.

Change: once a response has begun, only a 200 can continue it. Any other status ends the attempt; the entry then goes on with the silent back end, tries another one, or cuts the stream off visibly.

Evidence: both new tests fail without the change, for 404 and for 500 (the response contained the error's body and the last chunk).

--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -224,10 +224,10 @@
             return self.handle_refusal(connection, head)
         if status >= 500:
             self.backend.record_answered_failure()
-            if self.may_try_another_backend():
-                return Attempt(
-                    AttemptEnd.BROKEN, status, f"the back end answered {status}"
-                )
+        # An error that follows events of another run would look like the end of it.
+        resume_failed = self.state.head_forwarded and status != 200
+        if resume_failed or (status >= 500 and self.may_try_another_backend()):
+            return Attempt(AttemptEnd.BROKEN, status, f"the back end answered {status}")
         self.head = head
         return self.forward_response(connection, head)
 
--- a/packages/primroselever-entry/tests/direct/test_silence.py
+++ b/packages/primroselever-entry/tests/direct/test_silence.py
@@ -163,3 +163,32 @@
     eventlet.sleep(0.01)
     assert (first.disconnects, second.disconnects) == (1, 0)
     assert entry.board.backends.backends["a"].in_flight == 0
+
+
+# Guards against an error that is joined to the events of another run as if it completed
+# the stream.
+@pytest.mark.parametrize("status", [b"404 Unknown", b"500 Failed"])
+def test_error_of_the_resuming_back_end_is_not_joined_to_the_stream(entry, status):
+    first, second = entry.add("a", "engine"), entry.add("b", "engine")
+    entry.board.backends.backends["b"].in_flight = 7
+    first.responses = [[stream_head() + chunk(EVENTS[0]), RESET]]
+    second.responses = [
+        [b"HTTP/1.1 %s\r\nx-request: r1\r\nContent-Length: 5\r\n\r\nerror" % status]
+    ]
+    response = ask(entry)
+    assert len(second.requests) == 1
+    assert b"error" not in response
+    assert not response.endswith(STREAM_END)
+
+
+# Guards against giving up a silent back end for the error of the one that was to take
+# over.
+@pytest.mark.parametrize("status", [b"404 Unknown", b"500 Failed"])
+def test_stream_goes_on_after_a_pause_when_the_other_back_end_fails(entry, status):
+    first, second = entry.add("a", "engine"), entry.add("b", "engine")
+    entry.board.backends.backends["b"].in_flight = 7
+    first.responses = [PAUSED_STREAM]
+    second.responses = [
+        [b"HTTP/1.1 %s\r\nx-request: r1\r\nContent-Length: 5\r\n\r\nerror" % status]
+    ]
+    assert_complete(ask(entry))
