Quarantine a request that crashes a server after a silence

What callers saw: nothing; a request that crashes servers reached one more.

Cause: whether to retry was decided when a back end fell silent, and not again when its connection broke while the entry waited on. The quarantine that this crash completed did not count for the request itself.

Change: the quarantine is checked after each attempt that ends so. No second retry is taken from the budget. Evidence: the new test fails without the change (the other back end received the request).

--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -273,6 +273,9 @@
                     return
                 if len(state.attempts) > attempt_count:
                     no_retry_reason = self.retry_refusal_reason(state, attempt)
+                elif self.has_crashed_too_many(state, attempt):
+                    # The retry was taken from the budget when the back end fell silent.
+                    no_retry_reason = CRASHED_SERVERS_REASON
             self.fail_request(state, caller, "out of time")
         finally:
             if state.silent_sender is not None:
@@ -422,11 +425,7 @@
             return "out of time"
         if attempt.may_have_run and not state.route.repeatable:
             return attempt.reason
-        if (
-            attempt.suggests_crash
-            and self.crash_watch.quarantine_remaining_s(state.request, state.workspace)
-            is not None
-        ):
+        if self.has_crashed_too_many(state, attempt):
             return CRASHED_SERVERS_REASON
         sent_attempts = [
             each for each in state.attempts if each.end is not AttemptEnd.NOT_SENT
@@ -442,6 +441,14 @@
             return f"{attempt.reason}; no retry left in the budget"
         return None
 
+    def has_crashed_too_many(self, state: RequestState, attempt: Attempt) -> bool:
+        """Return whether an attempt ended in a crash and quarantines its request."""
+        return (
+            attempt.suggests_crash
+            and self.crash_watch.quarantine_remaining_s(state.request, state.workspace)
+            is not None
+        )
+
     def retry_share(self, service: str) -> RetryShare:
         """Return this entry's share of the retries to a service."""
         share = self.retry_shares.get(service)
--- a/packages/primroselever-entry/tests/direct/test_silence.py
+++ b/packages/primroselever-entry/tests/direct/test_silence.py
@@ -12,11 +12,15 @@
 import pytest
 
 from primroselever_core.dispatch.retry_share import RetryLimits
+from primroselever_core.runs.fingerprint import fingerprint_of
+from primroselever_core.suspects.section import CrashId
 from primroselever_entry.direct import sending
+from primroselever_node import clock
 
 from .conftest import (
     HANG,
     PAUSE,
+    PAUSE_S,
     RESET,
     chunk,
     ok_response,
@@ -192,3 +196,20 @@
         [b"HTTP/1.1 %s\r\nx-request: r1\r\nContent-Length: 5\r\n\r\nerror" % status]
     ]
     assert_complete(ask(entry))
+
+
+# Guards against a request that crashes servers and reaches yet another one because the
+# last of them was silent before its connection broke.
+def test_crash_after_a_silence_quarantines_the_request(entry):
+    fingerprint = fingerprint_of("desk.example/ask/x", "inks", b"p")
+    entry.board.suspects.record_crash(CrashId("2/x/1"), [fingerprint], clock.now())
+    first, second = entry.add("a", "engine"), entry.add("b", "engine")
+    first.responses = [[stream_head() + chunk(EVENTS[0]), PAUSE, RESET]]
+    second.responses = [
+        [stream_head() + chunk(EVENTS[1]), chunk(EVENTS[2]) + STREAM_END]
+    ]
+    returns_at = clock.now() + PAUSE_S / 2
+    entry.board.backends.backends["b"].ejected_until = returns_at
+    ask(entry)
+    assert len(first.requests) == 1
+    assert second.requests == []
