Bound what is read from a peer after a deadline

A back end that sends faster than the entry reads could keep a request alive past its deadline.

Change: at most 16 reads of 64 KiB in a row are made after it. Evidence: the new test fails without the change (an endless answer was read on for 2 s after its deadline) and the tests of pauses pass.

--- a/packages/primroselever-node/src/primroselever_node/direct/exchange.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/exchange.py
@@ -28,6 +28,9 @@
 READ_BYTES = 65536
 MAX_HEAD_BYTES = 65536  # answer heads of back ends have a few hundred bytes
 TCP_USER_TIMEOUT_MS = 3000  # for peers that stop acknowledging sent bytes
+# Reads after a deadline, for what arrived while the process did not run. A peer that
+# sends faster than it is read would otherwise never reach its deadline.
+MAX_LATE_READS = 16
 # Answers to earlier requests that may precede the answer to the current request.
 MAX_STALE_ANSWERS = 2
 
@@ -75,6 +78,7 @@
         self.usable_until = float("inf")
         self.last_used_at = clock.now()
         self.stale_answer_count = 0
+        self.late_read_count = 0
         self.sent_head: h11.Request | None = None
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
@@ -145,6 +149,7 @@
             if event is not h11.NEED_DATA:
                 return event
             try:
+                self.count_late_read(deadline)
                 data = receive_bytes(self.socket, deadline)
             except TimeoutError as exc:
                 late_s = clock.now() - deadline
@@ -156,6 +161,12 @@
             except h11.RemoteProtocolError as exc:
                 raise MalformedAnswerError(str(exc)) from exc
 
+    def count_late_read(self, deadline: float) -> None:
+        """Raise ``TimeoutError`` after too many reads in a row after the deadline."""
+        self.late_read_count = self.late_read_count + 1 if clock.now() > deadline else 0
+        if self.late_read_count > MAX_LATE_READS:
+            raise TimeoutError
+
     def read_head(
         self, deadline: float, request_id: bytes, id_header: bytes
     ) -> h11.Response:
--- a/packages/primroselever-node/tests/direct/test_exchange.py
+++ b/packages/primroselever-node/tests/direct/test_exchange.py
@@ -7,6 +7,7 @@
 from eventlet.greenio import GreenSocket
 
 from primroselever_node import clock
+from primroselever_node.direct import exchange as exchange_module
 from primroselever_node.direct.connection_pool import ConnectionPool, allowed_idle_s
 from primroselever_node.direct.exchange import (
     BrokenExchangeError,
@@ -16,6 +17,7 @@
     MalformedAnswerError,
 )
 
+FLOOD = b"HTTP/1.1 100 Continue\r\n\r\n"
 OK = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\nok"
 
 
@@ -173,3 +175,17 @@
     assert allowed_idle_s(b"timeout=5, max=100") == 4.5
     assert allowed_idle_s(b"timeout=0") == 0.0
     assert allowed_idle_s(b"") > 0
+
+
+# Guards against answers that are read beyond any deadline: what has arrived after it is
+# still read, but a peer that sends without end must not keep the exchange alive.
+def test_a_peer_that_sends_without_end_does_not_outlast_the_deadline(monkeypatch):
+    monkeypatch.setattr(exchange_module, "receive_bytes", lambda sock, deadline: FLOOD)
+    listener = eventlet.listen(("127.0.0.1", 0))
+    connection = HttpConnection(listener.getsockname(), clock.now() + 1)
+    deadline = clock.now() + 0.05
+    connection.send(b"GET", b"/", [(b"Host", b"h")], b"", deadline)
+    stop_at = clock.now() + 2
+    with pytest.raises(ExchangeTimeoutError):
+        while clock.now() < stop_at:
+            connection.next_event(deadline)
