Apply the size limits in force when a request begins

What callers saw: 431 or 413 for requests that the configuration in force allows, on connections that they had kept since before it.

Cause: a connection took its limits when it began to wait for a request, and its parser took the limit on heads when the connection was opened.

Change: both are taken when the first byte of a request arrives. Evidence: both cases of the new test fail without the change (431 and 413).

--- a/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
@@ -68,9 +68,7 @@
         self.server = server
         self.socket = sock
         self.limits: CallerLimits = server.limits()
-        self.protocol = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self.limits.header_bytes
-        )
+        self.protocol = self.new_protocol()
         self.processing = False
         self.caller_left = False
         self.on_caller_left: Callable[[], None] | None = None
@@ -80,6 +78,12 @@
         self.request_id = b""
         self.unsent = b""
 
+    def new_protocol(self) -> h11.Connection:
+        """Return a parser without state, for the size limit in force."""
+        return h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self.limits.header_bytes
+        )
+
     def serve(self) -> None:
         """Process requests until the connection ends."""
         try:
@@ -182,8 +186,16 @@
                 raise
             if data and not self.request_started_at:
                 self.request_started_at = clock.now()
+                self.apply_current_limits()
             self.protocol.receive_data(data)
 
+    def apply_current_limits(self) -> None:
+        """Apply the limits in force when a request begins, before it is parsed."""
+        previous_header_bytes = self.limits.header_bytes
+        self.limits = self.server.limits()
+        if self.limits.header_bytes != previous_header_bytes:
+            self.protocol = self.new_protocol()
+
     def receive_deadline(self, idle_since: float) -> float:
         """Return until when the next bytes must arrive."""
         if self.request_started_at and not self.reading_body:
--- a/packages/primroselever-entry/tests/direct/test_caller_connection.py
+++ b/packages/primroselever-entry/tests/direct/test_caller_connection.py
@@ -90,6 +90,22 @@
     assert read_all(connection).startswith(b"HTTP/1.1 200")
 
 
+# Guards against requests that a configuration in force allows but that are refused,
+# since their connection had waited since before it.
+@pytest.mark.parametrize("grows", ["head", "body"])
+def test_larger_size_limits_apply_to_connections_that_already_wait(entry, grows):
+    entry.add("a").responses = [ok_response()]
+    entry.server.limits = lambda: replace(LIMITS, header_bytes=200, body_bytes=2)
+    connection = entry.connect()
+    eventlet.sleep(0.02)
+    entry.server.limits = lambda: LIMITS
+    if grows == "head":
+        connection.sendall(request(headers=["x-long: " + 1000 * "a"]))
+    else:
+        connection.sendall(request("/order/x", "POST", b"ink"))
+    assert read_all(connection).startswith(b"HTTP/1.1 200")
+
+
 def test_leaving_entry_answers_with_connection_close(entry):
     backend = entry.add("a")
     backend.responses = [ok_response()]
