Answer pipelined requests that were read before the entry closes

What callers saw: beside a SIGTERM the connection ended without an answer to a request that they had sent behind another one, although the answer before it did not say so, or said so only after the request had been read.

Cause: a closing entry ended each connection after its current request, and an entry that leaves announced the end with the current answer, even if bytes of the next request had been read.

Change: the connection ends after the last request of which bytes were read; its answer announces that. Evidence: both new tests fail without the change (one answer instead of two).

--- a/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
@@ -109,7 +109,9 @@
 
     def prepare_next_request(self) -> bool:
         """Prepare for the next request; return whether one may follow."""
-        if self.caller_left or self.server.closing:
+        if self.caller_left:
+            return False
+        if self.server.closing and not self.next_request_has_begun():
             return False
         if self.protocol.our_state is not h11.DONE:
             return False
@@ -118,11 +120,15 @@
         self.protocol.start_next_cycle()
         return True
 
+    def next_request_has_begun(self) -> bool:
+        """Return whether bytes of a pipelined request were read."""
+        return bool(self.protocol.trailing_data[0])
+
     def read_request(self) -> CallerRequest | None:
         """Return the next request, or None if the connection is to be closed."""
         self.limits = self.server.limits()
-        buffered = bool(self.protocol.trailing_data[0])
-        self.request_started_at = clock.now() if buffered else 0.0
+        has_begun = self.next_request_has_begun()
+        self.request_started_at = clock.now() if has_begun else 0.0
         try:
             head = self.next_event(clock.now())
             if not isinstance(head, h11.Request):
@@ -299,7 +305,8 @@
 
     def send_head(self, status: int, headers: Headers) -> None:
         """Start a response; its head is sent together with the first body bytes."""
-        if self.server.closing or self.server.is_leaving():
+        ends = self.server.closing or self.server.is_leaving()
+        if ends and not self.next_request_has_begun():
             headers = [*headers, (b"Connection", b"close")]
         event = h11.Response(status_code=status, headers=headers)
         self.unsent += self.protocol.send(event) or b""
--- a/packages/primroselever-entry/tests/direct/test_caller_connection.py
+++ b/packages/primroselever-entry/tests/direct/test_caller_connection.py
@@ -10,7 +10,17 @@
 from eventlet.greenio import GreenSocket
 from hypothesis import HealthCheck, example, given, settings, strategies
 
-from .conftest import HANG, LIMITS, Entry, ok_response, read_all, request
+from .conftest import (
+    HANG,
+    LIMITS,
+    PAUSE,
+    Entry,
+    chunk,
+    ok_response,
+    read_all,
+    request,
+    stream_head,
+)
 
 
 def test_connection_is_reused_for_the_next_request(entry):
@@ -181,6 +191,41 @@
     assert read_all(connection).endswith(b"ok")
 
 
+# Guards against pipelined requests that are read and dropped when the entry closes
+# although the answer before them did not say that the connection ends.
+def test_closing_answers_a_request_that_was_read_behind_another_one(entry):
+    backend = entry.add("a", "engine")
+    backend.responses = [
+        [stream_head(), chunk(b"data: a\n\n"), PAUSE, b"0\r\n\r\n"],
+        [stream_head(), chunk(b"data: b\n\n"), b"0\r\n\r\n"],
+    ]
+    connection = entry.connect()
+    ask = request("/ask/x", "POST", b"p", ["x-model: m"], close=False)
+    connection.sendall(ask + ask)
+    response = b""
+    with eventlet.Timeout(1):
+        while b"data: a" not in response:
+            response += connection.recv(4096)
+    entry.server.close_idle_connections()
+    response += read_all(connection)
+    assert response.count(b"HTTP/1.1 200") == 2
+    assert response.count(b"0\r\n\r\n") == 2
+    assert entry.server.unfinished_count() == 0
+
+
+# Guards against the same while the entry is still leaving: the answer that announces
+# the end of the connection is the one to the last request that was read.
+def test_leaving_entry_answers_a_request_that_was_read_behind_another_one(entry):
+    entry.add("a").responses = [ok_response(b"one"), ok_response(b"two")]
+    entry.leaving = True
+    connection = entry.connect()
+    connection.sendall(request(close=False) + request(close=False))
+    first, _, second = read_all(connection).partition(b"one")
+    assert b"connection: close" not in first.lower()
+    assert b"connection: close" in second.lower()
+    assert second.endswith(b"two")
+
+
 def test_closing_entry_refuses_new_requests(entry):
     backend = entry.add("a")
     entry.server.closing = True
