Answer requests that the end of the process would cut off

What callers saw: beside a SIGTERM, a request whose back end had not answered at the shutdown deadline got neither an answer nor a refusal.

Cause: at the deadline the process ended with the connections open.

Change: at the shutdown deadline, before the time for the last writes, requests without a response are answered with 502 and their work is cancelled. Begun responses still end visibly incomplete.

Evidence: the new test shows the answer and that the work at the back end ends. It calls the server directly; shutting down a whole process was not run.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
@@ -328,6 +328,17 @@
         """Return whether any part of the current response was generated."""
         return self.protocol.our_state is not h11.SEND_RESPONSE
 
+    def answer_at_end(self) -> None:
+        """Answer a request that the end of the process cuts off, if still possible."""
+        if not self.processing or self.caller_left or self.response_begun():
+            return
+        try:
+            # 502 promises nothing: the request may run on at a back end.
+            self.send_problem(502, "the process ends")
+        except CallerLeftError:
+            return
+        self.mark_caller_left()
+
     def abandon_response(self) -> None:
         """Have the connection closed without the last chunk of the response."""
         self.caller_left = True
@@ -481,6 +492,11 @@
             else:
                 connection.busy_at_close = True
 
+    def answer_unfinished(self) -> None:
+        """Answer the requests without a response before the process ends."""
+        for connection in list(self.connections):
+            eventlet.spawn(connection.answer_at_end)
+
     def unfinished_count(self) -> int:
         """Return how many connections have a request that must still be answered."""
         return sum(
--- a/packages/primroselever-entry/src/primroselever_entry/direct/process.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/process.py
@@ -161,6 +161,8 @@
         eventlet.sleep(self.settings.turn_away_s)
         self.caller_server.close_idle_connections()
         drained = drain(self.caller_server.unfinished_count, deadline)
+        if not drained:
+            self.caller_server.answer_unfinished()
         eventlet.sleep(LAST_WRITES_S)
         return drained
 
--- a/packages/primroselever-entry/tests/direct/test_caller_connection.py
+++ b/packages/primroselever-entry/tests/direct/test_caller_connection.py
@@ -226,6 +226,26 @@
     assert second.endswith(b"two")
 
 
+# Guards against requests that end without an answer because the process ends before
+# their back end answers.
+def test_requests_without_a_response_are_answered_when_the_process_ends(entry):
+    backend = entry.add("a")
+    backend.responses = [[HANG]]
+    connection = entry.connect()
+    connection.sendall(request("/order/x", "POST", b"ink", close=False))
+    with eventlet.Timeout(1):
+        while not backend.requests:
+            eventlet.sleep(0.001)
+    entry.server.close_idle_connections()
+    entry.server.answer_unfinished()
+    response = read_all(connection)
+    assert response.startswith(b"HTTP/1.1 502")
+    assert response.count(b"HTTP/1.1") == 1
+    eventlet.sleep(0.01)
+    assert backend.disconnects == 1
+    assert entry.server.unfinished_count() == 0
+
+
 def test_closing_entry_refuses_new_requests(entry):
     backend = entry.add("a")
     entry.server.closing = True
