Process a change of the catalogue again if that failed

What callers saw: requests to servers that were gone, or none to new ones, until the next change.

Cause: after an unexpected error while a change was processed, the list was read in full again, but then held no change, so that nothing was processed. The same error ended for good the greenlet that removes servers whose leases lapsed.

Change: a change counts as processed only once that succeeded, and the removal of lapsed servers goes on after an error. Evidence: both new tests fail without the change.

--- a/packages/primroselever-node/src/primroselever_node/direct/follower.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/follower.py
@@ -16,6 +16,7 @@
 
 from .. import clock
 from ..logs import log_decision
+from ..process import run_controller
 from .sources import CatalogueChanges, CataloguePart, HistoryLostError, SourceError
 
 if TYPE_CHECKING:
@@ -70,12 +71,13 @@
         self.first_read_at = first_read_at
         self.answered_at: dict[CataloguePart, float] = {}
         self.unavailable_parts: set[CataloguePart] = set()
+        self.unprocessed_parts: set[CataloguePart] = set()
 
     def start(self) -> None:
         """Follow each part in its own greenlet, and expire lapsed servers."""
         for part in self.parts:
             eventlet.spawn(self.follow, part)
-        eventlet.spawn(self.expire_lapsed_servers)
+        run_controller(self.expire_lapsed_servers, EXPIRY_CHECK_S)
 
     def follow(self, part: CataloguePart) -> None:
         """Follow one part forever."""
@@ -186,7 +188,7 @@
         self, part: CataloguePart, changed: bool, changes: CatalogueChanges
     ) -> None:
         """Log the change and call ``on_change`` if the catalogue changed."""
-        if not changed:
+        if not changed and part not in self.unprocessed_parts:
             return
         configuration = self.catalogue.configuration
         log_decision(
@@ -201,21 +203,25 @@
             },
             servers=len(self.catalogue.servers),
         )
+        self.process_change(part)
+
+    def process_change(self, part: CataloguePart) -> None:
+        """Call ``on_change``; if it fails, it is called again with the next answer."""
+        self.unprocessed_parts.add(part)
         self.on_change(part)
+        self.unprocessed_parts.discard(part)
 
     def expire_lapsed_servers(self) -> None:
-        """Remove, periodically, back ends whose leases lapsed in an outage."""
-        while True:
-            eventlet.sleep(EXPIRY_CHECK_S)
-            expired = self.catalogue.expire_lapsed_servers(clock.now())
-            if expired:
-                log_decision(
-                    "back ends expired",
-                    " ".join(expired),
-                    "removed",
-                    "their leases lapsed",
-                )
-                self.on_change(CataloguePart.SERVERS)
+        """Remove the back ends whose leases lapsed in an outage."""
+        expired = self.catalogue.expire_lapsed_servers(clock.now())
+        if expired:
+            log_decision(
+                "back ends expired",
+                " ".join(expired),
+                "removed",
+                "their leases lapsed",
+            )
+            self.process_change(CataloguePart.SERVERS)
 
 
 def is_burst_of_large_configurations(changes: CatalogueChanges) -> bool:
--- a/packages/primroselever-node/tests/direct/test_follower.py
+++ b/packages/primroselever-node/tests/direct/test_follower.py
@@ -223,3 +223,42 @@
     eventlet.sleep(0.15)
     assert source.calls[0] == ("read",)
     assert catalogue.configuration is not None
+
+
+# Guards against servers that are known but get no requests, or are gone but still get
+# some, because the processing of one change failed.
+def test_a_change_whose_processing_failed_is_processed_again():
+    catalogue, calls = Catalogue(), []
+
+    def fail_once(part):
+        calls.append(part)
+        if len(calls) == 1:
+            raise RuntimeError("a fault of the program")
+
+    changes = CatalogueChanges(5, [ServerListed(server("a"))])
+    source = ScriptedSource(changes, changes)
+    follower = CatalogueFollower(catalogue, source, fail_once, [CataloguePart.SERVERS])
+    greenlet = eventlet.spawn(follower.follow, CataloguePart.SERVERS)
+    eventlet.sleep(follower_module.FIRST_RETRY_S + 0.05)
+    greenlet.kill()
+    assert calls == [CataloguePart.SERVERS] * 2
+
+
+# Guards against servers that are gone and get requests for good, because the processing
+# of an earlier removal failed.
+def test_lapsed_servers_expire_after_the_processing_of_others_failed(monkeypatch):
+    monkeypatch.setattr(follower_module, "EXPIRY_CHECK_S", 0.005)
+    catalogue, calls = Catalogue(), []
+
+    def fail(part):
+        calls.append(part)
+        raise RuntimeError("a fault of the program")
+
+    follower = CatalogueFollower(catalogue, ScriptedSource(), fail, [])
+    follower.start()
+    for name in ("a", "b"):
+        catalogue.list_server(server(name))
+        catalogue.mark_lapsed(name, 5)
+        eventlet.sleep(0.05)
+    assert catalogue.servers == {}
+    assert len(calls) == 2
