Keep the configuration in force if a newer one cannot be applied

After an error in a newer configuration, its revision would have counted as applied with the routes and keys of the one before, and it would never have been applied again.

Cause: the revision was stored before the table of routes was made.

Change: the table is made first. Evidence: the new test fails without the change.

--- a/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
@@ -139,9 +139,11 @@
         current = self.configuration
         if current is not None and configuration.revision <= current.revision:
             return False
+        # First, since an error must leave the configuration in force as it was.
+        routes = RouteTable.from_configuration(configuration)
         self.configuration = configuration
         self.configuration_at = now
-        self.routes = RouteTable.from_configuration(configuration)
+        self.routes = routes
         return True
 
     def publish_weights(self, model: str, version: int, now: float) -> bool:
--- a/packages/primroselever-core/tests/catalogue/test_catalogue.py
+++ b/packages/primroselever-core/tests/catalogue/test_catalogue.py
@@ -4,8 +4,11 @@
 
 from dataclasses import replace
 
+import pytest
+
 from primroselever_core.catalogue.catalogue import LAPSE_GRACE_S, Catalogue
 from primroselever_core.catalogue.model import ServerState
+from primroselever_core.catalogue.routes import RouteTable
 
 
 def test_an_older_configuration_is_ignored(make_configuration):
@@ -158,3 +161,20 @@
     fresh.merge(peer.copy(), 1.5)
     assert fresh.servers["a"].state is ServerState.LEAVING
     assert "b" in fresh.servers
+
+
+# Guards against old routes that stay in force under the revision of a configuration
+# that could not be applied.
+def test_a_configuration_that_cannot_be_applied_leaves_the_one_in_force(
+    make_configuration, monkeypatch
+):
+    def fail(configuration):
+        raise RuntimeError("a fault of the program")
+
+    catalogue, newer = Catalogue(), make_configuration(4)
+    with monkeypatch.context() as context:
+        context.setattr(RouteTable, "from_configuration", fail)
+        with pytest.raises(RuntimeError):
+            catalogue.configure(newer, 1.0)
+    assert catalogue.configuration is None
+    assert catalogue.configure(newer, 2.0)
