Reset the connection of a cut off response without chunks

What callers saw: callers before HTTP/1.1 took a stream that was cut off for a complete one.

Cause: their responses have no chunks and end with the connection, which was closed in an orderly way when a response was abandoned.

Change: such a connection is reset. Evidence: the new test fails without the change (the connection ended in an orderly way).

--- a/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
@@ -11,6 +11,8 @@
 import json
 import logging
 import socket
+import struct
+from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
 import eventlet
@@ -39,6 +41,7 @@
 LINGER_S = 0.5  # to read the rest of a refused body, so that the refusal arrives
 ACCEPT_RETRY_S = 0.05  # after a failure, such as a lack of descriptors
 WRITE_TIMEOUT_S = 10.0  # a caller that reads nothing for this long is gone
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # for SO_LINGER
 
 # The unpatched module polls without switching greenlets.
 select_module = patcher.original("select")
@@ -340,8 +343,18 @@
         self.mark_caller_left()
 
     def abandon_response(self) -> None:
-        """Have the connection closed without the last chunk of the response."""
+        """
+        Have the connection closed without the last chunk of the response.
+
+        Callers before HTTP/1.1 get no chunks. Their connection is reset, since an
+        orderly end would complete the response.
+        """
         self.caller_left = True
+        if self.protocol.their_http_version != b"1.1":
+            with suppress(OSError):  # the caller closed it first
+                self.socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE
+                )
 
     @property
     def refuses_requests(self) -> bool:
--- a/packages/primroselever-entry/tests/direct/test_caller_connection.py
+++ b/packages/primroselever-entry/tests/direct/test_caller_connection.py
@@ -10,7 +10,11 @@
 from eventlet.greenio import GreenSocket
 from hypothesis import HealthCheck, example, given, settings, strategies
 
+from primroselever_node import clock
+from primroselever_node.direct.exchange import receive_bytes
+
 from .conftest import (
+    CLOSE,
     HANG,
     LIMITS,
     PAUSE,
@@ -319,3 +323,19 @@
     eventlet.sleep(0.01)
     with eventlet.Timeout(0.4):
         assert entry.send().endswith(b"ok")
+
+
+# Guards against an answer that was cut off and looks complete to a caller for which the
+# end of the connection is the end of the answer.
+def test_answer_without_chunks_that_is_cut_off_resets_the_connection(entry):
+    entry.add("a", "engine").responses = [
+        [stream_head(), chunk(b"id: 1\ndata: a\n\n"), PAUSE, CLOSE]
+    ]
+    connection = entry.connect()
+    data = request("/ask/x", "POST", b"p", ["x-model: m"], close=False)
+    connection.sendall(data.replace(b"HTTP/1.1", b"HTTP/1.0", 1))
+    response, deadline = b"", clock.now() + 1
+    with pytest.raises(ConnectionResetError):
+        while received := receive_bytes(connection, deadline):
+            response += received
+    assert b"data: a" in response
