Go on with a silent back end as soon as it does

What callers saw: a stream that was cut off, or that paused for long, although the back end that had fallen silent for a second or so had gone on.

Cause: while another back end was tried, the first one was not read. If the other one was silent as well, it was waited for until the deadline when no attempt was left, and otherwise replaced the first one, which was closed.

Change: while the other one has sent no events, the first one is watched. When bytes arrive from it, the attempt of the other one ends as 'overtaken', is not counted as its failure, and the first one is read on.

Evidence: the new test fails without the change (the stream was cut off at its deadline).

--- a/packages/primroselever-entry/src/primroselever_entry/direct/attempt.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/attempt.py
@@ -14,6 +14,7 @@
     NOT_RUN = "not run"
     BROKEN = "broken"
     SILENT = "silent"
+    OVERTAKEN = "overtaken"  # an earlier silent attempt went on
     OUT_OF_TIME = "out of time"
     CALLER_LEFT = "caller left"
 
--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -304,6 +304,9 @@
             return self.record_attempt(
                 state, silent, silent.keep_waiting(state.deadline)
             )
+        if silent is not None and silent.has_data():
+            until = min(state.deadline, now + SILENCE_RECHECK_S)
+            return self.record_attempt(state, silent, silent.keep_waiting(until))
         choice = self.choose_next_backend(state, now)
         if isinstance(choice, Refused):
             if silent is None:
--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+import eventlet
 import h11
 
 from primroselever_core.catalogue.model import RouteKind
@@ -49,6 +50,7 @@
 NOT_RUN_STATUSES = (421, 429, 503)
 URGENCY_ON_TIME = b"5"  # the default for requests without this header
 URGENCY_LATE = b"8"  # runs after all requests that can still meet their objective
+OVERTAKEN_REASON = "the silent back end went on"
 BODY_METHODS = (b"POST", b"PUT", b"PATCH")
 
 
@@ -88,6 +90,7 @@
         self.index = 0
         self.attempt: Attempt | None = None
         self.closed = False
+        self.overtaken = False
         self.backend.in_flight += 1
 
     def run(self) -> Attempt:
@@ -98,7 +101,30 @@
         until ``close`` is called.
         """
         self.state.event_buffer.drop_partial_event()
-        return self.receive_result(self.start_exchange)
+        silent = self.state.silent_sender
+        if silent is None or silent.connection is None:
+            return self.receive_result(self.start_exchange)
+        watcher = eventlet.spawn(self.watch_silent, silent, silent.connection)
+        try:
+            return self.receive_result(self.start_exchange)
+        finally:
+            watcher.kill()
+
+    def watch_silent(self, silent: AttemptSender, connection: HttpConnection) -> None:
+        """End this attempt if a silent one goes on before this one has sent events."""
+        if not connection.wait_for_data() or not silent.may_continue():
+            return
+        self.overtaken = True
+        if self.connection is not None:
+            self.connection.interrupt()
+
+    def has_data(self) -> bool:
+        """Return whether the response goes on where it became silent."""
+        return (
+            self.may_continue()
+            and self.connection is not None
+            and self.connection.has_data()
+        )
 
     def keep_waiting(self, until: float) -> Attempt:
         """Wait until a time for a back end that was silent; return the result."""
@@ -148,6 +174,8 @@
         except BrokenExchangeError as exc:
             if self.caller.caller_left:
                 return Attempt(AttemptEnd.CALLER_LEFT)
+            if self.overtaken:
+                return Attempt(AttemptEnd.OVERTAKEN, reason=OVERTAKEN_REASON)
             self.backend.record_failure(clock.now())
             return Attempt(AttemptEnd.BROKEN, reason=str(exc))
 
@@ -187,6 +215,8 @@
         request = self.state.request
         if self.caller.caller_left:
             return Attempt(AttemptEnd.CALLER_LEFT)
+        if self.overtaken:
+            return Attempt(AttemptEnd.NOT_SENT, reason=OVERTAKEN_REASON)
         if not self.flow.announcements.admits_requests(listed):
             # Announced while the connection was opened.
             return Attempt(AttemptEnd.NOT_SENT, reason="it closed meanwhile")
--- a/packages/primroselever-entry/tests/direct/test_silence.py
+++ b/packages/primroselever-entry/tests/direct/test_silence.py
@@ -213,3 +213,16 @@
     ask(entry)
     assert len(first.requests) == 1
     assert second.requests == []
+
+
+# Guards against streams that are cut off because the back end that was to take over is
+# silent as well, while the first one has gone on.
+def test_silent_back_end_goes_on_while_another_one_has_sent_nothing(entry):
+    first, second = entry.add("a", "engine"), entry.add("b", "engine")
+    entry.board.backends.backends["b"].in_flight = 7
+    first.responses = [PAUSED_STREAM]
+    second.responses = [[HANG]]
+    assert_complete(ask(entry))
+    eventlet.sleep(0.01)
+    assert second.disconnects == 1
+    assert entry.board.backends.backends["b"].in_flight == 7
--- a/packages/primroselever-node/src/primroselever_node/direct/exchange.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/exchange.py
@@ -259,6 +259,22 @@
         except OSError:
             return False
 
+    def has_data(self) -> bool:
+        """Return whether bytes have arrived, not only the end of the connection."""
+        try:
+            self.socket.setblocking(False)
+            return bool(self.socket.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
+    def wait_for_data(self) -> bool:
+        """Wait until the connection has bytes or ends; return whether it has any."""
+        try:
+            trampoline(self.socket.fd, read=True)  # type: ignore[attr-defined]
+        except OSError:  # closed meanwhile
+            return False
+        return self.has_data()
+
     def interrupt(self) -> None:
         """Shut down the connection, which wakes a greenlet that waits on it."""
         self.usable_until = 0.0
