--- a/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
@@ -11,6 +11,8 @@
 import json
 import logging
 import socket
+import struct
+from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
 import eventlet
@@ -39,6 +41,7 @@
 LINGER_S = 0.5  # to read the rest of a refused body, so that the refusal arrives
 ACCEPT_RETRY_S = 0.05  # after a failure, such as a lack of descriptors
 WRITE_TIMEOUT_S = 10.0  # a caller that reads nothing for this long is gone
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # for SO_LINGER
 
 # The unpatched module polls without switching greenlets.
 select_module = patcher.original("select")
@@ -68,9 +71,7 @@
         self.server = server
         self.socket = sock
         self.limits: CallerLimits = server.limits()
-        self.protocol = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self.limits.header_bytes
-        )
+        self.protocol = self.new_protocol()
         self.processing = False
         self.caller_left = False
         self.on_caller_left: Callable[[], None] | None = None
@@ -80,6 +81,12 @@
         self.request_id = b""
         self.unsent = b""
 
+    def new_protocol(self) -> h11.Connection:
+        """Return a parser without state, for the size limit in force."""
+        return h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self.limits.header_bytes
+        )
+
     def serve(self) -> None:
         """Process requests until the connection ends."""
         try:
@@ -105,7 +112,9 @@
 
     def prepare_next_request(self) -> bool:
         """Prepare for the next request; return whether one may follow."""
-        if self.caller_left or self.server.closing:
+        if self.caller_left:
+            return False
+        if self.server.closing and not self.next_request_has_begun():
             return False
         if self.protocol.our_state is not h11.DONE:
             return False
@@ -114,11 +123,15 @@
         self.protocol.start_next_cycle()
         return True
 
+    def next_request_has_begun(self) -> bool:
+        """Return whether bytes of a pipelined request were read."""
+        return bool(self.protocol.trailing_data[0])
+
     def read_request(self) -> CallerRequest | None:
         """Return the next request, or None if the connection is to be closed."""
         self.limits = self.server.limits()
-        buffered = bool(self.protocol.trailing_data[0])
-        self.request_started_at = clock.now() if buffered else 0.0
+        has_begun = self.next_request_has_begun()
+        self.request_started_at = clock.now() if has_begun else 0.0
         try:
             head = self.next_event(clock.now())
             if not isinstance(head, h11.Request):
@@ -182,8 +195,16 @@
                 raise
             if data and not self.request_started_at:
                 self.request_started_at = clock.now()
+                self.apply_current_limits()
             self.protocol.receive_data(data)
 
+    def apply_current_limits(self) -> None:
+        """Apply the limits in force when a request begins, before it is parsed."""
+        previous_header_bytes = self.limits.header_bytes
+        self.limits = self.server.limits()
+        if self.limits.header_bytes != previous_header_bytes:
+            self.protocol = self.new_protocol()
+
     def receive_deadline(self, idle_since: float) -> float:
         """Return until when the next bytes must arrive."""
         if self.request_started_at and not self.reading_body:
@@ -287,7 +308,8 @@
 
     def send_head(self, status: int, headers: Headers) -> None:
         """Start a response; its head is sent together with the first body bytes."""
-        if self.server.closing or self.server.is_leaving():
+        ends = self.server.closing or self.server.is_leaving()
+        if ends and not self.next_request_has_begun():
             headers = [*headers, (b"Connection", b"close")]
         event = h11.Response(status_code=status, headers=headers)
         self.unsent += self.protocol.send(event) or b""
@@ -309,9 +331,30 @@
         """Return whether any part of the current response was generated."""
         return self.protocol.our_state is not h11.SEND_RESPONSE
 
+    def answer_at_end(self) -> None:
+        """Answer a request that the end of the process cuts off, if still possible."""
+        if not self.processing or self.caller_left or self.response_begun():
+            return
+        try:
+            # 502 promises nothing: the request may run on at a back end.
+            self.send_problem(502, "the process ends")
+        except CallerLeftError:
+            return
+        self.mark_caller_left()
+
     def abandon_response(self) -> None:
-        """Have the connection closed without the last chunk of the response."""
+        """
+        Have the connection closed without the last chunk of the response.
+
+        Callers before HTTP/1.1 get no chunks. Their connection is reset, since an
+        orderly end would complete the response.
+        """
         self.caller_left = True
+        if self.protocol.their_http_version != b"1.1":
+            with suppress(OSError):  # the caller closed it first
+                self.socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE
+                )
 
     @property
     def refuses_requests(self) -> bool:
@@ -462,6 +505,11 @@
             else:
                 connection.busy_at_close = True
 
+    def answer_unfinished(self) -> None:
+        """Answer the requests without a response before the process ends."""
+        for connection in list(self.connections):
+            eventlet.spawn(connection.answer_at_end)
+
     def unfinished_count(self) -> int:
         """Return how many connections have a request that must still be answered."""
         return sum(
--- a/packages/primroselever-entry/tests/direct/test_caller_connection.py
+++ b/packages/primroselever-entry/tests/direct/test_caller_connection.py
@@ -10,7 +10,21 @@
 from eventlet.greenio import GreenSocket
 from hypothesis import HealthCheck, example, given, settings, strategies
 
-from .conftest import HANG, LIMITS, Entry, ok_response, read_all, request
+from primroselever_node import clock
+from primroselever_node.direct.exchange import receive_bytes
+
+from .conftest import (
+    CLOSE,
+    HANG,
+    LIMITS,
+    PAUSE,
+    Entry,
+    chunk,
+    ok_response,
+    read_all,
+    request,
+    stream_head,
+)
 
 
 def test_connection_is_reused_for_the_next_request(entry):
@@ -90,6 +104,22 @@
     assert read_all(connection).startswith(b"HTTP/1.1 200")
 
 
+# Guards against requests that a configuration in force allows but that are refused,
+# since their connection had waited since before it.
+@pytest.mark.parametrize("grows", ["head", "body"])
+def test_larger_size_limits_apply_to_connections_that_already_wait(entry, grows):
+    entry.add("a").responses = [ok_response()]
+    entry.server.limits = lambda: replace(LIMITS, header_bytes=200, body_bytes=2)
+    connection = entry.connect()
+    eventlet.sleep(0.02)
+    entry.server.limits = lambda: LIMITS
+    if grows == "head":
+        connection.sendall(request(headers=["x-long: " + 1000 * "a"]))
+    else:
+        connection.sendall(request("/order/x", "POST", b"ink"))
+    assert read_all(connection).startswith(b"HTTP/1.1 200")
+
+
 def test_leaving_entry_answers_with_connection_close(entry):
     backend = entry.add("a")
     backend.responses = [ok_response()]
@@ -165,6 +195,61 @@
     assert read_all(connection).endswith(b"ok")
 
 
+# Guards against pipelined requests that are read and dropped when the entry closes
+# although the answer before them did not say that the connection ends.
+def test_closing_answers_a_request_that_was_read_behind_another_one(entry):
+    backend = entry.add("a", "engine")
+    backend.responses = [
+        [stream_head(), chunk(b"data: a\n\n"), PAUSE, b"0\r\n\r\n"],
+        [stream_head(), chunk(b"data: b\n\n"), b"0\r\n\r\n"],
+    ]
+    connection = entry.connect()
+    ask = request("/ask/x", "POST", b"p", ["x-model: m"], close=False)
+    connection.sendall(ask + ask)
+    response = b""
+    with eventlet.Timeout(1):
+        while b"data: a" not in response:
+            response += connection.recv(4096)
+    entry.server.close_idle_connections()
+    response += read_all(connection)
+    assert response.count(b"HTTP/1.1 200") == 2
+    assert response.count(b"0\r\n\r\n") == 2
+    assert entry.server.unfinished_count() == 0
+
+
+# Guards against the same while the entry is still leaving: the answer that announces
+# the end of the connection is the one to the last request that was read.
+def test_leaving_entry_answers_a_request_that_was_read_behind_another_one(entry):
+    entry.add("a").responses = [ok_response(b"one"), ok_response(b"two")]
+    entry.leaving = True
+    connection = entry.connect()
+    connection.sendall(request(close=False) + request(close=False))
+    first, _, second = read_all(connection).partition(b"one")
+    assert b"connection: close" not in first.lower()
+    assert b"connection: close" in second.lower()
+    assert second.endswith(b"two")
+
+
+# Guards against requests that end without an answer because the process ends before
+# their back end answers.
+def test_requests_without_a_response_are_answered_when_the_process_ends(entry):
+    backend = entry.add("a")
+    backend.responses = [[HANG]]
+    connection = entry.connect()
+    connection.sendall(request("/order/x", "POST", b"ink", close=False))
+    with eventlet.Timeout(1):
+        while not backend.requests:
+            eventlet.sleep(0.001)
+    entry.server.close_idle_connections()
+    entry.server.answer_unfinished()
+    response = read_all(connection)
+    assert response.startswith(b"HTTP/1.1 502")
+    assert response.count(b"HTTP/1.1") == 1
+    eventlet.sleep(0.01)
+    assert backend.disconnects == 1
+    assert entry.server.unfinished_count() == 0
+
+
 def test_closing_entry_refuses_new_requests(entry):
     backend = entry.add("a")
     entry.server.closing = True
@@ -238,3 +323,19 @@
     eventlet.sleep(0.01)
     with eventlet.Timeout(0.4):
         assert entry.send().endswith(b"ok")
+
+
+# Guards against an answer that was cut off and looks complete to a caller for which the
+# end of the connection is the end of the answer.
+def test_answer_without_chunks_that_is_cut_off_resets_the_connection(entry):
+    entry.add("a", "engine").responses = [
+        [stream_head(), chunk(b"id: 1\ndata: a\n\n"), PAUSE, CLOSE]
+    ]
+    connection = entry.connect()
+    data = request("/ask/x", "POST", b"p", ["x-model: m"], close=False)
+    connection.sendall(data.replace(b"HTTP/1.1", b"HTTP/1.0", 1))
+    response, deadline = b"", clock.now() + 1
+    with pytest.raises(ConnectionResetError):
+        while received := receive_bytes(connection, deadline):
+            response += received
+    assert b"data: a" in response
--- a/packages/primroselever-entry/tests/direct/test_silence.py
+++ b/packages/primroselever-entry/tests/direct/test_silence.py
@@ -12,13 +12,19 @@
 import pytest
 
 from primroselever_core.dispatch.retry_share import RetryLimits
+from primroselever_core.runs.fingerprint import fingerprint_of
+from primroselever_core.suspects.section import CrashId
 from primroselever_entry.direct import sending
+from primroselever_node import clock
 
 from .conftest import (
     HANG,
     PAUSE,
+    PAUSE_S,
+    RESET,
     chunk,
     ok_response,
+    read_all,
     refusal,
     request,
     stream_head,
@@ -106,7 +112,7 @@
     first, second = entry.add("a", "engine"), entry.add("b", "engine")
     entry.board.backends.backends["b"].in_flight = 7
     first.responses = [PAUSED_STREAM]
-    second.responses = [[stream_head() + chunk(EVENTS[1]), b"<reset>"]]
+    second.responses = [[stream_head() + chunk(EVENTS[1]), RESET]]
     response = ask(entry)
     assert events_of(response) == b"".join(EVENTS[:2]).replace(b"\n\n", b"\n")
     assert not response.endswith(STREAM_END)
@@ -129,3 +135,94 @@
     eventlet.sleep(0.02)
     assert backend.disconnects == 1
     assert entry.board.backends.backends["a"].in_flight == 0
+
+
+# Guards against waiting until the deadline for a back end that is silent for good
+# although another one has become free meanwhile.
+def test_back_end_that_appears_during_a_silence_takes_over(entry):
+    first = entry.add("a", "engine")
+    first.responses = [[stream_head() + chunk(EVENTS[0]), HANG]]
+    connection = entry.connect()
+    connection.sendall(request("/ask/x", "POST", b"p", ["x-model: m"]))
+    eventlet.sleep(0.1)
+    second = entry.add("b", "engine")
+    second.responses = [
+        [stream_head() + chunk(EVENTS[1]), chunk(EVENTS[2]) + STREAM_END]
+    ]
+    assert_complete(read_all(connection))
+
+
+# Guards against work that a silent back end goes on with for nobody, and against its
+# slot being held, once another back end has sent events.
+def test_silent_back_end_is_released_once_another_has_sent_events(entry):
+    first, second = entry.add("a", "engine"), entry.add("b", "engine")
+    entry.board.backends.backends["b"].in_flight = 7
+    first.responses = [[stream_head() + chunk(EVENTS[0]), HANG]]
+    second.responses = [[stream_head() + chunk(EVENTS[1]), HANG]]
+    connection = entry.connect()
+    connection.sendall(request("/ask/x", "POST", b"p", ["x-model: m"]))
+    with eventlet.Timeout(1):
+        while EVENTS[1] not in connection.recv(4096):
+            pass
+    eventlet.sleep(0.01)
+    assert (first.disconnects, second.disconnects) == (1, 0)
+    assert entry.board.backends.backends["a"].in_flight == 0
+
+
+# Guards against an error that is joined to the events of another run as if it completed
+# the stream.
+@pytest.mark.parametrize("status", [b"404 Unknown", b"500 Failed"])
+def test_error_of_the_resuming_back_end_is_not_joined_to_the_stream(entry, status):
+    first, second = entry.add("a", "engine"), entry.add("b", "engine")
+    entry.board.backends.backends["b"].in_flight = 7
+    first.responses = [[stream_head() + chunk(EVENTS[0]), RESET]]
+    second.responses = [
+        [b"HTTP/1.1 %s\r\nx-request: r1\r\nContent-Length: 5\r\n\r\nerror" % status]
+    ]
+    response = ask(entry)
+    assert len(second.requests) == 1
+    assert b"error" not in response
+    assert not response.endswith(STREAM_END)
+
+
+# Guards against giving up a silent back end for the error of the one that was to take
+# over.
+@pytest.mark.parametrize("status", [b"404 Unknown", b"500 Failed"])
+def test_stream_goes_on_after_a_pause_when_the_other_back_end_fails(entry, status):
+    first, second = entry.add("a", "engine"), entry.add("b", "engine")
+    entry.board.backends.backends["b"].in_flight = 7
+    first.responses = [PAUSED_STREAM]
+    second.responses = [
+        [b"HTTP/1.1 %s\r\nx-request: r1\r\nContent-Length: 5\r\n\r\nerror" % status]
+    ]
+    assert_complete(ask(entry))
+
+
+# Guards against a request that crashes servers and reaches yet another one because the
+# last of them was silent before its connection broke.
+def test_crash_after_a_silence_quarantines_the_request(entry):
+    fingerprint = fingerprint_of("desk.example/ask/x", "inks", b"p")
+    entry.board.suspects.record_crash(CrashId("2/x/1"), [fingerprint], clock.now())
+    first, second = entry.add("a", "engine"), entry.add("b", "engine")
+    first.responses = [[stream_head() + chunk(EVENTS[0]), PAUSE, RESET]]
+    second.responses = [
+        [stream_head() + chunk(EVENTS[1]), chunk(EVENTS[2]) + STREAM_END]
+    ]
+    returns_at = clock.now() + PAUSE_S / 2
+    entry.board.backends.backends["b"].ejected_until = returns_at
+    ask(entry)
+    assert len(first.requests) == 1
+    assert second.requests == []
+
+
+# Guards against streams that are cut off because the back end that was to take over is
+# silent as well, while the first one has gone on.
+def test_silent_back_end_goes_on_while_another_one_has_sent_nothing(entry):
+    first, second = entry.add("a", "engine"), entry.add("b", "engine")
+    entry.board.backends.backends["b"].in_flight = 7
+    first.responses = [PAUSED_STREAM]
+    second.responses = [[HANG]]
+    assert_complete(ask(entry))
+    eventlet.sleep(0.01)
+    assert second.disconnects == 1
+    assert entry.board.backends.backends["b"].in_flight == 7
