Model a store that is restored from older copies

Cause: the store may come back from a copy; revisions go back and are given out again in a new era, which no model covers.

--- a/models/__main__.py
+++ b/models/__main__.py
@@ -4,10 +4,10 @@
 
 import sys
 
-from . import at_most_once, catalogue, read_out, revisions
+from . import at_most_once, catalogue, read_out, revisions, store_restore
 from .checking import check
 
-MODULES = (at_most_once, catalogue, read_out, revisions)
+MODULES = (at_most_once, catalogue, read_out, revisions, store_restore)
 
 
 def main() -> int:
