Give the soak's fleet the 12 s to recover that the platform states

Cause: RECOVERY_S was 8 s, while its comment named the 12 s that the platform allows at least after the last fault. Change: the bound is the stated one. It is 4 s longer than before.

--- a/soak/run.py
+++ b/soak/run.py
@@ -23,7 +23,7 @@
 # Each sequence injects one fault at a time; faults of different sequences overlap.
 FAULT_SEQUENCE_COUNT = 2
 MEAN_PAUSE_BETWEEN_FAULTS_S = 0.8  # within one sequence
-RECOVERY_S = 8.0  # The platform allows at least 12 s after the last fault.
+RECOVERY_S = 12.0  # the platform allows at least this after the last fault
 FAULT_FREE_S = 3.0
 MIN_SERVED_SHARE = 0.9  # of the requests sent after the recovery time
 
