Add restores, closures and silences to the soak, with their checks

Cause: nothing tested a store that is restored from an older copy, back ends that announce in their answers that they leave or are closed, and sound back ends that fall silent for about a second. Change: the stand-in store sends Store-Era and can be restored; back ends number their writes, announce, close and fall silent; the ledger checks drains by announcement, requests to closed back ends, requests lost in a silence, and that no restore takes back a drain or a configuration. Each soak begins with these faults in series; then they overlap with the others. Half of the callers keep a connection until the entry or its process ends it. A fault of the store no longer ends another one that overlaps with it.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,6 +5,7 @@
 import argparse
 import sys
 import warnings
+from collections import Counter
 
 warnings.filterwarnings("ignore", message="(?s).*Eventlet is deprecated.*")
 
@@ -59,6 +60,9 @@
                 f"{key}: {count}" for key, count in sorted(ledger.counts.items())
             )
         )
+        violation_counts = Counter(violation.rule for violation in ledger.violations)
+        if violation_counts:
+            print(f"  violations: {dict(violation_counts)}")
         for violation in ledger.violations[:MAX_PRINTED_VIOLATIONS]:
             print(
                 f"  {violation.rule}: {violation.details}; logs: {soak.log_directory}"
--- a/soak/backends.py
+++ b/soak/backends.py
@@ -21,7 +21,7 @@
     not_found,
 )
 
-from .ledger import Run, make_event
+from .ledger import Arrival, Run, make_event
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -38,6 +38,7 @@
 PLAIN_RUN_S = 0.1
 LOAD_DURATION_S = 0.2
 MODEL_NAME = "m"
+RETRY_AFTER_S = 3  # in the refusals of a closed back end
 # A piece that was corrupted this recently may have been verified before.
 CORRUPTION_GRACE_S = 3.0
 
@@ -73,7 +74,10 @@
     Base class of the back ends, with a limit on runs and simulated crashes.
 
     ``server_id`` changes with every crash and start. Runs that began under another ID
-    end without an answer.
+    end without an answer. ``sequence`` counts the writes of the store entry. A back end
+    that is ``leaving`` says so in all its answers. Until ``closed_until`` it refuses
+    requests, and until ``silent_until`` it sends nothing, although it runs.
+    ``listed_as_draining`` is the state that its store entry tells.
     """
 
     server_numbers = itertools.count(1)
@@ -83,13 +87,18 @@
         self.ledger = ledger
         self.address = address
         self.domain = domain
+        self.silent_until = 0.0
         self.restart()
 
     def restart(self) -> None:
         """Start a new incarnation with a new server ID."""
         self.server_id = f"i-{next(self.server_numbers):04d}"
         self.born_ms = int(time.time() * 1000)
+        self.sequence = 0
         self.down = False
+        self.leaving = False
+        self.listed_as_draining = False
+        self.closed_until = 0.0
         self.running = 0
 
     def crash(self) -> None:
@@ -116,12 +125,47 @@
         """
         if self.down:
             raise CrashedError
-        if request.headers.get("Expect-Instance") != self.server_id:
-            return make_not_run_reply(request, "421 Misdirected Request")
+        server_id, now = request.headers.get("Expect-Instance"), time.monotonic()
+        arrival = Arrival(request.headers.get("Request-Id", ""), server_id or "", now)
+        if server_id == self.server_id:
+            self.ledger.arrivals.append(arrival)
+        self.wait_while_silent()
+        if self.down:
+            raise CrashedError
+        if server_id != self.server_id:
+            return self.refuse(request, "421 Misdirected Request")
+        now = time.monotonic()
+        if now < self.closed_until:
+            arrival.refused_at, arrival.closed_until = now, now + RETRY_AFTER_S
+            return self.refuse(request, "503 Service Unavailable", RETRY_AFTER_S)
         if self.running >= SLOTS + QUEUE_LENGTH:
-            return make_not_run_reply(request, "503 Service Unavailable")
+            return self.refuse(request, "503 Service Unavailable")
         return None
 
+    def wait_while_silent(self) -> None:
+        """Sleep until the end of a silence."""
+        while (remaining_s := self.silent_until - time.monotonic()) > 0:
+            eventlet.sleep(remaining_s)
+
+    def refuse(
+        self, request: Request, status: str, retry_after_s: int | None = None
+    ) -> Reply:
+        """Return a refusal that is marked as not run."""
+        body = json.dumps({"problem": status}).encode()
+        headers = [
+            ("Request-Id", request.headers.get("Request-Id", "")),
+            ("Not-Run", "1"),
+            ("Content-Length", str(len(body))),
+            *self.make_announcement(),
+        ]
+        if retry_after_s is not None:
+            headers.append(("Retry-After", str(retry_after_s)))
+        return Reply(status, [body], headers)
+
+    def make_announcement(self) -> list[tuple[str, str]]:
+        """Return the header of a back end that leaves."""
+        return [("Server-Leaving", "1")] if self.leaving else []
+
     def begin_run(self, request: Request) -> Run:
         """Record the start of a run and return it."""
         run = Run(self.server_id, time.monotonic(), request.headers.get("Tenant", ""))
@@ -132,15 +176,18 @@
     def simulate_work(self, run: Run, duration_s: float) -> None:
         """Sleep for a time; raise CrashedError if the back end crashed meanwhile."""
         eventlet.sleep(duration_s)
+        self.wait_while_silent()
         if run.server_id != self.server_id:
             run.interrupted = True
             raise CrashedError
 
     def make_headers(self, request: Request, run: Run) -> list[tuple[str, str]]:
         """Return the headers that identify the request and its run."""
+        run.leaving = self.leaving
         return [
             ("Request-Id", request.headers["Request-Id"]),
-            ("Response-Seal", f"{run.server_id}.{run.started_at:.6f}"),
+            ("Response-Seal", run.seal),
+            *self.make_announcement(),
         ]
 
 
@@ -194,6 +241,8 @@
         """Handle a command of the agent, or run a request."""
         if self.down:
             raise CrashedError
+        if not request.path.startswith("/stream/"):
+            self.wait_while_silent()
         if request.path == "/report":
             return json_reply(self.make_report())
         if request.path == "/order":
@@ -268,10 +317,10 @@
         if refusal is not None:
             return refusal
         if self.loading or not self.version:
-            return make_not_run_reply(request, "503 Service Unavailable")
+            return self.refuse(request, "503 Service Unavailable")
         expected_version = request.headers.get("Expect-Version")
         if expected_version is not None and int(expected_version) != self.version:
-            return make_not_run_reply(request, "421 Misdirected Request")
+            return self.refuse(request, "421 Misdirected Request")
         run = self.begin_run(request)
         headers = [
             *self.make_headers(request, run),
@@ -290,14 +339,3 @@
                 yield make_event(request_id, number)
         finally:
             self.running = max(0, self.running - 1)
-
-
-def make_not_run_reply(request: Request, status: str) -> Reply:
-    """Return a refusal that is marked as not run."""
-    body = json.dumps({"problem": status}).encode()
-    headers = [
-        ("Request-Id", request.headers.get("Request-Id", "")),
-        ("Not-Run", "1"),
-        ("Content-Length", str(len(body))),
-    ]
-    return Reply(status, [body], headers)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,7 +11,12 @@
 
 from .backends import SLOTS, ModelServer
 from .fleet import HOST_NAME, ROUTE_TIMEOUT_S, WORKSPACE_BY_API_KEY
-from .ledger import CONFIGURATION_LIMIT_S, CONTACT_RECOVERY_S, Attempt
+from .ledger import (
+    CONFIGURATION_LIMIT_S,
+    CONTACT_RECOVERY_S,
+    STORE_RESTORE,
+    Attempt,
+)
 
 if TYPE_CHECKING:
     from random import Random
@@ -22,6 +27,8 @@
 PROBE_INTERVAL_S = 0.3
 DISCONNECT_DELAY_S = 2.0  # after the timeout of a route
 MAX_REQUESTS_PER_CONNECTION = 20
+# The other callers use a connection until the entry or its process ends it.
+SHORT_CONNECTION_SHARE = 0.5
 EVENT_COUNT_RANGE = (3, 30)
 REQUEST_KINDS = ("read", "order", "stream")
 
@@ -37,7 +44,8 @@
         self.stopped = False
         self.connection: http.client.HTTPConnection | None = None
         self.entry: Vm | None = None
-        self.remaining_requests = 0
+        self.remaining_requests = 0.0
+        self.keeps_connections = random.random() >= SHORT_CONNECTION_SHARE
 
     def run(self) -> None:
         """Send random requests until ``stopped`` is set."""
@@ -70,6 +78,8 @@
             return None, None
         self.connection, self.entry = connection, entry
         self.remaining_requests = self.random.randrange(MAX_REQUESTS_PER_CONNECTION)
+        if self.keeps_connections:
+            self.remaining_requests = float("inf")
         return connection, entry
 
     def close(self) -> None:
@@ -146,10 +156,19 @@
             if engine.version == self.fleet.weights_version
             and engine.loaded_at < window_start
             and engine.running < SLOTS // 2
-            and ledger.is_fault_free(engine.server_id, window_start, window_end)
+            and ledger.is_fault_free(
+                engine.server_id, window_start, window_end, STORE_RESTORE
+            )
         ]
+        # A restored store lacks back ends for a moment. Only an entry that started
+        # meanwhile may lack them too.
+        ignored_kind = (
+            ""
+            if ledger.had_fault((attempt.entry,), window_start, window_end)
+            else STORE_RESTORE
+        )
         if 2 * len(available_engines) >= len(engines) and ledger.is_fault_free(
-            attempt.entry, window_start, window_end
+            attempt.entry, window_start, window_end, ignored_kind
         ):
             ledger.record_violation(
                 "room", f"{attempt.request_id} at {attempt.entry}: 503"
@@ -210,8 +229,17 @@
                 entry.name, incarnation, published_revision - 1, sent_at
             )
             deadline = published_at + CONFIGURATION_LIMIT_S
-            if sent_at > deadline and ledger.is_fault_free(
-                entry.name, published_at - CONTACT_RECOVERY_S, sent_at
+            # A configuration that was published during a fault is in force this long
+            # after its end.
+            in_touch_since = sent_at - CONTACT_RECOVERY_S - CONFIGURATION_LIMIT_S
+            if sent_at > deadline and (
+                ledger.is_fault_free(
+                    entry.name, published_at - CONTACT_RECOVERY_S, sent_at
+                )
+                or (
+                    in_touch_since > published_at
+                    and ledger.is_fault_free(entry.name, in_touch_since, sent_at)
+                )
             ):
                 ledger.record_violation(
                     "configuration late", f"{entry.name}: {published_revision}"
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -14,13 +14,21 @@
 
 import eventlet
 
+from .back_end_checks import LINK_DISTURBANCES, SILENCE
 from .backends import PIECE_COUNT, ModelServer
-from .ledger import FaultPeriod
+from .ledger import (
+    CONFIGURATION_LIMIT_S,
+    CONTACT_RECOVERY_S,
+    DRAIN_LIMIT_S,
+    STORE_RESTORE,
+    FaultPeriod,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from random import Random
 
+    from .backends import Backend
     from .callers import Prober
     from .fleet import Fleet, Vm
     from .ledger import Ledger
@@ -31,6 +39,13 @@
 LINK_DELAY_S = 0.3
 # A back end drains for this long, then up to as long again while it has runs.
 BACKEND_DRAIN_S = 4.0
+MAX_COPY_AGE_S = 3.0
+STORE_AWAY_S = 0.3  # long enough for open watches to end
+WRITES_BEFORE_RESTORE = 2  # by each back end; they are lost
+MAX_WRITING_AGAIN_DELAY_S = 1.0  # below the grace time for missing back ends
+CLOSURE_S = 4.0
+SILENCE_RANGE_S = (0.7, 1.0)
+MAX_WAIT_FOR_RUN_S = 1.0
 
 
 @dataclass(slots=True)
@@ -132,9 +147,9 @@
     period = context.record_fault("store down", "")
     state = context.fleet.store.state
     kind = context.random.choice(["down", "slow"])
-    setattr(state, kind, True)
+    setattr(state, kind, getattr(state, kind) + 1)
     eventlet.sleep(context.draw_duration_s())
-    setattr(state, kind, False)
+    setattr(state, kind, getattr(state, kind) - 1)
     period.end = time.monotonic()
 
 
@@ -149,11 +164,52 @@
     period.end = time.monotonic()
 
 
+def restore_store(context: FaultContext) -> None:
+    """Restore the store from a copy; what was lost is written again a little later."""
+    delay_s = MAX_WRITING_AGAIN_DELAY_S * context.random.random()
+    replace_store(context, delay_s)
+
+
+def restore_store_and_overtake(context: FaultContext) -> None:
+    """
+    Restore the store, which at once reaches the revisions that it had before.
+
+    The first of the new revisions is a new configuration, which a watch that continues
+    from a revision before the restore does not return.
+    """
+    replace_store(context, 0.0)
+
+
+def replace_store(context: FaultContext, writing_again_delay_s: float) -> None:
+    """Replace the store by a copy some seconds old, after a moment of being away."""
+    fleet = context.fleet
+    state = fleet.store.state
+    period = context.record_fault(STORE_RESTORE, "")
+    copy_age_s = MAX_COPY_AGE_S * context.random.random()
+    copy_revision = state.revision_at(time.monotonic() - copy_age_s)
+    for _ in range(WRITES_BEFORE_RESTORE):
+        fleet.write_again()
+    state.down += 1
+    eventlet.sleep(STORE_AWAY_S)
+    lost_revision = state.revision
+    state.restore(min(copy_revision, lost_revision))
+    if writing_again_delay_s:
+        state.down -= 1
+        eventlet.sleep(writing_again_delay_s)
+        fleet.write_again()
+    else:
+        publish_configuration(context)
+        while state.revision <= lost_revision:
+            fleet.write_again()
+        state.down -= 1
+    period.end = time.monotonic()
+
+
 def disturb_link(context: FaultContext) -> None:
     """Cut a link, silence or reset its connections, or delay its data."""
     name = context.random.choice(sorted(context.fleet.links.paths))
     path = context.fleet.links.paths[name]
-    kind = context.random.choice(["cut", "there", "back", "silence", "reset", "delay"])
+    kind = context.random.choice(LINK_DISTURBANCES)
     entry_name, _, to_store = name.partition(">")
     target = entry_name if to_store else context.fleet.backends[name].server_id
     period = context.record_fault(f"link {kind}", target)
@@ -200,9 +256,51 @@
     if backend.down or server_id in context.ledger.draining_since:
         return
     period = context.record_fault("back end leaves", server_id, planned=True)
-    fleet.list_backend(name, "draining")
-    context.ledger.draining_since[server_id] = time.monotonic()
+    backend.leaving = True
+    announce_draining(context, name)
     eventlet.sleep(BACKEND_DRAIN_S)
+    finish_draining(context, name, server_id, period)
+
+
+def leave_in_outage(context: FaultContext) -> None:
+    """Make a back end leave that can only say so in its answers."""
+    fleet = context.fleet
+    names = [
+        name
+        for name in sorted(fleet.listed_server_ids)
+        if not isinstance(fleet.backends[name], ModelServer)
+    ]
+    name = context.random.choice(names)
+    backend = fleet.backends[name]
+    server_id = backend.server_id
+    if backend.down or backend.leaving:
+        return
+    outage = context.record_fault("store down", "")
+    period = context.record_fault("back end leaves", server_id, planned=True)
+    fleet.store.state.down += 1
+    backend.leaving = True
+    eventlet.sleep(DRAIN_LIMIT_S + 2.0)
+    fleet.store.state.down -= 1
+    outage.end = time.monotonic()
+    if backend.server_id == server_id:
+        announce_draining(context, name)
+    finish_draining(context, name, server_id, period)
+
+
+def announce_draining(context: FaultContext, name: str) -> None:
+    """Write to the store that a back end drains."""
+    backend = context.fleet.backends[name]
+    backend.listed_as_draining = True
+    context.fleet.list_backend(name)
+    context.ledger.draining_since[backend.server_id] = time.monotonic()
+
+
+def finish_draining(
+    context: FaultContext, name: str, server_id: str, period: FaultPeriod
+) -> None:
+    """Replace a drained back end by a new incarnation once it has no runs left."""
+    fleet = context.fleet
+    backend = fleet.backends[name]
     deadline = time.monotonic() + BACKEND_DRAIN_S
     while backend.running and time.monotonic() < deadline:
         eventlet.sleep(0.05)
@@ -214,6 +312,47 @@
     fleet.list_backend(name)
 
 
+def close_backend(context: FaultContext) -> None:
+    """Make a back end refuse all requests for some time and ask for a pause."""
+    backend = choose_backend(context, by_runs=False)
+    if backend.down:
+        return
+    period = context.record_fault("back end closed", backend.server_id)
+    backend.closed_until = time.monotonic() + CLOSURE_S
+    eventlet.sleep(CLOSURE_S)
+    period.end = time.monotonic()
+
+
+def silence_backend(context: FaultContext) -> None:
+    """Make a back end that has runs send nothing for about a second and go on."""
+    backend = choose_backend(context, by_runs=True)
+    if backend.down:
+        return
+    duration_s = context.random.uniform(*SILENCE_RANGE_S)
+    period = context.record_fault(SILENCE, backend.server_id)
+    backend.silent_until = period.start + duration_s
+    eventlet.sleep(duration_s)
+    period.end = time.monotonic()
+
+
+def choose_backend(context: FaultContext, by_runs: bool) -> Backend:
+    """
+    Return a random back end; with ``by_runs``, wait until it has runs if possible.
+
+    Without ``by_runs`` the back end is a plain server, as these get most requests.
+    """
+    backends = [
+        context.fleet.backends[name]
+        for name in sorted(context.fleet.listed_server_ids)
+        if by_runs or not isinstance(context.fleet.backends[name], ModelServer)
+    ]
+    backend = context.random.choice(backends)
+    deadline = time.monotonic() + MAX_WAIT_FOR_RUN_S
+    while by_runs and not backend.running and time.monotonic() < deadline:
+        eventlet.sleep(0.01)
+    return backend
+
+
 def publish_configuration(context: FaultContext) -> None:
     """Publish a new configuration."""
     period = context.record_fault("configuration", "", planned=True)
@@ -249,9 +388,14 @@
     reload_settings: 1.0,
     fail_store: 1.0,
     compact_store: 1.0,
+    restore_store: 1.0,
+    restore_store_and_overtake: 0.5,
     disturb_link: 3.0,
     crash_backend: 2.0,
     drain_backend: 1.5,
+    leave_in_outage: 0.3,
+    close_backend: 1.0,
+    silence_backend: 1.5,
     publish_configuration: 2.0,
     publish_weights_version: 0.7,
     corrupt_piece: 1.0,
@@ -263,3 +407,22 @@
     publish_weights_version,
     drain_backend,
 )
+
+
+def wait_until_in_touch(context: FaultContext) -> None:
+    """Wait until all entries must use the configuration published in a fault."""
+    eventlet.sleep(CONTACT_RECOVERY_S + CONFIGURATION_LIMIT_S + 1.0)
+
+
+# These occur in each soak, in this order and before others overlap with them, so that
+# what they show does not depend on the seed.
+INITIAL_SEQUENCE = (
+    silence_backend,
+    close_backend,
+    silence_backend,
+    restore_store_and_overtake,
+    wait_until_in_touch,
+    restore_store,
+    silence_backend,
+    leave_in_outage,
+)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -54,7 +54,6 @@
     incarnation: int = 0
     failed_checks: int = FAILED_CHECKS_UNTIL_REMOVAL
     stopping: bool = False
-    started_at: float = 0.0
 
     @property
     def in_rotation(self) -> bool:
@@ -276,9 +275,10 @@
         value = {"model": MODEL_NAME, "version": version}
         self.store.state.write(f"op/version/{MODEL_NAME}", value)
 
-    def list_backend(self, name: str, state: str = "ready") -> None:
+    def list_backend(self, name: str) -> None:
         """Write the store entry of the current incarnation of a back end."""
         backend = self.backends[name]
+        backend.sequence += 1
         models = []
         if isinstance(backend, ModelServer) and backend.version:
             models = [{"name": MODEL_NAME, "version": backend.version}]
@@ -286,9 +286,10 @@
             "service": "gen" if isinstance(backend, ModelServer) else "desk",
             "address": format_address(backend.address),
             "zone": backend.domain,
-            "state": state,
+            "state": "draining" if backend.listed_as_draining else "ready",
             "slots": SLOTS + QUEUE_LENGTH,
             "born": backend.born_ms,
+            "seq": backend.sequence,
             "models": models,
         }
         self.listed_server_ids[name] = backend.server_id
@@ -298,6 +299,20 @@
         """Remove the store entry of a back end."""
         self.store.state.write(f"servers/{self.listed_server_ids.pop(name)}", None)
 
+    def write_again(self) -> None:
+        """Have the operator and the back ends write what a restore may have lost."""
+        state = self.store.state
+        configuration = self.build_configuration(self.configuration_revision)
+        state.write("op/config", configuration)
+        self.publish_weights_version(self.weights_version)
+        for name in self.listed_server_ids:
+            if not self.backends[name].down:
+                self.list_backend(name)
+        listed_keys = {f"servers/{each}" for each in self.listed_server_ids.values()}
+        for key in state.live_keys("servers/"):
+            if key not in listed_keys:
+                state.write(key, None)  # The lease of a back end that is gone ends.
+
     def start_vm(self, vm: Vm) -> None:
         """Write the settings of a VM and start its program."""
         settings_path = self.directory / f"{vm.name}.json"
@@ -307,7 +322,6 @@
             program = ["-m", "soak.mutants", self.mutant, vm.role]
         vm.incarnation += 1
         vm.failed_checks, vm.stopping = FAILED_CHECKS_UNTIL_REMOVAL, False
-        vm.started_at = time.monotonic()
         with open(self.directory / f"{vm.name}.log", "ab") as log:
             vm.process = subprocess.Popen(
                 [sys.executable, *program, "serve", str(settings_path)],
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -16,19 +16,46 @@
 CONTACT_RECOVERY_S = 3.0
 # Answers that were sent in order may be received in reverse within this time.
 REORDERING_SLACK_S = 0.25
+# The kind of fault in which the store is replaced by an older copy.
+STORE_RESTORE = "store restored"
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 UNEXPECTED_STATUSES = (400, 401, 403, 404, 413, 431)
 
 
 @dataclass(slots=True)
 class Run:
-    """A run of a request; ``interrupted`` is set if its back end crashed meanwhile."""
+    """
+    A run of a request; ``interrupted`` is set if its back end crashed meanwhile.
+
+    ``leaving`` is set if its answer announced that the back end leaves.
+    """
 
     server_id: str
     started_at: float
     workspace: str
     body: bytes = b""
     interrupted: bool = False
+    leaving: bool = False
+
+    @property
+    def seal(self) -> str:
+        """Return the text by which an answer names this run."""
+        return f"{self.server_id}.{self.started_at:.6f}"
+
+
+@dataclass(slots=True)
+class Arrival:
+    """
+    A request that reached a back end; ``refused_at`` is 0 unless it was closed.
+
+    ``closed_until`` is then the end of the time that the answer asked for.
+    """
+
+    request_id: str
+    server_id: str
+    arrived_at: float
+    refused_at: float = 0.0
+    closed_until: float = 0.0
 
 
 @dataclass(slots=True)
@@ -79,6 +106,10 @@
     end: float = float("inf")
     planned: bool = False
 
+    def overlaps(self, start: float, end: float) -> bool:
+        """Return whether the period shares a moment with the time between two."""
+        return self.start <= end and self.end >= start
+
 
 @dataclass(slots=True)
 class Ledger:
@@ -91,6 +122,7 @@
     """
 
     runs: dict[str, list[Run]] = field(default_factory=lambda: defaultdict(list))
+    arrivals: list[Arrival] = field(default_factory=list)
     attempts: list[Attempt] = field(default_factory=list)
     probe_ids: set[str] = field(default_factory=set)
     fault_periods: list[FaultPeriod] = field(default_factory=list)
@@ -105,14 +137,34 @@
         """Record the violation of a rule."""
         self.violations.append(Violation(rule, details))
 
-    def is_fault_free(self, target: str, start: float, end: float) -> bool:
+    def is_fault_free(
+        self, target: str, start: float, end: float, ignored_kind: str = ""
+    ) -> bool:
         """Return whether no unplanned fault affected a target between two times."""
         return not any(
-            period.target in ("", target)
-            and period.start <= end
-            and period.end >= start
+            period.target in ("", target) and period.overlaps(start, end)
+            for period in self.fault_periods
+            if not period.planned and period.kind != ignored_kind
+        )
+
+    def had_fault(
+        self,
+        targets: tuple[str, ...],
+        start: float,
+        end: float,
+        kinds: tuple[str, ...] = (),
+    ) -> bool:
+        """
+        Return whether a fault of these targets, or a restart, overlaps a time.
+
+        ``kinds`` limits the kinds of faults. Faults that affect all targets, such as
+        those of the store, do not count.
+        """
+        return any(
+            period.target in targets and period.overlaps(start, end)
             for period in self.fault_periods
-            if not period.planned
+            if (not period.planned or period.kind == "terminate")
+            and (not kinds or period.kind in kinds)
         )
 
     def record_run(self, request_id: str, run: Run) -> None:
@@ -128,8 +180,13 @@
                 ),
                 "",
             )
-            if self.is_fault_free(
-                entry, draining_at - CONTACT_RECOVERY_S, run.started_at
+            # An entry that had learned of the draining keeps to it, even if the store
+            # fails or is restored to a state in which the back end was ready.
+            learned_at = draining_at + DRAIN_LIMIT_S
+            learning_since = draining_at - CONTACT_RECOVERY_S
+            if self.is_fault_free(entry, learning_since, run.started_at) or (
+                self.is_fault_free(entry, learning_since, learned_at)
+                and not self.had_fault((entry,), learned_at, run.started_at)
             ):
                 elapsed_s = run.started_at - draining_at
                 self.record_violation(
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -8,11 +8,13 @@
 
 import os
 import runpy
+import signal
 import sys
 from pathlib import Path
 from typing import Any
 
 ROOT = Path(__file__).resolve().parent.parent
+MAX_PAUSE_S = 0.4  # of a stream, in the mutant that ends it
 
 
 def retry_after_send() -> None:
@@ -55,16 +57,70 @@
     DirectEntryProcess.shut_down = shut_down  # type: ignore[method-assign]
 
 
+def drop_header(name: bytes) -> None:
+    """Remove a header from all answers that the program receives."""
+    import h11
+
+    from primroselever_node.direct.exchange import HttpConnection
+
+    read_head = HttpConnection.read_head
+
+    def read_head_without(self: Any, *args: Any) -> h11.Response:
+        head = read_head(self, *args)
+        headers = [(key, value) for key, value in head.headers if key != name]
+        return h11.Response(status_code=head.status_code, headers=headers)
+
+    HttpConnection.read_head = read_head_without  # type: ignore[method-assign]
+
+
+def era_ignored() -> None:
+    """Order all revisions of the store as if it had never been restored."""
+    drop_header(b"store-era")
+
+
+def leaving_ignored() -> None:
+    """Ignore the announcements of back ends that leave."""
+    drop_header(b"server-leaving")
+
+
+def retry_after_ignored() -> None:
+    """Ignore until when a back end refuses requests."""
+    drop_header(b"retry-after")
+
+
+def silence_ends_stream() -> None:
+    """End a stream when its back end is silent for a moment."""
+    from primroselever_entry.direct.attempt import Attempt, AttemptEnd
+    from primroselever_entry.direct.sending import AttemptSender
+    from primroselever_node import clock
+
+    def body_deadline(self: Any, streaming: bool) -> float:
+        deadline: float = self.state.deadline
+        return min(deadline, clock.now() + MAX_PAUSE_S) if streaming else deadline
+
+    def handle_silence(self: Any, exc: Exception) -> Attempt:
+        return Attempt(AttemptEnd.OUT_OF_TIME, reason=str(exc))
+
+    AttemptSender.body_deadline = body_deadline  # type: ignore[method-assign]
+    AttemptSender.handle_silence = handle_silence  # type: ignore[method-assign]
+
+
 MUTANTS = {
     "retry-after-send": retry_after_send,
     "configuration-back": configuration_back,
     "rotten-piece": rotten_piece,
     "cut-at-stop": cut_at_stop,
+    "era-ignored": era_ignored,
+    "leaving-ignored": leaving_ignored,
+    "retry-after-ignored": retry_after_ignored,
+    "silence-ends-stream": silence_ends_stream,
 }
 
 
 def main() -> None:
     """Apply the mutant, then run the script of the program."""
+    # As the scripts of the programs do: reloading is possible later.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     name, role = sys.argv[1:3]
     program = ROOT / "platform" / f"{role}.py"
     sys.argv = [str(program), *sys.argv[3:]]
--- a/soak/platform_store.py
+++ b/soak/platform_store.py
@@ -24,6 +24,7 @@
     revision: int
     key: str
     value: Any
+    written_at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -32,13 +33,16 @@
     The history of all keys, and the faults of the store.
 
     Reads return the state of ``stale_by`` revisions ago. Watches from a revision before
-    ``compacted`` fail.
+    ``compacted``, or after the newest one, fail. ``era`` counts the restores, after
+    which revisions are given out again. ``down`` and ``slow`` count the faults that
+    make it so, as faults overlap.
     """
 
     changes: list[Change] = field(default_factory=list)
+    era: int = 1
     compacted: int = 0
-    down: bool = False
-    slow: bool = False
+    down: int = 0
+    slow: int = 0
     stale_by: int = 0
 
     @property
@@ -48,9 +52,24 @@
 
     def write(self, key: str, value: Any) -> int:
         """Write a key, or remove it if the value is None; return the new revision."""
-        self.changes.append(Change(len(self.changes) + 1, key, value))
+        change = Change(len(self.changes) + 1, key, value, time.monotonic())
+        self.changes.append(change)
         return self.revision
 
+    def revision_at(self, time_s: float) -> int:
+        """Return the newest revision that was written at or before a time."""
+        return sum(1 for change in self.changes if change.written_at <= time_s)
+
+    def restore(self, revision: int) -> None:
+        """Start the next era from a copy that was made at a revision."""
+        del self.changes[revision:]
+        self.compacted = min(self.compacted, revision)
+        self.era += 1
+
+    def live_keys(self, prefix: str) -> list[str]:
+        """Return the keys with a prefix that have a value."""
+        return [change.key for change in self.entries_at(self.revision, prefix)]
+
     def entries_at(self, revision: int, prefix: str) -> list[Change]:
         """Return the entries with a key prefix as of a revision, sorted by key."""
         latest: dict[str, Change] = {}
@@ -68,6 +87,12 @@
         self.state = StoreState()
 
     def answer(self, request: Request) -> Reply:
+        """Answer a read or a watch, and name the era at the time of the answer."""
+        reply = self.answer_in_era(request)
+        reply.headers.append(("Store-Era", str(self.state.era)))
+        return reply
+
+    def answer_in_era(self, request: Request) -> Reply:
         """Answer a read or a watch."""
         state = self.state
         if state.down:
@@ -101,7 +126,7 @@
         prefix = request.query["path_prefix"]
         deadline = time.monotonic() + int(request.query.get("wait_ms", "0")) / 1000
         while True:
-            if after < state.compacted:
+            if not state.compacted <= after <= state.revision:
                 return json_reply({"problem": "history is gone"}, "410 Gone")
             matching_changes = [
                 change
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,8 +9,14 @@
 
 import eventlet
 
+from .back_end_checks import check_back_ends
 from .callers import Caller, Prober
-from .faults import FAULT_FREQUENCIES, PLANNED_OPERATIONS, FaultContext
+from .faults import (
+    FAULT_FREQUENCIES,
+    INITIAL_SEQUENCE,
+    PLANNED_OPERATIONS,
+    FaultContext,
+)
 from .fleet import Fleet
 from .ledger import Ledger
 
@@ -55,6 +61,11 @@
             self.wait_until_ready(fleet)
             caller_tasks = [eventlet.spawn(caller.run) for caller in callers]
             eventlet.spawn(prober.run)
+            first_context = FaultContext(
+                fleet, self.ledger, prober, Random(random.random())
+            )
+            for fault in () if self.planned_only else INITIAL_SEQUENCE:
+                fault(first_context)
             fault_tasks = [
                 eventlet.spawn(
                     self.inject_faults,
@@ -75,6 +86,7 @@
         finally:
             fleet.stop()
         self.ledger.check_completed_soak()
+        check_back_ends(self.ledger)
         return self.ledger
 
     def wait_until_ready(self, fleet: Fleet) -> None:
@@ -88,7 +100,7 @@
             eventlet.sleep(0.1)
 
     def inject_faults(self, context: FaultContext) -> None:
-        """Inject random faults one at a time for ``fault_duration_s``."""
+        """Inject random faults in series for ``fault_duration_s``."""
         faults: list[Callable[[FaultContext], None]] = list(FAULT_FREQUENCIES)
         if self.planned_only:
             faults = list(PLANNED_OPERATIONS)
--- a/soak/tests/test_ledger.py
+++ b/soak/tests/test_ledger.py
@@ -149,3 +149,27 @@
     make_attempt(ledger)
     make_attempt(ledger, status=503)
     assert ledger.served_share(95.0) == 0.5
+
+
+@pytest.mark.parametrize(
+    ("period", "rules"),
+    [
+        (FaultPeriod("store restored", "", 102.5, 103.5), {"drain"}),
+        (FaultPeriod("store restored", "", 101.5, 102.5), set()),
+        (FaultPeriod("kill", "entry-1", 102.5, 103.5), set()),
+        (FaultPeriod("terminate", "entry-1", 102.5, 103.5, planned=True), {"drain"}),
+    ],
+)
+def test_restored_store_does_not_excuse_entry_that_knew_of_draining(
+    ledger: Ledger, period: FaultPeriod, rules: set[str]
+) -> None:
+    """
+    An entry that learned that a server leaves must not forget it in a restore.
+
+    A check that any fault of the store excuses would not notice this.
+    """
+    ledger.draining_since["i-1"] = 100.0
+    ledger.fault_periods.append(period)
+    make_attempt(ledger, sent_at=104.0, ended_at=104.1)
+    record_run(ledger, started_at=104.0, body=b"answer")
+    assert violated_rules(ledger) == rules
