Choose the busiest back ends in the fixed sequence of the soak

Change: the fixed sequence takes the back ends with most requests lately, and engines for silences; the mutant ends streams only. The soak counts faults that overlap, faults in series, and requests to an entry that stops.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -105,6 +105,8 @@
             last_event=last_event,
         )
         self.fleet.ledger.attempts.append(attempt)
+        if entry.stopping:
+            self.fleet.ledger.counts["requests to a stopping entry"] += 1
         headers = {
             "Host": HOST_NAME,
             "Request-Id": attempt.request_id,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,13 +9,14 @@
 
 import signal
 import time
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import eventlet
 
 from .back_end_checks import LINK_DISTURBANCES, SILENCE
-from .backends import PIECE_COUNT, ModelServer
+from .backends import PIECE_COUNT, ModelServer, PlainServer
 from .ledger import (
     CONFIGURATION_LIMIT_S,
     CONTACT_RECOVERY_S,
@@ -35,6 +36,8 @@
 
 MAX_FAULT_DURATION_S = 2.5
 RESTART_DELAY_S = 0.3
+BUSY_S = 2.0  # the time in which requests are counted to find the busiest back end
+SERIES_S = 3.0  # between two faults of one target that count as a series
 BACKEND_DOWN_S = 1.0
 LINK_DELAY_S = 0.3
 # A back end drains for this long, then up to as long again while it has runs.
@@ -50,12 +53,17 @@
 
 @dataclass(slots=True)
 class FaultContext:
-    """The fleet and the seeded random generator that faults use."""
+    """
+    The fleet and the seeded random generator that faults use.
+
+    ``prefers_busy`` selects the back ends that received most requests lately.
+    """
 
     fleet: Fleet
     ledger: Ledger
     prober: Prober
     random: Random
+    prefers_busy: bool = False
 
     def draw_duration_s(self) -> float:
         """Return a random fault duration in seconds."""
@@ -66,6 +74,14 @@
     ) -> FaultPeriod:
         """Record a fault that begins now; the caller sets the end of the period."""
         period = FaultPeriod(kind, target, time.monotonic(), planned=planned)
+        earlier_periods = self.ledger.fault_periods
+        if any(earlier.end > period.start for earlier in earlier_periods):
+            self.ledger.counts["overlapping faults"] += 1
+        if any(
+            target == earlier.target and earlier.end > period.start - SERIES_S
+            for earlier in earlier_periods
+        ):
+            self.ledger.counts["faults in series"] += 1
         self.ledger.fault_periods.append(period)
         self.ledger.counts[f"fault {kind}"] += 1
         return period
@@ -79,6 +95,23 @@
         ]
         return self.random.choice(candidates) if candidates else None
 
+    def choose_backend(self, server_class: type[Backend]) -> str:
+        """Return the name of a listed back end of a class."""
+        backends = {
+            name: self.fleet.backends[name]
+            for name in sorted(self.fleet.listed_server_ids)
+            if isinstance(self.fleet.backends[name], server_class)
+        }
+        if not self.prefers_busy:
+            return self.random.choice(list(backends))
+        since = time.monotonic() - BUSY_S
+        arrival_counts = Counter(
+            arrival.server_id
+            for arrival in self.ledger.arrivals
+            if arrival.arrived_at > since
+        )
+        return max(backends, key=lambda name: arrival_counts[backends[name].server_id])
+
 
 def kill_program(context: FaultContext) -> None:
     """Kill a program and restart it."""
@@ -265,12 +298,7 @@
 def leave_in_outage(context: FaultContext) -> None:
     """Make a back end leave that can only say so in its answers."""
     fleet = context.fleet
-    names = [
-        name
-        for name in sorted(fleet.listed_server_ids)
-        if not isinstance(fleet.backends[name], ModelServer)
-    ]
-    name = context.random.choice(names)
+    name = context.choose_backend(PlainServer)
     backend = fleet.backends[name]
     server_id = backend.server_id
     if backend.down or backend.leaving:
@@ -314,7 +342,7 @@
 
 def close_backend(context: FaultContext) -> None:
     """Make a back end refuse all requests for some time and ask for a pause."""
-    backend = choose_backend(context, by_runs=False)
+    backend = context.fleet.backends[context.choose_backend(PlainServer)]
     if backend.down:
         return
     period = context.record_fault("back end closed", backend.server_id)
@@ -323,9 +351,22 @@
     period.end = time.monotonic()
 
 
-def silence_backend(context: FaultContext) -> None:
-    """Make a back end that has runs send nothing for about a second and go on."""
-    backend = choose_backend(context, by_runs=True)
+def silence_engine(context: FaultContext) -> None:
+    """Make an engine send nothing for about a second and go on."""
+    silence_backend(context, ModelServer)
+
+
+def silence_plain_server(context: FaultContext) -> None:
+    """Make a plain server send nothing for about a second and go on."""
+    silence_backend(context, PlainServer)
+
+
+def silence_backend(context: FaultContext, server_class: type[Backend]) -> None:
+    """Wait until a back end has runs, silence it, and let it go on."""
+    backend = context.fleet.backends[context.choose_backend(server_class)]
+    deadline = time.monotonic() + MAX_WAIT_FOR_RUN_S
+    while not backend.running and time.monotonic() < deadline:
+        eventlet.sleep(0.01)
     if backend.down:
         return
     duration_s = context.random.uniform(*SILENCE_RANGE_S)
@@ -335,24 +376,6 @@
     period.end = time.monotonic()
 
 
-def choose_backend(context: FaultContext, by_runs: bool) -> Backend:
-    """
-    Return a random back end; with ``by_runs``, wait until it has runs if possible.
-
-    Without ``by_runs`` the back end is a plain server, as these get most requests.
-    """
-    backends = [
-        context.fleet.backends[name]
-        for name in sorted(context.fleet.listed_server_ids)
-        if by_runs or not isinstance(context.fleet.backends[name], ModelServer)
-    ]
-    backend = context.random.choice(backends)
-    deadline = time.monotonic() + MAX_WAIT_FOR_RUN_S
-    while by_runs and not backend.running and time.monotonic() < deadline:
-        eventlet.sleep(0.01)
-    return backend
-
-
 def publish_configuration(context: FaultContext) -> None:
     """Publish a new configuration."""
     period = context.record_fault("configuration", "", planned=True)
@@ -395,7 +418,8 @@
     drain_backend: 1.5,
     leave_in_outage: 0.3,
     close_backend: 1.0,
-    silence_backend: 1.5,
+    silence_engine: 1.0,
+    silence_plain_server: 0.5,
     publish_configuration: 2.0,
     publish_weights_version: 0.7,
     corrupt_piece: 1.0,
@@ -417,12 +441,13 @@
 # These occur in each soak, in this order and before others overlap with them, so that
 # what they show does not depend on the seed.
 INITIAL_SEQUENCE = (
-    silence_backend,
+    silence_engine,
     close_backend,
-    silence_backend,
+    silence_engine,
     restore_store_and_overtake,
     wait_until_in_touch,
     restore_store,
-    silence_backend,
+    silence_engine,
     leave_in_outage,
+    silence_plain_server,
 )
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -70,7 +70,7 @@
         headers = [(key, value) for key, value in head.headers if key != name]
         return h11.Response(status_code=head.status_code, headers=headers)
 
-    HttpConnection.read_head = read_head_without  # type: ignore[method-assign]
+    HttpConnection.read_head = read_head_without  # type: ignore[assignment,method-assign]
 
 
 def era_ignored() -> None:
@@ -98,7 +98,11 @@
         deadline: float = self.state.deadline
         return min(deadline, clock.now() + MAX_PAUSE_S) if streaming else deadline
 
-    def handle_silence(self: Any, exc: Exception) -> Attempt:
+    handle_silence_as_usual = AttemptSender.handle_silence
+
+    def handle_silence(self: Any, exc: Any) -> Attempt:
+        if self.state.first_event_at is None:
+            return handle_silence_as_usual(self, exc)
         return Attempt(AttemptEnd.OUT_OF_TIME, reason=str(exc))
 
     AttemptSender.body_deadline = body_deadline  # type: ignore[method-assign]
--- a/soak/run.py
+++ b/soak/run.py
@@ -62,7 +62,7 @@
             caller_tasks = [eventlet.spawn(caller.run) for caller in callers]
             eventlet.spawn(prober.run)
             first_context = FaultContext(
-                fleet, self.ledger, prober, Random(random.random())
+                fleet, self.ledger, prober, Random(random.random()), prefers_busy=True
             )
             for fault in () if self.planned_only else INITIAL_SEQUENCE:
                 fault(first_context)
