--- a/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
@@ -18,6 +18,7 @@
 from statistics import median
 from typing import TYPE_CHECKING
 
+from .announcements import caller_return_s, earliest_return
 from .backend import find_failing_backends
 from .predict import (
     predict_answer_s,
@@ -111,17 +112,27 @@
     """
     Return the back end with the earliest predicted first event, or a refusal.
 
-    ``excluded`` holds the identifiers of back ends that are not considered.
+    ``excluded`` holds the identifiers of back ends that are not considered. A caller of
+    a service whose back ends are all closed is told when the first one returns.
     """
+    backends = list(backends)
     considered = [b for b in backends if b.listed.server_id not in excluded]
     candidates = [b for b in considered if is_candidate(b, needs, figures, now)]
     if not candidates:
+        returns_at = earliest_return((each.announced for each in backends), now)
+        if returns_at is not None:
+            return Refused(
+                "all back ends turn requests away for a time",
+                caller_return_s(returns_at, needs.deadline_within_s, now, random),
+                describe_closed(backends, now),
+            )
         return Refused(
             explain_no_candidate(considered, needs, now),
             spread_retry_s(NO_SERVER_RETRY_S, random),
+            describe_closed(backends, now),
         )
     failing = find_failing_backends(candidates)
-    healthy = [b for b in candidates if b.listed.server_id not in failing] or candidates
+    healthy = [b for b in candidates if b.listed.server_id not in failing]
     usual_delay_s = median(b.unexpected_delay_s(now) for b in healthy)
     predictions = [
         predict_wait_s(backend, needs, figures, now)
@@ -266,8 +277,12 @@
     """Return the reason why no back end is a candidate, for the caller."""
     if not backends:
         return "no back end is listed"
+    if not any(backend.announced.admits_requests(now) for backend in backends):
+        return "all back ends are leaving or turn requests away for a time"
     if not any(backend.available(now) for backend in backends):
-        return "all back ends failed lately"
+        if all(backend.announced.admits_requests(now) for backend in backends):
+            return "all back ends failed lately"
+        return "all back ends failed lately, are leaving or turn requests away"
     if needs.model and not any(b.loaded_version(needs.model, now) for b in backends):
         return "no back end has loaded the weights"
     if needs.min_version:
@@ -280,6 +295,19 @@
     return min(LONGEST_RETRY_S, max(0.1, wait_s) * (1.0 + random.random()))
 
 
+def describe_closed(backends: list[Backend], now: float) -> str:
+    """Return the identifiers of the first back ends to return, and when, as text."""
+    returns = sorted(
+        (backend.announced.returns_at, backend.listed.server_id)
+        for backend in backends
+        if backend.announced.is_closed(now) and not backend.announced.is_leaving
+    )
+    return " ".join(
+        f"{server_id}:closed:{(returns_at - now) * 1000:.0f}ms"
+        for returns_at, server_id in returns[:3]
+    )
+
+
 def describe_candidate(backend: Backend, now: float, due_s: float) -> str:
     """Return a candidate's identifier, load and predicted milliseconds as text."""
     server_id = backend.listed.server_id
--- a/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
@@ -95,7 +95,10 @@
         except OSError as exc:
             logger.info("connection to a caller broke", extra={"error": str(exc)})
         except Exception:
-            logger.exception("unexpected error on a connection to a caller")
+            logger.exception(
+                "unexpected error on a connection to a caller",
+                extra={"request": self.request_id.decode("latin-1")},
+            )
         finally:
             self.server.connections.discard(self)
             self.socket.close()
@@ -116,9 +119,8 @@
         self.limits = self.server.limits()
         buffered = bool(self.protocol.trailing_data[0])
         self.request_started_at = clock.now() if buffered else 0.0
-        idle_deadline = clock.now() + self.limits.idle_timeout_s
         try:
-            head = self.next_event(idle_deadline)
+            head = self.next_event(clock.now())
             if not isinstance(head, h11.Request):
                 return None
             if head_size(head) > self.limits.header_bytes:
@@ -154,8 +156,13 @@
         self.request_id = request.request_id
         return request
 
-    def next_event(self, idle_deadline: float) -> Any:
-        """Return the next h11 event; raise ``TimeoutError`` after the time limit."""
+    def next_event(self, idle_since: float) -> Any:
+        """
+        Return the next h11 event; raise ``TimeoutError`` after the time limit.
+
+        The idle timeout counts from ``idle_since``. If a configuration prolongs it, the
+        longer one applies at once, since callers rely on it.
+        """
         while True:
             event = self.protocol.next_event()
             if event is not h11.NEED_DATA:
@@ -166,18 +173,43 @@
                         h11.InformationalResponse(status_code=100, headers=[])
                     )
                 )
-            deadline = idle_deadline
-            if self.request_started_at and not self.reading_body:
-                deadline = self.request_started_at + self.limits.header_timeout_s
-            remaining_s = deadline - clock.now()
-            if remaining_s <= 0:
-                raise TimeoutError
-            self.socket.settimeout(remaining_s)
-            data = self.socket.recv(READ_BYTES)
+            deadline = self.receive_deadline(idle_since)
+            try:
+                data = self.receive_bytes(deadline)
+            except TimeoutError:
+                if self.receive_deadline(idle_since) > deadline:
+                    continue
+                raise
             if data and not self.request_started_at:
                 self.request_started_at = clock.now()
             self.protocol.receive_data(data)
 
+    def receive_deadline(self, idle_since: float) -> float:
+        """Return until when the next bytes must arrive."""
+        if self.request_started_at and not self.reading_body:
+            return self.request_started_at + self.limits.header_timeout_s
+        current_limits = self.server.limits()
+        return idle_since + max(
+            self.limits.idle_timeout_s, current_limits.idle_timeout_s
+        )
+
+    def receive_bytes(self, deadline: float) -> bytes:
+        """
+        Return received bytes, or raise ``TimeoutError`` after the deadline.
+
+        Bytes that arrived while this process did not run count as received in time.
+        """
+        remaining_s = deadline - clock.now()
+        if remaining_s > 0:
+            try:
+                self.socket.settimeout(remaining_s)
+                return bytes(self.socket.recv(READ_BYTES))
+            except TimeoutError:
+                pass  # whether bytes have arrived is checked below
+        if not is_readable(self.socket):
+            raise TimeoutError
+        return bytes(self.socket.recv(READ_BYTES))
+
     def read_body(self) -> bytes | None:
         """Return the body, or None if it is larger than allowed."""
         parts: list[bytes] = []
@@ -198,7 +230,7 @@
         """Return the next body event, waiting with the idle timeout."""
         self.reading_body = True
         try:
-            return self.next_event(clock.now() + self.limits.idle_timeout_s)
+            return self.next_event(clock.now())
         finally:
             self.reading_body = False
 
@@ -273,6 +305,10 @@
         unsent, self.unsent = self.unsent, b""
         self.write(unsent + (data or b""))
 
+    def response_begun(self) -> bool:
+        """Return whether any part of the current response was generated."""
+        return self.protocol.our_state is not h11.SEND_RESPONSE
+
     def abandon_response(self) -> None:
         """Have the connection closed without the last chunk of the response."""
         self.caller_left = True
@@ -397,15 +433,15 @@
         """Accept the next connection and serve it; return whether this succeeded."""
         try:
             sock, _address = self.socket.accept()
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
+            )
         except OSError as exc:
             logger.warning(
                 "cannot accept a connection from a caller", extra={"error": str(exc)}
             )
             return False
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
-        )
         connection = CallerConnection(self, sock)
         self.connections.add(connection)
         eventlet.spawn(connection.serve)
--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -14,12 +14,14 @@
 
 from primroselever_core.catalogue.model import RouteKind
 from primroselever_core.catalogue.routes import pick_service
+from primroselever_core.dispatch.announcements import caller_return_s, earliest_return
 from primroselever_core.dispatch.choose import Refused, RequestNeeds, choose_backend
 from primroselever_core.dispatch.predict import predict_read_s
 from primroselever_core.dispatch.retry_share import RetryLimits, RetryShare
 from primroselever_node import clock
 from primroselever_node.logs import log_decision
 
+from .announcements import AnnouncementReader
 from .attempt import Attempt, AttemptEnd
 from .caller_connection import CallerLeftError
 from .crash_watch import CrashWatch
@@ -32,6 +34,7 @@
 
     from primroselever_core.catalogue.model import Address, EngineFigures, Route
     from primroselever_core.direct_board import DirectBoard
+    from primroselever_core.dispatch.announcements import ServerStart
     from primroselever_core.dispatch.backend import Backend
     from primroselever_core.dispatch.choose import Chosen
     from primroselever_core.identifiers import Fingerprint
@@ -53,6 +56,7 @@
 OLD_WEIGHTS_MARGIN_S = 1.2
 RESEND_OLD_WEIGHTS_MARGIN_S = 2.5  # a retry may get a late place in the queue
 CRASHED_SERVERS_REASON = "earlier runs of this request crashed servers"
+SILENCE_RECHECK_S = 0.2  # how often another back end is sought for a silent request
 # Of the longest time left on the route; a request with less time left is a retry.
 MIN_FIRST_ATTEMPT_SHARE = 0.8
 
@@ -79,7 +83,8 @@
 
     ``deadline`` is when the route or the caller gives up, ``objective_at`` when the
     first event is due, and ``late`` whether that time had already passed when the
-    request arrived.
+    request arrived. ``silent_sender`` is the attempt whose back end fell silent; its
+    connection stays open until another back end answers.
     """
 
     request: CallerRequest
@@ -97,6 +102,7 @@
     first_event_at: float | None = None
     last_event_at: float = 0.0
     longest_gap_s: float = 0.0
+    silent_sender: AttemptSender | None = None
 
 
 class DirectFlow:
@@ -112,6 +118,7 @@
         random: Random,
         publish_sent: Callable[[Address, int], None],
         publish_suspicion: Callable[[Fingerprint], None],
+        publish_leaving: Callable[[ServerStart], None],
     ) -> None:
         self.board = board
         self.pool = pool
@@ -121,20 +128,52 @@
         self.random = random
         self.publish_sent = publish_sent
         self.crash_watch = CrashWatch(board.suspects, publish_suspicion)
+        self.announcements = AnnouncementReader(
+            board.backends, names, instruments, random, publish_leaving
+        )
         self.retry_shares: dict[str, RetryShare] = {}
         self.longest_remaining_s: dict[str, float] = {}
 
     def handle(self, request: CallerRequest, caller: CallerConnection) -> None:
         """Process one request and send its response."""
+        state: RequestState | None = None
         try:
             state = self.admit_request(request, caller)
             if state is not None:
                 self.send_until_ended(state, caller)
         except CallerLeftError:
             self.log_request_end(request, "caller left", "no further bytes are sent")
+        except Exception:
+            logger.exception(
+                "unexpected error while a request was processed",
+                extra={"request": request.log_id},
+            )
+            self.answer_unexpected_error(request, state, caller)
         finally:
             self.instruments.record_duration(clock.now() - request.received_at)
 
+    def answer_unexpected_error(
+        self,
+        request: CallerRequest,
+        state: RequestState | None,
+        caller: CallerConnection,
+    ) -> None:
+        """Answer a request that met an unexpected error, if no response has begun."""
+        reason = "unexpected error"
+        if caller.response_begun():
+            self.log_request_end(request, "cut off", reason, state)
+            caller.abandon_response()
+            return
+        may_have_run = state is not None and (
+            state.may_have_run or len(state.tried_server_ids) > len(state.attempts)
+        )
+        status = 502 if may_have_run else 503
+        retry_after_s = None if may_have_run else DEFAULT_RETRY_AFTER_S
+        try:
+            self.send_error(request, caller, status, reason, retry_after_s, state)
+        except CallerLeftError:
+            self.log_request_end(request, "caller left", reason, state)
+
     def admit_request(
         self, request: CallerRequest, caller: CallerConnection
     ) -> RequestState | None:
@@ -209,54 +248,102 @@
 
     def send_until_ended(self, state: RequestState, caller: CallerConnection) -> None:
         """Make attempts until a request is answered, fails or is abandoned."""
-        while True:
-            now = clock.now()
-            if now >= state.deadline:
-                self.fail_request(state, caller, "out of time")
-                return
-            choice = self.choose_next_backend(state, now)
-            if isinstance(choice, Refused):
+        no_retry_reason: str | None = None
+        try:
+            while clock.now() < state.deadline:
+                attempt_count = len(state.attempts)
+                attempt = self.make_attempt(state, caller, no_retry_reason)
+                if isinstance(attempt, Refused):
+                    self.fail_request(
+                        state, caller, attempt.reason, attempt.retry_after_s
+                    )
+                    return
+                if attempt.end is AttemptEnd.ANSWERED:
+                    self.log_request_end(
+                        state.request, "answered", str(attempt.status), state
+                    )
+                    return
+                if attempt.end is AttemptEnd.CALLER_LEFT:
+                    self.log_request_end(
+                        state.request,
+                        "caller left",
+                        "the work for it is cancelled",
+                        state,
+                    )
+                    return
+                if len(state.attempts) > attempt_count:
+                    no_retry_reason = self.retry_refusal_reason(state, attempt)
+            self.fail_request(state, caller, "out of time")
+        finally:
+            if state.silent_sender is not None:
+                state.silent_sender.close()
+
+    def make_attempt(
+        self,
+        state: RequestState,
+        caller: CallerConnection,
+        no_retry_reason: str | None,
+    ) -> Attempt | Refused:
+        """
+        Send a request to the next back end, or go on waiting for a silent one.
+
+        Return a refusal if neither is possible. ``no_retry_reason`` is why the request
+        may not be sent again, None if it may.
+        """
+        now = clock.now()
+        silent = state.silent_sender
+        if silent is not None and not silent.may_continue():
+            silent.close()
+            silent = state.silent_sender = None
+        if no_retry_reason is not None:
+            if silent is None:
+                return Refused(no_retry_reason, self.retry_delay_s(state))
+            return self.record_attempt(
+                state, silent, silent.keep_waiting(state.deadline)
+            )
+        choice = self.choose_next_backend(state, now)
+        if isinstance(choice, Refused):
+            if silent is None:
                 self.log_choice(state, "none", choice.reason, choice.candidates)
-                self.fail_request(state, caller, choice.reason, choice.retry_after_s)
-                return
-            backend = choice.backend
-            self.log_choice(
-                state,
-                backend.listed.server_id,
-                "first event due first",
-                choice.candidates,
+                return choice
+            until = min(state.deadline, now + SILENCE_RECHECK_S)
+            return self.record_attempt(state, silent, silent.keep_waiting(until))
+        backend = choice.backend
+        self.log_choice(
+            state, backend.listed.server_id, "first event due first", choice.candidates
+        )
+        state.tried_server_ids.append(backend.listed.server_id)
+        self.record_sent_prompt(state, backend, now)
+        sender = AttemptSender(self, state, choice, caller)
+        sender.known_crashes = self.crash_watch.known_crashes(
+            state.request, state.workspace
+        )
+        sender.index = len(state.attempts)
+        return self.record_attempt(state, sender, sender.run())
+
+    def record_attempt(
+        self, state: RequestState, sender: AttemptSender, attempt: Attempt
+    ) -> Attempt:
+        """Record the result of an attempt, or of a longer wait for its response."""
+        newly_sent = sender.index == len(state.attempts)
+        state.attempts[sender.index : sender.index + 1] = [attempt]
+        if newly_sent or attempt.end is not AttemptEnd.SILENT:
+            self.instruments.count_attempt(attempt.end)
+        if attempt.suggests_crash:
+            self.crash_watch.record_broken_run(
+                state.request, state.workspace, sender.backend, sender.known_crashes
             )
-            state.tried_server_ids.append(backend.listed.server_id)
-            self.record_sent_prompt(state, backend, now)
-            known_crashes = self.crash_watch.known_crashes(
-                state.request, state.workspace
+        if attempt.end is AttemptEnd.SILENT:
+            if state.silent_sender not in (None, sender):
+                state.silent_sender.close()
+            state.silent_sender = sender
+        if attempt.may_have_run:
+            state.may_have_run = True
+        if attempt.end is AttemptEnd.ANSWERED:
+            self.crash_watch.record_answer(
+                state.request, state.workspace, sender.known_crashes
             )
-            attempt = AttemptSender(self, state, choice, caller).run()
-            state.attempts.append(attempt)
-            if attempt.suggests_crash:
-                self.crash_watch.record_broken_run(
-                    state.request, state.workspace, backend, known_crashes
-                )
-            self.instruments.count_attempt(attempt.end)
-            if attempt.may_have_run:
-                state.may_have_run = True
-            if attempt.end is AttemptEnd.ANSWERED:
-                self.crash_watch.record_answer(
-                    state.request, state.workspace, known_crashes
-                )
-                self.log_request_end(
-                    state.request, "answered", str(attempt.status), state
-                )
-                return
-            if attempt.end is AttemptEnd.CALLER_LEFT:
-                self.log_request_end(
-                    state.request, "caller left", "the work for it is cancelled", state
-                )
-                return
-            refusal = self.retry_refusal_reason(state, attempt)
-            if refusal is not None:
-                self.fail_request(state, caller, refusal)
-                return
+        return attempt
 
     def record_sent_prompt(
         self, state: RequestState, backend: Backend, now: float
@@ -375,7 +462,7 @@
             caller.abandon_response()
             return
         retry_delay_s = (
-            retry_after_s if retry_after_s is not None else DEFAULT_RETRY_AFTER_S
+            retry_after_s if retry_after_s is not None else self.retry_delay_s(state)
         )
         if not state.may_have_run:
             self.send_error(state.request, caller, 503, reason, retry_delay_s, state)
@@ -387,6 +474,15 @@
             repeat_delay_s = retry_delay_s if state.route.repeatable else None
             self.send_error(state.request, caller, 502, reason, repeat_delay_s, state)
 
+    def retry_delay_s(self, state: RequestState) -> float:
+        """Return the delay before a retry of a request whose attempts failed."""
+        now = clock.now()
+        backends = self.board.backends.serving(state.service)
+        returns_at = earliest_return((each.announced for each in backends), now)
+        if returns_at is None:
+            return DEFAULT_RETRY_AFTER_S
+        return caller_return_s(returns_at, state.deadline - now, now, self.random)
+
     def send_error(
         self,
         request: CallerRequest,
--- a/packages/primroselever-entry/src/primroselever_entry/direct/process.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/process.py
@@ -30,7 +30,7 @@
 from primroselever_node.rpc.server import RpcServer
 
 from .caller_connection import CallerServer
-from .explain import DispatchExplainer
+from .explain import DispatchExplainer, closed_for_s
 from .flow import DirectFlow, FlowLimits
 from .instruments import FlowInstruments
 from .settings import END_MARGIN_S
@@ -99,6 +99,7 @@
             Random(),
             self.gossip.publish_sent,
             self.gossip.publish_suspicion,
+            self.gossip.leaving_news.publish,
         )
         self.withdrawing = False
         self.caller_server = CallerServer(
@@ -174,7 +175,8 @@
 
     def reads_store(self) -> bool:
         """Return whether this entry reads the store instead of asking its peers."""
-        return reads_store(self.board.peers, clock.now())
+        era = self.board.catalogue.store_position.era
+        return reads_store(self.board.peers, clock.now(), era)
 
     def apply_catalogue_change(self, part: CataloguePart) -> None:
         """Publish a catalogue change and update back ends or prefetch weights."""
@@ -224,6 +226,7 @@
             "configuration": configuration.revision if configuration else None,
             "configuration_age_s": round(now - catalogue.configuration_at, 3),
             "reads_store": self.reads_store(),
+            "store_era": catalogue.store_position.era,
             "store_age_s": None
             if catalogue.store_contact_at is None
             else round(now - catalogue.store_contact_at, 3),
@@ -240,6 +243,8 @@
                     "state": str(backend.listed.state),
                     "load": backend.load(now),
                     "available": backend.available(now),
+                    "leaving": backend.announced.is_leaving,
+                    "closed_for_s": closed_for_s(backend, now),
                 }
                 for name, backend in self.board.backends.backends.items()
             },
--- a/packages/primroselever-entry/tests/requests/test_flow.py
+++ b/packages/primroselever-entry/tests/requests/test_flow.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from copy import copy
 from typing import TYPE_CHECKING, Any
 
@@ -9,8 +10,9 @@
 import pytest
 from eventlet.event import Event
 
-from primroselever_core.outcomes import Done, NotRun, Reason, Unknown
+from primroselever_core.outcomes import Done, NotRun, Outcome, Reason, Unknown
 from primroselever_core.runs.registry import RunState
+from primroselever_core.runs.starting import StartState
 from primroselever_node import clock
 from primroselever_node.rpc.client_pool import LostReplyError
 
@@ -299,3 +301,147 @@
 
     assert endings.count(Unknown(Reason.INTERNAL)) == 1
     assert sum(isinstance(ending, Done) for ending in endings) == 3
+
+
+@pytest.mark.parametrize(
+    ("method", "state", "outcome"),
+    [
+        ("start", StartState.REFUSED, Outcome.NOT_RUN),
+        ("start", StartState.UNKNOWN, Outcome.UNKNOWN),
+        ("resolve", RunState.NOT_RUN, Outcome.NOT_RUN),
+        ("resolve", RunState.MISSING, Outcome.UNKNOWN),
+        ("issue_ticket", None, Outcome.NOT_RUN),
+        ("read", RunState.NOT_RUN, Outcome.NOT_RUN),
+        ("read", RunState.FAILED, Outcome.UNKNOWN),
+    ],
+)
+def test_a_reason_of_a_later_release_is_logged_and_keeps_the_outcome(
+    fleet: Fleet,
+    only_agent: FakeAgent,
+    caplog: pytest.LogCaptureFixture,
+    method: str,
+    state: str | None,
+    outcome: Outcome,
+) -> None:
+    """The caller gets the reason ``internal``; only the log has the one sent."""
+
+    def set_unknown_reason(called_method: str, reply: Any) -> None:
+        if called_method != method:
+            return
+        if method == "issue_ticket":
+            reply.ticket = ""
+        for part in reply.slices if method == "read" else (reply,):
+            part.reason = "of_a_later_release"
+            if state is not None:
+                part.state = state
+
+    fleet.client_pool.modify_reply = set_unknown_reason
+    if method == "resolve":
+        fleet.client_pool.faults["start"] = ["reply_lost"]
+    service = "renewals" if method == "issue_ticket" else "summaries"
+
+    _, ending = collect_answer(fleet.new_request_flow(), new_request(service))
+
+    assert (ending.outcome, ending.reason) == (outcome, Reason.INTERNAL)
+    assert "of_a_later_release" in caplog.text
+
+
+@pytest.mark.parametrize("method", ["cancel", "resolve"])
+def test_an_error_of_a_call_that_no_request_waits_for_is_logged(
+    fleet: Fleet,
+    only_agent: FakeAgent,
+    caplog: pytest.LogCaptureFixture,
+    monkeypatch: pytest.MonkeyPatch,
+    method: str,
+) -> None:
+    """The caller has left, or its deadline has passed, so only the log can tell."""
+    now = clock.now()
+    monkeypatch.setattr(clock, "now", lambda: now)
+
+    def pass_deadline() -> None:
+        nonlocal now
+        now += 1.0
+
+    def fail() -> None:
+        raise ValueError("an unreadable reply")
+
+    if method == "resolve":
+        fleet.client_pool.faults["start"] = ["request_lost"]
+        fleet.client_pool.call_hooks["start"] = pass_deadline
+    fleet.client_pool.call_hooks[method] = fail
+    gate = Event()
+    only_agent.backend.before_last_piece = gate.wait
+    answer = fleet.new_request_flow().answer_request(
+        new_request(deadline=now + 0.25), new_service("summaries")
+    )
+    next(answer)
+    answer.close()
+    for _ in range(5):
+        eventlet.sleep(0)
+    gate.send()
+
+    assert method in fleet.client_pool.calls
+    assert "an unreadable reply" in caplog.text
+
+
+@pytest.mark.parametrize(
+    ("method", "faults"),
+    [
+        ("heartbeat", ["never_sent"]),
+        ("heartbeat", ["reply_lost"]),
+        ("start", ["never_sent"]),
+        ("start", ["reply_lost"]),
+        ("resolve", ["reply_lost", "reply_lost"]),
+        ("issue_ticket", ["never_sent"]),
+        ("issue_ticket", ["reply_lost"]),
+        ("read", ["reply_lost", "never_sent", "reply_lost", "reply_lost"]),
+        ("cancel", ["never_sent"]),
+    ],
+)
+def test_each_failed_call_for_a_request_is_logged(
+    fleet: Fleet,
+    only_agent: FakeAgent,
+    caplog: pytest.LogCaptureFixture,
+    method: str,
+    faults: list[str],
+) -> None:
+    """A lost request cannot be explained from logs that omit the calls that failed."""
+    caplog.set_level(logging.INFO, "primroselever.decisions")
+    fleet.client_pool.faults[method] = list(faults)
+    if method == "resolve":
+        fleet.client_pool.faults["start"] = ["reply_lost"]
+    service = "renewals" if method == "issue_ticket" else "summaries"
+    gate = Event()
+    if method == "cancel":
+        only_agent.backend.before_last_piece = gate.wait
+        answer = fleet.new_request_flow().answer_request(
+            new_request(service), new_service(service)
+        )
+        next(answer)
+        answer.close()
+        for _ in range(5):
+            eventlet.sleep(0)
+        gate.send()
+    else:
+        collect_answer(fleet.new_request_flow(), new_request(service))
+
+    failed = [
+        record
+        for record in caplog.records
+        if record.getMessage() == "call failed" and record.method == method  # type: ignore[attr-defined]
+    ]
+    assert len(failed) == len(faults)
+    assert {record.choice for record in failed} == {"portal-1"}  # type: ignore[attr-defined]
+
+
+def test_the_end_of_lost_runs_is_logged(
+    fleet: Fleet, only_agent: FakeAgent, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level(logging.INFO, "primroselever.decisions")
+    fleet.client_pool.faults["read"] = ["reply_lost"] * 4
+
+    _, ending = collect_answer(fleet.new_request_flow(), new_request())
+
+    assert ending == Unknown(Reason.SERVER_LOST, 1.0)
+    lost = [record for record in caplog.records if record.getMessage() == "run lost"]
+    assert len(lost) == 1
--- a/packages/primroselever-node/src/primroselever_node/direct/direct.thrift
+++ b/packages/primroselever-node/src/primroselever_node/direct/direct.thrift
@@ -12,6 +12,7 @@
  * The heartbeat of an entry. peers maps the hosts of other entries to their failure
  * domains. weights_age_ms is the time since each version of a model was learned, where
  * it is known. store_age_ms is negative if the store never answered this entry itself.
+ * store_era is the era in which store_revision counts; older entries send none.
  */
 struct EntryNews {
   1: string host,
@@ -24,6 +25,7 @@
   8: map<string, i32> weights,
   9: map<string, string> peers,
   10: map<string, map<i32, i32>> weights_age_ms,
+  11: optional i64 store_era,
 }
 
 /*
@@ -74,12 +76,25 @@
   1: list<primroselever.Suspicion> suspicions,
 }
 
+/* The start of a back end that announced in an answer that it leaves. */
+struct LeavingServer {
+  1: string server_id,
+  2: string host,
+  3: i32 port,
+  4: i64 born_ms,
+}
+
+struct LeavingNews {
+  1: list<LeavingServer> servers,
+}
+
 struct Datagram {
   1: optional EntryNews entry,
   2: optional EngineNews engine,
   3: optional FillingAdvice advice,
   4: optional SentNews sent,
   5: optional SuspicionNews suspects,
+  6: optional LeavingNews leaving,
 }
 
 /*
--- a/packages/primroselever-node/src/primroselever_node/direct/gossip.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/gossip.py
@@ -13,6 +13,7 @@
 import eventlet
 
 from primroselever_core.catalogue.model import ServerState
+from primroselever_core.catalogue.store_position import StorePosition
 from primroselever_core.dispatch.backend import EngineReport
 from primroselever_core.dispatch.predict import predict_read_s
 from primroselever_core.filling.reporting import reported_hosts
@@ -28,13 +29,16 @@
     suspicion_to_thrift,
 )
 from .datagrams import DatagramPort
+from .leaving_news import LeavingNews
 from .peer_handler import unpack_catalogue
+from .restores import record_late_answer, record_restore
 from .schema import schema
 from .sources import CataloguePart
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from primroselever_core.catalogue.catalogue_copy import CatalogueCopy
     from primroselever_core.catalogue.model import Address
     from primroselever_core.direct_board import DirectBoard
     from primroselever_core.gossip.peers import Peer
@@ -74,6 +78,7 @@
         self.control_port = control_port
         self.on_change = on_change
         self.datagram_port = DatagramPort(host, port, self.receive)
+        self.leaving_news = LeavingNews(board, self.datagram_port)
         self.pool = ClientPool(schema.DirectPeer)
         self.pulling = False
         self.sent_requests: list[Any] = []
@@ -91,6 +96,7 @@
         """Start to receive datagrams and to send heartbeats, each in a greenlet."""
         self.datagram_port.start()
         run_controller(self.send_heartbeat, HEARTBEAT_S)
+        self.leaving_news.start()
 
     def send_heartbeat(self) -> None:
         """Send a heartbeat to the peers, and repeat the suspicions when due."""
@@ -147,7 +153,8 @@
             incarnation=self.board.identity.incarnation,
             leaving=self.board.leaving,
             configuration_revision=configuration.revision if configuration else 0,
-            store_revision=catalogue.store_revision,
+            store_revision=catalogue.store_position.revision,
+            store_era=catalogue.store_position.era,
             store_age_ms=-1 if read_at is None else int((now - read_at) * 1000),
             weights={
                 model: published.version
@@ -176,6 +183,8 @@
             self.receive_request_report(datagram.sent)
         elif datagram.suspects is not None:
             self.receive_suspicions(datagram.suspects.suspicions or [], host)
+        elif datagram.leaving is not None:
+            self.leaving_news.receive(datagram.leaving, host)
 
     def publish_suspicion(self, fingerprint: Fingerprint) -> None:
         """Schedule sending the suspicion of a request to all live entries."""
@@ -279,7 +288,10 @@
         peer.incarnation = heartbeat.incarnation
         peer.leaving = heartbeat.leaving
         peer.configuration_revision = heartbeat.configuration_revision
-        peer.store_revision = heartbeat.store_revision
+        peer.store_position = StorePosition(
+            heartbeat.store_era or 0, heartbeat.store_revision
+        )
+        peer.sends_era = heartbeat.store_era is not None
         store_age_ms = heartbeat.store_age_ms
         peer.store_age_s = float("inf") if store_age_ms < 0 else store_age_ms / 1000
         peer.weights = dict(heartbeat.weights or {})
@@ -291,26 +303,12 @@
                     published.record_peer_learned_at(
                         version, now - learned_age_ms / 1000
                     )
-        if not self.peer_is_ahead(peer):
+        if not peer.is_ahead_of(self.board.catalogue):
             self.board.catalogue.record_peer_contact(now - peer.store_age_s)
         elif not self.pulling:
             self.pulling = True
             eventlet.spawn(self.pull_catalogue, peer)
 
-    def peer_is_ahead(self, peer: Peer) -> bool:
-        """Return whether a peer has a newer catalogue than this process in any part."""
-        catalogue = self.board.catalogue
-        configuration = catalogue.configuration
-        own_revision = configuration.revision if configuration else 0
-        if peer.configuration_revision > own_revision:
-            return True
-        if peer.store_revision > catalogue.store_revision:
-            return True
-        return any(
-            model not in catalogue.weights or version > catalogue.weights[model].version
-            for model, version in peer.weights.items()
-        )
-
     def should_delay_pull(self, peer: Peer) -> bool:
         """
         Return whether to wait before pulling from a peer.
@@ -321,8 +319,9 @@
         if self.board.catalogue.configuration is None:
             return False
         peers = self.board.peers
+        era = self.board.catalogue.store_position.era
         return peer.failure_domain != peers.own_domain or reads_store(
-            peers, clock.now()
+            peers, clock.now(), era
         )
 
     def pull_catalogue(self, peer: Peer) -> None:
@@ -330,12 +329,12 @@
         try:
             if self.should_delay_pull(peer):
                 eventlet.sleep(PULL_DELAY_S)
-            if not self.peer_is_ahead(peer):
+            if not peer.is_ahead_of(self.board.catalogue):
                 return
             data = self.pool.call_with_retry(
                 (peer.host, self.control_port),
                 "fetch_catalogue",
-                self.board.catalogue.store_revision,
+                self.board.catalogue.store_position.revision,
                 True,
                 timeout_s=PULL_TIMEOUT_S,
             )
@@ -347,8 +346,17 @@
             return
         finally:
             self.pulling = False
-        if self.board.catalogue.merge(copy, clock.now()):
-            configuration = self.board.catalogue.configuration
+        self.merge_copy(copy, peer)
+
+    def merge_copy(self, copy: CatalogueCopy, peer: Peer) -> None:
+        """Merge the copy of a peer's catalogue into the own one."""
+        catalogue = self.board.catalogue
+        previous_position = catalogue.store_position
+        if copy.store_era < previous_position.era:
+            record_late_answer(peer.host, copy.store_position, previous_position.era)
+        if catalogue.merge(copy, clock.now()):
+            record_restore(peer.host, previous_position, catalogue)
+            configuration = catalogue.configuration
             log_decision(
                 "catalogue changed",
                 "peer",
@@ -356,7 +364,7 @@
                 "the peer's catalogue was newer",
                 configuration=configuration.revision if configuration else None,
                 weights=copy.weights,
-                servers=len(self.board.catalogue.servers),
+                servers=len(catalogue.servers),
             )
             self.on_change(CataloguePart.OPERATOR)
             self.on_change(CataloguePart.SERVERS)
