Let a lapse that a peer reports outdate withheld entries

Cause: a process knew that a server was removed. Its peer found the entry that a restored store lists, and then missing again, and sent it as lapsed. The process withheld the entry but ignored the lapse, and used the removed server after the grace period, until the list changed again; a late list from before the lapse had the same effect. models/store_restore.py found both. Change: a reported lapse drops a withheld entry and outdates the removal, as an entry that this process finds missing does. Result: both new tests failed before and pass now; 97 tests of the catalogue pass.

--- a/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
@@ -181,14 +181,9 @@
         Right after an outage of the store an entry may have lapsed although its
         back end is live, so the back end is kept for a grace period.
         """
-        withheld = self.withheld.get(server_id)
-        if withheld is not None and withheld.server.position <= position:
-            del self.withheld[server_id]
+        self.outdate_unused_entry(server_id, position)
         listed = self.servers.get(server_id)
         if listed is None:
-            removal = self.removed.get(server_id)
-            if removal is not None and removal.position.era < position.era:
-                self.removed[server_id] = replace(removal, position=position)
             return False
         if listed.position > position:
             return False
@@ -198,6 +193,19 @@
         self.drop_server(server_id, position)
         return True
 
+    def outdate_unused_entry(self, server_id: str, position: StorePosition) -> None:
+        """Drop a withheld entry that is missing at a position, and outdate others."""
+        withheld = self.withheld.get(server_id)
+        if withheld is not None and withheld.server.position <= position:
+            del self.withheld[server_id]
+        removal = self.removed.get(server_id)
+        if (
+            removal is not None
+            and server_id not in self.servers
+            and removal.position.era < position.era
+        ):
+            self.removed[server_id] = replace(removal, position=position)
+
     def mark_lapsed(self, server_id: str, position: StorePosition) -> None:
         """Keep a back end whose entry is missing until the grace period ends."""
         self.lapsed.setdefault(server_id, Lapse(position, self.lapse_grace_until))
@@ -269,8 +277,9 @@
     def merge_lapses(self, lapsed: dict[str, int], era: int, now: float) -> None:
         """Start the grace period of back ends that a peer reports as lapsed."""
         for server_id, revision in lapsed.items():
-            listed = self.servers.get(server_id)
             position = StorePosition(era, revision)
+            self.outdate_unused_entry(server_id, position)
+            listed = self.servers.get(server_id)
             if listed is not None and listed.position <= position:
                 self.lapsed.setdefault(server_id, Lapse(position, now + LAPSE_GRACE_S))
 
--- a/packages/primroselever-core/tests/catalogue/test_store_restore.py
+++ b/packages/primroselever-core/tests/catalogue/test_store_restore.py
@@ -334,3 +334,31 @@
     catalogue.replace_servers(listing(entry("a", 1, 310, 51)), BEFORE, NOW)
     assert not catalogue.merge(older.copy(), NOW)
     assert catalogue.servers["a"].era == 1
+
+
+# Failure: an entry that a peer saw listed and then missing in the new era is used after
+# the grace period, although the store does not list it and its server was removed.
+def test_a_lapse_that_a_peer_reports_ends_a_withheld_entry(entry):
+    catalogue = make_catalogue(entry("a", 1, 180, 50))
+    catalogue.process_missing_entry("a", StorePosition(1, 201), NOW - 5.0)
+    peer = make_catalogue(entry("a", 1, 180, 50))
+    peer.replace_servers(listing(entry("a", 2, 40, 50)), RESTORED, NOW)
+    peer.replace_servers({}, StorePosition(2, 96), NOW + 0.5)
+    assert "a" in peer.lapsed
+    catalogue.merge(peer.copy(), NOW + 0.6)
+    assert catalogue.adopt_withheld_servers(GRACE_END + 1.0) == []
+    assert catalogue.servers == {}
+
+
+# Failure: a late list, from before the lapse that a peer reported, brings a removed
+# server back.
+def test_a_lapse_that_a_peer_reports_outdates_earlier_lists(entry):
+    catalogue = make_catalogue(entry("a", 1, 180, 50))
+    catalogue.process_missing_entry("a", StorePosition(1, 201), NOW - 5.0)
+    peer = make_catalogue(entry("a", 1, 180, 50))
+    peer.replace_servers({}, StorePosition(2, 96), NOW)
+    catalogue.merge(peer.copy(), NOW + 0.1)
+    catalogue.replace_servers(listing(entry("a", 2, 40, 50)), RESTORED, NOW + 0.2)
+    assert catalogue.withheld == {}
+    assert catalogue.adopt_withheld_servers(GRACE_END + 1.0) == []
+    assert catalogue.servers == {}
