--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,40 +9,61 @@
 
 import signal
 import time
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import eventlet
 
-from .backends import PIECE_COUNT, ModelServer
-from .ledger import FaultPeriod
+from .back_end_checks import LINK_DISTURBANCES, SILENCE
+from .backends import PIECE_COUNT, ModelServer, PlainServer
+from .ledger import (
+    CONFIGURATION_LIMIT_S,
+    CONTACT_RECOVERY_S,
+    DRAIN_LIMIT_S,
+    STORE_RESTORE,
+    FaultPeriod,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from random import Random
 
+    from .backends import Backend
     from .callers import Prober
     from .fleet import Fleet, Vm
     from .ledger import Ledger
 
 MAX_FAULT_DURATION_S = 2.5
 RESTART_DELAY_S = 0.3
-# Starting the interpreter and importing take about 0.5 s, twice that under load.
-STARTUP_LIMIT_S = 2.0
+BUSY_S = 2.0  # the time in which requests are counted to find the busiest back end
+SERIES_S = 3.0  # between two faults of one target that count as a series
 BACKEND_DOWN_S = 1.0
 LINK_DELAY_S = 0.3
 # A back end drains for this long, then up to as long again while it has runs.
 BACKEND_DRAIN_S = 4.0
+MAX_COPY_AGE_S = 3.0
+STORE_AWAY_S = 0.3  # long enough for open watches to end
+WRITES_BEFORE_RESTORE = 2  # by each back end; they are lost
+MAX_WRITING_AGAIN_DELAY_S = 1.0  # below the grace time for missing back ends
+CLOSURE_S = 4.0
+SILENCE_RANGE_S = (0.7, 1.0)
+MAX_WAIT_FOR_RUN_S = 1.0
 
 
 @dataclass(slots=True)
 class FaultContext:
-    """The fleet and the seeded random generator that faults use."""
+    """
+    The fleet and the seeded random generator that faults use.
+
+    ``prefers_busy`` selects the back ends that received most requests lately.
+    """
 
     fleet: Fleet
     ledger: Ledger
     prober: Prober
     random: Random
+    prefers_busy: bool = False
 
     def draw_duration_s(self) -> float:
         """Return a random fault duration in seconds."""
@@ -53,6 +74,14 @@
     ) -> FaultPeriod:
         """Record a fault that begins now; the caller sets the end of the period."""
         period = FaultPeriod(kind, target, time.monotonic(), planned=planned)
+        earlier_periods = self.ledger.fault_periods
+        if any(earlier.end > period.start for earlier in earlier_periods):
+            self.ledger.counts["overlapping faults"] += 1
+        if any(
+            target == earlier.target and earlier.end > period.start - SERIES_S
+            for earlier in earlier_periods
+        ):
+            self.ledger.counts["faults in series"] += 1
         self.ledger.fault_periods.append(period)
         self.ledger.counts[f"fault {kind}"] += 1
         return period
@@ -66,6 +95,23 @@
         ]
         return self.random.choice(candidates) if candidates else None
 
+    def choose_backend(self, server_class: type[Backend]) -> str:
+        """Return the name of a listed back end of a class."""
+        backends = {
+            name: self.fleet.backends[name]
+            for name in sorted(self.fleet.listed_server_ids)
+            if isinstance(self.fleet.backends[name], server_class)
+        }
+        if not self.prefers_busy:
+            return self.random.choice(list(backends))
+        since = time.monotonic() - BUSY_S
+        arrival_counts = Counter(
+            arrival.server_id
+            for arrival in self.ledger.arrivals
+            if arrival.arrived_at > since
+        )
+        return max(backends, key=lambda name: arrival_counts[backends[name].server_id])
+
 
 def kill_program(context: FaultContext) -> None:
     """Kill a program and restart it."""
@@ -88,8 +134,8 @@
         return
     vm.stopping = True
     period = context.record_fault("terminate", vm.name, planned=True)
+    is_starting = not vm.handles_signal(signal.SIGTERM)
     vm.send_signal(signal.SIGTERM)
-    is_starting = period.start - vm.started_at < STARTUP_LIMIT_S
     exit_code = context.fleet.wait_for_exit(vm)
     if is_starting and exit_code == -signal.SIGTERM:
         exit_code = 0  # It has no work to finish yet and may end by the signal.
@@ -121,7 +167,8 @@
 def reload_settings(context: FaultContext) -> None:
     """Make a program reload its settings."""
     vm = context.choose_vm()
-    if vm is None or vm.process is None:
+    # A program that is still starting would end by the signal.
+    if vm is None or not vm.handles_signal(signal.SIGHUP):
         return
     period = context.record_fault("hang up", vm.name, planned=True)
     vm.send_signal(signal.SIGHUP)
@@ -133,9 +180,9 @@
     period = context.record_fault("store down", "")
     state = context.fleet.store.state
     kind = context.random.choice(["down", "slow"])
-    setattr(state, kind, True)
+    setattr(state, kind, getattr(state, kind) + 1)
     eventlet.sleep(context.draw_duration_s())
-    setattr(state, kind, False)
+    setattr(state, kind, getattr(state, kind) - 1)
     period.end = time.monotonic()
 
 
@@ -150,11 +197,52 @@
     period.end = time.monotonic()
 
 
+def restore_store(context: FaultContext) -> None:
+    """Restore the store from a copy; what was lost is written again a little later."""
+    delay_s = MAX_WRITING_AGAIN_DELAY_S * context.random.random()
+    replace_store(context, delay_s)
+
+
+def restore_store_and_overtake(context: FaultContext) -> None:
+    """
+    Restore the store, which at once reaches the revisions that it had before.
+
+    The first of the new revisions is a new configuration, which a watch that continues
+    from a revision before the restore does not return.
+    """
+    replace_store(context, 0.0)
+
+
+def replace_store(context: FaultContext, writing_again_delay_s: float) -> None:
+    """Replace the store by a copy some seconds old, after a moment of being away."""
+    fleet = context.fleet
+    state = fleet.store.state
+    period = context.record_fault(STORE_RESTORE, "")
+    copy_age_s = MAX_COPY_AGE_S * context.random.random()
+    copy_revision = state.revision_at(time.monotonic() - copy_age_s)
+    for _ in range(WRITES_BEFORE_RESTORE):
+        fleet.write_again()
+    state.down += 1
+    eventlet.sleep(STORE_AWAY_S)
+    lost_revision = state.revision
+    state.restore(min(copy_revision, lost_revision))
+    if writing_again_delay_s:
+        state.down -= 1
+        eventlet.sleep(writing_again_delay_s)
+        fleet.write_again()
+    else:
+        publish_configuration(context)
+        while state.revision <= lost_revision:
+            fleet.write_again()
+        state.down -= 1
+    period.end = time.monotonic()
+
+
 def disturb_link(context: FaultContext) -> None:
     """Cut a link, silence or reset its connections, or delay its data."""
     name = context.random.choice(sorted(context.fleet.links.paths))
     path = context.fleet.links.paths[name]
-    kind = context.random.choice(["cut", "there", "back", "silence", "reset", "delay"])
+    kind = context.random.choice(LINK_DISTURBANCES)
     entry_name, _, to_store = name.partition(">")
     target = entry_name if to_store else context.fleet.backends[name].server_id
     period = context.record_fault(f"link {kind}", target)
@@ -201,9 +289,46 @@
     if backend.down or server_id in context.ledger.draining_since:
         return
     period = context.record_fault("back end leaves", server_id, planned=True)
-    fleet.list_backend(name, "draining")
-    context.ledger.draining_since[server_id] = time.monotonic()
+    backend.leaving = True
+    announce_draining(context, name)
     eventlet.sleep(BACKEND_DRAIN_S)
+    finish_draining(context, name, server_id, period)
+
+
+def leave_in_outage(context: FaultContext) -> None:
+    """Make a back end leave that can only say so in its answers."""
+    fleet = context.fleet
+    name = context.choose_backend(PlainServer)
+    backend = fleet.backends[name]
+    server_id = backend.server_id
+    if backend.down or backend.leaving:
+        return
+    outage = context.record_fault("store down", "")
+    period = context.record_fault("back end leaves", server_id, planned=True)
+    fleet.store.state.down += 1
+    backend.leaving = True
+    eventlet.sleep(DRAIN_LIMIT_S + 2.0)
+    fleet.store.state.down -= 1
+    outage.end = time.monotonic()
+    if backend.server_id == server_id:
+        announce_draining(context, name)
+    finish_draining(context, name, server_id, period)
+
+
+def announce_draining(context: FaultContext, name: str) -> None:
+    """Write to the store that a back end drains."""
+    backend = context.fleet.backends[name]
+    backend.listed_as_draining = True
+    context.fleet.list_backend(name)
+    context.ledger.draining_since[backend.server_id] = time.monotonic()
+
+
+def finish_draining(
+    context: FaultContext, name: str, server_id: str, period: FaultPeriod
+) -> None:
+    """Replace a drained back end by a new incarnation once it has no runs left."""
+    fleet = context.fleet
+    backend = fleet.backends[name]
     deadline = time.monotonic() + BACKEND_DRAIN_S
     while backend.running and time.monotonic() < deadline:
         eventlet.sleep(0.05)
@@ -215,6 +340,42 @@
     fleet.list_backend(name)
 
 
+def close_backend(context: FaultContext) -> None:
+    """Make a back end refuse all requests for some time and ask for a pause."""
+    backend = context.fleet.backends[context.choose_backend(PlainServer)]
+    if backend.down:
+        return
+    period = context.record_fault("back end closed", backend.server_id)
+    backend.closed_until = time.monotonic() + CLOSURE_S
+    eventlet.sleep(CLOSURE_S)
+    period.end = time.monotonic()
+
+
+def silence_engine(context: FaultContext) -> None:
+    """Make an engine send nothing for about a second and go on."""
+    silence_backend(context, ModelServer)
+
+
+def silence_plain_server(context: FaultContext) -> None:
+    """Make a plain server send nothing for about a second and go on."""
+    silence_backend(context, PlainServer)
+
+
+def silence_backend(context: FaultContext, server_class: type[Backend]) -> None:
+    """Wait until a back end has runs, silence it, and let it go on."""
+    backend = context.fleet.backends[context.choose_backend(server_class)]
+    deadline = time.monotonic() + MAX_WAIT_FOR_RUN_S
+    while not backend.running and time.monotonic() < deadline:
+        eventlet.sleep(0.01)
+    if backend.down:
+        return
+    duration_s = context.random.uniform(*SILENCE_RANGE_S)
+    period = context.record_fault(SILENCE, backend.server_id)
+    backend.silent_until = period.start + duration_s
+    eventlet.sleep(duration_s)
+    period.end = time.monotonic()
+
+
 def publish_configuration(context: FaultContext) -> None:
     """Publish a new configuration."""
     period = context.record_fault("configuration", "", planned=True)
@@ -250,9 +411,15 @@
     reload_settings: 1.0,
     fail_store: 1.0,
     compact_store: 1.0,
+    restore_store: 1.0,
+    restore_store_and_overtake: 0.5,
     disturb_link: 3.0,
     crash_backend: 2.0,
     drain_backend: 1.5,
+    leave_in_outage: 0.3,
+    close_backend: 1.0,
+    silence_engine: 1.0,
+    silence_plain_server: 0.5,
     publish_configuration: 2.0,
     publish_weights_version: 0.7,
     corrupt_piece: 1.0,
@@ -264,3 +431,23 @@
     publish_weights_version,
     drain_backend,
 )
+
+
+def wait_until_in_touch(context: FaultContext) -> None:
+    """Wait until all entries must use the configuration published in a fault."""
+    eventlet.sleep(CONTACT_RECOVERY_S + CONFIGURATION_LIMIT_S + 1.0)
+
+
+# These occur in each soak, in this order and before others overlap with them, so that
+# what they show does not depend on the seed.
+INITIAL_SEQUENCE = (
+    silence_engine,
+    close_backend,
+    silence_engine,
+    restore_store_and_overtake,
+    wait_until_in_touch,
+    restore_store,
+    silence_engine,
+    leave_in_outage,
+    silence_plain_server,
+)
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,8 +9,14 @@
 
 import eventlet
 
+from .back_end_checks import check_back_ends
 from .callers import Caller, Prober
-from .faults import FAULT_FREQUENCIES, PLANNED_OPERATIONS, FaultContext
+from .faults import (
+    FAULT_FREQUENCIES,
+    INITIAL_SEQUENCE,
+    PLANNED_OPERATIONS,
+    FaultContext,
+)
 from .fleet import Fleet
 from .ledger import Ledger
 
@@ -23,7 +29,7 @@
 # Each sequence injects one fault at a time; faults of different sequences overlap.
 FAULT_SEQUENCE_COUNT = 2
 MEAN_PAUSE_BETWEEN_FAULTS_S = 0.8  # within one sequence
-RECOVERY_S = 8.0  # The platform allows at least 12 s after the last fault.
+RECOVERY_S = 12.0  # the platform allows at least this after the last fault
 FAULT_FREE_S = 3.0
 MIN_SERVED_SHARE = 0.9  # of the requests sent after the recovery time
 
@@ -55,6 +61,11 @@
             self.wait_until_ready(fleet)
             caller_tasks = [eventlet.spawn(caller.run) for caller in callers]
             eventlet.spawn(prober.run)
+            first_context = FaultContext(
+                fleet, self.ledger, prober, Random(random.random()), prefers_busy=True
+            )
+            for fault in () if self.planned_only else INITIAL_SEQUENCE:
+                fault(first_context)
             fault_tasks = [
                 eventlet.spawn(
                     self.inject_faults,
@@ -75,6 +86,7 @@
         finally:
             fleet.stop()
         self.ledger.check_completed_soak()
+        check_back_ends(self.ledger)
         return self.ledger
 
     def wait_until_ready(self, fleet: Fleet) -> None:
@@ -88,7 +100,7 @@
             eventlet.sleep(0.1)
 
     def inject_faults(self, context: FaultContext) -> None:
-        """Inject random faults one at a time for ``fault_duration_s``."""
+        """Inject random faults in series for ``fault_duration_s``."""
         faults: list[Callable[[FaultContext], None]] = list(FAULT_FREQUENCIES)
         if self.planned_only:
             faults = list(PLANNED_OPERATIONS)
