Share the scripted source and the events of the tests of one folder

Cause: the same class and list stood in two test files each. Change: they are in the folder's conftest; calls are compared without the wait where it was not part of them before.

--- a/packages/primroselever-entry/tests/direct/conftest.py
+++ b/packages/primroselever-entry/tests/direct/conftest.py
@@ -52,6 +52,7 @@
 LIMITS = CallerLimits(4096, 10_000, 0.3, 0.5)
 RESET, HANG, CLOSE, PAUSE = b"<reset>", b"<hang>", b"<close>", b"<pause>"
 PAUSE_S = 0.12
+EVENTS = [b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n", b"id: 3\ndata: c\n\n"]
 FIGURES = EngineFigures(
     8, 500_000, 0.01, 0.0, 0.0, 10_000.0, 2048, 5, 1000.0, 100.0, 0.2
 )
--- a/packages/primroselever-entry/tests/direct/test_flow.py
+++ b/packages/primroselever-entry/tests/direct/test_flow.py
@@ -13,6 +13,7 @@
 
 from .conftest import (
     CLOSE,
+    EVENTS,
     HANG,
     RESET,
     chunk,
@@ -23,8 +24,6 @@
     stream_head,
 )
 
-EVENTS = [b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n", b"id: 3\ndata: c\n\n"]
-
 
 def test_response_is_forwarded_with_its_seal(entry):
     entry.add("a").responses = [ok_response(b"stock: 7")]
--- a/packages/primroselever-entry/tests/direct/test_silence.py
+++ b/packages/primroselever-entry/tests/direct/test_silence.py
@@ -18,6 +18,7 @@
 from primroselever_node import clock
 
 from .conftest import (
+    EVENTS,
     HANG,
     PAUSE,
     PAUSE_S,
@@ -30,7 +31,6 @@
     stream_head,
 )
 
-EVENTS = [b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n", b"id: 3\ndata: c\n\n"]
 STREAM_END = b"0\r\n\r\n"
 PAUSED_STREAM = [
     stream_head() + chunk(EVENTS[0] + EVENTS[1][:6]),
--- a/packages/primroselever-node/tests/direct/test_follower.py
+++ b/packages/primroselever-node/tests/direct/test_follower.py
@@ -31,28 +31,7 @@
     SourceError,
 )
 
-
-class ScriptedSource:
-    """Returns or raises the outcomes of a script in turn, then blocks forever."""
-
-    def __init__(self, *script) -> None:
-        self.script = list(script)
-        self.calls: list[tuple] = []
-
-    def next_outcome(self, *call):
-        self.calls.append(call)
-        if not self.script:
-            eventlet.sleep(3600)
-        outcome = self.script.pop(0)
-        if isinstance(outcome, Exception):
-            raise outcome
-        return outcome
-
-    def read(self, part):
-        return self.next_outcome("read")
-
-    def watch(self, part, after, wait_s):
-        return self.next_outcome("watch", after, wait_s)
+from .conftest import ScriptedSource
 
 
 def server(name: str) -> ListedServer:
--- a/packages/primroselever-node/tests/direct/test_follower_restore.py
+++ b/packages/primroselever-node/tests/direct/test_follower_restore.py
@@ -23,36 +23,9 @@
     StoreRestoredError,
 )
 
-SERVERS, OPERATOR = CataloguePart.SERVERS, CataloguePart.OPERATOR
-
-
-class ScriptedSource:
-    """
-    Returns or raises the outcomes of a script in turn, then blocks forever.
-
-    An outcome may be a function, which is called at that time.
-    """
+from .conftest import ScriptedSource
 
-    def __init__(self, *script) -> None:
-        self.script = list(script)
-        self.calls: list[tuple] = []
-
-    def next_outcome(self, *call):
-        self.calls.append(call)
-        if not self.script:
-            eventlet.sleep(3600)
-        outcome = self.script.pop(0)
-        if callable(outcome):
-            outcome = outcome()
-        if isinstance(outcome, Exception):
-            raise outcome
-        return outcome
-
-    def read(self, part):
-        return self.next_outcome("read")
-
-    def watch(self, part, after, wait_s):
-        return self.next_outcome("watch", after)
+SERVERS, OPERATOR = CataloguePart.SERVERS, CataloguePart.OPERATOR
 
 
 def listed(name: str, era: int, revision: int, sequence: int) -> ServerListed:
@@ -107,7 +80,12 @@
     catalogue, source, _follower = follow(
         BEFORE, CatalogueChanges(210, [listed("c", 2, 205, 1)], 2), RESTORED
     )
-    assert source.calls == [("read",), ("watch", 200), ("read",), ("watch", 95)]
+    assert [call[:2] for call in source.calls] == [
+        ("read",),
+        ("watch", 200),
+        ("read",),
+        ("watch", 95),
+    ]
     assert catalogue.store_position == StorePosition(2, 95)
     assert set(catalogue.servers) == {"a", "b"}
     assert catalogue.expire_lapsed_servers(clock.now() + LAPSE_GRACE_S) == ["b"]
@@ -241,7 +219,7 @@
     catalogue, source, _follower = follow(
         BEFORE, changes, RESTORED, catalogue=catalogue
     )
-    assert source.calls[-1] == ("watch", 95)
+    assert source.calls[-1][:2] == ("watch", 95)
     assert catalogue.store_position == StorePosition(2, 95)
 
 
