--- a/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
@@ -1,5 +1,5 @@
 """
-HTTP/1.1 server for callers, on green sockets and with limits for each connection.
+One HTTP/1.1 connection from a caller, on green sockets and with limits.
 
 If a response cannot be completed, the connection is closed without the last chunk, so
 that the caller detects the truncation. While a request is processed, its connection is
@@ -21,25 +21,21 @@
 
 from primroselever_core.exceptions import PrimroseleverError
 from primroselever_node import clock
-from primroselever_node.listen import listen
 
 from .caller_request import CallerRequest, parse_request
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from primroselever_core.catalogue.model import Address, CallerLimits
+    from primroselever_core.catalogue.model import CallerLimits
 
-    from .header_names import HeaderNames
+    from .caller_server import CallerServer
 
     Headers = list[tuple[bytes, bytes]]
-    RequestHandler = Callable[[CallerRequest, "CallerConnection"], None]
 
 READ_BYTES = 65536
 MAX_PIPELINED_BYTES = 262144  # of later requests, read while one is processed
-TCP_USER_TIMEOUT_MS = 5000  # callers time out after a few seconds
 LINGER_S = 0.5  # to read the rest of a refused body, so that the refusal arrives
-ACCEPT_RETRY_S = 0.05  # after a failure, such as a lack of descriptors
 WRITE_TIMEOUT_S = 10.0  # a caller that reads nothing for this long is gone
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # for SO_LINGER
 
@@ -440,79 +436,3 @@
     """Return the size in bytes of a request head with the usual separators."""
     size = len(head.method) + len(head.target) + len("  HTTP/1.1") + 4
     return size + sum(len(name) + len(value) + 4 for name, value in head.headers)
-
-
-class CallerServer:
-    """Accepts connections from callers and passes their requests to ``handle``."""
-
-    def __init__(
-        self,
-        address: Address,
-        names: HeaderNames,
-        limits: Callable[[], CallerLimits],
-        handle: RequestHandler,
-        is_leaving: Callable[[], bool],
-    ) -> None:
-        self.names = names
-        self.limits = limits
-        self.handle = handle
-        self.is_leaving = is_leaving
-        self.socket = listen(*address)
-        self.connections: set[CallerConnection] = set()
-        self.in_flight = 0
-        self.closing = False
-
-    def start(self) -> None:
-        """Start accepting connections in a separate greenlet."""
-        eventlet.spawn(self.accept_connections)
-
-    def accept_connections(self) -> None:
-        """Accept connections until the process ends."""
-        while True:
-            if not self.accept_connection():
-                eventlet.sleep(ACCEPT_RETRY_S)
-
-    def accept_connection(self) -> bool:
-        """Accept the next connection and serve it; return whether this succeeded."""
-        try:
-            sock, _address = self.socket.accept()
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.setsockopt(
-                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
-            )
-        except OSError as exc:
-            logger.warning(
-                "cannot accept a connection from a caller", extra={"error": str(exc)}
-            )
-            return False
-        connection = CallerConnection(self, sock)
-        self.connections.add(connection)
-        eventlet.spawn(connection.serve)
-        return True
-
-    def close_idle_connections(self) -> None:
-        """
-        Close idle connections; the others close after their current request.
-
-        Connections that callers opened before this are accepted first.
-        """
-        while is_readable(self.socket) and self.accept_connection():
-            pass
-        self.closing = True
-        for connection in list(self.connections):
-            if connection.is_idle():
-                connection.shut_down_idle()
-            else:
-                connection.busy_at_close = True
-
-    def answer_unfinished(self) -> None:
-        """Answer the requests without a response before the process ends."""
-        for connection in list(self.connections):
-            eventlet.spawn(connection.answer_at_end)
-
-    def unfinished_count(self) -> int:
-        """Return how many connections have a request that must still be answered."""
-        return sum(
-            connection.processing or connection.busy_at_close
-            for connection in self.connections
-        )
--- /dev/null
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/caller_server.py
@@ -0,0 +1,104 @@
+"""The server that accepts connections from callers."""
+
+from __future__ import annotations
+
+import logging
+import socket
+from typing import TYPE_CHECKING
+
+import eventlet
+
+from primroselever_node.listen import listen
+
+from .caller_connection import CallerConnection, is_readable
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from primroselever_core.catalogue.model import Address, CallerLimits
+
+    from .caller_request import CallerRequest
+    from .header_names import HeaderNames
+
+    RequestHandler = Callable[[CallerRequest, CallerConnection], None]
+
+TCP_USER_TIMEOUT_MS = 5000  # callers time out after a few seconds
+ACCEPT_RETRY_S = 0.05  # after a failure, such as a lack of descriptors
+
+logger = logging.getLogger(__name__)
+
+
+class CallerServer:
+    """Accepts connections from callers and passes their requests to ``handle``."""
+
+    def __init__(
+        self,
+        address: Address,
+        names: HeaderNames,
+        limits: Callable[[], CallerLimits],
+        handle: RequestHandler,
+        is_leaving: Callable[[], bool],
+    ) -> None:
+        self.names = names
+        self.limits = limits
+        self.handle = handle
+        self.is_leaving = is_leaving
+        self.socket = listen(*address)
+        self.connections: set[CallerConnection] = set()
+        self.in_flight = 0
+        self.closing = False
+
+    def start(self) -> None:
+        """Start accepting connections in a separate greenlet."""
+        eventlet.spawn(self.accept_connections)
+
+    def accept_connections(self) -> None:
+        """Accept connections until the process ends."""
+        while True:
+            if not self.accept_connection():
+                eventlet.sleep(ACCEPT_RETRY_S)
+
+    def accept_connection(self) -> bool:
+        """Accept the next connection and serve it; return whether this succeeded."""
+        try:
+            sock, _address = self.socket.accept()
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
+            )
+        except OSError as exc:
+            logger.warning(
+                "cannot accept a connection from a caller", extra={"error": str(exc)}
+            )
+            return False
+        connection = CallerConnection(self, sock)
+        self.connections.add(connection)
+        eventlet.spawn(connection.serve)
+        return True
+
+    def close_idle_connections(self) -> None:
+        """
+        Close idle connections; the others close after their current request.
+
+        Connections that callers opened before this are accepted first.
+        """
+        while is_readable(self.socket) and self.accept_connection():
+            pass
+        self.closing = True
+        for connection in list(self.connections):
+            if connection.is_idle():
+                connection.shut_down_idle()
+            else:
+                connection.busy_at_close = True
+
+    def answer_unfinished(self) -> None:
+        """Answer the requests without a response before the process ends."""
+        for connection in list(self.connections):
+            eventlet.spawn(connection.answer_at_end)
+
+    def unfinished_count(self) -> int:
+        """Return how many connections have a request that must still be answered."""
+        return sum(
+            connection.processing or connection.busy_at_close
+            for connection in self.connections
+        )
--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from primroselever_core.catalogue.model import RouteKind
@@ -19,13 +19,14 @@
 from primroselever_core.dispatch.predict import predict_read_s
 from primroselever_core.dispatch.retry_share import RetryLimits, RetryShare
 from primroselever_node import clock
-from primroselever_node.logs import log_decision
 
 from .announcements import AnnouncementReader
 from .attempt import Attempt, AttemptEnd
 from .caller_connection import CallerLeftError
 from .crash_watch import CrashWatch
 from .event_stream import EventBuffer
+from .request_log import log_choice, log_request_end
+from .request_state import RequestState
 from .sending import AttemptSender
 
 if TYPE_CHECKING:
@@ -76,35 +77,6 @@
     retries: RetryLimits
 
 
-@dataclass(slots=True)
-class RequestState:
-    """
-    The state of a request in progress.
-
-    ``deadline`` is when the route or the caller gives up, ``objective_at`` when the
-    first event is due, and ``late`` whether that time had already passed when the
-    request arrived. ``silent_sender`` is the attempt whose back end fell silent; its
-    connection stays open until another back end answers.
-    """
-
-    request: CallerRequest
-    route: Route
-    service: str
-    workspace: str | None
-    deadline: float
-    objective_at: float
-    late: bool
-    event_buffer: EventBuffer
-    tried_server_ids: list[str] = field(default_factory=list)
-    attempts: list[Attempt] = field(default_factory=list)
-    head_forwarded: bool = False
-    may_have_run: bool = False
-    first_event_at: float | None = None
-    last_event_at: float = 0.0
-    longest_gap_s: float = 0.0
-    silent_sender: AttemptSender | None = None
-
-
 class DirectFlow:
     """Answers callers' requests by forwarding them to back ends."""
 
@@ -142,7 +114,7 @@
             if state is not None:
                 self.send_until_ended(state, caller)
         except CallerLeftError:
-            self.log_request_end(request, "caller left", "no further bytes are sent")
+            log_request_end(request, "caller left", "no further bytes are sent")
         except Exception:
             logger.exception(
                 "unexpected error while a request was processed",
@@ -161,7 +133,7 @@
         """Answer a request that met an unexpected error, if no response has begun."""
         reason = "unexpected error"
         if caller.response_begun():
-            self.log_request_end(request, "cut off", reason, state)
+            log_request_end(request, "cut off", reason, state)
             caller.abandon_response()
             return
         may_have_run = state is not None and (
@@ -172,7 +144,7 @@
         try:
             self.send_error(request, caller, status, reason, retry_after_s, state)
         except CallerLeftError:
-            self.log_request_end(request, "caller left", reason, state)
+            log_request_end(request, "caller left", reason, state)
 
     def admit_request(
         self, request: CallerRequest, caller: CallerConnection
@@ -259,12 +231,12 @@
                     )
                     return
                 if attempt.end is AttemptEnd.ANSWERED:
-                    self.log_request_end(
+                    log_request_end(
                         state.request, "answered", str(attempt.status), state
                     )
                     return
                 if attempt.end is AttemptEnd.CALLER_LEFT:
-                    self.log_request_end(
+                    log_request_end(
                         state.request,
                         "caller left",
                         "the work for it is cancelled",
@@ -310,13 +282,23 @@
         choice = self.choose_next_backend(state, now)
         if isinstance(choice, Refused):
             if silent is None:
-                self.log_choice(state, "none", choice.reason, choice.candidates)
+                log_choice(
+                    self.board.catalogue,
+                    state,
+                    "none",
+                    choice.reason,
+                    choice.candidates,
+                )
                 return choice
             until = min(state.deadline, now + SILENCE_RECHECK_S)
             return self.record_attempt(state, silent, silent.keep_waiting(until))
         backend = choice.backend
-        self.log_choice(
-            state, backend.listed.server_id, "first event due first", choice.candidates
+        log_choice(
+            self.board.catalogue,
+            state,
+            backend.listed.server_id,
+            "first event due first",
+            choice.candidates,
         )
         state.tried_server_ids.append(backend.listed.server_id)
         self.record_sent_prompt(state, backend, now)
@@ -468,7 +450,7 @@
     ) -> None:
         """End a request without a complete answer: send an error or cut it off."""
         if state.head_forwarded:
-            self.log_request_end(state.request, "cut off", reason, state)
+            log_request_end(state.request, "cut off", reason, state)
             caller.abandon_response()
             return
         retry_delay_s = (
@@ -504,64 +486,5 @@
     ) -> None:
         """Send an error response that the entry generates itself."""
         self.instruments.count_own_answer(status)
-        self.log_request_end(request, "refused", f"{status} {reason}", state)
+        log_request_end(request, "refused", f"{status} {reason}", state)
         caller.send_problem(status, reason, retry_after_s)
-
-    def log_choice(
-        self, state: RequestState, choice: str, reason: str, candidates: str
-    ) -> None:
-        """Log the chosen back end and the candidates."""
-        request = state.request
-        catalogue = self.board.catalogue
-        log_decision(
-            "back end chosen",
-            request.log_id,
-            choice,
-            reason,
-            service=state.service,
-            candidates=candidates,
-            tried=state.tried_server_ids[:],
-            late=state.late,
-            configuration=catalogue.configuration.revision
-            if catalogue.configuration
-            else None,
-            store_age_s=round(clock.now() - catalogue.store_contact_at, 3)
-            if catalogue.store_contact_at is not None
-            else None,
-        )
-
-    def log_request_end(
-        self,
-        request: CallerRequest,
-        outcome: str,
-        reason: str,
-        state: RequestState | None = None,
-    ) -> None:
-        """Log how a request ended from the caller's point of view."""
-        extra_fields: dict[str, object] = {}
-        if state is not None:
-            extra_fields = {
-                "route": state.route.name,
-                "workspace": state.workspace,
-                "attempts": [
-                    f"{server}: {attempt.end} {attempt.status or ''} {attempt.reason}"
-                    for server, attempt in zip(
-                        state.tried_server_ids, state.attempts, strict=False
-                    )
-                ],
-            }
-            if state.first_event_at is not None:
-                first_event_s = state.first_event_at - request.received_at
-                extra_fields["first_event_ms"] = round(first_event_s * 1000)
-                extra_fields["longest_gap_ms"] = round(state.longest_gap_s * 1000)
-        log_decision(
-            "request ended",
-            request.log_id,
-            outcome,
-            reason,
-            took_ms=round((clock.now() - request.received_at) * 1000),
-            caller_waits_ms=None
-            if request.deadline is None
-            else round((request.deadline - request.received_at) * 1000),
-            **extra_fields,
-        )
--- a/packages/primroselever-entry/src/primroselever_entry/direct/process.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/process.py
@@ -29,7 +29,7 @@
 from primroselever_node.process import ShutdownSignal, drain, exit_code
 from primroselever_node.rpc.server import RpcServer
 
-from .caller_connection import CallerServer
+from .caller_server import CallerServer
 from .explain import DispatchExplainer, closed_for_s
 from .flow import DirectFlow, FlowLimits
 from .instruments import FlowInstruments
--- /dev/null
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/request_state.py
@@ -0,0 +1,43 @@
+"""The state of a request while an entry processes it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from primroselever_core.catalogue.model import Route
+
+    from .attempt import Attempt
+    from .caller_request import CallerRequest
+    from .event_stream import EventBuffer
+    from .sending import AttemptSender
+
+
+@dataclass(slots=True)
+class RequestState:
+    """
+    The state of a request in progress.
+
+    ``deadline`` is when the route or the caller gives up, ``objective_at`` when the
+    first event is due, and ``late`` whether that time had already passed when the
+    request arrived. ``silent_sender`` is the attempt whose back end fell silent; its
+    connection stays open until another back end answers.
+    """
+
+    request: CallerRequest
+    route: Route
+    service: str
+    workspace: str | None
+    deadline: float
+    objective_at: float
+    late: bool
+    event_buffer: EventBuffer
+    tried_server_ids: list[str] = field(default_factory=list)
+    attempts: list[Attempt] = field(default_factory=list)
+    head_forwarded: bool = False
+    may_have_run: bool = False
+    first_event_at: float | None = None
+    last_event_at: float = 0.0
+    longest_gap_s: float = 0.0
+    silent_sender: AttemptSender | None = None
--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -30,7 +30,8 @@
     from primroselever_node.direct.exchange import HttpConnection
 
     from .caller_connection import CallerConnection
-    from .flow import DirectFlow, RequestState
+    from .flow import DirectFlow
+    from .request_state import RequestState
 
     Headers = list[tuple[bytes, bytes]]
 
--- a/packages/primroselever-entry/tests/direct/conftest.py
+++ b/packages/primroselever-entry/tests/direct/conftest.py
@@ -24,7 +24,7 @@
 from primroselever_core.dispatch.retry_share import RetryLimits
 from primroselever_core.gossip.peers import Peers
 from primroselever_core.identity import Identity
-from primroselever_entry.direct.caller_connection import CallerServer
+from primroselever_entry.direct.caller_server import CallerServer
 from primroselever_entry.direct.flow import DirectFlow, FlowLimits
 from primroselever_entry.direct.header_names import HeaderNames
 from primroselever_entry.direct.instruments import FlowInstruments
--- a/packages/primroselever-entry/tests/direct/test_unexpected_errors.py
+++ b/packages/primroselever-entry/tests/direct/test_unexpected_errors.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from primroselever_entry.direct import caller_connection, sending
+from primroselever_entry.direct import caller_server, sending
 
 from .conftest import ok_response, read_all
 
@@ -34,6 +34,6 @@
 def test_entry_accepts_connections_after_one_that_failed(entry, monkeypatch):
     entry.add("a").responses = [ok_response()]
     with monkeypatch.context() as context:
-        context.setattr(caller_connection, "TCP_USER_TIMEOUT_MS", -1)  # is refused
+        context.setattr(caller_server, "TCP_USER_TIMEOUT_MS", -1)  # is refused
         assert read_all(entry.connect()) == b""
     assert entry.send().startswith(b"HTTP/1.1 200")
