Log how the response of a back end ended

Cause: for an answer without a length, the logs of an entry said only `answered`, 200. They could not tell an orderly end inside an event from a reset that was lost, or from a connection that the entry itself had shut down. Change: a connection remembers how it ended; the line `response ended` names this, the framing, and the bytes of an incomplete event, for responses that end with their connection or break off. No decision changes.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -14,6 +14,8 @@
     BrokenExchangeError,
     ConnectError,
     ExchangeTimeoutError,
+    Framing,
+    framing_of,
     header,
 )
 from primroselever_node.logs import log_decision
@@ -178,8 +180,24 @@
             if self.overtaken:
                 return Attempt(AttemptEnd.OVERTAKEN, reason=OVERTAKEN_REASON)
             self.backend.record_failure(clock.now())
+            if self.head is not None:
+                self.log_response_end(self.head, str(exc))
             return Attempt(AttemptEnd.BROKEN, reason=str(exc))
 
+    def log_response_end(self, head: h11.Response, reason: str) -> None:
+        """Log what ended a response, and how much of its last event was missing."""
+        connection = self.connection
+        log_decision(
+            "response ended",
+            self.state.request.log_id,
+            self.backend.listed.server_id,
+            reason,
+            status=head.status_code,
+            framing=framing_of(self.state.request.method, head),
+            connection=connection.end if connection is not None else None,
+            partial_event_bytes=len(self.state.event_buffer.partial_event),
+        )
+
     def handle_silence(self, exc: ExchangeTimeoutError) -> Attempt:
         """Record that no data arrived in time; return the result."""
         now = clock.now()
@@ -363,6 +381,8 @@
                 self.end_replaced_attempt()
                 self.forward_head(head)
                 self.caller.send_data(data)
+        if framing_of(state.request.method, head) is Framing.CONNECTION:
+            self.log_response_end(head, "complete")
         self.forward_head(head)
         unsent_data = self.body if not streaming else state.event_buffer.partial_event
         if unsent_data:
--- a/packages/primroselever-node/src/primroselever_node/direct/exchange.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/exchange.py
@@ -10,6 +10,7 @@
 
 import socket
 from contextlib import suppress
+from enum import StrEnum
 from typing import TYPE_CHECKING, Any
 
 import h11
@@ -33,6 +34,7 @@
 MAX_LATE_READS = 16
 # Answers to earlier requests that may precede the answer to the current request.
 MAX_STALE_ANSWERS = 2
+STATUSES_WITHOUT_BODY = (204, 304)
 
 # The unpatched module polls without switching greenlets.
 select_module = patcher.original("select")
@@ -63,11 +65,30 @@
     """The received bytes are not a valid answer to the request."""
 
 
+class ConnectionEnd(StrEnum):
+    """How a connection ended, as seen by this process; the values are logged."""
+
+    OPEN = "open"
+    CLOSED = "closed by the server"
+    RESET = "reset"
+    SHUT_DOWN = "shut down by this process"
+
+
+class Framing(StrEnum):
+    """What marks the end of a response; the values are logged."""
+
+    NO_BODY = "no body"
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "end of the connection"
+
+
 class HttpConnection:
     """
     An open connection to ``address`` that may be reused until ``usable_until``.
 
-    The time is 0.0 for a connection that must be closed after its answer.
+    The time is 0.0 for a connection that must be closed after its answer. ``end`` is
+    how the connection ended.
     """
 
     def __init__(self, address: Address, deadline: float) -> None:
@@ -76,6 +97,7 @@
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self.usable_until = float("inf")
+        self.end = ConnectionEnd.OPEN
         self.last_used_at = clock.now()
         self.stale_answer_count = 0
         self.late_read_count = 0
@@ -126,6 +148,7 @@
         except OSError as exc:
             # The server may have answered before it read the whole body.
             self.usable_until = 0.0
+            self.record_end(ConnectionEnd.RESET)
             if not self.receive_pending_answer():
                 raise BrokenExchangeError("the connection broke while writing") from exc
 
@@ -155,7 +178,10 @@
                 late_s = clock.now() - deadline
                 raise ExchangeTimeoutError("no answer in time", late_s) from exc
             except OSError as exc:
+                self.record_end(ConnectionEnd.RESET)
                 raise BrokenExchangeError("the connection was reset") from exc
+            if not data:
+                self.record_end(ConnectionEnd.CLOSED)
             try:
                 self.protocol.receive_data(data)
             except h11.RemoteProtocolError as exc:
@@ -264,7 +290,10 @@
         try:
             self.socket.setblocking(False)
             return bool(self.socket.recv(1, socket.MSG_PEEK))
+        except BlockingIOError:
+            return False
         except OSError:
+            self.record_end(ConnectionEnd.RESET)
             return False
 
     def wait_for_data(self) -> bool:
@@ -278,9 +307,15 @@
     def interrupt(self) -> None:
         """Shut down the connection, which wakes a greenlet that waits on it."""
         self.usable_until = 0.0
+        self.record_end(ConnectionEnd.SHUT_DOWN)
         with suppress(OSError):  # the connection has ended already
             self.socket.shutdown(socket.SHUT_RDWR)
 
+    def record_end(self, end: ConnectionEnd) -> None:
+        """Record how the connection ended, unless it had ended before."""
+        if self.end is ConnectionEnd.OPEN:
+            self.end = end
+
     def abort(self) -> None:
         """Close the connection; to be called only by the greenlet that uses it."""
         self.interrupt()
@@ -323,6 +358,17 @@
     return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0
 
 
+def framing_of(method: bytes, head: h11.Response) -> Framing:
+    """Return what marks the end of the response to a request with this method."""
+    if method == b"HEAD" or head.status_code in STATUSES_WITHOUT_BODY:
+        return Framing.NO_BODY
+    if header(head.headers, b"transfer-encoding"):
+        return Framing.CHUNKS
+    if header(head.headers, b"content-length"):
+        return Framing.LENGTH
+    return Framing.CONNECTION
+
+
 def header(headers: object, name: bytes) -> bytes:
     """Return the value of a header, or empty bytes; ``name`` is in lower case."""
     for key, value in headers:  # type: ignore[attr-defined]
