Count a reset that another call on the socket has returned

What callers saw: a stream or answer without a length that its back end had reset was framed as complete. Cause: the kernel returns the error of a reset once. A write of the request, or a look whether a silent back end goes on, took it; the next read then returned no bytes, as at an orderly end, which completes a response without a length. Change: a connection remembers that it was reset, and a read without bytes then raises.

--- a/packages/primroselever-node/src/primroselever_node/direct/exchange.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/exchange.py
@@ -182,6 +182,9 @@
                 raise BrokenExchangeError("the connection was reset") from exc
             if not data:
                 self.record_end(ConnectionEnd.CLOSED)
+                # Another call on the socket may have taken the error of a reset.
+                if self.end is ConnectionEnd.RESET:
+                    raise BrokenExchangeError("the connection was reset")
             try:
                 self.protocol.receive_data(data)
             except h11.RemoteProtocolError as exc:
