Never complete a response by shutting its connection down

What callers saw: half a plain answer, or a stream without its last events, framed as complete. Cause: an entry ends the attempt that was to replace a silent one by shutting its connection down once the silent back end goes on. To the reader this looks like an orderly end, which completes a response without a length. Change: a read without bytes completes a response only if the server ended the connection.

--- a/packages/primroselever-node/src/primroselever_node/direct/exchange.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/exchange.py
@@ -182,9 +182,10 @@
                 raise BrokenExchangeError("the connection was reset") from exc
             if not data:
                 self.record_end(ConnectionEnd.CLOSED)
-                # Another call on the socket may have taken the error of a reset.
-                if self.end is ConnectionEnd.RESET:
-                    raise BrokenExchangeError("the connection was reset")
+                # Another call on the socket may have taken the error of a reset, and
+                # an own shutdown reads like an orderly end.
+                if self.end is not ConnectionEnd.CLOSED:
+                    raise BrokenExchangeError(f"the connection was {self.end}")
             try:
                 self.protocol.receive_data(data)
             except h11.RemoteProtocolError as exc:
