Give each attempt its own buffer of events

Cause: one buffer served all attempts of a request, so that bytes of an incomplete event had to be dropped before an attempt, and saved and put back around a silence. Change: the buffer belongs to the attempt; what spans attempts (the last event, the bytes forwarded) is part of the request's state. The test of drop_partial_event, which is gone, now feeds the rest of the event instead.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/event_stream.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/event_stream.py
@@ -16,14 +16,14 @@
 @dataclass(slots=True)
 class EventBuffer:
     """
-    Buffers the bytes of a stream and releases complete events only.
+    Buffers the bytes that one back end sends and releases complete events only.
 
-    ``released_bytes`` counts the bytes of the events that were released.
+    ``partial_event`` is what has come of the next event, and ``last_event_id`` that of
+    the last complete event, empty before the first one.
     """
 
     partial_event: bytes = b""
     last_event_id: bytes = b""
-    released_bytes: int = 0
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes; return those of all events that are now complete."""
@@ -33,13 +33,8 @@
             return b""
         complete = self.partial_event[: end + len(EVENT_END)]
         self.partial_event = self.partial_event[end + len(EVENT_END) :]
-        self.released_bytes += len(complete)
         for event in complete.split(EVENT_END):
             for line in event.split(b"\n"):
                 if line.startswith(ID_FIELD):
                     self.last_event_id = line[len(ID_FIELD) :].strip()
         return complete
-
-    def drop_partial_event(self) -> None:
-        """Drop an incomplete event before another back end resumes the stream."""
-        self.partial_event = b""
--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -24,7 +24,6 @@
 from .attempt import Attempt, AttemptEnd
 from .caller_connection import CallerLeftError
 from .crash_watch import CrashWatch
-from .event_stream import EventBuffer
 from .request_log import log_choice, log_request_end
 from .request_state import RequestState
 from .sending import AttemptSender
@@ -194,7 +193,6 @@
             deadline,
             objective_at,
             objective_at <= request.received_at,
-            EventBuffer(),
         )
 
     def waited_before_s(self, route: Route, request: CallerRequest) -> float:
--- a/packages/primroselever-entry/src/primroselever_entry/direct/request_state.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/request_state.py
@@ -10,7 +10,6 @@
 
     from .attempt import Attempt
     from .caller_request import CallerRequest
-    from .event_stream import EventBuffer
     from .sending import AttemptSender
 
 
@@ -22,7 +21,9 @@
     ``deadline`` is when the route or the caller gives up, ``objective_at`` when the
     first event is due, and ``late`` whether that time had already passed when the
     request arrived. ``silent_sender`` is the attempt whose back end fell silent; its
-    connection stays open until another back end answers.
+    connection stays open until another back end answers. ``released_bytes`` counts the
+    bytes of the events that were forwarded, and ``last_event_id`` is that of the last
+    one, after which another back end resumes the stream.
     """
 
     request: CallerRequest
@@ -32,10 +33,11 @@
     deadline: float
     objective_at: float
     late: bool
-    event_buffer: EventBuffer
     tried_server_ids: list[str] = field(default_factory=list)
     attempts: list[Attempt] = field(default_factory=list)
     head_forwarded: bool = False
+    released_bytes: int = 0
+    last_event_id: bytes = b""
     may_have_run: bool = False
     first_event_at: float | None = None
     last_event_at: float = 0.0
--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -23,6 +23,7 @@
 from .attempt import Attempt, AttemptEnd
 from .caller_connection import CallerLeftError
 from .caller_request import forwardable_headers
+from .event_stream import EventBuffer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -64,8 +65,8 @@
     ``known_crashes`` are the crashes of the request's earlier runs that were known when
     it was sent, and ``index`` is the position of the attempt among those of the
     request. ``wait_until`` is how long a silent back end is waited for at least.
-    ``partial_event`` and ``released_bytes`` are the state of the stream when the back
-    end became silent.
+    ``events`` holds the incomplete event of a stream, and ``released_bytes`` counts what
+    had been forwarded of the stream when the back end became silent.
     """
 
     def __init__(
@@ -83,7 +84,7 @@
         self.connection: HttpConnection | None = None
         self.head: h11.Response | None = None
         self.body = b""
-        self.partial_event = b""
+        self.events = EventBuffer()
         self.released_bytes = 0
         self.started_at = clock.now()
         self.last_received_at = self.started_at
@@ -103,7 +104,6 @@
         After a result of ``SILENT`` the connection stays open, for ``keep_waiting`` or
         until ``close`` is called.
         """
-        self.state.event_buffer.drop_partial_event()
         silent = self.state.silent_sender
         if silent is None or silent.connection is None:
             return self.receive_result(self.start_exchange)
@@ -132,15 +132,11 @@
     def keep_waiting(self, until: float) -> Attempt:
         """Wait until a time for a back end that was silent; return the result."""
         self.wait_until = until
-        self.state.event_buffer.partial_event = self.partial_event
         return self.receive_result(self.receive_response)
 
     def may_continue(self) -> bool:
         """Return whether the response may still go on where it became silent."""
-        return (
-            not self.closed
-            and self.released_bytes == self.state.event_buffer.released_bytes
-        )
+        return not self.closed and self.released_bytes == self.state.released_bytes
 
     def close(self) -> None:
         """End the attempt, and the work of the back end if it still runs."""
@@ -195,7 +191,7 @@
             status=head.status_code,
             framing=framing_of(self.state.request.method, head),
             connection=connection.end if connection is not None else None,
-            partial_event_bytes=len(self.state.event_buffer.partial_event),
+            partial_event_bytes=len(self.events.partial_event),
         )
 
     def handle_silence(self, exc: ExchangeTimeoutError) -> Attempt:
@@ -207,8 +203,7 @@
             return Attempt(AttemptEnd.OUT_OF_TIME, reason="the deadline passed")
         if self.wait_until == 0.0:
             self.backend.record_failure(now)
-        self.partial_event = self.state.event_buffer.partial_event
-        self.released_bytes = self.state.event_buffer.released_bytes
+        self.released_bytes = self.state.released_bytes
         return Attempt(AttemptEnd.SILENT, reason=str(exc))
 
     def log_silence(self, exc: ExchangeTimeoutError, now: float) -> None:
@@ -311,7 +306,7 @@
         state = self.state
         names = self.flow.names
         excluded = names.not_forwarded()
-        if state.event_buffer.last_event_id:
+        if state.last_event_id:
             excluded |= {names.resume_after}
         headers = forwardable_headers(state.request.headers, excluded)
         remaining_ms = max(1, int((state.deadline - clock.now()) * 1000))
@@ -319,8 +314,8 @@
         headers.append((names.expected_server, self.backend.listed.server_id.encode()))
         if state.workspace is not None:
             headers.append((names.workspace, state.workspace.encode()))
-        if state.event_buffer.last_event_id:
-            headers.append((names.resume_after, state.event_buffer.last_event_id))
+        if state.last_event_id:
+            headers.append((names.resume_after, state.last_event_id))
         if self.flow.engine_figures(state.service) is not None:
             urgency = URGENCY_LATE if state.late else URGENCY_ON_TIME
             headers.append((names.urgency, urgency))
@@ -370,7 +365,7 @@
                 raise BrokenExchangeError("the connection ended within an answer")
             data = bytes(event.data)
             if resumable:
-                data = state.event_buffer.feed(data)
+                data = self.release_events(data)
             if streaming and data:
                 self.record_first_event()
                 self.flow.record_events(state)
@@ -384,7 +379,7 @@
         if framing_of(state.request.method, head) is Framing.CONNECTION:
             self.log_response_end(head, "complete")
         self.forward_head(head)
-        unsent_data = self.body if not streaming else state.event_buffer.partial_event
+        unsent_data = self.body if not streaming else self.events.partial_event
         if unsent_data:
             self.caller.send_data(unsent_data)
         self.caller.finish_response()
@@ -395,6 +390,16 @@
         self.release_connection(connection, head)
         return Attempt(AttemptEnd.ANSWERED, head.status_code)
 
+    def release_events(self, data: bytes) -> bytes:
+        """Add bytes of a stream; return those of the events that are complete."""
+        complete = self.events.feed(data)
+        if complete:
+            self.state.released_bytes += len(complete)
+            self.state.last_event_id = self.events.last_event_id or (
+                self.state.last_event_id
+            )
+        return complete
+
     def end_replaced_attempt(self) -> None:
         """End the silent attempt if it can no longer go on after this one's events."""
         silent = self.state.silent_sender
--- a/packages/primroselever-entry/tests/direct/test_event_stream.py
+++ b/packages/primroselever-entry/tests/direct/test_event_stream.py
@@ -13,8 +13,9 @@
     buffer = EventBuffer()
     assert buffer.feed(b"id: 1\ndata: a\n\nid: 2\nda") == b"id: 1\ndata: a\n\n"
     assert buffer.last_event_id == b"1"
-    buffer.drop_partial_event()
-    assert buffer.feed(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
+    assert buffer.partial_event == b"id: 2\nda"
+    assert buffer.feed(b"ta: b\n\n") == b"id: 2\ndata: b\n\n"
+    assert buffer.last_event_id == b"2"
 
 
 @given(strategies.lists(strategies.integers(0, len(STREAM)), max_size=8))
