Read event streams whose lines end with CR or CR LF

What callers saw: events with such line ends came only with the end of their stream. Cause: only two LFs counted as the end of an event. A check for an incomplete event would also take such a stream for one that was broken off. Change: the buffer ends lines as the WHATWG standard does, also if a CR LF arrives in two reads, ignores a byte order mark and identifiers with NUL, and knows whether it is inside an event; it searches only what is new.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/event_stream.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/event_stream.py
@@ -1,40 +1,75 @@
 """
 Buffering of event streams, so that another back end can resume after a complete event.
 
-The format is WHATWG server-sent events: a blank line ends an event. A resumed stream
-sends the ``id`` of the last event that was received.
+The format is WHATWG server-sent events: lines end with LF, CR or CR LF, a blank line
+ends an event, and a line that starts with a colon is a comment. A resumed stream sends
+the ``id`` of the last event that was received.
 """
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 
-EVENT_END = b"\n\n"
-ID_FIELD = b"id:"
+# A CR at the end of what has arrived counts as a line end. If an LF follows, it becomes
+# an empty line before the next event, which has no meaning.
+LINE_END = re.compile(rb"\r\n|\n|\r")
+EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
+MAX_EVENT_END_BYTES = 4
+ID_LINE = re.compile(rb"(?:\A|[\r\n])id: ?([^\r\n\0]*)(?=[\r\n])")
+COMMENT_START = b":"
+BYTE_ORDER_MARK = b"\xef\xbb\xbf"  # may precede the first line of a stream
 
 
 @dataclass(slots=True)
 class EventBuffer:
-    """
+    r"""
     Buffers the bytes that one back end sends and releases complete events only.
 
     ``partial_event`` is what has come of the next event, and ``last_event_id`` that of
     the last complete event, empty before the first one.
+
+        >>> buffer = EventBuffer()
+        >>> buffer.feed(b"id: 1\ndata: a\n\nid: 2\n")
+        b'id: 1\ndata: a\n\n'
+        >>> buffer.is_inside_event()
+        True
     """
 
     partial_event: bytes = b""
     last_event_id: bytes = b""
+    begun: bool = False
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes; return those of all events that are now complete."""
+        searched_from = max(0, len(self.partial_event) - MAX_EVENT_END_BYTES + 1)
         self.partial_event += data
-        end = self.partial_event.rfind(EVENT_END)
-        if end < 0:
+        end = 0
+        for match in EVENT_END.finditer(self.partial_event, searched_from):
+            end = match.end()
+        if not end:
             return b""
-        complete = self.partial_event[: end + len(EVENT_END)]
-        self.partial_event = self.partial_event[end + len(EVENT_END) :]
-        for event in complete.split(EVENT_END):
-            for line in event.split(b"\n"):
-                if line.startswith(ID_FIELD):
-                    self.last_event_id = line[len(ID_FIELD) :].strip()
+        complete = self.partial_event[:end]
+        self.partial_event = self.partial_event[end:]
+        ids = ID_LINE.findall(self.without_byte_order_mark(complete))
+        self.begun = True
+        if ids:
+            self.last_event_id = ids[-1].strip()
         return complete
+
+    def without_byte_order_mark(self, data: bytes) -> bytes:
+        """Return bytes without the mark that may begin the stream."""
+        return data if self.begun else data.removeprefix(BYTE_ORDER_MARK)
+
+    def is_inside_event(self) -> bool:
+        """
+        Return whether an event has begun and is not complete.
+
+        Blank lines and complete comments between two events are not part of one.
+        """
+        *lines, unfinished_line = LINE_END.split(
+            self.without_byte_order_mark(self.partial_event)
+        )
+        return bool(unfinished_line) or any(
+            line and not line.startswith(COMMENT_START) for line in lines
+        )
--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -65,8 +65,8 @@
     ``known_crashes`` are the crashes of the request's earlier runs that were known when
     it was sent, and ``index`` is the position of the attempt among those of the
     request. ``wait_until`` is how long a silent back end is waited for at least.
-    ``events`` holds the incomplete event of a stream, and ``released_bytes`` counts what
-    had been forwarded of the stream when the back end became silent.
+    ``events`` holds the incomplete event of a stream, and ``released_bytes`` counts
+    what had been forwarded of the stream when the back end became silent.
     """
 
     def __init__(
