Treat a stream that ends inside an event as broken off

What callers saw: 200, the signature of a back end that had crashed 3 to 6 ms before, and a body without its end that was framed as complete. Cause: a response without a length ends with its connection, so the end of a crashed back end's connection completed the stream; the bytes of an event without its end were forwarded, and then the last chunk. Nothing compared the end of the framing with the end of the events. Change: at the end of a stream, whatever its framing, the position must be between two events; otherwise the attempt is broken: it counts against the back end, another one resumes the stream if that is allowed, and else the response is cut off without its last chunk.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -364,8 +364,10 @@
             if not isinstance(event, h11.Data):
                 raise BrokenExchangeError("the connection ended within an answer")
             data = bytes(event.data)
-            if resumable:
-                data = self.release_events(data)
+            if streaming:
+                complete_events = self.events.feed(data)
+                if resumable:
+                    data = self.release_events(complete_events)
             if streaming and data:
                 self.record_first_event()
                 self.flow.record_events(state)
@@ -376,10 +378,14 @@
                 self.end_replaced_attempt()
                 self.forward_head(head)
                 self.caller.send_data(data)
+        if streaming and self.events.is_inside_event():
+            raise BrokenExchangeError("the stream ended inside an event")
         if framing_of(state.request.method, head) is Framing.CONNECTION:
             self.log_response_end(head, "complete")
         self.forward_head(head)
-        unsent_data = self.body if not streaming else self.events.partial_event
+        unsent_data = self.body
+        if resumable:
+            unsent_data = self.events.partial_event
         if unsent_data:
             self.caller.send_data(unsent_data)
         self.caller.finish_response()
@@ -390,15 +396,12 @@
         self.release_connection(connection, head)
         return Attempt(AttemptEnd.ANSWERED, head.status_code)
 
-    def release_events(self, data: bytes) -> bytes:
-        """Add bytes of a stream; return those of the events that are complete."""
-        complete = self.events.feed(data)
-        if complete:
-            self.state.released_bytes += len(complete)
-            self.state.last_event_id = self.events.last_event_id or (
-                self.state.last_event_id
-            )
-        return complete
+    def release_events(self, events: bytes) -> bytes:
+        """Record that complete events are forwarded; return their bytes."""
+        state = self.state
+        state.released_bytes += len(events)
+        state.last_event_id = self.events.last_event_id or state.last_event_id
+        return events
 
     def end_replaced_attempt(self) -> None:
         """End the silent attempt if it can no longer go on after this one's events."""
