Treat a stream without length and without events as broken off

What callers saw: an empty 200 that was framed as complete, after a back end that crashed before its first event. Cause: as for streams that end inside an event: the end of the connection completed the response. Change: such an attempt is broken; nothing was forwarded, so the caller gets 502, or another back end the request if it may be repeated. A length of zero or a last chunk still makes an empty stream complete, since the back end said so.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/event_stream.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/event_stream.py
@@ -27,7 +27,8 @@
     Buffers the bytes that one back end sends and releases complete events only.
 
     ``partial_event`` is what has come of the next event, and ``last_event_id`` that of
-    the last complete event, empty before the first one.
+    the last complete event, empty before the first one. ``released_any`` is set once an
+    event was complete.
 
         >>> buffer = EventBuffer()
         >>> buffer.feed(b"id: 1\ndata: a\n\nid: 2\n")
@@ -38,7 +39,7 @@
 
     partial_event: bytes = b""
     last_event_id: bytes = b""
-    begun: bool = False
+    released_any: bool = False
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes; return those of all events that are now complete."""
@@ -52,14 +53,14 @@
         complete = self.partial_event[:end]
         self.partial_event = self.partial_event[end:]
         ids = ID_LINE.findall(self.without_byte_order_mark(complete))
-        self.begun = True
+        self.released_any = True
         if ids:
             self.last_event_id = ids[-1].strip()
         return complete
 
     def without_byte_order_mark(self, data: bytes) -> bytes:
         """Return bytes without the mark that may begin the stream."""
-        return data if self.begun else data.removeprefix(BYTE_ORDER_MARK)
+        return data if self.released_any else data.removeprefix(BYTE_ORDER_MARK)
 
     def is_inside_event(self) -> bool:
         """
--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -381,6 +381,8 @@
         if streaming and self.events.is_inside_event():
             raise BrokenExchangeError("the stream ended inside an event")
         if framing_of(state.request.method, head) is Framing.CONNECTION:
+            if streaming and not self.events.released_any:
+                raise BrokenExchangeError("the stream ended before its first event")
             self.log_response_end(head, "complete")
         self.forward_head(head)
         unsent_data = self.body
