Detect resets in the clients of plain services, engines and the platform

What callers saw: half an answer of a plain service as a whole one, where agents call it. A green socket returns no bytes after a reset, as at an orderly end, which completes a reply without a length; the same if the write of the request met the reset. Change: the pool of all these clients opens sockets whose reads raise after a reset. Connections with TLS are not covered: no client uses them here.

--- a/packages/primroselever-agent/tests/engine/test_plain_client.py
+++ b/packages/primroselever-agent/tests/engine/test_plain_client.py
@@ -17,14 +17,15 @@
 class PlainService:
     """A plain service that sends half an answer without a length, then ends it."""
 
-    def __init__(self, *, reset: bool) -> None:
+    def __init__(self, *, reset: bool, request_bytes: int = 65536) -> None:
         self.reset = reset
+        self.request_bytes = request_bytes
         self.socket = eventlet.listen(("127.0.0.1", 0))
         eventlet.spawn(self.serve)
 
     def serve(self) -> None:
         connection, _address = self.socket.accept()
-        connection.recv(65536)
+        connection.recv(self.request_bytes)
         connection.sendall(UNFRAMED_HEAD + b"half")
         eventlet.sleep(0.02)
         if self.reset:
@@ -45,6 +46,13 @@
         list(PlainClient(service.url).run(RUN, b"", 0))
 
 
+# Guards against the same if the write of the request met the reset.
+def test_answer_that_is_reset_while_its_request_is_written_is_a_failure():
+    service = PlainService(reset=True, request_bytes=100)
+    with pytest.raises(BackendError):
+        list(PlainClient(service.url).run(RUN, bytes(20_000_000), 0))
+
+
 def test_answer_without_length_is_complete_at_an_orderly_end():
     service = PlainService(reset=False)
     assert list(PlainClient(service.url).run(RUN, b"", 0)) == [b"half"]
--- a/packages/primroselever-node/src/primroselever_node/platform/http_client.py
+++ b/packages/primroselever-node/src/primroselever_node/platform/http_client.py
@@ -2,16 +2,85 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING, Any
+
 import urllib3
+from eventlet.greenio import GreenSocket
+from eventlet.hubs import trampoline
+from urllib3.connection import HTTPConnection
+
+if TYPE_CHECKING:
+    import socket
 
 CONNECT_TIMEOUT_S = 1.0
 
 
+class ResetDetectingSocket(GreenSocket):
+    """
+    A green socket whose reads raise ``ConnectionResetError`` after a reset.
+
+    Those of its base class return no bytes then, as at an orderly end, so a response
+    without a length would look complete. The same holds for a read after a write that
+    met the reset.
+    """
+
+    was_reset = False
+
+    def send(self, data: Any, flags: int = 0) -> int:
+        """Send bytes; remember a reset that this meets."""
+        try:
+            return super().send(data, flags)
+        except ConnectionError:
+            self.was_reset = True
+            raise
+
+    def recv_into(self, buffer: Any, nbytes: int = 0, flags: int = 0) -> int:
+        """Receive into a buffer; return the number of bytes, 0 at an orderly end."""
+        while True:
+            try:
+                count = self.fd.recv_into(buffer, nbytes, flags)
+            except BlockingIOError:
+                if self.act_non_blocking:
+                    raise
+                trampoline(
+                    self.fd,
+                    read=True,
+                    timeout=self.gettimeout(),
+                    timeout_exc=TimeoutError,
+                )
+                continue
+            if not count and self.was_reset:
+                raise ConnectionResetError("the connection was reset")
+            return int(count)
+
+
+class ResetDetectingConnection(HTTPConnection):
+    """A connection whose responses end early if it is reset."""
+
+    def _new_conn(self) -> socket.socket:
+        """Return a new connected socket."""
+        sock: Any = super()._new_conn()
+        detecting_sock = ResetDetectingSocket(sock.fd)
+        detecting_sock.settimeout(sock.gettimeout())
+        return detecting_sock
+
+
+class ResetDetectingPool(urllib3.HTTPConnectionPool):
+    """A pool of such connections to one host."""
+
+    ConnectionCls = ResetDetectingConnection
+
+
 def new_http_pool(connections: int = 16) -> urllib3.PoolManager:
     """Return a connection pool without retries, which are up to the caller."""
-    return urllib3.PoolManager(
+    pool = urllib3.PoolManager(
         num_pools=8, maxsize=connections, block=False, retries=False
     )
+    pool.pool_classes_by_scheme = {
+        **pool.pool_classes_by_scheme,
+        "http": ResetDetectingPool,
+    }
+    return pool
 
 
 def new_timeout(read_s: float) -> urllib3.Timeout:
