Decide in one reader without I/O how a response ends

Cause: the parser's events were read in three places, one of which took the end of the connection for that of the response. Change: ResponseReader is given bytes and how the connection ended, and yields a head, parts and exactly one end; the connection only does I/O. The test of a peer that sends without end reads a head instead of events; its bound is unchanged.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/announcements.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/announcements.py
@@ -9,18 +9,17 @@
 
 from primroselever_core.dispatch.announcements import MAX_CLOSED_S, start_of
 from primroselever_node import clock
-from primroselever_node.direct.exchange import header
+from primroselever_node.direct.responses import header
 from primroselever_node.logs import log_decision
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from random import Random
 
-    import h11
-
     from primroselever_core.catalogue.model import ListedServer
     from primroselever_core.dispatch.announcements import ServerStart
     from primroselever_core.dispatch.section import BackendsSection
+    from primroselever_node.direct.responses import ResponseHead
 
     from .header_names import HeaderNames
     from .instruments import FlowInstruments
@@ -87,7 +86,7 @@
         return announced.admits_requests(clock.now())
 
     def read_head(
-        self, head: h11.Response, server: ListedServer, request_id: str
+        self, head: ResponseHead, server: ListedServer, request_id: str
     ) -> None:
         """Record the announcements in the head of an answer to a request."""
         leaving = header(head.headers, self.names.server_leaving).strip()
--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -5,17 +5,15 @@
 from typing import TYPE_CHECKING
 
 import eventlet
-import h11
 
 from primroselever_core.catalogue.model import RouteKind
 from primroselever_node import clock
 from primroselever_node.direct.connection_pool import allowed_idle_s
-from primroselever_node.direct.exchange import (
+from primroselever_node.direct.exchange import ConnectError, ExchangeTimeoutError
+from primroselever_node.direct.responses import (
     BrokenExchangeError,
-    ConnectError,
-    ExchangeTimeoutError,
     Framing,
-    framing_of,
+    ResponseEnd,
     header,
 )
 from primroselever_node.logs import log_decision
@@ -31,6 +29,7 @@
     from primroselever_core.dispatch.choose import Chosen
     from primroselever_core.suspects.section import CrashId
     from primroselever_node.direct.exchange import HttpConnection
+    from primroselever_node.direct.responses import ResponseHead
 
     from .caller_connection import CallerConnection
     from .flow import DirectFlow
@@ -82,7 +81,7 @@
         self.backend = choice.backend
         self.caller = caller
         self.connection: HttpConnection | None = None
-        self.head: h11.Response | None = None
+        self.head: ResponseHead | None = None
         self.body = b""
         self.events = EventBuffer()
         self.released_bytes = 0
@@ -180,7 +179,7 @@
                 self.log_response_end(self.head, str(exc))
             return Attempt(AttemptEnd.BROKEN, reason=str(exc))
 
-    def log_response_end(self, head: h11.Response, reason: str) -> None:
+    def log_response_end(self, head: ResponseHead, reason: str) -> None:
         """Log what ended a response, and how much of its last event was missing."""
         connection = self.connection
         log_decision(
@@ -189,8 +188,10 @@
             self.backend.listed.server_id,
             reason,
             status=head.status_code,
-            framing=framing_of(self.state.request.method, head),
-            connection=connection.end if connection is not None else None,
+            framing=head.framing,
+            connection=connection.reader.connection_end
+            if connection is not None
+            else None,
             partial_event_bytes=len(self.events.partial_event),
         )
 
@@ -285,7 +286,7 @@
         )
         return state.route.repeatable and others + 1 < state.route.max_attempts
 
-    def handle_refusal(self, connection: HttpConnection, head: h11.Response) -> Attempt:
+    def handle_refusal(self, connection: HttpConnection, head: ResponseHead) -> Attempt:
         """Record that the back end did not run the request; return the result."""
         now = clock.now()
         status = head.status_code
@@ -350,20 +351,17 @@
         return min(deadline, max(self.last_received_at + limit_s, self.wait_until))
 
     def forward_response(
-        self, connection: HttpConnection, head: h11.Response
+        self, connection: HttpConnection, head: ResponseHead
     ) -> Attempt:
         """Forward a response, event by event if it is a stream."""
         state = self.state
         streaming = state.route.kind is RouteKind.STREAMING and head.status_code == 200
         resumable = streaming and state.route.resumable
         while True:
-            event = connection.next_event(self.body_deadline(streaming))
+            data = connection.read_part(self.body_deadline(streaming))
             self.last_received_at = clock.now()
-            if isinstance(event, h11.EndOfMessage):
+            if isinstance(data, ResponseEnd):
                 break
-            if not isinstance(event, h11.Data):
-                raise BrokenExchangeError("the connection ended within an answer")
-            data = bytes(event.data)
             if streaming:
                 complete_events = self.events.feed(data)
                 if resumable:
@@ -380,7 +378,7 @@
                 self.caller.send_data(data)
         if streaming and self.events.is_inside_event():
             raise BrokenExchangeError("the stream ended inside an event")
-        if framing_of(state.request.method, head) is Framing.CONNECTION:
+        if head.framing is Framing.CONNECTION:
             if streaming and not self.events.released_any:
                 raise BrokenExchangeError("the stream ended before its first event")
             self.log_response_end(head, "complete")
@@ -427,7 +425,7 @@
             return self.head_deadline()
         return self.silence_deadline(MAX_STREAM_SILENCE_S)
 
-    def forward_head(self, head: h11.Response) -> None:
+    def forward_head(self, head: ResponseHead) -> None:
         """Forward the response head, unless one has already been forwarded."""
         state = self.state
         if state.head_forwarded:
@@ -440,7 +438,7 @@
         state.head_forwarded = True
 
     def release_connection(
-        self, connection: HttpConnection, head: h11.Response
+        self, connection: HttpConnection, head: ResponseHead
     ) -> None:
         """Return the connection to the pool."""
         idle_s = allowed_idle_s(header(head.headers, b"keep-alive"))
--- a/packages/primroselever-node/src/primroselever_node/direct/calls.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/calls.py
@@ -7,7 +7,7 @@
 
 from .. import clock
 from .connection_pool import ConnectionPool, allowed_idle_s
-from .exchange import BrokenExchangeError, header
+from .responses import BrokenExchangeError, header
 
 if TYPE_CHECKING:
     from primroselever_core.catalogue.model import Address
--- a/packages/primroselever-node/tests/direct/test_exchange.py
+++ b/packages/primroselever-node/tests/direct/test_exchange.py
@@ -13,10 +13,12 @@
 from primroselever_node.direct import exchange as exchange_module
 from primroselever_node.direct.connection_pool import ConnectionPool, allowed_idle_s
 from primroselever_node.direct.exchange import (
-    BrokenExchangeError,
     ConnectError,
     ExchangeTimeoutError,
     HttpConnection,
+)
+from primroselever_node.direct.responses import (
+    BrokenExchangeError,
     MalformedAnswerError,
 )
 
@@ -191,7 +193,7 @@
     stop_at = clock.now() + 2
     with pytest.raises(ExchangeTimeoutError):
         while clock.now() < stop_at:
-            connection.next_event(deadline)
+            connection.read_head(deadline, b"", b"")
 
 
 # Guards against half an answer that counts as complete because the error of a reset was
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -10,8 +10,12 @@
 import runpy
 import signal
 import sys
+from dataclasses import replace
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from primroselever_node.direct.responses import ResponseHead
 
 ROOT = Path(__file__).resolve().parent.parent
 MAX_PAUSE_S = 0.4  # of a stream, in the mutant that ends it
@@ -59,16 +63,14 @@
 
 def drop_header(name: bytes) -> None:
     """Remove a header from all answers that the program receives."""
-    import h11
-
     from primroselever_node.direct.exchange import HttpConnection
 
     read_head = HttpConnection.read_head
 
-    def read_head_without(self: Any, *args: Any) -> h11.Response:
+    def read_head_without(self: Any, *args: Any) -> ResponseHead:
         head = read_head(self, *args)
         headers = [(key, value) for key, value in head.headers if key != name]
-        return h11.Response(status_code=head.status_code, headers=headers)
+        return replace(head, headers=headers)
 
     HttpConnection.read_head = read_head_without  # type: ignore[assignment,method-assign]
 
