Bound what is read and kept of responses in bytes

What callers saw: other requests wait while one back end sends without end; a process may run out of memory. Cause: the body of a refusal was read for 0.1 s and an answer of another request until the deadline, whatever their size; informational responses, events and plain answers had no limit; a plain answer was kept by joining bytes, at a cost that grows with the square of its size; a read that finds bytes never let other greenlets run. Change: limits for informational responses, foreign answers, refusals, events, plain answers and each call; a limit for all buffers together (settings answer_buffer_bytes, event_limit_bytes, buffers_limit_bytes). Beyond its limit a plain answer is forwarded as it arrives, and then neither sent again nor joined with another one; all others are broken off, with a log line and a counter, and count against the back end unless only the sum was reached. Reads let other greenlets run at times. Ruled out: refusing a long plain answer, since it has run.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/event_stream.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/event_stream.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 # A CR at the end of what has arrived counts as a line end. If an LF follows, it becomes
 # an empty line before the next event, which has no meaning.
@@ -37,7 +37,7 @@
         True
     """
 
-    partial_event: bytes = b""
+    partial_event: bytearray = field(default_factory=bytearray)
     last_event_id: bytes = b""
     released_any: bool = False
 
@@ -50,8 +50,8 @@
             end = match.end()
         if not end:
             return b""
-        complete = self.partial_event[:end]
-        self.partial_event = self.partial_event[end:]
+        complete = bytes(self.partial_event[:end])
+        del self.partial_event[:end]
         ids = ID_LINE.findall(self.without_byte_order_mark(complete))
         self.released_any = True
         if ids:
@@ -69,7 +69,7 @@
         Blank lines and complete comments between two events are not part of one.
         """
         *lines, unfinished_line = LINE_END.split(
-            self.without_byte_order_mark(self.partial_event)
+            self.without_byte_order_mark(bytes(self.partial_event))
         )
         return bool(unfinished_line) or any(
             line and not line.startswith(COMMENT_START) for line in lines
--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -9,12 +9,13 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from primroselever_core.catalogue.model import RouteKind
 from primroselever_core.catalogue.routes import pick_service
 from primroselever_core.dispatch.announcements import caller_return_s, earliest_return
+from primroselever_core.dispatch.buffers import BufferAccount, BufferLimits
 from primroselever_core.dispatch.choose import Refused, RequestNeeds, choose_backend
 from primroselever_core.dispatch.predict import predict_read_s
 from primroselever_core.dispatch.retry_share import RetryLimits, RetryShare
@@ -74,6 +75,7 @@
 
     weights_within_s: float
     retries: RetryLimits
+    buffers: BufferLimits = field(default_factory=BufferLimits)
 
 
 class DirectFlow:
@@ -102,6 +104,7 @@
         self.announcements = AnnouncementReader(
             board.backends, names, instruments, random, publish_leaving
         )
+        self.buffers = BufferAccount(limits.buffers.total_bytes)
         self.retry_shares: dict[str, RetryShare] = {}
         self.longest_remaining_s: dict[str, float] = {}
 
@@ -406,6 +409,8 @@
         """Return why a request is not retried, or None if it is."""
         if attempt.end is AttemptEnd.OUT_OF_TIME:
             return "out of time"
+        if state.plain_part_forwarded:
+            return attempt.reason
         if attempt.may_have_run and not state.route.repeatable:
             return attempt.reason
         if self.has_crashed_too_many(state, attempt):
--- a/packages/primroselever-entry/src/primroselever_entry/direct/instruments.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/instruments.py
@@ -27,6 +27,11 @@
         self.own_answers = meter.create_counter(
             "primroselever.direct.own_answers", "{answer}", "Failures told by status"
         )
+        self.too_large = meter.create_counter(
+            "primroselever.direct.responses.too_large",
+            "{response}",
+            "Responses broken off at a limit of buffers",
+        )
         self.announcements = meter.create_counter(
             "primroselever.direct.announcements",
             "{announcement}",
@@ -45,6 +50,10 @@
         """Count an attempt by how it ended."""
         self.attempts.add(1, {"end": str(end)})
 
+    def count_too_large(self) -> None:
+        """Count a response that was broken off because a limit was reached."""
+        self.too_large.add(1)
+
     def count_announcement(self, kind: str) -> None:
         """Count an announcement that changed what is known, or that is invalid."""
         self.announcements.add(1, {"kind": kind})
--- a/packages/primroselever-entry/src/primroselever_entry/direct/process.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/process.py
@@ -10,6 +10,7 @@
 
 from primroselever_core.catalogue.model import CallerLimits
 from primroselever_core.direct_board import DirectBoard
+from primroselever_core.dispatch.buffers import BufferLimits
 from primroselever_core.dispatch.retry_share import RetryLimits
 from primroselever_core.gossip.peers import Peers
 from primroselever_core.gossip.readers import reads_store
@@ -146,6 +147,7 @@
         self.settings = settings
         self.board.peers.seeds = tuple(host for host, _port in settings.seeds)
         self.flow.limits = flow_limits(settings)
+        self.flow.buffers.limit_bytes = self.flow.limits.buffers.total_bytes
         for share in self.flow.retry_shares.values():
             share.limits = self.flow.limits.retries
 
@@ -276,4 +278,9 @@
     retries = RetryLimits(
         settings.retry_ratio, settings.retry_slack, settings.retry_window_s
     )
-    return FlowLimits(settings.weights_within_s, retries)
+    buffers = BufferLimits(
+        settings.answer_buffer_bytes,
+        settings.event_limit_bytes,
+        settings.buffers_limit_bytes,
+    )
+    return FlowLimits(settings.weights_within_s, retries, buffers)
--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -7,10 +7,12 @@
 import eventlet
 
 from primroselever_core.catalogue.model import RouteKind
+from primroselever_core.dispatch.buffers import Buffer
 from primroselever_node import clock
 from primroselever_node.direct.connection_pool import allowed_idle_s
 from primroselever_node.direct.exchange import ConnectError, ExchangeTimeoutError
 from primroselever_node.direct.responses import (
+    AnswerTooLargeError,
     BrokenExchangeError,
     Framing,
     ResponseEnd,
@@ -51,12 +53,19 @@
 # These statuses and 400 mean, together with the not_run header, that the request did
 # not run; 421 also means it without the header.
 NOT_RUN_STATUSES = (421, 429, 503)
+# The body of a refusal is only read to keep the connection.
+REFUSAL_BODY_S = 0.1
+MAX_REFUSAL_BYTES = 65536
 URGENCY_ON_TIME = b"5"  # the default for requests without this header
 URGENCY_LATE = b"8"  # runs after all requests that can still meet their objective
 OVERTAKEN_REASON = "the silent back end went on"
 BODY_METHODS = (b"POST", b"PUT", b"PATCH")
 
 
+class BuffersFullError(BrokenExchangeError):
+    """Other responses hold all that may be buffered."""
+
+
 class AttemptSender:
     """
     Sends a request to the chosen back end and forwards the response.
@@ -82,7 +91,8 @@
         self.caller = caller
         self.connection: HttpConnection | None = None
         self.head: ResponseHead | None = None
-        self.body = b""
+        self.body = bytearray()
+        self.buffer = Buffer(flow.buffers)
         self.events = EventBuffer()
         self.released_bytes = 0
         self.started_at = clock.now()
@@ -143,6 +153,7 @@
             return
         self.closed = True
         self.backend.in_flight -= 1
+        self.buffer.resize(0)
         if self.connection is not None:
             self.connection.abort()
 
@@ -174,10 +185,20 @@
                 return Attempt(AttemptEnd.CALLER_LEFT)
             if self.overtaken:
                 return Attempt(AttemptEnd.OVERTAKEN, reason=OVERTAKEN_REASON)
+            return self.handle_break(exc)
+
+    def handle_break(self, exc: BrokenExchangeError) -> Attempt:
+        """Record that the exchange broke; return the result."""
+        if not isinstance(exc, BuffersFullError):
             self.backend.record_failure(clock.now())
-            if self.head is not None:
-                self.log_response_end(self.head, str(exc))
+        if self.head is None:
             return Attempt(AttemptEnd.BROKEN, reason=str(exc))
+        self.log_response_end(self.head, str(exc))
+        if isinstance(exc, AnswerTooLargeError | BuffersFullError):
+            self.flow.instruments.count_too_large()
+            # With the status, this does not look like a crash.
+            return Attempt(AttemptEnd.BROKEN, self.head.status_code, str(exc))
+        return Attempt(AttemptEnd.BROKEN, reason=str(exc))
 
     def log_response_end(self, head: ResponseHead, reason: str) -> None:
         """Log what ended a response, and how much of its last event was missing."""
@@ -296,10 +317,13 @@
             self.backend.record_refusal(now)
         try:
             # The body is read only to make the connection reusable.
-            connection.read_body(min(self.state.deadline, now + 0.1))
+            connection.read_body(
+                min(self.state.deadline, now + REFUSAL_BODY_S), MAX_REFUSAL_BYTES
+            )
             self.release_connection(connection, head)
         except BrokenExchangeError as exc:
-            del exc  # the connection is closed, but the refusal was read
+            # The connection is closed, but the refusal was read.
+            self.log_response_end(head, str(exc))
         return Attempt(AttemptEnd.NOT_RUN, status, f"refused with {status}")
 
     def backend_headers(self) -> Headers:
@@ -356,37 +380,25 @@
         """Forward a response, event by event if it is a stream."""
         state = self.state
         streaming = state.route.kind is RouteKind.STREAMING and head.status_code == 200
-        resumable = streaming and state.route.resumable
         while True:
-            data = connection.read_part(self.body_deadline(streaming))
+            part = connection.read_part(self.body_deadline(streaming))
             self.last_received_at = clock.now()
-            if isinstance(data, ResponseEnd):
+            if isinstance(part, ResponseEnd):
                 break
-            if streaming:
-                complete_events = self.events.feed(data)
-                if resumable:
-                    data = self.release_events(complete_events)
-            if streaming and data:
-                self.record_first_event()
-                self.flow.record_events(state)
-            if not streaming:
-                self.body += data
-                continue
+            data = self.accept_events(part) if streaming else self.accept_plain(part)
             if data:
+                if self.overtaken:
+                    raise BrokenExchangeError(OVERTAKEN_REASON)
                 self.end_replaced_attempt()
                 self.forward_head(head)
                 self.caller.send_data(data)
-        if streaming and self.events.is_inside_event():
-            raise BrokenExchangeError("the stream ended inside an event")
+        if streaming:
+            self.check_stream_end(head)
         if head.framing is Framing.CONNECTION:
-            if streaming and not self.events.released_any:
-                raise BrokenExchangeError("the stream ended before its first event")
             self.log_response_end(head, "complete")
         self.forward_head(head)
-        unsent_data = self.body
-        if resumable:
-            unsent_data = self.events.partial_event
-        if unsent_data:
+        unsent_data = bytes(self.body or self.events.partial_event)
+        if unsent_data and not (streaming and not state.route.resumable):
             self.caller.send_data(unsent_data)
         self.caller.finish_response()
         now = clock.now()
@@ -396,6 +408,55 @@
         self.release_connection(connection, head)
         return Attempt(AttemptEnd.ANSWERED, head.status_code)
 
+    def accept_events(self, data: bytes) -> bytes:
+        """
+        Add bytes of a stream; return those to be forwarded now.
+
+        These are complete events if another back end may resume the stream, and
+        otherwise all bytes.
+        """
+        events = self.events.feed(data)
+        partial_bytes = len(self.events.partial_event)
+        if partial_bytes > self.flow.limits.buffers.event_bytes:
+            raise AnswerTooLargeError("an event is too large")
+        if not self.buffer.resize(partial_bytes):
+            raise BuffersFullError("the buffers of all responses are full")
+        if self.state.route.resumable:
+            data = self.release_events(events)
+        if data:
+            self.record_first_event()
+            self.flow.record_events(self.state)
+        return data
+
+    def accept_plain(self, data: bytes) -> bytes:
+        """
+        Add bytes of a plain answer; return those to be forwarded now.
+
+        The answer is kept up to a limit, so that another back end can still be tried.
+        """
+        state = self.state
+        size = len(self.body) + len(data)
+        if (
+            not state.plain_part_forwarded
+            and size <= self.flow.limits.buffers.answer_bytes
+            and self.buffer.resize(size)
+        ):
+            self.body += data
+            return b""
+        state.plain_part_forwarded = True
+        state.released_bytes += size
+        released = bytes(self.body) + data
+        self.body.clear()
+        self.buffer.resize(0)
+        return released
+
+    def check_stream_end(self, head: ResponseHead) -> None:
+        """Raise an error if a stream has ended where it cannot be complete."""
+        if self.events.is_inside_event():
+            raise BrokenExchangeError("the stream ended inside an event")
+        if head.framing is Framing.CONNECTION and not self.events.released_any:
+            raise BrokenExchangeError("the stream ended before its first event")
+
     def release_events(self, events: bytes) -> bytes:
         """Record that complete events are forwarded; return their bytes."""
         state = self.state
--- a/packages/primroselever-entry/src/primroselever_entry/direct/settings.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/settings.py
@@ -6,6 +6,11 @@
 
 from pydantic import Field
 
+from primroselever_core.dispatch.buffers import (
+    DEFAULT_ANSWER_BYTES,
+    DEFAULT_EVENT_BYTES,
+    DEFAULT_TOTAL_BYTES,
+)
 from primroselever_core.findings import Finding
 from primroselever_node.direct.settings import DirectSettings, Endpoint
 from primroselever_node.settings.contradictions import (
@@ -30,6 +35,9 @@
     found when it started, unless peers send their actual age. ``retry_ratio``,
     ``retry_slack`` and ``retry_window_s`` are the retry budget of all entries together.
     ``turn_away_s`` is how many seconds a leaving entry accepts new connections.
+    ``answer_buffer_bytes`` is how much of a plain answer is kept before it is forwarded
+    as it arrives, ``event_limit_bytes`` the largest event of a stream, and
+    ``buffers_limit_bytes`` what all responses may hold together.
     """
 
     callers: Endpoint
@@ -41,6 +49,9 @@
     retry_window_s: float = Field(gt=0)
     contact_s: float = Field(gt=0)
     turn_away_s: float = Field(default=3.0, ge=0)
+    answer_buffer_bytes: int = Field(default=DEFAULT_ANSWER_BYTES, ge=0)
+    event_limit_bytes: int = Field(default=DEFAULT_EVENT_BYTES, ge=1)
+    buffers_limit_bytes: int = Field(default=DEFAULT_TOTAL_BYTES, ge=1)
 
 
 @contradictions.register(DirectEntrySettings)
@@ -50,6 +61,9 @@
     if settings.turn_away_s + END_MARGIN_S >= settings.shutdown_s:
         problem = f"it leaves no time to drain in shutdown_s, {settings.shutdown_s:g} s"
         yield Finding("turn_away_s", problem, "lower it, or raise shutdown_s")
+    if settings.event_limit_bytes > settings.buffers_limit_bytes:
+        problem = f"it is above buffers_limit_bytes, {settings.buffers_limit_bytes}"
+        yield Finding("event_limit_bytes", problem, "lower it")
     if settings.contact_s >= settings.weights_within_s:
         problem = f"it is not below weights_within_s, {settings.weights_within_s:g} s"
         yield Finding(
--- a/packages/primroselever-entry/tests/direct/conftest.py
+++ b/packages/primroselever-entry/tests/direct/conftest.py
@@ -51,6 +51,8 @@
 )
 LIMITS = CallerLimits(4096, 10_000, 0.3, 0.5)
 RESET, HANG, CLOSE, PAUSE = b"<reset>", b"<hang>", b"<close>", b"<pause>"
+FLOOD = b"<flood>"
+FLOOD_BLOCK = b"x" * 65536
 PAUSE_S = 0.12
 STREAM_END = b"0\r\n\r\n"
 EVENTS = [b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n", b"id: 3\ndata: c\n\n"]
@@ -64,8 +66,10 @@
     A back end on loopback that sends a list of parts for each request.
 
     The parts RESET and CLOSE end the connection; HANG waits until the entry closes it,
-    which ``disconnects`` counts. PAUSE sends nothing for PAUSE_S. ``requests`` holds
-    the received heads and bodies.
+    which ``disconnects`` counts. PAUSE sends nothing for PAUSE_S. FLOOD sends
+    ``flood_block`` without end until the entry closes the connection, and
+    ``flood_bytes`` counts what was sent. ``requests`` holds the received heads and
+    bodies.
     """
 
     def __init__(self, name: str, service: str) -> None:
@@ -75,6 +79,8 @@
         self.responses: list[list[bytes]] = []
         self.requests: list[bytes] = []
         self.disconnects = 0
+        self.flood_block = FLOOD_BLOCK
+        self.flood_bytes = 0
         eventlet.spawn(self.run)
 
     def run(self) -> None:
@@ -104,10 +110,22 @@
                         self.disconnects += 1
                     connection.close()
                     return
+                if part == FLOOD:
+                    self.flood(connection)
+                    return
                 eventlet.sleep(PAUSE_S if part == PAUSE else 0.002)
                 if part != PAUSE:
                     connection.sendall(part)
 
+    def flood(self, connection) -> None:
+        try:
+            while True:
+                connection.sendall(self.flood_block)
+                self.flood_bytes += len(self.flood_block)
+        except OSError:
+            self.disconnects += 1
+            connection.close()
+
     def listed(self) -> ListedServer:
         return ListedServer(
             self.name,
--- a/packages/primroselever-node/src/primroselever_node/direct/calls.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/calls.py
@@ -7,7 +7,7 @@
 
 from .. import clock
 from .connection_pool import ConnectionPool, allowed_idle_s
-from .responses import BrokenExchangeError, header
+from .responses import AnswerTooLargeError, BrokenExchangeError, header
 
 if TYPE_CHECKING:
     from primroselever_core.catalogue.model import Address
@@ -24,6 +24,20 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class BodyLimits:
+    """
+    The limits of an answer.
+
+    It must begin before ``deadline``; a body of which bytes keep arriving may take
+    until ``last_deadline`` and have ``max_bytes``.
+    """
+
+    deadline: float
+    last_deadline: float
+    max_bytes: int
+
+
 class HttpCaller:
     """Makes short calls, and repeats a call once if its kept connection broke."""
 
@@ -38,16 +52,19 @@
         body: bytes = b"",
         *,
         timeout_s: float,
+        max_bytes: int,
         transfer_s: float = 0.0,
     ) -> Answer:
         """
         Return the answer, or raise ``ConnectError`` or ``BrokenExchangeError``.
 
+        An answer whose body has more than ``max_bytes`` raises the latter.
         A body of which bytes keep arriving may take up to ``transfer_s`` seconds longer
         than ``timeout_s``. Use it for idempotent calls only, because a call may be made
         twice.
         """
         deadline = clock.now() + timeout_s
+        limits = BodyLimits(deadline, deadline + transfer_s, max_bytes)
         authority = f"{address[0]}:{address[1]}"
         headers = [(b"Host", authority.encode())]
         if body or method in ("POST", "PUT"):
@@ -55,16 +72,16 @@
         had_idle_connection = bool(self.pool.idle.get(authority))
         try:
             return self.call_once(
-                authority, address, method, target, headers, body, deadline, transfer_s
+                authority, address, method, target, headers, body, limits
             )
+        except AnswerTooLargeError:
+            raise
         except BrokenExchangeError:
             if not had_idle_connection or clock.now() >= deadline:
                 raise
         for connection in self.pool.idle.pop(authority, []):
             connection.abort()
-        return self.call_once(
-            authority, address, method, target, headers, body, deadline, transfer_s
-        )
+        return self.call_once(authority, address, method, target, headers, body, limits)
 
     def call_once(
         self,
@@ -74,17 +91,20 @@
         target: str,
         headers: list[tuple[bytes, bytes]],
         body: bytes,
-        deadline: float,
-        transfer_s: float,
+        limits: BodyLimits,
     ) -> Answer:
         """Make a call on one connection, without repeating it."""
         connection = self.pool.acquire_connection(
-            authority, address, deadline, float("inf")
+            authority, address, limits.deadline, float("inf")
         )
         try:
-            connection.send(method.encode(), target.encode(), headers, body, deadline)
-            head = connection.read_head(deadline, b"", b"")
-            data = connection.read_body(deadline, deadline + transfer_s, PROGRESS_S)
+            connection.send(
+                method.encode(), target.encode(), headers, body, limits.deadline
+            )
+            head = connection.read_head(limits.deadline, b"", b"")
+            data = connection.read_body(
+                limits.deadline, limits.max_bytes, limits.last_deadline, PROGRESS_S
+            )
         except BaseException:
             connection.abort()
             raise
--- a/packages/primroselever-node/src/primroselever_node/direct/exchange.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/exchange.py
@@ -12,6 +12,7 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
+import eventlet
 from eventlet import patcher
 from eventlet.hubs import trampoline
 
@@ -19,6 +20,7 @@
 
 from .. import clock
 from .responses import (
+    AnswerTooLargeError,
     BrokenExchangeError,
     ConnectionEnd,
     ResponseEnd,
@@ -35,6 +37,7 @@
 # Reads after a deadline, for what arrived while the process did not run. A peer that
 # sends faster than it is read would otherwise never reach its deadline.
 MAX_LATE_READS = 16
+STEPS_BEFORE_YIELD = 16  # parts of a body, of up to READ_BYTES each
 
 # The unpatched module polls without switching greenlets.
 select_module = patcher.original("select")
@@ -70,6 +73,7 @@
         self.usable_until = float("inf")
         self.last_used_at = clock.now()
         self.late_read_count = 0
+        self.steps_until_yield = STEPS_BEFORE_YIELD
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             self.connect(deadline)
@@ -143,11 +147,19 @@
     def read_part(self, deadline: float) -> bytes | ResponseEnd:
         """Return the next part of the answer's body or its end, or raise an error."""
         while True:
+            self.yield_to_others()
             part = self.reader.next_part()
             if part is not None:
                 return part
             self.receive(deadline)
 
+    def yield_to_others(self) -> None:
+        """Let other greenlets run at times: a read that finds bytes does not wait."""
+        self.steps_until_yield -= 1
+        if not self.steps_until_yield:
+            self.steps_until_yield = STEPS_BEFORE_YIELD
+            eventlet.sleep(0)
+
     def receive(self, deadline: float) -> None:
         """Receive bytes, or the end of the connection, before the deadline."""
         try:
@@ -173,11 +185,12 @@
     def read_body(
         self,
         deadline: float,
+        max_bytes: int,
         last_deadline: float = 0.0,
         progress_s: float = 0.0,
     ) -> bytes:
         """
-        Return the body of the answer.
+        Return the body of the answer, which may have ``max_bytes``.
 
         While bytes arrive at least every ``progress_s`` seconds, it may take longer
         than ``deadline``, until ``last_deadline``.
@@ -188,6 +201,8 @@
             part = self.read_part(max(deadline, progress_deadline))
             if isinstance(part, ResponseEnd):
                 return b"".join(parts)
+            if self.reader.body_bytes > max_bytes:
+                raise AnswerTooLargeError(f"the body has more than {max_bytes} bytes")
             parts.append(part)
 
     def prepare_for_reuse(self, idle_s: float) -> bool:
--- a/packages/primroselever-node/src/primroselever_node/direct/responses.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/responses.py
@@ -20,8 +20,10 @@
 Headers = list[tuple[bytes, bytes]]
 
 MAX_HEAD_BYTES = 65536  # response heads of back ends have a few hundred bytes
+MAX_INFORMATIONAL_RESPONSES = 16
 # Responses to earlier requests that may precede the one to the current request.
 MAX_FOREIGN_RESPONSES = 2
+MAX_FOREIGN_BYTES = 1 << 20
 STATUSES_WITHOUT_BODY = (204, 304)
 
 
@@ -33,6 +35,10 @@
     """The received bytes are not a valid answer to the request."""
 
 
+class AnswerTooLargeError(BrokenExchangeError):
+    """The answer is larger than the limit in bytes for its kind."""
+
+
 class ConnectionEnd(StrEnum):
     """How a connection ended, as seen by this process; the values are logged."""
 
@@ -72,7 +78,7 @@
     Reads the responses to the requests on one connection, one after the other.
 
     ``connection_end`` is how the connection ended; the first end that is recorded
-    holds.
+    holds. ``body_bytes`` counts what was read of the current body.
     """
 
     def __init__(self) -> None:
@@ -80,7 +86,10 @@
         self.connection_end = ConnectionEnd.OPEN
         self.request: h11.Request | None = None
         self.head: ResponseHead | None = None
+        self.body_bytes = 0
+        self.informational_count = 0
         self.foreign_count = 0
+        self.foreign_bytes = 0
         self.skipping = False
 
     def start_request(
@@ -89,6 +98,7 @@
         """Return the bytes of a request whose response is to be read."""
         self.request = h11.Request(method=method, target=target, headers=headers)
         self.head = None
+        self.body_bytes = 0
         data = self.protocol.send(self.request) or b""
         if body:
             data += self.protocol.send(h11.Data(data=body)) or b""
@@ -141,7 +151,9 @@
             if self.skipping:
                 self.skip(event)
             elif isinstance(event, h11.InformationalResponse):
-                continue
+                self.informational_count += 1
+                if self.informational_count > MAX_INFORMATIONAL_RESPONSES:
+                    raise MalformedAnswerError("too many informational responses")
             elif not isinstance(event, h11.Response):
                 raise MalformedAnswerError("the connection ended before an answer")
             else:
@@ -181,6 +193,9 @@
     def skip(self, event: Any) -> None:
         """Skip a part of a response to another request, or its end."""
         if isinstance(event, h11.Data):
+            self.foreign_bytes += len(event.data)
+            if self.foreign_bytes > MAX_FOREIGN_BYTES:
+                raise AnswerTooLargeError("an answer of another request is too large")
             return
         if not isinstance(event, h11.EndOfMessage):
             raise MalformedAnswerError("the connection ended within an answer")
@@ -208,6 +223,7 @@
         if event is None:
             return None
         if isinstance(event, h11.Data):
+            self.body_bytes += len(event.data)
             return bytes(event.data)
         if not isinstance(event, h11.EndOfMessage):
             raise MalformedAnswerError("the connection ended within an answer")
@@ -226,6 +242,7 @@
         if rest or closed:
             return False
         self.protocol.start_next_cycle()
+        self.informational_count = 0
         return True
 
 
--- a/packages/primroselever-node/tests/direct/test_calls.py
+++ b/packages/primroselever-node/tests/direct/test_calls.py
@@ -37,7 +37,9 @@
 
 
 def call(address, transfer_s: float):
-    return HttpCaller().call(address, "GET", "/", timeout_s=0.05, transfer_s=transfer_s)
+    return HttpCaller().call(
+        address, "GET", "/", timeout_s=0.05, max_bytes=PARTS, transfer_s=transfer_s
+    )
 
 
 def test_a_large_answer_may_take_longer_while_bytes_arrive(slow_server):
--- a/packages/primroselever-node/tests/direct/test_exchange.py
+++ b/packages/primroselever-node/tests/direct/test_exchange.py
@@ -4,6 +4,7 @@
 
 import socket
 import struct
+from contextlib import nullcontext
 
 import eventlet
 import pytest
@@ -11,6 +12,7 @@
 
 from primroselever_node import clock
 from primroselever_node.direct import exchange as exchange_module
+from primroselever_node.direct.calls import HttpCaller
 from primroselever_node.direct.connection_pool import ConnectionPool, allowed_idle_s
 from primroselever_node.direct.exchange import (
     ConnectError,
@@ -18,11 +20,13 @@
     HttpConnection,
 )
 from primroselever_node.direct.responses import (
+    AnswerTooLargeError,
     BrokenExchangeError,
     MalformedAnswerError,
 )
 
-FLOOD = b"HTTP/1.1 100 Continue\r\n\r\n"
+MAX_BYTES = 1000
+FLOOD = b"x" * 100
 OK = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\nok"
 
 
@@ -31,7 +35,7 @@
     connection = HttpConnection(server.address, deadline)
     connection.send(b"GET", b"/", [(b"Host", b"h")], b"", deadline)
     head = connection.read_head(deadline, request_id, b"request-id")
-    return connection, head, connection.read_body(deadline)
+    return connection, head, connection.read_body(deadline, MAX_BYTES)
 
 
 def test_a_complete_answer_is_read_and_its_connection_kept(server):
@@ -185,15 +189,35 @@
 # Guards against answers that are read beyond any deadline: what has arrived after it is
 # still read, but a peer that sends without end must not keep the exchange alive.
 def test_a_peer_that_sends_without_end_does_not_outlast_the_deadline(monkeypatch):
-    monkeypatch.setattr(exchange_module, "receive_bytes", lambda sock, deadline: FLOOD)
+    received = iter([b"HTTP/1.1 200 OK\r\n\r\n"])
+    monkeypatch.setattr(
+        exchange_module, "receive_bytes", lambda sock, deadline: next(received, FLOOD)
+    )
     listener = eventlet.listen(("127.0.0.1", 0))
     connection = HttpConnection(listener.getsockname(), clock.now() + 1)
     deadline = clock.now() + 0.05
     connection.send(b"GET", b"/", [(b"Host", b"h")], b"", deadline)
     stop_at = clock.now() + 2
+    connection.read_head(deadline, b"", b"")
     with pytest.raises(ExchangeTimeoutError):
         while clock.now() < stop_at:
-            connection.read_head(deadline, b"", b"")
+            connection.read_part(deadline)
+
+
+def test_a_body_that_is_larger_than_its_limit_raises_an_error(server):
+    server.script = [OK.replace(b": 2", b": %d" % (MAX_BYTES + 1)) + bytes(MAX_BYTES)]
+    with pytest.raises(AnswerTooLargeError):
+        exchange(server)
+
+
+# Guards against a large body that is read a second time over a new connection.
+def test_a_call_whose_answer_is_too_large_is_not_repeated(server):
+    caller = HttpCaller()
+    server.script = [OK, OK, OK]
+    for max_bytes in (2, 1):
+        with nullcontext() if max_bytes == 2 else pytest.raises(AnswerTooLargeError):
+            caller.call(server.address, "GET", "/", timeout_s=1.0, max_bytes=max_bytes)
+    assert server.accepted == 1
 
 
 # Guards against half an answer that counts as complete because the error of a reset was
@@ -218,7 +242,7 @@
     with pytest.raises(BrokenExchangeError):
         connection.send(b"PUT", b"/", [(b"Host", b"h"), length], body, deadline)
         connection.read_head(deadline, b"r1", b"request-id")
-        connection.read_body(deadline)
+        connection.read_body(deadline, MAX_BYTES)
 
 
 # Guards against half an answer that counts as complete because a look for data took the
@@ -232,7 +256,7 @@
     connection.read_head(deadline, b"r1", b"request-id")
     assert not connection.wait_for_data()
     with pytest.raises(BrokenExchangeError):
-        connection.read_body(deadline)
+        connection.read_body(deadline, MAX_BYTES)
 
 
 # Guards against half an answer that counts as complete because this process shut its
@@ -245,4 +269,30 @@
     connection.read_head(deadline, b"r1", b"request-id")
     eventlet.spawn_after(0.02, connection.interrupt)
     with pytest.raises(BrokenExchangeError):
-        connection.read_body(deadline)
+        connection.read_body(deadline, MAX_BYTES)
+
+
+# Guards against other requests that wait while one peer sends faster than it is read:
+# each read finds bytes, so that nothing else would run.
+def test_reading_a_flood_lets_other_greenlets_run(monkeypatch):
+    received = iter([b"HTTP/1.1 200 OK\r\n\r\n"])
+    monkeypatch.setattr(
+        exchange_module, "receive_bytes", lambda sock, deadline: next(received, FLOOD)
+    )
+    listener = eventlet.listen(("127.0.0.1", 0))
+    deadline = clock.now() + 1
+    connection = HttpConnection(listener.getsockname(), deadline)
+    connection.send(b"GET", b"/", [(b"Host", b"h")], b"", deadline)
+    connection.read_head(deadline, b"", b"")
+    turns = []
+
+    def run() -> None:
+        while True:
+            turns.append(1)
+            eventlet.sleep(0)
+
+    other = eventlet.spawn(run)
+    for _ in range(200):
+        connection.read_part(deadline)
+    other.kill()
+    assert len(turns) >= 10
