State the length of a response to a caller from what is known of it

What callers saw: a closed connection without any answer, or a stream that was cut off. Cause: the length of a back end's response was passed on as it came. Beside chunks it has no meaning, and a stream that is resumed has another one than its first response; the parser of the caller's connection then raised, which ended the request as an unexpected error. Evidence: test_length_beside_chunks_is_not_passed_on (the caller got no byte) and test_length_of_a_stream_that_is_resumed_is_not_passed_on failed before. Change: a stream has no length; a plain answer that was kept whole has that of its body, whatever its framing was, so that callers before HTTP/1.1 can tell one that is cut off.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -379,7 +379,7 @@
     ) -> Attempt:
         """Forward a response, event by event if it is a stream."""
         state = self.state
-        streaming = state.route.kind is RouteKind.STREAMING and head.status_code == 200
+        streaming = self.is_stream(head)
         while True:
             part = connection.read_part(self.body_deadline(streaming))
             self.last_received_at = clock.now()
@@ -408,6 +408,10 @@
         self.release_connection(connection, head)
         return Attempt(AttemptEnd.ANSWERED, head.status_code)
 
+    def is_stream(self, head: ResponseHead) -> bool:
+        """Return whether a response is a stream of events, and not an error."""
+        return self.state.route.kind is RouteKind.STREAMING and head.status_code == 200
+
     def accept_events(self, data: bytes) -> bytes:
         """
         Add bytes of a stream; return those to be forwarded now.
@@ -491,13 +495,30 @@
         state = self.state
         if state.head_forwarded:
             return
-        headers = forwardable_headers(list(head.headers), frozenset())
-        length = header(head.headers, b"content-length")
+        headers = forwardable_headers(head.headers, frozenset())
+        length = self.caller_length(head)
         if length:
             headers.append((b"Content-Length", length))
         self.caller.send_head(head.status_code, headers)
         state.head_forwarded = True
 
+    def caller_length(self, head: ResponseHead) -> bytes:
+        """
+        Return the length of the response to the caller, or empty bytes without one.
+
+        Streams have none, since another back end may resume them. A plain answer that
+        was kept whole has one, whatever its framing was.
+        """
+        if head.framing is Framing.NO_BODY:
+            return header(head.headers, b"content-length")
+        if self.is_stream(head):
+            return b""
+        if not self.state.plain_part_forwarded:
+            return str(len(self.body)).encode()
+        if head.framing is Framing.LENGTH:
+            return header(head.headers, b"content-length")
+        return b""
+
     def release_connection(
         self, connection: HttpConnection, head: ResponseHead
     ) -> None:
--- a/packages/primroselever-entry/tests/direct/test_broken_off_answers.py
+++ b/packages/primroselever-entry/tests/direct/test_broken_off_answers.py
@@ -26,7 +26,9 @@
     events_of,
     make_route,
     ok_response,
+    read_all,
     refusal,
+    request,
     stream_head,
 )
 
@@ -43,17 +45,23 @@
 
 
 @pytest.fixture
-def fixed_entry(entry):
-    """Return an entry whose streams may not be resumed."""
-    configuration = entry.board.catalogue.configuration
-    route = make_route(RouteKind.STREAMING, "ask", objective_s=0.4, resumable=False)
-    entry.board.catalogue.configure(
-        Configuration(
-            2, (route,), configuration.services, LIMITS, configuration.workspaces
-        ),
-        2.0,
-    )
-    return entry
+def make_entry(entry):
+    """Return a function that makes streams resumable, or not, and returns the entry."""
+
+    def configure(may_resume: bool):
+        configuration = entry.board.catalogue.configuration
+        route = make_route(
+            RouteKind.STREAMING, "ask", objective_s=0.4, resumable=may_resume
+        )
+        entry.board.catalogue.configure(
+            Configuration(
+                2, (route,), configuration.services, LIMITS, configuration.workspaces
+            ),
+            2.0,
+        )
+        return entry
+
+    return configure
 
 
 def assert_cut_off(response: bytes, complete_events: list[bytes]) -> None:
@@ -83,11 +91,12 @@
 
 # Guards against the same end of a stream that may not be resumed: its bytes are
 # forwarded as they arrive, without regard to events.
-def test_stream_that_may_not_be_resumed_is_cut_off_inside_an_event(fixed_entry):
-    fixed_entry.add("a", "engine").responses = [
+def test_stream_that_may_not_be_resumed_is_cut_off_inside_an_event(make_entry):
+    entry = make_entry(False)
+    entry.add("a", "engine").responses = [
         [UNFRAMED_HEAD + EVENTS[0] + HALF_EVENT, CLOSE]
     ]
-    response = ask(fixed_entry)
+    response = ask(entry)
     assert HALF_EVENT in response
     assert not response.endswith(STREAM_END)
 
@@ -113,8 +122,8 @@
 
 # Guards against an empty success: the back end crashed before its first event.
 @pytest.mark.parametrize("may_resume", [True, False])
-def test_stream_without_length_or_events_is_a_failure(request, may_resume):
-    entry = request.getfixturevalue("entry" if may_resume else "fixed_entry")
+def test_stream_without_length_or_events_is_a_failure(make_entry, may_resume):
+    entry = make_entry(may_resume)
     entry.add("a", "engine").responses = [[UNFRAMED_HEAD, CLOSE]]
     assert ask(entry).startswith(b"HTTP/1.1 502")
 
@@ -159,9 +168,9 @@
 # that ends between two events with its connection.
 @pytest.mark.parametrize("may_resume", [True, False])
 def test_stream_without_length_that_ends_after_an_event_is_complete(
-    request, may_resume
+    make_entry, may_resume
 ):
-    entry = request.getfixturevalue("entry" if may_resume else "fixed_entry")
+    entry = make_entry(may_resume)
     entry.add("a", "engine").responses = [
         [UNFRAMED_HEAD + EVENTS[0], EVENTS[1] + EVENTS[2], CLOSE]
     ]
@@ -201,3 +210,48 @@
     response = ask(entry)
     assert response.endswith(STREAM_END)
     assert all(event in response for event in CRLF_EVENTS)
+
+
+# Guards against an answer that fails because the length beside its chunks, which has no
+# meaning then, is passed on.
+def test_length_beside_chunks_is_not_passed_on(entry):
+    head = stream_head(headers=b"Content-Length: 3\r\n")
+    entry.add("a").responses = [[head + chunk(b"who") + chunk(b"le") + STREAM_END]]
+    assert entry.send().endswith(b"\r\n\r\nwhole")
+
+
+# Guards against a resumed stream that fails because the length of its first response
+# is not that of both together.
+def test_length_of_a_stream_that_is_resumed_is_not_passed_on(entry):
+    first, second = entry.add("a", "engine"), entry.add("b", "engine")
+    entry.board.backends.backends["b"].in_flight = 7
+    length = b"Content-Length: %d\r\n\r\n" % len(b"".join(EVENTS))
+    first.responses = [[UNFRAMED_HEAD[:-2] + length + EVENTS[0], CLOSE]]
+    comment = b": resumed\n\n"
+    second.responses = [
+        [stream_head() + chunk(comment + EVENTS[1] + EVENTS[2]) + STREAM_END]
+    ]
+    assert_complete(ask(entry))
+
+
+# Guards against callers before HTTP/1.1 that cannot tell a plain answer that is cut off
+# from a whole one: a length is passed on as soon as it is known.
+def test_plain_answer_without_length_gets_one_once_it_is_complete(entry):
+    entry.add("a").responses = [[UNFRAMED_HEAD + b"wh", b"ole", CLOSE]]
+    connection = entry.connect()
+    connection.sendall(request("/read/x").replace(b"HTTP/1.1", b"HTTP/1.0"))
+    response = read_all(connection)
+    assert b"Content-Length: 5\r\n" in response
+    assert response.endswith(b"\r\n\r\nwhole")
+
+
+@pytest.mark.parametrize("method", ["HEAD", "GET"])
+def test_length_of_an_answer_without_body_is_passed_on(entry, method):
+    status = b"200 OK" if method == "HEAD" else b"304 Same"
+    entry.add("a").responses = [
+        [b"HTTP/1.1 %s\r\nx-request: r1\r\nContent-Length: 7\r\n\r\n" % status]
+    ]
+    response = entry.send(method=method)
+    assert response.startswith(b"HTTP/1.1 " + status[:3])
+    assert b"Content-Length: 7\r\n" in response
+    assert response.endswith(b"\r\n\r\n")
