Forward nothing of an attempt after its connection was shut down

What callers saw: a stream that was cut off although its back end went on. Cause: if events come in the same moment from a silent back end and from the one that was to take over, the connection to the second is shut down, but its first event, which had been read, was forwarded; the first back end may not go on after that, and the second cannot. Evidence: test_events_of_an_attempt_that_was_just_ended_are_not_forwarded fails without the change. It now waits until that event was forwarded, and checks the same.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -385,10 +385,11 @@
             self.last_received_at = clock.now()
             if isinstance(part, ResponseEnd):
                 break
+            if self.overtaken:
+                # What follows will not come: the connection was shut down.
+                raise BrokenExchangeError(OVERTAKEN_REASON)
             data = self.accept_events(part) if streaming else self.accept_plain(part)
             if data:
-                if self.overtaken:
-                    raise BrokenExchangeError(OVERTAKEN_REASON)
                 self.end_replaced_attempt()
                 self.forward_head(head)
                 self.caller.send_data(data)
--- a/packages/primroselever-entry/tests/direct/test_broken_off_answers.py
+++ b/packages/primroselever-entry/tests/direct/test_broken_off_answers.py
@@ -7,10 +7,12 @@
 
 from __future__ import annotations
 
+import eventlet
 import pytest
 
 from primroselever_core.catalogue.model import Configuration, RouteKind
 from primroselever_entry.direct import sending
+from primroselever_node.direct.exchange import HttpConnection
 
 from .conftest import (
     CLOSE,
@@ -255,3 +257,33 @@
     assert response.startswith(b"HTTP/1.1 " + status[:3])
     assert b"Content-Length: 7\r\n" in response
     assert response.endswith(b"\r\n\r\n")
+
+
+# Guards against a stream that is cut off because its events came in the same moment
+# from the silent back end and from the one that was to take over: the connection to the
+# second was shut down, and its first event forwarded all the same.
+def test_events_of_an_attempt_that_was_just_ended_are_not_forwarded(entry, monkeypatch):
+    first, second = entry.add("a", "engine"), entry.add("b", "engine")
+    entry.board.backends.backends["b"].in_flight = 7
+    first.responses = [[UNFRAMED_HEAD + EVENTS[0], PAUSE, EVENTS[1], EVENTS[2], CLOSE]]
+    second.responses = [[UNFRAMED_HEAD + EVENTS[1], HANG]]
+    senders = []
+    run, read_part = sending.AttemptSender.run, HttpConnection.read_part
+
+    def run_recorded(sender):
+        senders.append(sender)
+        return run(sender)
+
+    def read_part_late(connection, deadline):
+        part = read_part(connection, deadline)
+        if connection.address == second.address:
+            while not senders[0].has_data():
+                eventlet.sleep(0.005)
+            eventlet.sleep(0.005)
+        return part
+
+    monkeypatch.setattr(sending.AttemptSender, "run", run_recorded)
+    monkeypatch.setattr(HttpConnection, "read_part", read_part_late)
+    response = ask(entry)
+    assert len(second.requests) == 1
+    assert_complete(response)
--- a/packages/primroselever-entry/tests/direct/test_silence.py
+++ b/packages/primroselever-entry/tests/direct/test_silence.py
@@ -95,9 +95,27 @@
 def test_silent_back_end_does_not_go_on_after_another_has_sent_events(entry):
     first, second = entry.add("a", "engine"), entry.add("b", "engine")
     entry.board.backends.backends["b"].in_flight = 7
-    first.responses = [PAUSED_STREAM]
-    second.responses = [[stream_head() + chunk(EVENTS[1]), RESET]]
-    response = ask(entry)
+    forwarded = b""
+
+    def first_parts():
+        yield PAUSED_STREAM[0]
+        while EVENTS[1] not in forwarded:
+            yield PAUSE
+        yield from PAUSED_STREAM[2:]
+
+    def second_parts():
+        yield stream_head() + chunk(EVENTS[1])
+        while EVENTS[1] not in forwarded:
+            yield PAUSE
+        yield RESET
+
+    first.responses, second.responses = [first_parts()], [second_parts()]
+    connection = entry.connect()
+    connection.sendall(request("/ask/x", "POST", b"p", ["x-model: m"]))
+    with eventlet.Timeout(1):
+        while EVENTS[1] not in forwarded:
+            forwarded += connection.recv(4096)
+    response = forwarded + read_all(connection)
     assert events_of(response) == b"".join(EVENTS[:2]).replace(b"\n\n", b"\n")
     assert not response.endswith(STREAM_END)
 
