--- a/packages/primroselever-entry/tests/direct/test_broken_off_answers.py
+++ b/packages/primroselever-entry/tests/direct/test_broken_off_answers.py
@@ -287,3 +287,16 @@
     response = ask(entry)
     assert len(second.requests) == 1
     assert_complete(response)
+
+
+# Guards against events that come twice: without an identifier, the next back end would
+# send the stream from its first event.
+def test_stream_without_identifiers_is_not_resumed_after_an_event(entry):
+    first, second = entry.add("a", "engine"), entry.add("b", "engine")
+    entry.board.backends.backends["b"].in_flight = 7
+    events = [b"data: a\n\n", b"data: b\n\n"]
+    first.responses = [[stream_head() + chunk(events[0]), RESET]]
+    second.responses = [[stream_head() + chunk(b"".join(events)) + STREAM_END]]
+    response = ask(entry)
+    assert second.requests == []
+    assert_cut_off(response, events[:1])
