Bound the replies that agents and nodes of thrift deployments read

What callers saw: nothing yet; a plain service or engine that sends without end filled the agent's memory until the run's deadline. Change: one function reads a body up to the limit of its kind (an answer: answer_limit_bytes; a chunk: its size in the manifest) and closes the connection beyond it; a record has at most 1 MiB. An answer that is too long fails with the same reason as before. No code of direct deployments is touched.

--- a/packages/primroselever-agent/src/primroselever_agent/engine/engine_client.py
+++ b/packages/primroselever-agent/src/primroselever_agent/engine/engine_client.py
@@ -12,7 +12,11 @@
 
 from primroselever_core.identifiers import WeightsDigest
 from primroselever_core.outcomes import Reason
-from primroselever_node.platform.http_client import new_http_pool, new_timeout
+from primroselever_node.platform.http_client import (
+    new_http_pool,
+    new_timeout,
+    read_body,
+)
 
 from ..exceptions import BackendError, EngineCallError
 from .failure import error_for_exception
@@ -27,6 +31,9 @@
 ORDER_TIMEOUT_S = 30.0
 READ_TIMEOUT_S = 10.0
 STREAM_READ_BYTES = 1 << 16
+MAX_STATE_BYTES = 1 << 20
+MAX_RECORD_BYTES = 1 << 20
+MAX_LOGGED_BYTES = 200
 
 logger = logging.getLogger(__name__)
 
@@ -64,12 +71,16 @@
     def is_reachable(self) -> bool:
         """Return whether the engine's address answers HTTP requests."""
         try:
-            self.http.request(
-                "GET", self.url + "/", timeout=new_timeout(STATE_TIMEOUT_S)
+            reply = self.http.request(
+                "GET",
+                self.url + "/",
+                timeout=new_timeout(STATE_TIMEOUT_S),
+                preload_content=False,
             )
         except urllib3.exceptions.HTTPError as exc:
             logger.warning("%s cannot be reached: %s", self.url, exc)
             return False
+        reply.close()
         return True
 
     def put_chunk(self, digest: WeightsDigest, index: int, data: bytes) -> None:
@@ -99,15 +110,20 @@
         """Return the engine's reply, a JSON object, or raise ``EngineCallError``."""
         try:
             reply = self.http.request(
-                method, self.url + path, body=body, timeout=new_timeout(timeout_s)
+                method,
+                self.url + path,
+                body=body,
+                timeout=new_timeout(timeout_s),
+                preload_content=False,
             )
+            data = read_body(reply, MAX_STATE_BYTES)
         except urllib3.exceptions.HTTPError as exc:
             raise EngineCallError(f"{path}: the engine does not answer: {exc}") from exc
         if reply.status >= 300:
-            text = reply.data.decode("utf-8", "replace")
+            text = data[:MAX_LOGGED_BYTES].decode("utf-8", "replace")
             raise EngineCallError(f"{path}: the engine answered {reply.status}: {text}")
         try:
-            fields = json.loads(reply.data or b"{}")
+            fields = json.loads(data or b"{}")
         except ValueError as exc:
             raise EngineCallError(
                 f"{path}: the engine's reply is not valid JSON: {exc}"
@@ -157,6 +173,11 @@
         ended = False
         for data in reply.stream(STREAM_READ_BYTES):
             *lines, incomplete_line = (incomplete_line + data).split(b"\n")
+            if len(incomplete_line) > MAX_RECORD_BYTES:
+                raise BackendError(
+                    Reason.ANSWER_DAMAGED,
+                    f"a record of the answer has more than {MAX_RECORD_BYTES} bytes",
+                )
             answer_lines = []
             for line in lines:
                 if line.startswith(b'{"text"'):
@@ -188,11 +209,13 @@
     def cancel(self, run: Run) -> None:
         """Stop a run; only log it if the engine does not answer."""
         try:
-            self.http.request(
+            reply = self.http.request(
                 "DELETE",
                 f"{self.url}/v1/runs/{run.run_id}",
                 timeout=new_timeout(STATE_TIMEOUT_S),
+                preload_content=False,
             )
+            read_body(reply, MAX_STATE_BYTES)
         except urllib3.exceptions.HTTPError as exc:
             logger.warning(
                 "run %s was not cancelled at the engine: %s", run.run_id, exc
--- a/packages/primroselever-agent/src/primroselever_agent/engine/plain_client.py
+++ b/packages/primroselever-agent/src/primroselever_agent/engine/plain_client.py
@@ -7,7 +7,12 @@
 import urllib3
 
 from primroselever_core.outcomes import Outcome, Reason
-from primroselever_node.platform.http_client import new_http_pool, new_timeout
+from primroselever_node.platform.http_client import (
+    ReplyTooLargeError,
+    new_http_pool,
+    new_timeout,
+    read_body,
+)
 
 from ..exceptions import BackendError
 from .failure import error_for_exception
@@ -39,7 +44,11 @@
                 body=body,
                 headers={"Request-Id": run.run_id},
                 timeout=new_timeout(READ_TIMEOUT_S),
+                preload_content=False,
             )
+            answer = read_body(reply, run.answer.limit_bytes)
+        except ReplyTooLargeError as exc:
+            raise BackendError(Reason.ANSWER_DAMAGED, str(exc)) from exc
         except urllib3.exceptions.HTTPError as exc:
             raise error_for_exception(exc) from exc
         if reply.status >= 300:
@@ -49,7 +58,7 @@
                 f"the plain service answered with status {reply.status}",
                 never_ran=outcome == Outcome.NOT_RUN,
             )
-        yield reply.data
+        yield answer
 
     def cancel(self, run: Run) -> None:
         """Do nothing, since a plain service cannot cancel a run."""
--- a/packages/primroselever-agent/tests/engine/test_engine_client.py
+++ b/packages/primroselever-agent/tests/engine/test_engine_client.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from primroselever_agent.engine.engine_client import EngineClient
+from primroselever_agent.engine.engine_client import (
+    MAX_RECORD_BYTES,
+    MAX_STATE_BYTES,
+    EngineClient,
+)
 from primroselever_agent.exceptions import BackendError, EngineCallError
 from primroselever_core.identifiers import (
     Fingerprint,
@@ -150,3 +154,15 @@
     client.cancel(RUN)
 
     assert "r1" in caplog.text
+
+
+# Guards against a record or a reply without end that is kept in memory.
+def test_records_and_replies_of_an_engine_are_bounded(
+    engine: FakeEngine, client: EngineClient
+) -> None:
+    with pytest.raises(BackendError) as exc_info:
+        list(client.read_records(RUN, FakeReply(b"x" * (MAX_RECORD_BYTES + 1))))
+    assert exc_info.value.reason is Reason.ANSWER_DAMAGED
+    engine.body = b" " * (MAX_STATE_BYTES + 1)
+    with pytest.raises(EngineCallError, match="more than"):
+        client.state()
--- a/packages/primroselever-node/src/primroselever_node/platform/configuration_service.py
+++ b/packages/primroselever-node/src/primroselever_node/platform/configuration_service.py
@@ -8,9 +8,10 @@
 
 from ..exceptions import PlatformError
 from ..traffic import HTTP_OVERHEAD_BYTES, platform_traffic
-from .http_client import new_http_pool, new_timeout
+from .http_client import new_http_pool, new_timeout, read_body
 
 READ_TIMEOUT_S = 2.0
+MAX_VALUE_BYTES = 16 << 20
 REVISION_HEADER = "X-Revision"
 
 
@@ -49,16 +50,19 @@
     def get_value(self, url: str, read_timeout_s: float) -> PublishedValue | None:
         """Return the value at a URL, or None if it is absent or not newer."""
         try:
-            reply = self.http.request("GET", url, timeout=new_timeout(read_timeout_s))
+            reply = self.http.request(
+                "GET", url, timeout=new_timeout(read_timeout_s), preload_content=False
+            )
+            body = read_body(reply, MAX_VALUE_BYTES)
         except urllib3.exceptions.HTTPError as exc:
             raise PlatformError(f"{url} did not respond: {exc}") from exc
-        platform_traffic.add(len(reply.data), HTTP_OVERHEAD_BYTES)
+        platform_traffic.add(len(body), HTTP_OVERHEAD_BYTES)
         if reply.status in (204, 404):
             return None
         if reply.status != 200:
             raise PlatformError(f"{url} returned status {reply.status}")
         try:
             revision = int(reply.headers[REVISION_HEADER])
-            return PublishedValue(revision, reply.data.decode())
+            return PublishedValue(revision, body.decode())
         except (KeyError, ValueError) as exc:
             raise PlatformError(f"{url} returned an unreadable value") from exc
--- a/packages/primroselever-node/src/primroselever_node/platform/http_client.py
+++ b/packages/primroselever-node/src/primroselever_node/platform/http_client.py
@@ -13,6 +13,11 @@
     import socket
 
 CONNECT_TIMEOUT_S = 1.0
+READ_BYTES = 65536
+
+
+class ReplyTooLargeError(urllib3.exceptions.HTTPError):
+    """The body of a reply is larger than the limit in bytes for its kind."""
 
 
 class ResetDetectingSocket(GreenSocket):
@@ -86,3 +91,23 @@
 def new_timeout(read_s: float) -> urllib3.Timeout:
     """Return the timeouts of a call; ``read_s`` bounds the wait for more data."""
     return urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_s)
+
+
+def read_body(reply: urllib3.BaseHTTPResponse, max_bytes: int) -> bytes:
+    """
+    Return the body of a reply that was requested with ``preload_content=False``.
+
+    Raise ``ReplyTooLargeError`` if it has more than ``max_bytes``, and close the
+    connection then, as after any other error.
+    """
+    body = bytearray()
+    try:
+        for data in reply.stream(READ_BYTES):
+            body += data
+            if len(body) > max_bytes:
+                raise ReplyTooLargeError(f"the reply has more than {max_bytes} bytes")
+    except BaseException:
+        reply.close()
+        raise
+    reply.release_conn()
+    return bytes(body)
--- a/packages/primroselever-node/src/primroselever_node/platform/weight_source.py
+++ b/packages/primroselever-node/src/primroselever_node/platform/weight_source.py
@@ -10,12 +10,13 @@
 from primroselever_core.transfer.manifest import Manifest, PublishedManifest
 
 from ..exceptions import WeightSourceError, WeightSourceStatusError
-from .http_client import new_http_pool, new_timeout
+from .http_client import new_http_pool, new_timeout, read_body
 
 NO_ADAPTER = "none"
 READ_TIMEOUT_S = 5.0
 CHUNK_TIMEOUT_S = 20.0
 CONNECTIONS = 32
+MAX_MANIFEST_BYTES = 64 << 20  # a million digests
 
 
 class WeightSource:
@@ -42,14 +43,23 @@
     def fetch_chunk(self, manifest: Manifest, index: int) -> bytes:
         """Return the bytes of a chunk without verifying its digest."""
         version = self.version_url(manifest.model, manifest.adapter, manifest.version)
-        return self.get_body(f"{version}/chunks/{index}", CHUNK_TIMEOUT_S)
+        url = f"{version}/chunks/{index}"
+        return self.get_body(url, CHUNK_TIMEOUT_S, manifest.chunk_bytes)
 
-    def get_body(self, url: str, read_timeout_s: float = READ_TIMEOUT_S) -> bytes:
+    def get_body(
+        self,
+        url: str,
+        read_timeout_s: float = READ_TIMEOUT_S,
+        max_bytes: int = MAX_MANIFEST_BYTES,
+    ) -> bytes:
         """Return the body at a URL, or raise ``WeightSourceError``."""
         try:
-            reply = self.http.request("GET", url, timeout=new_timeout(read_timeout_s))
+            reply = self.http.request(
+                "GET", url, timeout=new_timeout(read_timeout_s), preload_content=False
+            )
+            body = read_body(reply, max_bytes)
         except urllib3.exceptions.HTTPError as exc:
             raise WeightSourceError(f"{url} did not respond: {exc}") from exc
         if reply.status != 200:
             raise WeightSourceStatusError(f"{url} returned status {reply.status}")
-        return reply.data
+        return body
