Add responses without a length, or without an end, to the soak

Change: for 3 s all back ends answer so; engines end some streams inside an event, before the first one, or send an event without end. The checks of whole streams see the first two, and an entry may grow by at most the limit of all buffers. Two mutants: the end of a connection completes a stream, and buffers have no limit. A first form of the check counted the bytes that back ends sent; the stand-in of links goes on reading for an entry that has closed its side, so it counted those of the link.

--- a/soak/backends.py
+++ b/soak/backends.py
@@ -8,6 +8,8 @@
 import random
 import socket
 import time
+from contextlib import suppress
+from enum import StrEnum
 from typing import TYPE_CHECKING, Any
 
 import eventlet
@@ -24,7 +26,7 @@
 from .ledger import Arrival, Run, make_event
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Generator, Iterable
 
     from primroselever_node.http import StartResponse
 
@@ -38,11 +40,30 @@
 PLAIN_RUN_S = 0.1
 LOAD_DURATION_S = 0.2
 MODEL_NAME = "m"
+ENDLESS_BLOCK = b"x" * 65536
+ENDLESS_BLOCK_COUNT = 1600  # 100 MiB, much more than all buffers may hold
 RETRY_AFTER_S = 3  # in the refusals of a closed back end
 # A piece that was corrupted this recently may have been verified before.
 CORRUPTION_GRACE_S = 3.0
 
 
+class UnframedEnd(StrEnum):
+    """How a response ends that has neither a length nor chunks."""
+
+    WHOLE = "whole"
+    INSIDE = "inside an event"
+    EMPTY = "before the first event"
+    ENDLESS = "an event without end"
+
+
+class UnframedResponse(Exception):  # noqa: N818
+    """Raised to send the bytes of a response on the connection as they are."""
+
+    def __init__(self, reply: Reply) -> None:
+        super().__init__()
+        self.reply = reply
+
+
 class CrashedError(Exception):
     """Raised to close the connection of a request without an answer after a crash."""
 
@@ -77,7 +98,8 @@
     end without an answer. ``sequence`` counts the writes of the store entry. A back end
     that is ``leaving`` says so in all its answers. Until ``closed_until`` it refuses
     requests, and until ``silent_until`` it sends nothing, although it runs.
-    ``listed_as_draining`` is the state that its store entry tells.
+    ``listed_as_draining`` is the state that its store entry tells. Until
+    ``unframed_until`` its responses have no length and end with their connection.
     """
 
     server_numbers = itertools.count(1)
@@ -99,6 +121,7 @@
         self.leaving = False
         self.listed_as_draining = False
         self.closed_until = 0.0
+        self.unframed_until = 0.0
         self.running = 0
 
     def crash(self) -> None:
@@ -113,9 +136,22 @@
         try:
             return super().__call__(environ, start_response)
         except CrashedError:
+            pass
+        except UnframedResponse as exc:
+            self.send_unframed(environ["wsgi.input"].get_socket(), exc.reply)
+        with suppress(OSError):  # the entry closed it first
             environ["wsgi.input"].get_socket().shutdown(socket.SHUT_RDWR)
-            start_response("500 Crashed", [])
-            return []
+        start_response("500 Crashed", [])
+        return []
+
+    def send_unframed(self, connection: Any, reply: Reply) -> None:
+        """Send a response without a length or chunks."""
+        lines = [f"HTTP/1.1 {reply.status}", "Connection: close"]
+        lines += [f"{name}: {value}" for name, value in reply.headers]
+        with suppress(OSError, CrashedError):
+            connection.sendall("\r\n".join([*lines, "", ""]).encode())
+            for part in reply.body:
+                connection.sendall(part)
 
     def check_admission(self, request: Request) -> Reply | None:
         """
@@ -205,10 +241,10 @@
             self.simulate_work(run, PLAIN_RUN_S)
         finally:
             self.running -= 1
-        headers = [
-            *self.make_headers(request, run),
-            ("Content-Length", str(len(run.body))),
-        ]
+        headers = self.make_headers(request, run)
+        if time.monotonic() < self.unframed_until:
+            raise UnframedResponse(Reply("200 OK", [run.body], headers))
+        headers.append(("Content-Length", str(len(run.body))))
         return Reply("200 OK", [run.body], headers)
 
 
@@ -326,9 +362,32 @@
             *self.make_headers(request, run),
             ("Content-Type", "text/event-stream"),
         ]
+        if time.monotonic() < self.unframed_until:
+            end = random.Random(run.seal).choice(list(UnframedEnd))
+            events = self.stream_unframed_events(request, run, end)
+            raise UnframedResponse(Reply("200 OK", events, headers))
         return Reply("200 OK", self.stream_events(request, run), headers)
 
-    def stream_events(self, request: Request, run: Run) -> Iterator[bytes]:
+    def stream_unframed_events(
+        self, request: Request, run: Run, end: UnframedEnd
+    ) -> Generator[bytes, None, None]:
+        """Yield some of the events and then what comes before the given end."""
+        events = self.stream_events(request, run)
+        self.ledger.counts[f"unframed: {end}"] += 1
+        if end is UnframedEnd.WHOLE:
+            yield from events
+            return
+        run.interrupted = True
+        event = next(events, b"")
+        if end is not UnframedEnd.EMPTY:
+            yield event
+            yield next(events, event)[: len(event) // 2]
+        events.close()
+        if end is UnframedEnd.ENDLESS:
+            # A link goes on reading after an entry has closed its side.
+            yield from itertools.repeat(ENDLESS_BLOCK, ENDLESS_BLOCK_COUNT)
+
+    def stream_events(self, request: Request, run: Run) -> Generator[bytes, None, None]:
         """Yield the events after ``Last-Event-Id`` up to the requested last one."""
         request_id = request.headers["Request-Id"]
         last = int(request.path.rsplit("/", 1)[1])
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,6 +15,8 @@
 
 import eventlet
 
+from primroselever_core.dispatch.buffers import DEFAULT_TOTAL_BYTES
+
 from .back_end_checks import LINK_DISTURBANCES, SILENCE
 from .backends import PIECE_COUNT, ModelServer, PlainServer
 from .ledger import (
@@ -47,6 +49,8 @@
 WRITES_BEFORE_RESTORE = 2  # by each back end; they are lost
 MAX_WRITING_AGAIN_DELAY_S = 1.0  # below the grace time for missing back ends
 CLOSURE_S = 4.0
+UNFRAMED_S = 3.0
+MAX_GROWTH_BYTES = DEFAULT_TOTAL_BYTES  # of an entry, by all responses together
 SILENCE_RANGE_S = (0.7, 1.0)
 MAX_WAIT_FOR_RUN_S = 1.0
 
@@ -351,6 +355,33 @@
     period.end = time.monotonic()
 
 
+def unframe_back_ends(context: FaultContext) -> None:
+    """Make all back ends answer without a length; engines break some streams off."""
+    periods = []
+    until = time.monotonic() + UNFRAMED_S
+    for backend in context.fleet.backends.values():
+        backend.unframed_until = until
+        if isinstance(backend, ModelServer):
+            periods.append(context.record_fault("streams broken", backend.server_id))
+    peaks = [
+        (vm, vm.incarnation, vm.read_peak_memory()) for vm in context.fleet.entries()
+    ]
+    eventlet.sleep(UNFRAMED_S)
+    for period in periods:
+        period.end = time.monotonic()
+    for vm, incarnation, peak_bytes in peaks:
+        if vm.incarnation == incarnation:
+            check_growth(context.ledger, vm.name, vm.read_peak_memory() - peak_bytes)
+
+
+def check_growth(ledger: Ledger, entry: str, growth_bytes: int) -> None:
+    """Check by how much the memory of an entry grew that read responses without end."""
+    counter = "largest growth of an entry in MiB"
+    ledger.counts[counter] = max(ledger.counts[counter], growth_bytes >> 20)
+    if growth_bytes > MAX_GROWTH_BYTES:
+        ledger.record_violation("memory", f"{entry}: {growth_bytes} bytes more")
+
+
 def silence_engine(context: FaultContext) -> None:
     """Make an engine send nothing for about a second and go on."""
     silence_backend(context, ModelServer)
@@ -420,6 +451,7 @@
     close_backend: 1.0,
     silence_engine: 1.0,
     silence_plain_server: 0.5,
+    unframe_back_ends: 1.0,
     publish_configuration: 2.0,
     publish_weights_version: 0.7,
     corrupt_piece: 1.0,
@@ -442,6 +474,7 @@
 # what they show does not depend on the seed.
 INITIAL_SEQUENCE = (
     silence_engine,
+    unframe_back_ends,
     close_backend,
     silence_engine,
     restore_store_and_overtake,
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -62,12 +62,22 @@
 
     def handles_signal(self, signal_number: int) -> bool:
         """Return whether the process has started to catch or ignore a signal."""
+        fields = self.read_status()
+        handled = int(fields.get("SigCgt", "0"), 16) | int(
+            fields.get("SigIgn", "0"), 16
+        )
+        return bool(handled >> (signal_number - 1) & 1)
+
+    def read_peak_memory(self) -> int:
+        """Return the peak resident memory of the process in bytes, 0 if it is gone."""
+        return 1024 * int(self.read_status().get("VmHWM", "0 kB").split()[0])
+
+    def read_status(self) -> dict[str, str]:
+        """Return the fields of the process's status; none if it does not run."""
         if self.process is None or self.process.poll() is not None:
-            return False
+            return {}
         status = Path(f"/proc/{self.process.pid}/status").read_text()
-        fields = dict(line.split(":", 1) for line in status.splitlines())
-        handled = int(fields["SigCgt"], 16) | int(fields["SigIgn"], 16)
-        return bool(handled >> (signal_number - 1) & 1)
+        return dict(line.split(":", 1) for line in status.splitlines())
 
     def send_signal(self, signal_number: int) -> None:
         """Send a signal to the process, if it is running."""
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -111,6 +111,31 @@
     AttemptSender.handle_silence = handle_silence  # type: ignore[method-assign]
 
 
+def orderly_end_completes() -> None:
+    """Take the end of a connection for that of its stream, wherever it is."""
+    from primroselever_entry.direct.sending import AttemptSender
+
+    def check_stream_end(self: Any, head: Any) -> None:
+        return
+
+    AttemptSender.check_stream_end = check_stream_end  # type: ignore[method-assign]
+
+
+def buffers_unbounded() -> None:
+    """Keep any number of bytes of an event."""
+    from primroselever_core.dispatch.buffers import BufferLimits
+    from primroselever_entry.direct import process
+
+    flow_limits = process.flow_limits
+
+    def unbounded_flow_limits(settings: Any) -> Any:
+        return replace(
+            flow_limits(settings), buffers=BufferLimits(1 << 40, 1 << 40, 1 << 40)
+        )
+
+    process.flow_limits = unbounded_flow_limits
+
+
 MUTANTS = {
     "retry-after-send": retry_after_send,
     "configuration-back": configuration_back,
@@ -120,6 +145,8 @@
     "leaving-ignored": leaving_ignored,
     "retry-after-ignored": retry_after_ignored,
     "silence-ends-stream": silence_ends_stream,
+    "orderly-end-completes": orderly_end_completes,
+    "buffers-unbounded": buffers_unbounded,
 }
 
 
