--- a/soak/tests/test_unframed.py
+++ b/soak/tests/test_unframed.py
@@ -10,7 +10,7 @@
 from soak.mutants import MUTANTS
 
 
-def test_growth_beyond_the_limit_of_all_buffers_is_a_violation():
+def test_growth_beyond_the_limit_of_all_buffers_is_a_violation() -> None:
     ledger = Ledger()
     check_growth(ledger, "entry", MAX_GROWTH_BYTES)
     assert not ledger.violations
@@ -28,7 +28,9 @@
         (make_event("r1", 1), False, []),
     ],
 )
-def test_stream_that_is_framed_as_complete_must_be_complete(body, whole, rules):
+def test_stream_that_is_framed_as_complete_must_be_complete(
+    body: bytes, whole: bool, rules: list[str]
+) -> None:
     ledger = Ledger()
     run = Run("s", 1.0, "w", interrupted=True)
     ledger.runs["r1"].append(run)
@@ -40,6 +42,6 @@
     assert [violation.rule for violation in ledger.violations] == rules
 
 
-def test_each_end_and_each_mutant_has_its_name():
+def test_each_end_and_each_mutant_has_its_name() -> None:
     assert len(set(UnframedEnd)) == 4
     assert {"orderly-end-completes", "buffers-unbounded"} <= MUTANTS.keys()
