Reset streams to callers before HTTP/1.1 until they are complete

What callers saw: nothing reported. A caller before HTTP/1.1 gets a stream without chunks, whose end is that of its connection; if the entry is killed meanwhile, the kernel ends the connection in order, and the stream looks complete. Evidence: test_killed_entry_resets_a_stream_without_chunks failed before. Change: from the head of such a response to its end, any other end of its connection is a reset, set on the socket. Result: the test passes, and a complete stream still ends in order. Callers of HTTP/1.1 are not affected.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
@@ -37,7 +37,9 @@
 MAX_PIPELINED_BYTES = 262144  # of later requests, read while one is processed
 LINGER_S = 0.5  # to read the rest of a refused body, so that the refusal arrives
 WRITE_TIMEOUT_S = 10.0  # a caller that reads nothing for this long is gone
-RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # for SO_LINGER
+# Values of SO_LINGER.
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+CLOSE_IN_ORDER = struct.pack("ii", 0, 0)
 
 # The unpatched module polls without switching greenlets.
 select_module = patcher.original("select")
@@ -307,6 +309,8 @@
         ends = self.server.closing or self.server.is_leaving()
         if ends and not self.next_request_has_begun():
             headers = [*headers, (b"Connection", b"close")]
+        if not any(name.lower() == b"content-length" for name, _value in headers):
+            self.set_linger(RESET_AT_CLOSE)
         event = h11.Response(status_code=status, headers=headers)
         self.unsent += self.protocol.send(event) or b""
 
@@ -317,6 +321,7 @@
     def finish_response(self) -> None:
         """Complete a response."""
         self.flush_with(self.protocol.send(h11.EndOfMessage()))
+        self.set_linger(CLOSE_IN_ORDER)
 
     def flush_with(self, data: bytes | None) -> None:
         """Send the unsent bytes followed by ``data`` in one write."""
@@ -339,18 +344,22 @@
         self.mark_caller_left()
 
     def abandon_response(self) -> None:
+        """Have the connection closed without the last chunk of the response."""
+        self.caller_left = True
+        self.set_linger(RESET_AT_CLOSE)
+
+    def set_linger(self, value: bytes) -> None:
         """
-        Have the connection closed without the last chunk of the response.
+        Set how the connection of a caller before HTTP/1.1 ends.
 
-        Callers before HTTP/1.1 get no chunks. Their connection is reset, since an
-        orderly end would complete the response.
+        Such a caller gets no chunks, so that an orderly end completes a response
+        without a length. Until that is complete any end is a reset, also that of a
+        process that is killed.
         """
-        self.caller_left = True
-        if self.protocol.their_http_version != b"1.1":
-            with suppress(OSError):  # the caller closed it first
-                self.socket.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE
-                )
+        if self.protocol.their_http_version == b"1.1":
+            return
+        with suppress(OSError):  # the caller closed it first
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
 
     @property
     def refuses_requests(self) -> bool:
--- a/packages/primroselever-entry/tests/direct/test_broken_off_answers.py
+++ b/packages/primroselever-entry/tests/direct/test_broken_off_answers.py
@@ -7,12 +7,16 @@
 
 from __future__ import annotations
 
+import socket
+import struct
+
 import eventlet
 import pytest
 
 from primroselever_core.catalogue.model import Configuration, RouteKind
 from primroselever_entry.direct import sending
-from primroselever_node.direct.exchange import HttpConnection
+from primroselever_node import clock
+from primroselever_node.direct.exchange import HttpConnection, receive_bytes
 
 from .conftest import (
     CLOSE,
@@ -300,3 +304,33 @@
     response = ask(entry)
     assert second.requests == []
     assert_cut_off(response, events[:1])
+
+
+def ask_without_chunks(entry):
+    """Send a request of HTTP/1.0; return its connection and what came at first."""
+    parts = [stream_head() + chunk(EVENTS[0]), PAUSE, chunk(EVENTS[1]) + STREAM_END]
+    entry.add("a", "engine").responses = [parts]
+    connection = entry.connect()
+    data = request("/ask/x", "POST", b"p", ["x-model: m"])
+    connection.sendall(data.replace(b"HTTP/1.1", b"HTTP/1.0"))
+    received = b""
+    with eventlet.Timeout(1):
+        while EVENTS[0] not in received:
+            received += connection.recv(4096)
+    return connection, received
+
+
+# Guards against a stream that looks complete to a caller before HTTP/1.1 because the
+# process of the entry is killed: the kernel then closes the sockets as they are set.
+def test_killed_entry_resets_a_stream_without_chunks(entry):
+    _connection, _received = ask_without_chunks(entry)
+    (serving,) = entry.server.connections
+    linger = serving.socket.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, 8)
+    assert struct.unpack("ii", linger) == (1, 0)
+
+
+def test_complete_stream_without_chunks_ends_in_order(entry):
+    connection, received = ask_without_chunks(entry)
+    while data := receive_bytes(connection, clock.now() + 1):
+        received += data
+    assert received.endswith(EVENTS[1])
