Use the field's terms for silences, starts and ends of responses

Change: resumed, started, abandoned or left, states; names and comments alike. Log keys, metrics and their descriptions are unchanged; the reason of an overtaken attempt now says resumed.

--- a/packages/primroselever-core/src/primroselever_core/dispatch/announcements.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/announcements.py
@@ -3,7 +3,7 @@
 
 Designed for services of which several servers close at once. A closed server gets no
 request before the end of the time that it named. Entries return to it at different
-times, and callers are told when the first server of a closed service returns.
+times, and a refusal states when the first server of a closed service returns.
 
 An announcement concerns one start of a server. It is kept while the list of servers
 lacks that start, and a later start at the same address begins without announcements.
--- a/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
@@ -58,7 +58,7 @@
     What a request needs of a back end, with times in seconds.
 
     ``first_event_within_s`` is the time left until the objective is missed,
-    ``deadline_within_s`` the time left until the caller gives up. ``min_version`` is 0
+    ``deadline_within_s`` the time left until the caller leaves. ``min_version`` is 0
     if weights of any version may answer. ``pause_s`` is the longest pause between
     events that the route allows, 0 if it names none.
     """
@@ -113,7 +113,7 @@
     Return the back end with the earliest predicted first event, or a refusal.
 
     ``excluded`` holds the identifiers of back ends that are not considered. A caller of
-    a service whose back ends are all closed is told when the first one returns.
+    a service whose back ends are all closed learns when the first one returns.
     """
     backends = list(backends)
     considered = [b for b in backends if b.listed.server_id not in excluded]
--- a/packages/primroselever-entry/src/primroselever_entry/direct/attempt.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/attempt.py
@@ -14,7 +14,7 @@
     NOT_RUN = "not run"
     BROKEN = "broken"
     SILENT = "silent"
-    OVERTAKEN = "overtaken"  # an earlier silent attempt went on
+    OVERTAKEN = "overtaken"  # an earlier silent attempt resumed
     OUT_OF_TIME = "out of time"
     CALLER_LEFT = "caller left"
 
--- a/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
@@ -112,7 +112,7 @@
         """Prepare for the next request; return whether one may follow."""
         if self.caller_left:
             return False
-        if self.server.closing and not self.next_request_has_begun():
+        if self.server.closing and not self.next_request_has_started():
             return False
         if self.protocol.our_state is not h11.DONE:
             return False
@@ -121,15 +121,15 @@
         self.protocol.start_next_cycle()
         return True
 
-    def next_request_has_begun(self) -> bool:
+    def next_request_has_started(self) -> bool:
         """Return whether bytes of a pipelined request were read."""
         return bool(self.protocol.trailing_data[0])
 
     def read_request(self) -> CallerRequest | None:
         """Return the next request, or None if the connection is to be closed."""
         self.limits = self.server.limits()
-        has_begun = self.next_request_has_begun()
-        self.request_started_at = clock.now() if has_begun else 0.0
+        has_started = self.next_request_has_started()
+        self.request_started_at = clock.now() if has_started else 0.0
         try:
             head = self.next_event(clock.now())
             if not isinstance(head, h11.Request):
@@ -307,7 +307,7 @@
     def send_head(self, status: int, headers: Headers) -> None:
         """Start a response; its head is sent together with the first body bytes."""
         ends = self.server.closing or self.server.is_leaving()
-        if ends and not self.next_request_has_begun():
+        if ends and not self.next_request_has_started():
             headers = [*headers, (b"Connection", b"close")]
         if not any(name.lower() == b"content-length" for name, _value in headers):
             self.set_linger(RESET_AT_CLOSE)
@@ -328,13 +328,13 @@
         unsent, self.unsent = self.unsent, b""
         self.write(unsent + (data or b""))
 
-    def response_begun(self) -> bool:
+    def response_started(self) -> bool:
         """Return whether any part of the current response was generated."""
         return self.protocol.our_state is not h11.SEND_RESPONSE
 
     def answer_at_end(self) -> None:
         """Answer a request that the end of the process cuts off, if still possible."""
-        if not self.processing or self.caller_left or self.response_begun():
+        if not self.processing or self.caller_left or self.response_started():
             return
         try:
             # 502 promises nothing: the request may run on at a back end.
--- a/packages/primroselever-entry/src/primroselever_entry/direct/event_stream.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/event_stream.py
@@ -71,7 +71,7 @@
 
     def is_inside_event(self) -> bool:
         """
-        Return whether an event has begun and is not complete.
+        Return whether an event has started and is not complete.
 
         Blank lines and complete comments between two events are not part of one.
         """
--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -1,7 +1,7 @@
 """
 The processing of one request: routing, choice of a back end, attempts, response.
 
-The status tells the caller whether a request that must not run twice may be retried:
+The status states whether a request that must not run twice may be retried:
 503 and 429 mean that no back end can have started to process it; 502 and 504 guarantee
 nothing.
 """
@@ -132,9 +132,9 @@
         state: RequestState | None,
         caller: CallerConnection,
     ) -> None:
-        """Answer a request that met an unexpected error, if no response has begun."""
+        """Answer a request that met an unexpected error, if no response has started."""
         reason = "unexpected error"
-        if caller.response_begun():
+        if caller.response_started():
             log_request_end(request, "cut off", reason, state)
             caller.abandon_response()
             return
@@ -261,14 +261,14 @@
         no_retry_reason: str | None,
     ) -> Attempt | Refused:
         """
-        Send a request to the next back end, or go on waiting for a silent one.
+        Send a request to the next back end, or wait longer for a silent one.
 
         Return a refusal if neither is possible. ``no_retry_reason`` is why the request
         may not be sent again, None if it may.
         """
         now = clock.now()
         silent = state.silent_sender
-        if silent is not None and not silent.may_continue():
+        if silent is not None and not silent.may_resume():
             silent.close()
             silent = state.silent_sender = None
         if no_retry_reason is not None:
--- a/packages/primroselever-entry/src/primroselever_entry/direct/request_state.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/request_state.py
@@ -18,7 +18,7 @@
     """
     The state of a request in progress.
 
-    ``deadline`` is when the route or the caller gives up, ``objective_at`` when the
+    ``deadline`` is when the route or the caller abandons it, ``objective_at`` when the
     first event is due, and ``late`` whether that time had already passed when the
     request arrived. ``silent_sender`` is the attempt whose back end fell silent; its
     connection stays open until another back end answers. ``released_bytes`` counts the
--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -66,7 +66,7 @@
 MAX_REFUSAL_BYTES = 65536
 URGENCY_ON_TIME = b"5"  # the default for requests without this header
 URGENCY_LATE = b"8"  # runs after all requests that can still meet their objective
-OVERTAKEN_REASON = "the silent back end went on"
+OVERTAKEN_REASON = "the silent back end resumed"
 BODY_METHODS = (b"POST", b"PUT", b"PATCH")
 
 
@@ -125,17 +125,17 @@
             watcher.kill()
 
     def watch_silent(self, silent: AttemptSender, connection: HttpConnection) -> None:
-        """End this attempt if a silent one goes on before this one has sent events."""
-        if not connection.wait_for_data() or not silent.may_continue():
+        """End this attempt if a silent one resumes before this one has sent events."""
+        if not connection.wait_for_data() or not silent.may_resume():
             return
         self.overtaken = True
         if self.connection is not None:
             self.connection.interrupt()
 
     def has_data(self) -> bool:
-        """Return whether the response goes on where it became silent."""
+        """Return whether the response resumes where it became silent."""
         return (
-            self.may_continue()
+            self.may_resume()
             and self.connection is not None
             and self.connection.has_data()
         )
@@ -145,8 +145,8 @@
         self.wait_until = until
         return self.receive_result(self.receive_response)
 
-    def may_continue(self) -> bool:
-        """Return whether the response may still go on where it became silent."""
+    def may_resume(self) -> bool:
+        """Return whether the response may still resume where it became silent."""
         return not self.closed and self.released_bytes == self.state.released_bytes
 
     def close(self) -> None:
@@ -421,9 +421,9 @@
         return Attempt(AttemptEnd.ANSWERED, head.status_code)
 
     def end_replaced_attempt(self) -> None:
-        """End the silent attempt if it can no longer go on after this one's events."""
+        """End the silent attempt if it can no longer resume after this one's events."""
         silent = self.state.silent_sender
-        if silent is not None and silent is not self and not silent.may_continue():
+        if silent is not None and silent is not self and not silent.may_resume():
             silent.close()
 
     def record_first_event(self) -> None:
