Take the share of one entry from the retry budget after an own pause

What callers saw: nothing reported; a retry storm is possible: after its own pause an entry saw no live peer, since all heartbeats had become old, and took the share of all entries. Change: the budget is divided by the entries that were heard within its window, live or not: each of them may have used its share. This also covers entries that were just lost.

--- a/packages/primroselever-core/src/primroselever_core/gossip/peers.py
+++ b/packages/primroselever-core/src/primroselever_core/gossip/peers.py
@@ -127,6 +127,13 @@
         """Return the entries whose last heartbeat is within the timeout."""
         return [peer for peer in self.by_host.values() if peer.live(now)]
 
+    def count_heard_since(self, time: float) -> int:
+        """Return how many entries sent a heartbeat after a time."""
+        return sum(
+            not peer.reported_only and peer.last_heartbeat_at >= time
+            for peer in self.by_host.values()
+        )
+
     def peers_to_report(self, now: float) -> dict[str, str]:
         """
         Return the failure domains by host of live entries to report to others.
--- a/packages/primroselever-core/tests/gossip/test_peers.py
+++ b/packages/primroselever-core/tests/gossip/test_peers.py
@@ -104,3 +104,16 @@
     restored = make_catalogue(StorePosition(2, 95), 7, 2)
     assert send_heartbeat(restored).is_ahead_of(before)
     assert not send_heartbeat(before).is_ahead_of(restored)
+
+
+# Guards against an entry that takes the retries of all entries after its own pause, in
+# which every heartbeat has become old.
+def test_entries_of_the_window_count_after_a_pause_of_this_process():
+    peers = Peers("10.0.0.1", "a")
+    for host in ("10.0.0.2", "10.0.0.3"):
+        peers.record_heartbeat(host, "a", 100.0)
+    peers.add_reported_peers({"10.0.0.4": "a"}, 100.0)
+    resumed_at = 100.0 + 2 * PEER_TIMEOUT_S
+    assert peers.live(resumed_at) == []
+    assert peers.count_heard_since(resumed_at - 10.0) == 2
+    assert peers.count_heard_since(100.1) == 0
--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -426,8 +426,12 @@
             return attempt.reason
         if attempt.end is AttemptEnd.NOT_SENT:
             return None
-        entry_count = len(self.board.peers.live(clock.now())) + 1
-        if not self.retry_share(state.service).take_retry(entry_count, clock.now()):
+        now = clock.now()
+        # An entry that was live in the window may have used its share, also if it is
+        # silent now, or if only this process did not run for a while.
+        window_start = now - self.limits.retries.window_s
+        entry_count = self.board.peers.count_heard_since(window_start) + 1
+        if not self.retry_share(state.service).take_retry(entry_count, now):
             return f"{attempt.reason}; no retry left in the budget"
         return None
 
--- a/packages/primroselever-entry/tests/direct/test_pauses.py
+++ b/packages/primroselever-entry/tests/direct/test_pauses.py
@@ -10,7 +10,11 @@
 from eventlet import patcher
 from eventlet.greenio import GreenSocket
 
-from .conftest import LIMITS, ok_response, read_all, request
+from primroselever_core.dispatch.retry_share import RetryLimits
+from primroselever_core.gossip.peers import PEER_TIMEOUT_S
+from primroselever_node import clock
+
+from .conftest import LIMITS, RESET, ok_response, read_all, request
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -64,3 +68,17 @@
     pause_entry(0.15)
     assert read_all(connection).startswith(b"HTTP/1.1 200")
     assert second.requests == []
+
+
+# Guards against a retry storm: after its own pause an entry sees no live peer, and must
+# not take the share of all entries.
+def test_share_of_retries_stays_that_of_one_entry_after_a_pause(entry):
+    entry.flow.limits = replace(entry.flow.limits, retries=RetryLimits(0.0, 6.0, 10.0))
+    for number in range(2, 7):
+        heard_at = clock.now() - 2 * PEER_TIMEOUT_S
+        entry.board.peers.record_heartbeat(f"10.0.0.{number}", "a", heard_at)
+    first, second = entry.add("a"), entry.add("b")
+    entry.board.backends.backends["b"].in_flight = 7
+    first.responses, second.responses = [[RESET]], [ok_response()]
+    assert entry.send().startswith(b"HTTP/1.1 502")
+    assert second.requests == []
