Keep the descriptor of a client's connection open after its first call

What callers saw: with agents in the path, no engine became ready. Change: the second socket holds the first one.

--- a/packages/primroselever-agent/tests/engine/test_engine_client.py
+++ b/packages/primroselever-agent/tests/engine/test_engine_client.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import gc
 from typing import TYPE_CHECKING, Any
 
 import pytest
@@ -166,3 +167,16 @@
     engine.body = b" " * (MAX_STATE_BYTES + 1)
     with pytest.raises(EngineCallError, match="more than"):
         client.state()
+
+
+# Guards against clients that cannot call twice: a green socket that is collected closes
+# the descriptor, also that of a connection in the pool that shares it.
+def test_kept_connection_serves_several_calls(
+    engine: FakeEngine, client: EngineClient
+) -> None:
+    engine.body = b"{}"
+    for _ in range(3):
+        client.state()
+        gc.collect()
+    (pool,) = client.http.pools._container.values()
+    assert pool.num_connections == 1
--- a/packages/primroselever-node/src/primroselever_node/platform/http_client.py
+++ b/packages/primroselever-node/src/primroselever_node/platform/http_client.py
@@ -30,6 +30,7 @@
     """
 
     was_reset = False
+    original: Any = None
 
     def send(self, data: Any, flags: int = 0) -> int:
         """Send bytes; remember a reset that this meets."""
@@ -67,6 +68,8 @@
         sock: Any = super()._new_conn()
         detecting_sock = ResetDetectingSocket(sock.fd)
         detecting_sock.settimeout(sock.gettimeout())
+        # It closes the descriptor that both share when it is collected.
+        detecting_sock.original = sock
         return detecting_sock
 
 
