Eject a back end no longer for requests that it had before its last ejection

What callers saw: a sound server that paused for a second is left out for several. Cause: requests that were sent before an ejection fail after its end, and each doubled the next ejection as if the server had failed again. Evidence: test_requests_sent_before_an_ejection_do_not_prolong_the_next_one failed before. Change: a failure comes with the time at which its request was sent; one from before the last ejection ejects for the same time again, so that a dark server stays out, but does not double it. Ruled out: to ignore it, since callers would be sent to a dark server earlier.

--- a/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
@@ -79,6 +79,7 @@
     listed: ListedServer
     report: EngineReport | None = None
     in_flight: int = 0
+    ejected_at: float = 0.0
     ejected_until: float = 0.0
     ejections: int = 0
     marked_full_until: float = 0.0
@@ -204,17 +205,21 @@
         self.ejections = 0
         self.record_outcome(True)
 
-    def record_failure(self, now: float) -> None:
+    def record_failure(self, now: float, sent_at: float) -> None:
         """
-        Record a failure caused by the back end, and eject it for some time.
+        Record the failure of a request caused by the back end; eject it for some time.
 
         Requests that fail together count as one failure. Each of them would otherwise
-        double the time, and a short pause would eject the back end for the longest.
+        double the time, and a short pause would eject the back end for the longest. The
+        failure of a request that was sent before the last ejection ejects the back end
+        again, but for the same time: it shows nothing new.
         """
         self.record_outcome(False)
         if now < self.ejected_until:
             return
-        self.ejections += 1
+        if not self.ejections or sent_at > self.ejected_at:
+            self.ejections += 1
+        self.ejected_at = now
         ejection_s = min(MAX_EJECTION_S, FIRST_EJECTION_S * 2 ** (self.ejections - 1))
         self.ejected_until = max(self.ejected_until, now + ejection_s)
 
--- a/packages/primroselever-core/tests/dispatch/test_announcements.py
+++ b/packages/primroselever-core/tests/dispatch/test_announcements.py
@@ -106,7 +106,7 @@
 def test_a_service_with_an_open_server_keeps_its_usual_delay(make_backend, make_needs):
     closed, ejected = make_backend("closed"), make_backend("ejected")
     closed.announced.record_closure(NOW + 60.0, NOW, Random(1))
-    ejected.record_failure(NOW)
+    ejected.record_failure(NOW, NOW)
     refusal = choose([closed, ejected], make_needs())
     assert refusal.retry_after_s <= 1.0
     assert "failed lately" in refusal.reason
--- a/packages/primroselever-core/tests/dispatch/test_backend.py
+++ b/packages/primroselever-core/tests/dispatch/test_backend.py
@@ -39,13 +39,13 @@
 
 def test_ejections_grow_with_successive_failures(make_backend):
     backend = make_backend("a")
-    backend.record_failure(1.0)
+    backend.record_failure(1.0, 0.9)
     first = backend.ejected_until - 1.0
-    backend.record_failure(2.0)
+    backend.record_failure(2.0, 1.9)
     assert backend.ejected_until - 2.0 > first
     assert not backend.available(2.1)
     backend.record_success()
-    backend.record_failure(9.0)
+    backend.record_failure(9.0, 8.9)
     assert backend.ejected_until - 9.0 == first
 
 
@@ -54,10 +54,24 @@
 def test_requests_that_fail_together_eject_a_server_once(make_backend):
     backend = make_backend("a")
     for _ in range(8):
-        backend.record_failure(1.0)
+        backend.record_failure(1.0, 0.9)
     assert backend.available(1.0 + FIRST_EJECTION_S)
 
 
+# Guards against a sound server that is left out for seconds after a pause: requests that
+# it had before its ejection fail after it, and each counted as a failure in a row.
+def test_requests_sent_before_an_ejection_do_not_prolong_the_next_one(make_backend):
+    backend = make_backend("a")
+    backend.record_failure(1.0, 0.2)
+    now = 1.0 + FIRST_EJECTION_S
+    for sent_at in (0.3, 0.4, 0.5):
+        backend.record_failure(now, sent_at)
+        assert backend.ejected_until == now + FIRST_EJECTION_S
+        now += FIRST_EJECTION_S
+    backend.record_failure(now, now - 0.1)
+    assert backend.ejected_until == now + 2 * FIRST_EJECTION_S
+
+
 def test_a_server_that_fails_more_than_the_others_is_found(make_backend):
     backends = [make_backend(name) for name in "abcd"]
     for backend in backends:
--- a/packages/primroselever-core/tests/dispatch/test_choose.py
+++ b/packages/primroselever-core/tests/dispatch/test_choose.py
@@ -104,7 +104,7 @@
 def test_refusals_give_a_reason(make_backend, make_report, make_needs, figures):
     server = make_backend("a")
     assert choose([], make_needs(), figures).reason == "no back end is listed"
-    server.record_failure(9.9)
+    server.record_failure(9.9, 9.9)
     assert "failed" in choose([server], make_needs(), figures).reason
     server.ejected_until = 0.0
     server.apply_report(make_report(10.0, version=0))
--- a/packages/primroselever-core/tests/dispatch/test_section.py
+++ b/packages/primroselever-core/tests/dispatch/test_section.py
@@ -21,7 +21,7 @@
     section = BackendsSection()
     listed = make_backend("a").listed
     section.apply_listing([listed])
-    section.backends["a"].record_failure(1.0)
+    section.backends["a"].record_failure(1.0, 1.0)
     section.apply_listing([replace(listed, born_ms=2)])
     assert section.backends["a"].ejections == 0
 
--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -177,7 +177,7 @@
         try:
             return exchange()
         except ConnectError as exc:
-            self.backend.record_failure(clock.now())
+            self.backend.record_failure(clock.now(), self.started_at)
             return Attempt(AttemptEnd.NOT_SENT, reason=str(exc))
         except CallerLeftError:
             return Attempt(AttemptEnd.CALLER_LEFT)
@@ -193,7 +193,7 @@
     def handle_break(self, exc: BrokenExchangeError) -> Attempt:
         """Record that the exchange broke; return the result."""
         if not isinstance(exc, BuffersFullError):
-            self.backend.record_failure(clock.now())
+            self.backend.record_failure(clock.now(), self.started_at)
         if self.head is None:
             return Attempt(AttemptEnd.BROKEN, reason=str(exc))
         self.log_response_end(self.head, str(exc))
@@ -229,7 +229,7 @@
         if now >= self.state.deadline:
             return Attempt(AttemptEnd.OUT_OF_TIME, reason="the deadline passed")
         if self.wait_until == 0.0:
-            self.backend.record_failure(now)
+            self.backend.record_failure(now, self.started_at)
         self.released_bytes = self.state.released_bytes
         return Attempt(AttemptEnd.SILENT, reason=str(exc))
 
