--- a/packages/primroselever-core/tests/dispatch/test_backend.py
+++ b/packages/primroselever-core/tests/dispatch/test_backend.py
@@ -58,8 +58,8 @@
     assert backend.available(1.0 + FIRST_EJECTION_S)
 
 
-# Guards against a sound server that is left out for seconds after a pause: requests that
-# it had before its ejection fail after it, and each counted as a failure in a row.
+# Guards against a sound server that is left out for seconds after a pause: requests
+# that it had before its ejection fail after it, and each counted as a failure in a row.
 def test_requests_sent_before_an_ejection_do_not_prolong_the_next_one(make_backend):
     backend = make_backend("a")
     backend.record_failure(1.0, 0.2)
