Do not take comments of a stream for events

What callers saw: nothing reported. A back end that sends a comment to keep a connection open and then ends it in order made an empty stream look complete; and since a stream that broke off after comments alone was cut off, although no event had been forwarded. Found while the diff was read. Evidence: test_stream_that_ends_after_comments_only_is_a_failure and test_stream_that_breaks_off_after_comments_is_sent_again failed before. Change: a released block counts as an event only if it has a field; the rule on streams without identifiers asks whether an event was forwarded. Result: both pass, and all tests of the folder.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/event_stream.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/event_stream.py
@@ -27,8 +27,8 @@
     Buffers the bytes that one back end sends and releases complete events only.
 
     ``partial_event`` is what has come of the next event, and ``last_event_id`` that of
-    the last complete event, empty before the first one. ``released_any`` is set once an
-    event was complete.
+    the last complete event, empty before the first one. ``released_any`` is set once
+    an event was complete; comments alone are none.
 
         >>> buffer = EventBuffer()
         >>> buffer.feed(b"id: 1\ndata: a\n\nid: 2\n")
@@ -50,8 +50,9 @@
             return b""
         complete = bytes(self.partial_event[:end])
         del self.partial_event[:end]
-        ids = ID_LINE.findall(self.without_byte_order_mark(complete))
-        self.released_any = True
+        lines = self.without_byte_order_mark(complete)
+        ids = ID_LINE.findall(lines)
+        self.released_any = self.released_any or has_fields(lines)
         if ids:
             self.last_event_id = ids[-1].strip()
         return complete
@@ -75,9 +76,13 @@
 
         Blank lines and complete comments between two events are not part of one.
         """
-        *lines, unfinished_line = LINE_END.split(
-            self.without_byte_order_mark(bytes(self.partial_event))
-        )
-        return bool(unfinished_line) or any(
-            line and not line.startswith(COMMENT_START) for line in lines
-        )
+        data = self.without_byte_order_mark(bytes(self.partial_event))
+        unfinished_line = LINE_END.split(data)[-1]
+        return bool(unfinished_line) or has_fields(data)
+
+
+def has_fields(data: bytes) -> bool:
+    """Return whether any line is neither blank nor a comment."""
+    return any(
+        line and not line.startswith(COMMENT_START) for line in LINE_END.split(data)
+    )
--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -411,7 +411,7 @@
             return "out of time"
         if state.plain_part_forwarded:
             return attempt.reason
-        if state.released_bytes and not state.last_event_id:
+        if state.event_forwarded and not state.last_event_id:
             return f"{attempt.reason}; no event has an identifier to resume after"
         if attempt.may_have_run and not state.route.repeatable:
             return attempt.reason
--- a/packages/primroselever-entry/src/primroselever_entry/direct/request_state.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/request_state.py
@@ -22,8 +22,9 @@
     first event is due, and ``late`` whether that time had already passed when the
     request arrived. ``silent_sender`` is the attempt whose back end fell silent; its
     connection stays open until another back end answers. ``released_bytes`` counts the
-    bytes of a body that were forwarded, and ``last_event_id`` is that of the last
-    event, after which another back end resumes the stream. Once a part of a plain
+    bytes of a body that were forwarded, ``event_forwarded`` whether an event was among
+    them, and ``last_event_id`` is that of the last event, after which another back end
+    resumes the stream. Once a part of a plain
     answer was forwarded, ``plain_part_forwarded``, no other answer can replace it.
     """
 
@@ -39,6 +40,7 @@
     head_forwarded: bool = False
     plain_part_forwarded: bool = False
     released_bytes: int = 0
+    event_forwarded: bool = False
     last_event_id: bytes = b""
     may_have_run: bool = False
     first_event_at: float | None = None
--- a/packages/primroselever-entry/src/primroselever_entry/direct/response_body.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/response_body.py
@@ -92,6 +92,7 @@
     if not state.route.resumable:
         return data
     state.released_bytes += len(events)
+    state.event_forwarded = state.event_forwarded or body.events.released_any
     state.last_event_id = body.events.last_event_id or state.last_event_id
     return events
 
--- a/packages/primroselever-entry/tests/direct/test_broken_off_answers.py
+++ b/packages/primroselever-entry/tests/direct/test_broken_off_answers.py
@@ -330,3 +330,19 @@
     while data := receive_bytes(connection, clock.now() + 1):
         received += data
     assert received.endswith(EVENTS[1])
+
+
+# Guards against comments, which back ends send to keep a connection open, that are taken
+# for events: a stream of comments alone is not complete, and can be sent again.
+def test_stream_that_ends_after_comments_only_is_a_failure(entry):
+    entry.add("a", "engine").responses = [[UNFRAMED_HEAD + b": wait\n\n", CLOSE]]
+    assert not ask(entry).endswith(STREAM_END)
+
+
+def test_stream_that_breaks_off_after_comments_is_sent_again(entry):
+    first, second = entry.add("a", "engine"), entry.add("b", "engine")
+    entry.board.backends.backends["b"].in_flight = 7
+    first.responses = [[stream_head() + chunk(b": wait\n\n"), RESET]]
+    second.responses = [[stream_head() + chunk(b"".join(EVENTS)) + STREAM_END]]
+    assert_complete(ask(entry))
+    assert second.header(b"x-after") is None
