--- a/packages/primroselever-entry/src/primroselever_entry/direct/request_state.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/request_state.py
@@ -24,8 +24,8 @@
     connection stays open until another back end answers. ``released_bytes`` counts the
     bytes of a body that were forwarded, ``event_forwarded`` whether an event was among
     them, and ``last_event_id`` is that of the last event, after which another back end
-    resumes the stream. Once a part of a plain
-    answer was forwarded, ``plain_part_forwarded``, no other answer can replace it.
+    resumes the stream. Once a part of a plain answer was forwarded,
+    ``plain_part_forwarded``, no other answer can replace it.
     """
 
     request: CallerRequest
--- a/packages/primroselever-entry/tests/direct/test_broken_off_answers.py
+++ b/packages/primroselever-entry/tests/direct/test_broken_off_answers.py
@@ -332,8 +332,8 @@
     assert received.endswith(EVENTS[1])
 
 
-# Guards against comments, which back ends send to keep a connection open, that are taken
-# for events: a stream of comments alone is not complete, and can be sent again.
+# Guards against comments, which back ends send to keep a connection open, that are
+# taken for events: a stream of comments alone is not complete, and can be sent again.
 def test_stream_that_ends_after_comments_only_is_a_failure(entry):
     entry.add("a", "engine").responses = [[UNFRAMED_HEAD + b": wait\n\n", CLOSE]]
     assert not ask(entry).endswith(STREAM_END)
