Log and measure when configurations come into force

The line 'catalogue changed' names a version and its source, but not for how long a later one was known, nor the age of the last proof that nothing newer exists, so the hypotheses on late configurations could not be told apart. Each change now writes one line with source, path, version, these two ages; two gauges and a histogram show the same. Refused requests name the revision that refused them. Tests of the packages pass; no decision changes.

--- a/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
@@ -14,6 +14,7 @@
 from typing import TYPE_CHECKING
 
 from .catalogue_copy import CatalogueCopy
+from .freshness import Freshness
 from .known_servers import (
     Lapse,
     Removal,
@@ -60,8 +61,14 @@
     removed: dict[str, Removal] = field(default_factory=dict)
     store_contact_at: float | None = None
     own_read_at: float | None = None
+    freshness: Freshness = field(default_factory=Freshness)
     lapse_grace_until: float = 0.0
 
+    @property
+    def configuration_revision(self) -> int:
+        """Return the revision of the configuration in force, 0 without one."""
+        return self.configuration.revision if self.configuration else 0
+
     def configure(self, configuration: Configuration, now: float) -> bool:
         """Apply a configuration of a higher revision; return whether it was applied."""
         current = self.configuration
--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -510,5 +510,11 @@
     ) -> None:
         """Send an error response that the entry generates itself."""
         self.instruments.count_own_answer(status)
-        log_request_end(request, "refused", f"{status} {reason}", state)
+        log_request_end(
+            request,
+            "refused",
+            f"{status} {reason}",
+            state,
+            self.board.catalogue.configuration_revision,
+        )
         caller.send_problem(status, reason, retry_after_s)
--- a/packages/primroselever-entry/src/primroselever_entry/direct/process.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/process.py
@@ -16,6 +16,7 @@
 from primroselever_core.gossip.readers import reads_store
 from primroselever_node import clock
 from primroselever_node.admin import AdminApplication
+from primroselever_node.direct.configurations import observe_configuration
 from primroselever_node.direct.connection_pool import ConnectionPool
 from primroselever_node.direct.follower import CatalogueFollower
 from primroselever_node.direct.gossip import GossipController
@@ -75,6 +76,7 @@
         self.board = DirectBoard(
             identity, Peers(settings.host, settings.failure_domain, seeds)
         )
+        observe_configuration(self.board.catalogue)
         self.pool = ConnectionPool()
         self.piece_keeper = PieceKeeper(self.board, weight_source, settings.control[1])
         self.follower = CatalogueFollower(
--- a/packages/primroselever-entry/src/primroselever_entry/direct/request_log.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/request_log.py
@@ -42,11 +42,18 @@
     outcome: str,
     reason: str,
     state: RequestState | None = None,
+    configuration: int | None = None,
 ) -> None:
-    """Log how a request ended from the caller's point of view."""
+    """
+    Log how a request ended from the caller's point of view.
+
+    ``configuration`` is the revision that was in force when the entry refused it.
+    """
     extra_fields: dict[str, object] = {}
+    if configuration is not None:
+        extra_fields["configuration"] = configuration
     if state is not None:
-        extra_fields = {
+        extra_fields |= {
             "route": state.route.name,
             "workspace": state.workspace,
             "attempts": [
--- a/packages/primroselever-node/src/primroselever_node/direct/follower.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/follower.py
@@ -18,6 +18,7 @@
 from .. import clock
 from ..logs import log_decision
 from ..process import run_controller
+from .configurations import record_configuration
 from .restores import record_late_answer, record_restore
 from .sources import (
     CatalogueChanges,
@@ -216,6 +217,7 @@
         """Apply a full read, and remove the back ends that it lacks."""
         now = clock.now()
         changed = False
+        previous_revision = self.catalogue.configuration_revision
         if part is CataloguePart.SERVERS:
             listed = [
                 event.server
@@ -232,12 +234,14 @@
         for event in changes.events:
             if not isinstance(event, ServerListed):
                 changed |= apply(event, self.catalogue, now)
+        record_configuration(self.catalogue, previous_revision, "store", "read")
         self.report_change(part, changed, changes)
 
     def apply_changes(self, part: CataloguePart, changes: CatalogueChanges) -> None:
         """Apply the changes that a watch returned."""
         now = clock.now()
         changed = False
+        previous_revision = self.catalogue.configuration_revision
         for event in changes.events:
             changed |= apply(event, self.catalogue, now)
         if part is CataloguePart.SERVERS and changes.events:
@@ -246,6 +250,7 @@
             self.catalogue.store_position = max(
                 changes.position, self.catalogue.store_position
             )
+        record_configuration(self.catalogue, previous_revision, "store", "watch")
         self.report_change(part, changed, changes)
 
     def report_change(
--- a/packages/primroselever-node/src/primroselever_node/direct/gossip.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/gossip.py
@@ -29,6 +29,7 @@
     merge_suspicions,
     suspicion_to_thrift,
 )
+from .configurations import record_configuration
 from .datagrams import DatagramPort
 from .leaving_news import LeavingNews
 from .limit_news import LimitNews
@@ -329,8 +330,12 @@
                     published.record_peer_learned_at(
                         version, now - learned_age_ms / 1000
                     )
-        if not peer.is_ahead_of(self.board.catalogue):
-            self.board.catalogue.record_peer_contact(now - peer.store_age_s)
+        catalogue = self.board.catalogue
+        catalogue.freshness.record_named(
+            peer.configuration_revision, catalogue.configuration_revision, now
+        )
+        if not peer.is_ahead_of(catalogue):
+            catalogue.record_peer_contact(now - peer.store_age_s)
         elif not self.pulling:
             self.pulling = True
             eventlet.spawn(self.pull_catalogue, peer)
@@ -352,6 +357,7 @@
 
     def pull_catalogue(self, peer: Peer) -> None:
         """Merge a peer's catalogue, unless this process has caught up meanwhile."""
+        started_at = clock.now()
         try:
             if self.should_delay_pull(peer):
                 eventlet.sleep(PULL_DELAY_S)
@@ -367,7 +373,12 @@
             copy = unpack_catalogue(data)
         except (NeverSentError, LostReplyError, ValueError) as exc:
             logger.warning(
-                "failed to fetch the catalogue from a peer", extra={"error": str(exc)}
+                "failed to fetch the catalogue from a peer",
+                extra={
+                    "peer": peer.host,
+                    "took_s": round(clock.now() - started_at, 3),
+                    "error": str(exc),
+                },
             )
             return
         finally:
@@ -378,10 +389,12 @@
         """Merge the copy of a peer's catalogue into the own one."""
         catalogue = self.board.catalogue
         previous_position = catalogue.store_position
+        previous_revision = catalogue.configuration_revision
         if copy.store_era < previous_position.era:
             record_late_answer(peer.host, copy.store_position, previous_position.era)
         if catalogue.merge(copy, clock.now()):
             record_restore(peer.host, previous_position, catalogue)
+            record_configuration(catalogue, previous_revision, peer.host, "peer")
             configuration = catalogue.configuration
             log_decision(
                 "catalogue changed",
