Reproduce a configuration that is held up by a peer that fell silent

A peer names a later configuration and then accepts connections without answering, as after a freeze or a loss of power. The entry ignores the heartbeats of all other peers while its pull from that peer lasts: the configuration that they have was in force after 2.5 s, measured from its publication at a sound peer, where half of the shortest bound (1 s) is allowed.

--- /dev/null
+++ b/packages/primroselever-node/tests/direct/test_configuration_spread.py
@@ -0,0 +1,43 @@
+"""How soon a configuration that a peer names is in force, beside peers that fail."""
+
+from __future__ import annotations
+
+import eventlet
+import pytest
+
+from primroselever_node import clock
+
+from .test_gossip import LoopbackEntries, configuration, wait_until
+
+# Half of the shortest time in which a configuration must be in force.
+IN_FORCE_S = 1.0
+
+
+@pytest.fixture
+def entries():
+    return LoopbackEntries()
+
+
+# Guards against a configuration that comes into force late because the first peer that
+# named it lost power or froze: the pull from it blocked those from all other peers.
+@pytest.mark.parametrize("silent_count", [1, 3])
+def test_a_silent_peer_does_not_delay_a_configuration_that_others_have(
+    entries, silent_count
+):
+    sound = entries.add("127.0.0.1")
+    behind = entries.add("127.0.0.2")
+    wait_until(lambda: sound.board.peers.live(clock.now()))
+    wait_until(lambda: behind.board.peers.live(clock.now()))
+    for index in range(silent_count):
+        host = f"127.0.0.{index + 3}"
+        # The connection is accepted, and nothing is ever read or answered.
+        entries.listen_silently(host)
+        heartbeat = sound.build_heartbeat(clock.now())
+        heartbeat.host, heartbeat.configuration_revision = host, 7
+        behind.receive_heartbeat(heartbeat)
+        eventlet.sleep(0)
+    sound.board.catalogue.configure(configuration(7), clock.now())
+    sound.publish_catalogue_change()
+    published_at = clock.now()
+    wait_until(lambda: behind.board.catalogue.configuration is not None)
+    assert clock.now() - published_at <= IN_FORCE_S
--- a/packages/primroselever-node/tests/direct/test_gossip.py
+++ b/packages/primroselever-node/tests/direct/test_gossip.py
@@ -63,6 +63,7 @@
         self.control_port = find_free_port(socket.SOCK_STREAM)
         self.entries: dict[str, GossipController] = {}
         self.changed_parts: dict[str, list] = {}
+        self.silent_sockets: list = []
 
     def add(self, host: str, domain: str = "a") -> GossipController:
         board = DirectBoard(
@@ -78,6 +79,10 @@
         entry.start()
         return entry
 
+    def listen_silently(self, host: str) -> None:
+        """Accept connections to an entry's control address and never answer."""
+        self.silent_sockets.append(eventlet.listen((host, self.control_port)))
+
 
 @pytest.fixture
 def loopback_entries(monkeypatch):
