Pull a configuration from another peer when the first one falls silent

What callers saw: a request decided by an old configuration although the entry's peers had the new one. Cause: an entry pulled from one peer at a time and ignored the heartbeats of all others meanwhile. A peer that froze or lost power right after it named a change held the entry for its timeout of 2 s, and the next one could do the same. Change: after 0.4 s another peer that is ahead is asked as well, at most four at once; peers that did not answer are asked last for 5 s, those of the own failure domain and with the latest heartbeat first. Pulls move to a module of their own.

--- /dev/null
+++ b/packages/primroselever-node/src/primroselever_node/direct/catalogue_pulls.py
@@ -0,0 +1,175 @@
+"""
+Pulls of the catalogue from peers that have something later.
+
+A peer that has just named a change may lose power, freeze or be cut off before it sends
+its catalogue. Therefore a pull that takes unusually long is joined by one from another
+peer, and a peer from which a pull failed is asked last for some time.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import eventlet
+
+from primroselever_core.gossip.readers import reads_store
+
+from .. import clock
+from ..logs import log_decision
+from ..rpc.client_pool import ClientPool, LostReplyError, NeverSentError
+from .configurations import record_configuration
+from .peer_handler import unpack_catalogue
+from .restores import record_late_answer, record_restore
+from .schema import schema
+from .sources import CataloguePart
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from primroselever_core.catalogue.catalogue_copy import CatalogueCopy
+    from primroselever_core.direct_board import DirectBoard
+    from primroselever_core.gossip.peers import Peer
+
+PULL_DELAY_S = 0.15  # this entry's own watch usually delivers the change by then
+PULL_TIMEOUT_S = 2.0
+# After which another peer is asked as well: the delay, and several round trips between
+# failure domains. A configuration must be in force within 2 s.
+NEXT_PULL_S = 0.4
+MAX_PULLS = 4
+FAILED_PEER_S = 5.0  # the time for which a peer that did not answer is asked last
+
+logger = logging.getLogger(__name__)
+
+
+class CataloguePuller:
+    """
+    Pulls and merges the catalogues of peers that are ahead.
+
+    ``pulls`` holds the hosts that are being asked, and ``failed_until`` the time until
+    which a peer is asked last. ``next_pull_at`` is when another peer may be asked.
+    """
+
+    def __init__(
+        self,
+        board: DirectBoard,
+        control_port: int,
+        on_change: Callable[[CataloguePart], None],
+    ) -> None:
+        self.board = board
+        self.control_port = control_port
+        self.on_change = on_change
+        self.pool = ClientPool(schema.DirectPeer)
+        self.pulls: set[str] = set()
+        self.failed_until: dict[str, float] = {}
+        self.next_pull_at = 0.0
+
+    def pull_if_behind(self) -> None:
+        """Start a pull from a peer that is ahead, unless enough are active."""
+        now = clock.now()
+        if len(self.pulls) >= MAX_PULLS or now < self.next_pull_at:
+            return
+        peer = self.choose_peer(now)
+        if peer is None:
+            return
+        self.pulls.add(peer.host)
+        self.next_pull_at = now + NEXT_PULL_S
+        eventlet.spawn(self.pull, peer)
+        eventlet.spawn_after(NEXT_PULL_S, self.pull_if_behind)
+
+    def choose_peer(self, now: float) -> Peer | None:
+        """
+        Return the peer to ask next, None if there is none.
+
+        Of the peers that did not fail lately, those of the own failure domain are
+        asked first, and among these the one that sent the latest heartbeat.
+        """
+        self.failed_until = {
+            host: until for host, until in self.failed_until.items() if now < until
+        }
+        ahead = [
+            peer
+            for peer in self.board.peers.live(now)
+            if peer.host not in self.pulls and peer.is_ahead_of(self.board.catalogue)
+        ]
+        return min(
+            ahead,
+            key=lambda peer: (
+                peer.host in self.failed_until,
+                peer.failure_domain != self.board.peers.own_domain,
+                -peer.last_heartbeat_at,
+            ),
+            default=None,
+        )
+
+    def should_delay_pull(self, peer: Peer) -> bool:
+        """
+        Return whether to wait before pulling from a peer.
+
+        This entry's own watch of the store, or a peer in its own failure domain, may
+        deliver the same change by a shorter path.
+        """
+        if self.board.catalogue.configuration is None:
+            return False
+        peers = self.board.peers
+        era = self.board.catalogue.store_position.era
+        return peer.failure_domain != peers.own_domain or reads_store(
+            peers, clock.now(), era
+        )
+
+    def pull(self, peer: Peer) -> None:
+        """Merge a peer's catalogue, unless this process has caught up meanwhile."""
+        started_at = clock.now()
+        try:
+            if self.should_delay_pull(peer):
+                eventlet.sleep(PULL_DELAY_S)
+            if not peer.is_ahead_of(self.board.catalogue):
+                self.next_pull_at = 0.0
+                return
+            data = self.pool.call_with_retry(
+                (peer.host, self.control_port),
+                "fetch_catalogue",
+                self.board.catalogue.store_position.revision,
+                True,
+                timeout_s=PULL_TIMEOUT_S,
+            )
+            copy = unpack_catalogue(data)
+            self.next_pull_at = 0.0
+        except (NeverSentError, LostReplyError, ValueError) as exc:
+            now = clock.now()
+            self.failed_until[peer.host] = now + FAILED_PEER_S
+            logger.warning(
+                "failed to fetch the catalogue from a peer",
+                extra={
+                    "peer": peer.host,
+                    "took_s": round(now - started_at, 3),
+                    "error": str(exc),
+                },
+            )
+            return
+        finally:
+            self.pulls.discard(peer.host)
+        self.merge_copy(copy, peer)
+
+    def merge_copy(self, copy: CatalogueCopy, peer: Peer) -> None:
+        """Merge the copy of a peer's catalogue into the own one."""
+        catalogue = self.board.catalogue
+        previous_position = catalogue.store_position
+        previous_revision = catalogue.configuration_revision
+        if copy.store_era < previous_position.era:
+            record_late_answer(peer.host, copy.store_position, previous_position.era)
+        if catalogue.merge(copy, clock.now()):
+            record_restore(peer.host, previous_position, catalogue)
+            record_configuration(catalogue, previous_revision, peer.host, "peer")
+            configuration = catalogue.configuration
+            log_decision(
+                "catalogue changed",
+                "peer",
+                peer.host,
+                "the peer's catalogue was newer",
+                configuration=configuration.revision if configuration else None,
+                weights=copy.weights,
+                servers=len(catalogue.servers),
+            )
+            self.on_change(CataloguePart.OPERATOR)
+            self.on_change(CataloguePart.SERVERS)
--- a/packages/primroselever-node/src/primroselever_node/direct/gossip.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/gossip.py
@@ -17,42 +17,35 @@
 from primroselever_core.dispatch.backend import EngineReport
 from primroselever_core.dispatch.predict import predict_read_s
 from primroselever_core.filling.reporting import reported_hosts
-from primroselever_core.gossip.readers import reads_store
 from primroselever_core.identifiers import Fingerprint
 
 from .. import clock
 from ..logs import log_decision
 from ..process import run_controller
-from ..rpc.client_pool import ClientPool, LostReplyError, NeverSentError
 from ..rpc.suspicions import (
     clearings_to_return,
     merge_suspicions,
     suspicion_to_thrift,
 )
-from .configurations import record_configuration
+from .catalogue_pulls import CataloguePuller
 from .datagrams import DatagramPort
 from .leaving_news import LeavingNews
 from .limit_news import LimitNews
-from .peer_handler import unpack_catalogue
-from .restores import record_late_answer, record_restore
 from .schema import schema
-from .sources import CataloguePart
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from primroselever_core.catalogue.catalogue_copy import CatalogueCopy
     from primroselever_core.catalogue.model import Address
     from primroselever_core.direct_board import DirectBoard
-    from primroselever_core.gossip.peers import Peer
     from primroselever_core.suspects.section import Suspicion
 
+    from .sources import CataloguePart
+
 HEARTBEAT_S = 0.5  # a new configuration must be in force within 2 s
 ADVICE_INTERVAL_S = 1.0  # for unchanged advice; changed advice is sent at once
-PULL_DELAY_S = 0.15  # this entry's own watch usually delivers the change by then
 CHANGE_HEARTBEAT_DELAY_S = 0.02  # batches the changes that arrive in this time
 HEARTBEATS_PER_PEER_LIST = 4  # the peer list makes up most of a heartbeat's bytes
-PULL_TIMEOUT_S = 2.0
 BATCH_DELAY_S = 0.01  # batches sent requests and suspicions into one datagram
 MAX_SENT_PER_DATAGRAM = 40  # keeps a datagram below 1,400 bytes
 MAX_SUSPICIONS_PER_DATAGRAM = 6  # keeps a datagram below 1,400 bytes
@@ -78,13 +71,10 @@
     ) -> None:
         self.board = board
         self.host = host
-        self.control_port = control_port
-        self.on_change = on_change
         self.datagram_port = DatagramPort(host, port, self.receive)
         self.leaving_news = LeavingNews(board, self.datagram_port)
         self.limit_news = LimitNews(board, self.datagram_port)
-        self.pool = ClientPool(schema.DirectPeer)
-        self.pulling = False
+        self.puller = CataloguePuller(board, control_port, on_change)
         self.sent_requests: list[Any] = []
         # The agents in other failure domains to whose engines requests were sent.
         self.agents_sent_to: dict[str, str] = {}
@@ -336,77 +326,8 @@
         )
         if not peer.is_ahead_of(catalogue):
             catalogue.record_peer_contact(now - peer.store_age_s)
-        elif not self.pulling:
-            self.pulling = True
-            eventlet.spawn(self.pull_catalogue, peer)
-
-    def should_delay_pull(self, peer: Peer) -> bool:
-        """
-        Return whether to wait before pulling from a peer.
-
-        This entry's own watch of the store, or a peer in its own failure domain, may
-        deliver the same change by a shorter path.
-        """
-        if self.board.catalogue.configuration is None:
-            return False
-        peers = self.board.peers
-        era = self.board.catalogue.store_position.era
-        return peer.failure_domain != peers.own_domain or reads_store(
-            peers, clock.now(), era
-        )
-
-    def pull_catalogue(self, peer: Peer) -> None:
-        """Merge a peer's catalogue, unless this process has caught up meanwhile."""
-        started_at = clock.now()
-        try:
-            if self.should_delay_pull(peer):
-                eventlet.sleep(PULL_DELAY_S)
-            if not peer.is_ahead_of(self.board.catalogue):
-                return
-            data = self.pool.call_with_retry(
-                (peer.host, self.control_port),
-                "fetch_catalogue",
-                self.board.catalogue.store_position.revision,
-                True,
-                timeout_s=PULL_TIMEOUT_S,
-            )
-            copy = unpack_catalogue(data)
-        except (NeverSentError, LostReplyError, ValueError) as exc:
-            logger.warning(
-                "failed to fetch the catalogue from a peer",
-                extra={
-                    "peer": peer.host,
-                    "took_s": round(clock.now() - started_at, 3),
-                    "error": str(exc),
-                },
-            )
-            return
-        finally:
-            self.pulling = False
-        self.merge_copy(copy, peer)
-
-    def merge_copy(self, copy: CatalogueCopy, peer: Peer) -> None:
-        """Merge the copy of a peer's catalogue into the own one."""
-        catalogue = self.board.catalogue
-        previous_position = catalogue.store_position
-        previous_revision = catalogue.configuration_revision
-        if copy.store_era < previous_position.era:
-            record_late_answer(peer.host, copy.store_position, previous_position.era)
-        if catalogue.merge(copy, clock.now()):
-            record_restore(peer.host, previous_position, catalogue)
-            record_configuration(catalogue, previous_revision, peer.host, "peer")
-            configuration = catalogue.configuration
-            log_decision(
-                "catalogue changed",
-                "peer",
-                peer.host,
-                "the peer's catalogue was newer",
-                configuration=configuration.revision if configuration else None,
-                weights=copy.weights,
-                servers=len(catalogue.servers),
-            )
-            self.on_change(CataloguePart.OPERATOR)
-            self.on_change(CataloguePart.SERVERS)
+        else:
+            self.puller.pull_if_behind()
 
     def receive_engine_report(self, message: Any, host: str) -> None:
         """Record an agent's report on its engine, and send it advice."""
--- a/packages/primroselever-node/tests/direct/test_configuration_spread.py
+++ b/packages/primroselever-node/tests/direct/test_configuration_spread.py
@@ -41,3 +41,22 @@
     published_at = clock.now()
     wait_until(lambda: behind.board.catalogue.configuration is not None)
     assert clock.now() - published_at <= IN_FORCE_S
+
+
+def test_peers_that_refuse_connections_are_asked_at_a_bounded_rate(entries):
+    behind = entries.add("127.0.0.2")
+    attempts = []
+    behind.puller.pull = lambda peer: (
+        attempts.append(peer.host),
+        behind.puller.pulls.discard(peer.host),
+    )
+    peers = [
+        behind.board.peers.record_heartbeat(f"127.0.0.{index}", "a", clock.now())
+        for index in range(3, 9)
+    ]
+    for peer in peers:
+        peer.configuration_revision = 7
+    for _heartbeat in range(50):
+        behind.puller.pull_if_behind()
+        eventlet.sleep(0.02)
+    assert len(attempts) <= 4
--- a/packages/primroselever-node/tests/direct/test_gossip.py
+++ b/packages/primroselever-node/tests/direct/test_gossip.py
@@ -30,7 +30,7 @@
 from primroselever_core.identity import Identity
 from primroselever_core.suspects.section import CrashId
 from primroselever_node import clock
-from primroselever_node.direct import gossip as gossip_module
+from primroselever_node.direct import catalogue_pulls, gossip as gossip_module
 from primroselever_node.direct.datagrams import DatagramPort
 from primroselever_node.direct.gossip import GossipController
 from primroselever_node.direct.peer_handler import (
@@ -87,7 +87,7 @@
 @pytest.fixture
 def loopback_entries(monkeypatch):
     monkeypatch.setattr(gossip_module, "HEARTBEAT_S", 0.02)
-    monkeypatch.setattr(gossip_module, "PULL_DELAY_S", 0.005)
+    monkeypatch.setattr(catalogue_pulls, "PULL_DELAY_S", 0.005)
     return LoopbackEntries()
 
 
@@ -132,7 +132,7 @@
     wait_until(lambda: sender.board.peers.live(clock.now()))
     wait_until(lambda: other.board.peers.live(clock.now()))
     monkeypatch.setattr(gossip_module, "HEARTBEAT_S", 3600.0)
-    monkeypatch.setattr(gossip_module, "PULL_DELAY_S", 0.0)
+    monkeypatch.setattr(catalogue_pulls, "PULL_DELAY_S", 0.0)
     eventlet.sleep(0.05)
     sender.board.catalogue.configure(configuration(7), clock.now())
     sender.publish_catalogue_change()
@@ -166,7 +166,7 @@
     seed.board.catalogue.configure(configuration(7), clock.now())
     eventlet.sleep(0.05)
     monkeypatch.setattr(gossip_module, "HEARTBEAT_S", 3600.0)
-    monkeypatch.setattr(gossip_module, "PULL_DELAY_S", 3600.0)
+    monkeypatch.setattr(catalogue_pulls, "PULL_DELAY_S", 3600.0)
     eventlet.sleep(0.05)
     started = loopback_entries.add("127.0.0.2")
     wait_until(lambda: started.board.catalogue.configuration is not None)
@@ -240,8 +240,8 @@
     }
     eventlet.sleep(0.3)
     assert loopback_entries.changed_parts == changes
-    assert not before.pulling
-    assert not after.pulling
+    assert not before.puller.pulls
+    assert not after.puller.pulls
 
 
 @pytest.mark.parametrize("data", [b"", b"\x78", b"\x78\x01junk", b"{", b"\xff" * 9])
