Read the store when no other entry proves that nothing later is published

What callers saw: a request decided by an old configuration at an entry that does not read the store. Change: heartbeats carry the age of the store's last answer on the operator's part. The first watches of the readers after a change have different lengths, so that in quiet times their answers come in turn and no other entry reads.

--- a/packages/primroselever-core/src/primroselever_core/catalogue/freshness.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/freshness.py
@@ -1,4 +1,4 @@
-"""When an entry first learned of a configuration that it does not have yet."""
+"""What an entry knows of configurations that it may not have yet."""
 
 from __future__ import annotations
 
@@ -8,10 +8,13 @@
 @dataclass(slots=True)
 class Freshness:
     """
-    How long the news of a later configuration has been known.
+    Since when a later configuration is known, and when there was none for certain.
 
-    ``named_revision`` is the latest revision that a peer named, and ``named_at`` when a
-    peer first named one that was not in force, None if there is none.
+    ``own_answer_at`` is when the store last answered this process on the operator's
+    part. ``proof_at`` is when this process or a peer last learned from the store that
+    nothing later is published than what is in force here. ``named_revision`` is the
+    latest revision that a peer named, and ``named_at`` when a peer first named one that
+    was not in force, None if there is none.
 
         >>> freshness = Freshness()
         >>> freshness.record_named(8, 7, 10.0)
@@ -19,9 +22,21 @@
         0.25
     """
 
+    own_answer_at: float | None = None
+    proof_at: float | None = None
     named_revision: int = 0
     named_at: float | None = None
 
+    def record_own_answer(self, now: float) -> None:
+        """Record that the store answered this process on the operator's part."""
+        self.own_answer_at = now
+        self.record_proof(now)
+
+    def record_proof(self, at: float) -> None:
+        """Record a time at which nothing later was published."""
+        if self.proof_at is None or at > self.proof_at:
+            self.proof_at = at
+
     def record_named(self, revision: int, in_force: int, now: float) -> None:
         """Record the revision that a peer has in force."""
         if revision <= max(in_force, self.named_revision):
--- a/packages/primroselever-entry/src/primroselever_entry/direct/process.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/process.py
@@ -13,7 +13,11 @@
 from primroselever_core.dispatch.buffers import BufferLimits
 from primroselever_core.dispatch.retry_share import RetryLimits
 from primroselever_core.gossip.peers import Peers
-from primroselever_core.gossip.readers import reads_store
+from primroselever_core.gossip.readers import (
+    first_watch_share,
+    lacks_proof,
+    reads_store,
+)
 from primroselever_node import clock
 from primroselever_node.admin import AdminApplication
 from primroselever_node.direct.configurations import observe_configuration
@@ -85,6 +89,7 @@
             self.apply_catalogue_change,
             should_read=self.reads_store,
             first_read_at=first_read_time(settings),
+            first_watch_share=lambda: first_watch_share(self.board.peers, clock.now()),
         )
         self.gossip = GossipController(
             self.board,
@@ -182,8 +187,13 @@
 
     def reads_store(self) -> bool:
         """Return whether this entry reads the store instead of asking its peers."""
-        era = self.board.catalogue.store_position.era
-        return reads_store(self.board.peers, clock.now(), era)
+        catalogue, peers, now = self.board.catalogue, self.board.peers, clock.now()
+        return reads_store(peers, now, catalogue.store_position.era) or lacks_proof(
+            peers,
+            catalogue.freshness.proof_at,
+            self.settings.configuration_within_s,
+            now,
+        )
 
     def apply_catalogue_change(self, part: CataloguePart) -> None:
         """Publish a catalogue change and update back ends or prefetch weights."""
--- a/packages/primroselever-entry/src/primroselever_entry/direct/settings.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/settings.py
@@ -32,7 +32,9 @@
     the control addresses of a few entries. ``weights_within_s`` is for how many seconds
     after a new version was published requests may still start on older weights.
     ``contact_s`` is after how many seconds a started entry requires the weights that it
-    found when it started, unless peers send their actual age. ``retry_ratio``,
+    found when it started, unless peers send their actual age.
+    ``configuration_within_s`` is the time in which a configuration must be in force
+    after its publication. ``retry_ratio``,
     ``retry_slack`` and ``retry_window_s`` are the retry budget of all entries together.
     ``turn_away_s`` is how many seconds a leaving entry accepts new connections.
     ``answer_buffer_bytes`` is how much of a plain answer is kept before it is forwarded
@@ -48,6 +50,7 @@
     retry_slack: float = Field(ge=0)
     retry_window_s: float = Field(gt=0)
     contact_s: float = Field(gt=0)
+    configuration_within_s: float = Field(default=2.0, gt=0)
     turn_away_s: float = Field(default=3.0, ge=0)
     answer_buffer_bytes: int = Field(default=DEFAULT_ANSWER_BYTES, ge=0)
     event_limit_bytes: int = Field(default=DEFAULT_EVENT_BYTES, ge=1)
--- a/packages/primroselever-node/src/primroselever_node/direct/configurations.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/configurations.py
@@ -45,9 +45,8 @@
 
 def proof_age_s(catalogue: Catalogue, now: float) -> float | None:
     """Return the seconds since the last proof that nothing newer is published."""
-    if catalogue.store_contact_at is None:
-        return None
-    return now - catalogue.store_contact_at
+    proof_at = catalogue.freshness.proof_at
+    return None if proof_at is None else now - proof_at
 
 
 def record_configuration(
--- a/packages/primroselever-node/src/primroselever_node/direct/direct.thrift
+++ b/packages/primroselever-node/src/primroselever_node/direct/direct.thrift
@@ -26,6 +26,7 @@
   9: map<string, string> peers,
   10: map<string, map<i32, i32>> weights_age_ms,
   11: optional i64 store_era,
+  12: optional i64 operator_age_ms,
 }
 
 /*
--- a/packages/primroselever-node/src/primroselever_node/direct/direct_thrift.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/direct_thrift.py
@@ -29,6 +29,7 @@
             False,
         ),
         11: (TType.I64, "store_era", False),
+        12: (TType.I64, "operator_age_ms", False),
     }
     default_spec: ClassVar[list[Any]] = [
         ("host", None),
@@ -42,6 +43,7 @@
         ("peers", None),
         ("weights_age_ms", None),
         ("store_era", None),
+        ("operator_age_ms", None),
     ]
 
 
--- a/packages/primroselever-node/src/primroselever_node/direct/follower.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/follower.py
@@ -66,8 +66,9 @@
 
     ``on_change`` is called after each change with the part that changed. While
     ``should_read`` returns false, the store is not called, and the catalogue comes from
-    peers. It is not called before ``first_read_at`` either, unless peers have sent the
-    catalogue.
+    peers. ``first_watch_share`` returns the share of the usual wait for the first watch
+    after a change. The store is not called before ``first_read_at`` either, unless
+    peers have sent the catalogue.
     """
 
     def __init__(
@@ -79,6 +80,7 @@
         should_read: Callable[[], bool] = lambda: True,
         first_read_at: float = 0.0,
         random: Random | None = None,
+        first_watch_share: Callable[[], float] = lambda: 1.0,
     ) -> None:
         self.catalogue = catalogue
         self.source = source
@@ -87,6 +89,9 @@
         self.should_read = should_read
         self.first_read_at = first_read_at
         self.random = random or Random()
+        self.first_watch_share = first_watch_share
+        # The parts that changed with the latest answer.
+        self.changed_parts: set[CataloguePart] = set()
         # When the full read of a part after a restore of the store is due.
         self.next_read_at: dict[CataloguePart, float] = {}
         self.answered_at: dict[CataloguePart, float] = {}
@@ -165,7 +170,7 @@
             eventlet.sleep(max(0.0, self.next_read_at.pop(part, 0.0) - clock.now()))
             changes = self.source.read(part)
         else:
-            wait_s = 0.0 if failures else WATCH_WAIT_S
+            wait_s = 0.0 if failures else self.watch_wait_s(part)
             changes = self.source.watch(part, position.revision, wait_s)
         if changes.era < self.catalogue.latest_era:
             record_late_answer("store", changes.position, self.catalogue.latest_era)
@@ -174,8 +179,16 @@
         if position is not None and changes.era != position.era:
             raise StoreRestoredError("the watch continued in a new era", changes.era)
         self.record_answer(part)
+        self.changed_parts.discard(part)
+        if position is None or changes.events:
+            self.changed_parts.add(part)
         return changes
 
+    def watch_wait_s(self, part: CataloguePart) -> float:
+        """Return how long the store may wait for a change, in seconds."""
+        share = self.first_watch_share() if part in self.changed_parts else 1.0
+        return WATCH_WAIT_S * share
+
     def schedule_restore_read(self, part: CataloguePart, era: int) -> None:
         """
         Schedule the full read after a restore.
@@ -204,6 +217,8 @@
                 self.catalogue.start_lapse_grace(now)
         self.answered_at[part] = now
         self.catalogue.store_contact_at = now
+        if part is CataloguePart.OPERATOR:
+            self.catalogue.freshness.record_own_answer(now)
         if all(followed in self.answered_at for followed in self.parts):
             self.catalogue.own_read_at = min(self.answered_at.values())
 
--- a/packages/primroselever-node/src/primroselever_node/direct/gossip.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/gossip.py
@@ -143,6 +143,7 @@
         catalogue = self.board.catalogue
         configuration = catalogue.configuration
         read_at = catalogue.own_read_at
+        operator_read_at = catalogue.freshness.own_answer_at
         return schema.EntryNews(
             host=self.host,
             failure_domain=self.board.identity.failure_domain,
@@ -152,6 +153,9 @@
             store_revision=catalogue.store_position.revision,
             store_era=catalogue.store_position.era,
             store_age_ms=-1 if read_at is None else int((now - read_at) * 1000),
+            operator_age_ms=None
+            if operator_read_at is None
+            else int((now - operator_read_at) * 1000),
             weights={
                 model: published.version
                 for model, published in catalogue.weights.items()
@@ -324,6 +328,11 @@
         catalogue.freshness.record_named(
             peer.configuration_revision, catalogue.configuration_revision, now
         )
+        if (
+            heartbeat.operator_age_ms is not None
+            and peer.configuration_revision <= catalogue.configuration_revision
+        ):
+            catalogue.freshness.record_proof(now - heartbeat.operator_age_ms / 1000)
         if not peer.is_ahead_of(catalogue):
             catalogue.record_peer_contact(now - peer.store_age_s)
         else:
