Do not take the start of an entry for an outage of the store

Cause: an entry that has just started has had no contact with the store, took this for an outage when it merged its first copy from a peer, and kept a server that the store removed for the grace period of 2 s. Change: only a contact that ended some time ago counts as an outage. An entry whose own first calls fail counts the time since its start instead, which the first answer of the store took for no outage before.

--- a/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
@@ -274,7 +274,8 @@
         for model, version in copy.weights.items():
             changed |= self.publish_weights(model, version, now)
         if copy.store_position > self.store_position:
-            if self.store_contact_at is None or now - self.store_contact_at > OUTAGE_S:
+            contact_at = self.store_contact_at
+            if contact_at is not None and now - contact_at > OUTAGE_S:
                 # The outage that cut off this process from the store may also have cut
                 # off back ends near this process, so that their entries lapsed.
                 self.start_lapse_grace(now)
--- a/packages/primroselever-node/src/primroselever_node/direct/follower.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/follower.py
@@ -92,6 +92,7 @@
         self.first_watch_share = first_watch_share
         # The parts that changed with the latest answer.
         self.changed_parts: set[CataloguePart] = set()
+        self.started_at = clock.now()
         # When the full read of a part after a restore of the store is due.
         self.next_read_at: dict[CataloguePart, float] = {}
         self.answered_at: dict[CataloguePart, float] = {}
@@ -205,7 +206,7 @@
         last = self.answered_at.get(part)
         if part in self.unavailable_parts:
             self.unavailable_parts.discard(part)
-            silent_s = now - last if last is not None else 0.0
+            silent_s = now - (last if last is not None else self.started_at)
             log_decision(
                 "dependency regained",
                 "store",
--- a/packages/primroselever-node/tests/direct/test_follower.py
+++ b/packages/primroselever-node/tests/direct/test_follower.py
@@ -256,3 +256,22 @@
         eventlet.sleep(0.05)
     assert catalogue.servers == {}
     assert len(calls) == 2
+
+
+# Guards against the loss of live back ends: the entry starts while the store is away,
+# and the first list of the store lacks those whose leases lapsed meanwhile.
+def test_an_entry_that_starts_in_an_outage_keeps_lapsed_servers_for_a_time(
+    monkeypatch,
+):
+    monkeypatch.setattr(follower_module, "MIN_LAPSE_OUTAGE_S", 0.005)
+    monkeypatch.setattr(follower_module, "FIRST_RETRY_S", 0.02)
+    source = ScriptedSource(SourceError("silent"), CatalogueChanges(9, []))
+    catalogue = Catalogue()
+    catalogue.replace_servers({"a": server("a")}, StorePosition(0, 5), clock.now())
+    part = CataloguePart.SERVERS
+    follower = CatalogueFollower(catalogue, source, [].append, [part])
+    greenlet = eventlet.spawn(follower.follow, part)
+    while len(source.calls) <= 2:
+        eventlet.sleep(0.001)
+    greenlet.kill()
+    assert set(catalogue.servers) == set(catalogue.lapsed) == {"a"}
