--- a/models/__main__.py
+++ b/models/__main__.py
@@ -4,10 +4,17 @@
 
 import sys
 
-from . import at_most_once, catalogue, read_out, revisions, store_restore
+from . import (
+    at_most_once,
+    catalogue,
+    configuration,
+    read_out,
+    revisions,
+    store_restore,
+)
 from .checking import check
 
-MODULES = (at_most_once, catalogue, read_out, revisions, store_restore)
+MODULES = (at_most_once, catalogue, configuration, read_out, revisions, store_restore)
 
 
 def main() -> int:
