--- a/models/configuration.py
+++ b/models/configuration.py
@@ -36,7 +36,7 @@
     A peer, and what the entry knows of it.
 
     ``answered`` is how many rounds ago the store answered the peer, ``named`` the
-    version in its last heartbeat, ``heard`` how many rounds ago that came, and
+    version in its last heartbeat, ``silence`` the rounds since then, and
     ``pulled`` for how many rounds the entry has been pulling from it, 0 if it is not.
     """
 
@@ -45,7 +45,7 @@
     frozen: bool = False
     answered: int = 0
     named: int = OLD
-    heard: int = 0
+    silence: int = 0
     pulled: int = 0
 
 
@@ -129,7 +129,7 @@
         held = current.held
         for index, peer in enumerate(peers):
             if not peer.frozen:
-                peers[index] = peer._replace(named=peer.held, heard=0)
+                peers[index] = peer._replace(named=peer.held, silence=0)
                 if peer.held <= held:
                     proof = min(proof, peer.answered if self.ages_proofs else 0)
         held, peers = self.pull(held, current.peers, peers)
@@ -149,11 +149,11 @@
 
     def run_peer(self, current: GlobalState, peer: Peer) -> Peer:
         """Return a peer after it read the store, if it can."""
-        heard = min(peer.heard + 1, LIVE_ROUNDS + 1)
+        silence = min(peer.silence + 1, LIVE_ROUNDS + 1)
         answered = min(peer.answered + 1, BOUND_ROUNDS)
         if peer.served and not peer.frozen:
-            return peer._replace(held=current.published, answered=0, heard=heard)
-        return peer._replace(answered=answered, heard=heard)
+            return peer._replace(held=current.published, answered=0, silence=silence)
+        return peer._replace(answered=answered, silence=silence)
 
     def pull(
         self, held: int, before: tuple[Peer, ...], peers: list[Peer]
@@ -162,7 +162,7 @@
         Return the version in force, and the peers, after pulls.
 
         A pull starts in the round after the heartbeat that named the version. Peers of
-        which nothing was heard lately are not asked.
+        which no heartbeat came lately are not asked.
         """
         for index, peer in enumerate(peers):
             if peer.pulled:
@@ -172,7 +172,7 @@
             index
             for index, peer in enumerate(peers)
             if not peer.pulled
-            and before[index].heard <= LIVE_ROUNDS
+            and before[index].silence <= LIVE_ROUNDS
             and (before[index].named > held or not self.orders_copies)
         ]
         if ahead and sum(bool(peer.pulled) for peer in peers) < self.max_pulls:
