Pull at most two copies at once from other failure domains

Found while the diff was read: on a congested link between failure domains each pull takes longer than 0.4 s, so that every entry of a domain would have started four copies over that link. Two may be active at once; peers of the own domain count as before. Without the limit the test sees three copies from the other domain.

--- a/packages/primroselever-node/src/primroselever_node/direct/catalogue_pulls.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/catalogue_pulls.py
@@ -37,6 +37,9 @@
 # failure domains. A configuration must be in force within 2 s.
 NEXT_PULL_S = 0.4
 MAX_PULLS = 4
+# Of these, from other failure domains: on a congested link between domains all pulls
+# are slow, and each further copy delays the others.
+MAX_DISTANT_PULLS = 2
 FAILED_PEER_S = 5.0  # the time for which a peer that did not answer is asked last
 
 logger = logging.getLogger(__name__)
@@ -46,8 +49,9 @@
     """
     Pulls and merges the catalogues of peers that are ahead.
 
-    ``pulls`` holds the hosts that are being asked, and ``failed_until`` the time until
-    which a peer is asked last. ``next_pull_at`` is when another peer may be asked.
+    ``pulls`` holds the failure domains by host of the peers that are being asked, and
+    ``failed_until`` the time until which a peer is asked last. ``next_pull_at`` is when
+    another peer may be asked.
     """
 
     def __init__(
@@ -60,7 +64,7 @@
         self.control_port = control_port
         self.on_change = on_change
         self.pool = ClientPool(schema.DirectPeer)
-        self.pulls: set[str] = set()
+        self.pulls: dict[str, str] = {}
         self.failed_until: dict[str, float] = {}
         self.next_pull_at = 0.0
 
@@ -72,7 +76,7 @@
         peer = self.choose_peer(now)
         if peer is None:
             return
-        self.pulls.add(peer.host)
+        self.pulls[peer.host] = peer.failure_domain
         self.next_pull_at = now + NEXT_PULL_S
         eventlet.spawn(self.pull, peer)
         eventlet.spawn_after(NEXT_PULL_S, self.pull_if_behind)
@@ -87,16 +91,20 @@
         self.failed_until = {
             host: until for host, until in self.failed_until.items() if now < until
         }
+        own_domain = self.board.peers.own_domain
+        distant = sum(domain != own_domain for domain in self.pulls.values())
         ahead = [
             peer
             for peer in self.board.peers.live(now)
-            if peer.host not in self.pulls and peer.is_ahead_of(self.board.catalogue)
+            if peer.host not in self.pulls
+            and peer.is_ahead_of(self.board.catalogue)
+            and (peer.failure_domain == own_domain or distant < MAX_DISTANT_PULLS)
         ]
         return min(
             ahead,
             key=lambda peer: (
                 peer.host in self.failed_until,
-                peer.failure_domain != self.board.peers.own_domain,
+                peer.failure_domain != own_domain,
                 -peer.last_heartbeat_at,
             ),
             default=None,
@@ -148,7 +156,7 @@
             )
             return
         finally:
-            self.pulls.discard(peer.host)
+            self.pulls.pop(peer.host, None)
         self.merge_copy(copy, peer)
 
     def merge_copy(self, copy: CatalogueCopy, peer: Peer) -> None:
--- a/packages/primroselever-node/tests/direct/test_configuration_spread.py
+++ b/packages/primroselever-node/tests/direct/test_configuration_spread.py
@@ -48,7 +48,7 @@
     attempts = []
     behind.puller.pull = lambda peer: (
         attempts.append(peer.host),
-        behind.puller.pulls.discard(peer.host),
+        behind.puller.pulls.pop(peer.host),
     )
     peers = [
         behind.board.peers.record_heartbeat(f"127.0.0.{index}", "a", clock.now())
@@ -60,3 +60,18 @@
         behind.puller.pull_if_behind()
         eventlet.sleep(0.02)
     assert len(attempts) <= 4
+
+
+# Pattern: a congested link between failure domains, over which all copies are slow.
+def test_at_most_two_copies_are_pulled_from_other_failure_domains(entries):
+    behind = entries.add("127.0.0.2")
+    behind.puller.pull = lambda peer: eventlet.sleep(3600)
+    for index in range(3, 9):
+        domain = "a" if index == 8 else "b"
+        host = f"127.0.0.{index}"
+        peer = behind.board.peers.record_heartbeat(host, domain, clock.now())
+        peer.configuration_revision = 7
+    for _pull in range(4):
+        behind.puller.next_pull_at = 0.0
+        behind.puller.pull_if_behind()
+    assert sorted(behind.puller.pulls.values()) == ["a", "b", "b"]
