Vary the first watch after a change for the operator's part only

Found while the diff was read: the different first waits also followed each change of a back end, which proves nothing about configurations and costs calls of the store. The new test failed before for the servers' part (waits of a half, a whole and a half instead of three whole ones).

--- a/packages/primroselever-core/src/primroselever_core/gossip/readers.py
+++ b/packages/primroselever-core/src/primroselever_core/gossip/readers.py
@@ -11,8 +11,8 @@
 
 A reader learns late that the store no longer answers it: its watch may wait. So an
 entry also reads the store if no other one proved for some time that nothing later is
-published. The readers of a domain answer at different times, so that in quiet times the
-latest proof is never old.
+published. The store answers the readers of a domain at different times, so that in
+quiet times the latest proof is never old.
 """
 
 from __future__ import annotations
--- a/packages/primroselever-node/src/primroselever_node/direct/follower.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/follower.py
@@ -66,9 +66,9 @@
 
     ``on_change`` is called after each change with the part that changed. While
     ``should_read`` returns false, the store is not called, and the catalogue comes from
-    peers. ``first_watch_share`` returns the share of the usual wait for the first watch
-    after a change. The store is not called before ``first_read_at`` either, unless
-    peers have sent the catalogue.
+    peers. It is not called before ``first_read_at`` either, unless peers have sent the
+    catalogue. ``first_watch_share`` returns the share of the usual wait for the first
+    watch after a change of the operator's part.
     """
 
     def __init__(
@@ -90,8 +90,8 @@
         self.first_read_at = first_read_at
         self.random = random or Random()
         self.first_watch_share = first_watch_share
-        # The parts that changed with the latest answer.
-        self.changed_parts: set[CataloguePart] = set()
+        # Whether the latest answer on the operator's part had changes.
+        self.operator_changed = False
         self.started_at = clock.now()
         # When the full read of a part after a restore of the store is due.
         self.next_read_at: dict[CataloguePart, float] = {}
@@ -180,15 +180,15 @@
         if position is not None and changes.era != position.era:
             raise StoreRestoredError("the watch continued in a new era", changes.era)
         self.record_answer(part)
-        self.changed_parts.discard(part)
-        if position is None or changes.events:
-            self.changed_parts.add(part)
+        if part is CataloguePart.OPERATOR:
+            self.operator_changed = position is None or bool(changes.events)
         return changes
 
     def watch_wait_s(self, part: CataloguePart) -> float:
         """Return how long the store may wait for a change, in seconds."""
-        share = self.first_watch_share() if part in self.changed_parts else 1.0
-        return WATCH_WAIT_S * share
+        if part is CataloguePart.OPERATOR and self.operator_changed:
+            return WATCH_WAIT_S * self.first_watch_share()
+        return WATCH_WAIT_S
 
     def schedule_restore_read(self, part: CataloguePart, era: int) -> None:
         """
--- a/packages/primroselever-node/tests/direct/test_follower.py
+++ b/packages/primroselever-node/tests/direct/test_follower.py
@@ -275,3 +275,28 @@
         eventlet.sleep(0.001)
     greenlet.kill()
     assert set(catalogue.servers) == set(catalogue.lapsed) == {"a"}
+
+
+# Pattern: a change ends the watches of all readers at once. The next ones differ, but
+# only for the operator's part, as each further call to the store is costly.
+@pytest.mark.parametrize(
+    ("part", "waits"),
+    [
+        (CataloguePart.OPERATOR, [0.5, 1.0, 0.5]),
+        (CataloguePart.SERVERS, [1.0, 1.0, 1.0]),
+    ],
+)
+def test_the_first_watch_after_a_change_takes_its_share_of_the_wait(part, waits):
+    event = WeightsPublished("m", 2)
+    source = ScriptedSource(
+        CatalogueChanges(5, []), CatalogueChanges(5, []), CatalogueChanges(6, [event])
+    )
+    follower = CatalogueFollower(
+        Catalogue(), source, [].append, [part], first_watch_share=lambda: 0.5
+    )
+    greenlet = eventlet.spawn(follower.follow, part)
+    while len(source.calls) <= 3:
+        eventlet.sleep(0.01)
+    greenlet.kill()
+    usual_s = follower_module.WATCH_WAIT_S
+    assert [call[2] / usual_s for call in source.calls[1:]] == waits
