Log the age of a check from its first read, and orders without an answer

Cause: the logs cannot tell the hypotheses of the incident apart. verified_ms counts from the end of a pass over the staging area, an order without an answer leaves only a warning of the fill, and an accepted order that this process did not send leaves nothing. Change: the line 'engine ordered' has first_read_ms and the choice 'unanswered'; the line 'engine state' is also written when the engine's number of accepted orders changes. Measured: the tests of the agent pass; no logic changed.

--- a/packages/primroselever-agent/src/primroselever_agent/direct/filling.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/filling.py
@@ -209,9 +209,20 @@
             self.board.switching = True
             self.report_controller.report_state()
             eventlet.sleep(ANNOUNCE_DELAY_S)
-        accepted = self.model_server.order_load(
-            wanted.model, wanted.version, state.sequence
-        )
+        try:
+            accepted = self.model_server.order_load(
+                wanted.model, wanted.version, state.sequence
+            )
+        except SourceError as exc:
+            log_decision(
+                "engine ordered",
+                f"{wanted.model}/{wanted.version}",
+                "unanswered",
+                str(exc),
+                sequence=state.sequence,
+                first_read_ms=round((clock.now() - self.area.first_read_at) * 1000),
+            )
+            raise
         log_decision(
             "engine ordered",
             f"{wanted.model}/{wanted.version}",
@@ -219,6 +230,7 @@
             "staging verified",
             sequence=state.sequence,
             verified_ms=round((clock.now() - self.area.verified_at) * 1000),
+            first_read_ms=round((clock.now() - self.area.first_read_at) * 1000),
         )
         if accepted:
             self.wait_until_loaded(wanted, state)
--- a/packages/primroselever-agent/src/primroselever_agent/direct/news.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/news.py
@@ -91,9 +91,11 @@
         if previous_state is None or (
             previous_state.born_ms,
             previous_state.version,
+            previous_state.sequence,
         ) != (
             state.born_ms,
             state.version,
+            state.sequence,
         ):
             log_decision(
                 "engine state",
@@ -102,6 +104,7 @@
                 "read from the engine",
                 born_ms=state.born_ms,
                 loading=state.loading,
+                sequence=state.sequence,
             )
 
     def report_state(self) -> None:
--- a/packages/primroselever-agent/src/primroselever_agent/direct/staging_area.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/staging_area.py
@@ -32,6 +32,7 @@
         self.cache = cache
         self.found: dict[int, bytes] | None = None
         self.verified_at = 0.0
+        self.first_read_at = 0.0
         self.repairs = get_meter("primroselever.direct").create_counter(
             "primroselever.direct.fill.repairs",
             description="Corrupt staged pieces, by source of the valid bytes",
@@ -77,6 +78,7 @@
         """
         model, digests = staging.wanted.model, staging.wanted.digests
         valid = set()
+        self.first_read_at = clock.now()
         for index in sorted(self.model_server.list_staged(model)):
             if index >= len(digests):
                 continue
