Reproduce loads of corrupted weights on a simulated engine

Cause: callers got generations with weights of which pieces were spoilt. The area is read back, and the engine loads what it holds when it accepts the order; nothing bounds the time and the writes in between.

--- /dev/null
+++ b/packages/primroselever-agent/tests/direct/conftest.py
@@ -0,0 +1,48 @@
+"""A fake clock that the hub of eventlet advances instead of waiting."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from eventlet.hubs import get_hub
+
+from primroselever_node import clock
+
+from .simulated_engine import World
+
+
+@pytest.fixture
+def make_world(monkeypatch):
+    """
+    Return a function that builds a world on a fake clock.
+
+    The timers of earlier tests are cancelled: on this clock they may be due at once.
+    """
+    hub, time = get_hub(), [1000.0]
+    cancel_timers(hub)
+    worlds = []
+
+    def wait(seconds=None):
+        time[0] += max(seconds or 0.0, 1e-6)
+
+    monkeypatch.setattr(hub, "clock", lambda: time[0])
+    monkeypatch.setattr(hub, "wait", wait)
+    monkeypatch.setattr(clock, "now", lambda: time[0])
+
+    def make(seed: int = 1) -> World:
+        for world in worlds:
+            world.end()
+        cancel_timers(hub)
+        worlds.append(World(Random(seed)))
+        return worlds[-1]
+
+    yield make
+    for world in worlds:
+        world.end()
+    cancel_timers(hub)
+
+
+def cancel_timers(hub) -> None:
+    for _due_at, timer in [*hub.timers, *hub.next_timers]:
+        timer.cancel()
--- /dev/null
+++ b/packages/primroselever-agent/tests/direct/simulated_engine.py
@@ -0,0 +1,333 @@
+"""
+An engine with its staging area, the agents beside it and what entries know of it.
+
+The controllers of the agent are the real ones. Their calls to the engine and to entries
+are replaced, and the hub of eventlet advances a fake clock instead of waiting. A stopped
+agent makes no call and learns no answer until it goes on.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections import Counter
+from types import SimpleNamespace
+from typing import TYPE_CHECKING, Any
+
+import eventlet
+from eventlet.event import Event
+
+from primroselever_agent.direct.filling import FillingController
+from primroselever_agent.direct.news import ReportController
+from primroselever_core.dispatch.backend import REPORT_VALID_S
+from primroselever_core.filling.section import FillingBoard, WantedWeights
+from primroselever_core.identity import Identity
+from primroselever_node import clock
+from primroselever_node.direct.sources import EngineState, SourceError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+PIECE_COUNT = 8
+LAYER_COUNT = 4
+CALL_S = 0.001
+CALL_TIMEOUT_S = 1.0
+LOAD_S = 0.3
+BOUND_S = 8.0
+# A piece that became corrupt this recently may have been verified before.
+EXCUSED_S = 3.0
+TICK_S = 0.01
+HOSTS = ("e1", "e2")
+
+
+def make_piece(version: int, index: int) -> bytes:
+    return f"{version}/{index}/".encode() * 20
+
+
+def make_digests(version: int) -> list[str]:
+    return [
+        hashlib.sha256(make_piece(version, index)).hexdigest()
+        for index in range(PIECE_COUNT)
+    ]
+
+
+def layer_pieces(layer: int) -> range:
+    start = layer * PIECE_COUNT // LAYER_COUNT
+    return range(start, -(-(layer + 1) * PIECE_COUNT // LAYER_COUNT))
+
+
+class Engine:
+    """
+    An engine that takes the staged bytes at the moment at which it accepts an order.
+
+    ``layers`` maps a loaded layer to what was wrong with its pieces, "" for nothing.
+    """
+
+    def __init__(self, version: int = 1) -> None:
+        self.area = {index: make_piece(version, index) for index in range(PIECE_COUNT)}
+        self.spoilt_at: dict[int, float] = {}
+        self.starts = 0
+        self.paused_until = 0.0
+        self.counts: Counter[str] = Counter()
+        self.restart()
+        self.version = version
+        self.layers = dict.fromkeys(range(LAYER_COUNT), "")
+
+    def restart(self) -> None:
+        self.starts += 1
+        self.born_ms = self.starts * 1000
+        self.sequence = 0
+        self.version = 0
+        self.layers: dict[int, str] = {}
+        self.loaded_at = 0.0
+        self.down = False
+
+    @property
+    def loading(self) -> bool:
+        return clock.now() < self.loaded_at
+
+    @property
+    def fault(self) -> str:
+        """Return what is wrong with the weights of a generation that runs now."""
+        if self.down or self.loading or len(self.layers) < LAYER_COUNT:
+            return ""
+        return next(filter(None, self.layers.values()), "")
+
+    def spoil(self, index: int) -> None:
+        if index in self.area:
+            self.area[index] = b"rot" + self.area[index][3:]
+            self.spoilt_at.setdefault(index, clock.now())
+
+    def read_state(self) -> EngineState:
+        loaded = 0 if self.loading and self.loads_other else self.version
+        return EngineState(
+            self.born_ms, "m" if loaded else "", loaded, self.loading, self.sequence,
+            0, 0, 1.0,
+        )  # fmt: skip
+
+    def stage_piece(self, index: int, data: bytes) -> None:
+        self.area[index] = data
+        self.spoilt_at.pop(index, None)
+
+    def order_load(self, version: int, sequence: int) -> bool:
+        if self.loading or sequence != self.sequence:
+            return False
+        self.sequence += 1
+        self.loads_other = True
+        self.version = version
+        self.layers = {each: self.find_fault(each) for each in range(LAYER_COUNT)}
+        self.counts["bad loads"] += any(self.layers.values())
+        self.counts["loads"] += 1
+        self.loaded_at = clock.now() + LOAD_S
+        return True
+
+    def find_fault(self, layer: int) -> str:
+        for index in layer_pieces(layer):
+            if self.area.get(index) == make_piece(self.version, index):
+                continue
+            if clock.now() - self.spoilt_at.get(index, 0.0) > EXCUSED_S:
+                return f"piece {index} of version {self.version}"
+        return ""
+
+
+class AgentProcess:
+    """
+    A process of the agent: the real controllers over calls that may be delayed.
+
+    ``before_call`` and ``after_call`` are called with the name of each call.
+    """
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.stopped_until = 0.0
+        self.board = FillingBoard(Identity("v", "a", "r", 1), ())
+        self.reports = ReportController(
+            self.board, self, "127.0.0.1:1", "127.0.0.1", 0, BOUND_S
+        )
+        self.reports.port.socket.close()
+        self.reports.port = self
+        self.filling = FillingController(self.board, self, self.reports, 1)
+        self.filling.reader.call_entry = self.call_entry
+        self.tasks = [
+            eventlet.spawn(each)
+            for each in (
+                self.repeat_reports,
+                self.filling.run,
+                self.filling.fetcher.run,
+            )
+        ]
+
+    def kill(self) -> None:
+        for task in self.tasks:
+            task.kill()
+        self.stopped_until = float("inf")
+
+    def wait_while_stopped(self) -> None:
+        while (left_s := self.stopped_until - clock.now()) > 0:
+            eventlet.sleep(min(left_s, 1e6))
+
+    def repeat_reports(self) -> None:
+        while True:
+            self.wait_while_stopped()
+            self.learn_wanted_version()
+            self.reports.read_and_report()
+            eventlet.sleep(0.1)
+
+    def learn_wanted_version(self) -> None:
+        for host in HOSTS:
+            self.board.record_entry(host, "a", clock.now())
+        for version, published_at in self.world.published:
+            self.reports.update_wanted(
+                WantedWeights("m", version, published_at + BOUND_S, 0, 1)
+            )
+
+    def send_all(self, _hosts: Any, engine: Any) -> None:
+        if clock.now() >= self.stopped_until:
+            self.world.reported_at = clock.now()
+            self.world.reported_closed = engine.switching
+            self.world.reported_version = engine.version
+
+    def call_entry(self, _host: str, method: str, *args: Any) -> Any:
+        self.wait_while_stopped()
+        eventlet.sleep(self.world.entry_call_s)
+        version = args[1]
+        if clock.now() < self.world.entries_down_until:
+            return None
+        if method == "fetch_digests":
+            return make_digests(version)
+        data = make_piece(version, args[2])
+        offset, length = args[4], args[5]
+        end = offset + length if length else len(data)
+        return SimpleNamespace(state="held", data=data[offset:end], size=len(data))
+
+    def call(self, name: str, action: Callable[[], Any]) -> Any:
+        """Have the engine carry out an action, or raise ``SourceError``."""
+        world, answer = self.world, Event()
+        world.before_call(self, name)
+        self.wait_while_stopped()
+        delay_s = world.take_delay(name)
+        eventlet.spawn(world.carry_out, name, action, answer, delay_s)
+        try:
+            with eventlet.Timeout(CALL_TIMEOUT_S):
+                result = answer.wait()
+        except eventlet.Timeout:
+            self.wait_while_stopped()
+            raise SourceError("timed out") from None
+        world.after_call(self, name)
+        self.wait_while_stopped()
+        return result
+
+    def read_state(self) -> EngineState:
+        return self.call("report", self.world.engine.read_state)
+
+    def list_staged(self, model: str) -> set[int]:
+        return self.call("list", lambda: set(self.world.engine.area))
+
+    def read_staged(self, model: str, index: int) -> bytes | None:
+        return self.call(f"get {index}", lambda: self.world.engine.area.get(index))
+
+    def stage_piece(self, model: str, index: int, data: bytes) -> None:
+        self.call("put", lambda: self.world.engine.stage_piece(index, data))
+
+    def order_load(self, model: str, version: int, sequence: int) -> bool:
+        engine = self.world.engine
+        return self.call("order", lambda: engine.order_load(version, sequence))
+
+
+class World:
+    """
+    One engine with its agent, and the faults that act on them.
+
+    ``published`` holds versions and when they were published. Entries send requests to
+    the engine unless its agent's last report says that it is closed.
+    """
+
+    def __init__(self, random: Random) -> None:
+        self.random = random
+        self.engine = Engine()
+        self.published = [(1, clock.now() - 60.0)]
+        self.entries_down_until = 0.0
+        self.call_s = self.entry_call_s = CALL_S
+        self.reported_at, self.reported_closed = 0.0, False
+        self.reported_version = 0
+        self.order_delays: list[float] = []
+        self.lost_order_answers = 0
+        self.lost_orders = 0
+        self.stops: list[tuple[str, float]] = []
+        self.on_call: Callable[[AgentProcess, str], None] = lambda _agent, _name: None
+        self.violations: list[str] = []
+        self.agent = AgentProcess(self)
+        self.monitor = eventlet.spawn(self.watch)
+
+    def end(self) -> None:
+        self.agent.kill()
+        self.monitor.kill()
+
+    def run(self, seconds: float) -> None:
+        eventlet.sleep(seconds)
+
+    def publish(self, version: int) -> None:
+        self.published.append((version, clock.now()))
+
+    def before_call(self, agent: AgentProcess, name: str) -> None:
+        """Stop the agent right before a call if that was requested."""
+        if self.stops and self.stops[0][0] == f"before {name}":
+            agent.stopped_until = clock.now() + self.stops.pop(0)[1]
+        self.on_call(agent, f"before {name}")
+
+    def after_call(self, agent: AgentProcess, name: str) -> None:
+        """Stop the agent right after a call if that was requested."""
+        if self.stops and self.stops[0][0] == f"after {name}":
+            agent.stopped_until = clock.now() + self.stops.pop(0)[1]
+        self.on_call(agent, f"after {name}")
+
+    def take_delay(self, name: str) -> float:
+        if name == "order" and self.order_delays:
+            return self.order_delays.pop(0)
+        return self.call_s
+
+    def carry_out(
+        self, name: str, action: Callable[[], Any], answer: Event, delay_s: float
+    ) -> None:
+        """Carry out one call when the engine runs; its answer may be lost."""
+        born_ms = self.engine.born_ms
+        eventlet.sleep(delay_s)
+        while (left_s := self.engine.paused_until - clock.now()) > 0:
+            eventlet.sleep(left_s)
+        if self.engine.down or self.engine.born_ms != born_ms:
+            return
+        if name == "order" and self.lost_orders:
+            self.lost_orders -= 1
+            return
+        result = action()
+        if name == "order" and self.lost_order_answers:
+            self.lost_order_answers -= 1
+            return
+        answer.send(result)
+
+    def is_open(self) -> bool:
+        """Return whether entries send requests to the engine."""
+        if clock.now() - self.reported_at > REPORT_VALID_S:
+            return True  # they rely on the list of back ends
+        return not self.reported_closed
+
+    def watch(self) -> None:
+        """Record generations with wrong weights."""
+        while True:
+            fault = self.engine.fault
+            paused = clock.now() < self.engine.paused_until
+            if fault and not paused and self.is_open():
+                self.violations.append(f"{fault} at {clock.now():.2f}")
+            eventlet.sleep(TICK_S)
+
+    def restart_agent(self, after_s: float) -> None:
+        """Kill the agent's process and start another one later."""
+        self.agent.kill()
+        eventlet.sleep(after_s)
+        self.agent = AgentProcess(self)
+
+    def restart_engine(self, after_s: float) -> None:
+        """Crash the engine; its staging area survives."""
+        self.engine.down = True
+        eventlet.sleep(after_s)
+        self.engine.restart()
