Trust a load only if its pieces were valid after the engine accepted it

Callers got generations with weights of which pieces were corrupt. Cause: the engine loads what is staged when it accepts an order. The agent checked the area before the order and relied on the check, without a bound on the time and the writes in between: its process was stopped, a pass was slow, an order waited at the engine, was not answered or was ordered by an earlier process, and another version was staged meanwhile. Change: a load may serve once all pieces were read and valid after the order was accepted and nothing was staged in between; until then the agent reports the engine as closed, and entries keep it closed for 10 s if the agent falls silent. A load that is not valid is dropped, layer by layer, and loaded again. Orders are sent once, by a deadline that counts from the first read of the check, and nothing of another version is staged while one may be on its way. Why it works: only the agent writes the area, so a piece that is valid after the order was valid when it was accepted.

--- a/packages/primroselever-agent/src/primroselever_agent/direct/fetching.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/fetching.py
@@ -91,7 +91,12 @@
         if state is None:
             self.plan.clear()
             return
-        for decision in self.plan.update(state.model, state.version, clock.now()):
+        served = state.version
+        if not self.board.loads.trusts(state.load):
+            # It is verified, loaded again, or replaced by a newer version.
+            served = 0
+            self.board.targets.drop_older(state.version)
+        for decision in self.plan.update(state.model, served, clock.now()):
             log_made(decision)
         for position, wanted in enumerate(self.plan.fetched):
             self.held_gauge.set(
--- a/packages/primroselever-agent/src/primroselever_agent/direct/filling.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/filling.py
@@ -16,6 +16,7 @@
 from primroselever_core.filling.closing import plan_closing
 from primroselever_core.filling.fetch_plan import FetchPlan
 from primroselever_core.filling.link_rate import DEFAULT_BYTES_PER_S, LinkRate
+from primroselever_core.filling.loads import LoadOrder, OrderAnswer, plan_reload
 from primroselever_core.filling.pieces import Staging
 from primroselever_node import clock
 from primroselever_node.direct.sources import SourceError
@@ -26,6 +27,7 @@
 from .staging_area import StagingArea
 
 if TYPE_CHECKING:
+    from primroselever_core.filling.loads import LayerRange, Load
     from primroselever_core.filling.pieces import PieceDigests
     from primroselever_core.filling.section import FillingBoard, WantedWeights
     from primroselever_node.direct.sources import EngineState, ModelServer
@@ -34,12 +36,14 @@
 
 STEP_INTERVAL_S = 0.05
 RETRY_DELAY_S = 0.3  # entries also wait for missing pieces before they reply
-VERIFICATION_VALID_S = 0.2  # staged data may become corrupt at any time
 # A pass takes about 0.1 s. An area that is corrupt after each of these is reported as a
 # failure and tried again.
 MAX_REPAIR_PASSES = 5
 # Time for the report of a switch to reach entries before the engine refuses requests.
 ANNOUNCE_DELAY_S = 0.03
+INHERITED_CHECK_INTERVAL_S = 1.0
+# An engine that holds a version and reports no layers does not load it again.
+IN_EFFECT_DELAY_S = 1.0
 LOAD_TIMEOUT_S = 15.0  # the longest answers take several seconds, loading under 1 s
 # An engine that is idle this long after it accepted an order does not carry it out. Its
 # state is read every 0.1 s.
@@ -67,7 +71,8 @@
         self.model_server = model_server
         self.report_controller = report_controller
         self.plan = FetchPlan(board, rate=LinkRate(link_bytes_per_s))
-        self.area = StagingArea(model_server, self.plan.cache)
+        self.loads = board.loads
+        self.area = StagingArea(model_server, self.plan.cache, self.loads)
         self.reader = EntryReader(board, control_port)
         self.fetcher = FetchController(
             board, self.plan, self.reader, self.area, report_controller
@@ -76,6 +81,11 @@
         self.fill_durations = meter.create_histogram(
             "primroselever.direct.fill.duration", "s", "From wanted to loaded"
         )
+        self.unverified_loads = meter.create_counter(
+            "primroselever.direct.fill.unverified_loads",
+            description="Loads whose staged pieces were not valid afterwards",
+        )
+        self.inherited_check_at = 0.0
 
     def start(self) -> None:
         """Start fetching and filling in separate greenlets."""
@@ -121,15 +131,25 @@
     def fill_and_switch(self) -> None:
         """Fill the engine with the chosen weights, unless it serves them already."""
         wanted, state = self.plan.chosen, self.report_controller.state
-        if wanted is None or state is None or state.loading:
+        if state is None or state.loading:
+            return
+        trusted = self.loads.trusts(state.load)
+        if trusted and self.loads.inherited == state.load:
+            self.check_inherited_load(state)
+        if wanted is None or self.waits_for_order(wanted):
             return
-        if state.model == wanted.model and wanted.version <= state.version:
+        if trusted and state.model == wanted.model and wanted.version <= state.version:
             return  # the plan is older than the engine's state
         progress = self.plan.progress.get(wanted.version)
         if progress is None or progress.manifest is None:
             return
         started_at = clock.now()
         staging = self.prepare_staging(progress.manifest)
+        if not trusted and state.version == wanted.version:
+            self.verify_load(state.load, staging)
+            if self.loads.trusts(state.load):
+                self.report_controller.report_state()
+                return
         self.stage_all(wanted, staging)
         log_decision(
             "staging complete",
@@ -141,10 +161,49 @@
         self.wait_for_closing_time(wanted)
         self.switch_weights(wanted, staging)
         state = self.report_controller.state
-        if state is not None and state.version == wanted.version:
+        if (
+            state is not None
+            and state.version == wanted.version
+            and self.loads.trusts(state.load)
+        ):
             self.area.found = {}
             self.fill_durations.record(clock.now() - progress.wanted_at)
 
+    def check_inherited_load(self, state: EngineState) -> None:
+        """
+        Verify a load that an earlier process ordered, if it is the newest version.
+
+        That process may have ended before it verified the load itself. What has become
+        corrupt since then cannot be told apart, so the weights are loaded again.
+        """
+        newest = self.board.targets.newest
+        if (
+            newest is None
+            or (newest.model, newest.version) != (state.model, state.version)
+            or clock.now() < self.inherited_check_at
+        ):
+            return
+        self.inherited_check_at = clock.now() + INHERITED_CHECK_INTERVAL_S
+        staging = Staging(self.reader.read_manifest(newest))
+        self.area.verify(staging)
+        self.verify_load(state.load, staging)
+        if not self.loads.trusts(state.load):
+            self.report_controller.report_state()
+
+    def waits_for_order(self, wanted: WantedWeights) -> bool:
+        """
+        Return whether an order for another version may still be accepted.
+
+        The engine would load what is staged for the wanted version under its number.
+        """
+        pending = self.loads.pending
+        return (
+            pending is not None
+            and self.loads.waits_for_order(clock.now())
+            and (pending.weights.model, pending.weights.version)
+            != (wanted.model, wanted.version)
+        )
+
     def prepare_staging(self, manifest: PieceDigests) -> Staging:
         """Return the staging area with the valid pieces of a version."""
         staging = Staging(manifest)
@@ -184,82 +243,160 @@
         if not wanted.same_version(self.plan.chosen):
             raise WantedChangedError
 
-    def repair_staging(self, wanted: WantedWeights, staging: Staging) -> None:
+    def verify_before_order(self, wanted: WantedWeights, staging: Staging) -> None:
         """
         Read the area back and replace corrupt pieces until a whole pass finds none.
 
-        Raise ``SourceError`` if it becomes corrupt during each of several passes.
+        Raise ``SourceError`` if it becomes corrupt during each of several passes. After
+        a pass that was too slow for its first read to count, the read after the order
+        decides alone.
         """
         for _ in range(MAX_REPAIR_PASSES):
-            if clock.now() - self.area.verified_at <= VERIFICATION_VALID_S:
+            if clock.now() <= self.area.order_by:
                 return
             self.area.verify(staging)
-            if staging.complete:
+            if self.area.order_by:
                 return
             self.stage_all(wanted, staging)
         raise SourceError("the staging area becomes corrupt faster than it is repaired")
 
     def switch_weights(self, wanted: WantedWeights, staging: Staging) -> None:
         """Order the engine to load the staged weights and wait until it serves them."""
-        self.repair_staging(wanted, staging)
+        for layers in self.plan_orders(wanted, staging):
+            state = self.close_and_verify(wanted, staging)
+            if state is None:
+                return
+            order = LoadOrder(
+                staging.wanted,
+                state.load,
+                layers,
+                # Requests that run on weights that are not valid must not go on.
+                aborts_requests=self.loads.invalid is not None
+                and not self.loads.trusts(state.load),
+            )
+            answer = self.send_order(order)
+            if answer is OrderAnswer.IN_EFFECT:
+                eventlet.sleep(IN_EFFECT_DELAY_S)
+            if answer is not OrderAnswer.STARTED:
+                return
+            loads_pieces = layers is None or not holds(state.layers, layers)
+            if loads_pieces:
+                self.prove_load(order, staging)
+            self.wait_until_loaded(order)
+            if loads_pieces and not self.loads.trusts(order.load):
+                return
+
+    def plan_orders(
+        self, wanted: WantedWeights, staging: Staging
+    ) -> list[LayerRange | None]:
+        """Return the layers of the orders after which the engine holds all anew."""
+        state = self.report_controller.state
+        if (
+            state is None
+            or state.layers is None
+            or (state.model, state.version) != (wanted.model, wanted.version)
+        ):
+            return [None]
+        return plan_reload(
+            state.layers, len(staging.wanted.digests), self.loads.invalid
+        )
+
+    def close_and_verify(
+        self, wanted: WantedWeights, staging: Staging
+    ) -> EngineState | None:
+        """
+        Close the engine and verify the staged pieces; return its state before an order.
+
+        Return None if the engine cannot be read.
+        """
+        self.verify_before_order(wanted, staging)
         state = self.report_controller.state
         if state is None:
-            return
+            return None
+        # Entries keep an engine closed whose agent falls silent after this report.
+        self.board.switching = True
+        self.report_controller.report_state()
         if state.version > 0:
-            self.board.switching = True
-            self.report_controller.report_state()
             eventlet.sleep(ANNOUNCE_DELAY_S)
+            self.check_still_wanted(wanted)
+            self.verify_before_order(wanted, staging)
+        return self.report_controller.state
+
+    def send_order(self, order: LoadOrder) -> OrderAnswer | None:
+        """Send an order once; return None if the engine did not answer."""
+        weights, writes = order.weights, self.loads.writes
+        inputs = {
+            "sequence": order.previous.sequence,
+            "layers": order.layers and list(order.layers),
+        }
+        answer: OrderAnswer | None = None
+        choice, reason = "unanswered", "staging verified"
         try:
-            accepted = self.model_server.order_load(
-                wanted.model, wanted.version, state.sequence
-            )
+            answer = self.model_server.order_load(order)
         except SourceError as exc:
-            log_decision(
-                "engine ordered",
-                f"{wanted.model}/{wanted.version}",
-                "unanswered",
-                str(exc),
-                sequence=state.sequence,
-                first_read_ms=round((clock.now() - self.area.first_read_at) * 1000),
-            )
-            raise
+            self.loads.record_unanswered(order, clock.now())
+            reason = str(exc)
+        else:
+            self.loads.record_order(order, answer, writes)
+            choice = answer.value
         log_decision(
             "engine ordered",
-            f"{wanted.model}/{wanted.version}",
-            "begun" if accepted else "refused",
-            "staging verified",
-            sequence=state.sequence,
-            verified_ms=round((clock.now() - self.area.verified_at) * 1000),
+            f"{weights.model}/{weights.version}",
+            choice,
+            reason,
+            **inputs,
             first_read_ms=round((clock.now() - self.area.first_read_at) * 1000),
         )
-        if accepted:
-            self.wait_until_loaded(wanted, state)
+        return answer
 
-    def wait_until_loaded(
-        self, wanted: WantedWeights, previous_state: EngineState
-    ) -> None:
-        """Wait until the engine reports the wanted weights, restarts or times out."""
+    def prove_load(self, order: LoadOrder, staging: Staging) -> None:
+        """Read the staging area after the engine accepted an order to load it."""
+        self.area.verify(staging)
+        self.verify_load(order.load, staging)
+
+    def verify_load(self, load: Load, staging: Staging) -> None:
+        """Trust a load if the area was read after it and every piece was valid."""
+        weights = staging.wanted
+        invalid = set(range(len(weights.digests))) - staging.held
+        trusted = self.loads.verify(load, invalid)
+        if not trusted:
+            self.unverified_loads.add(1)
+        log_decision(
+            "load verified" if trusted else "load not verified",
+            f"{weights.model}/{weights.version}",
+            "may serve" if trusted else "loaded again",
+            "staged pieces read after the order",
+            sequence=load.sequence,
+            invalid=len(invalid),
+            staged_since=self.loads.writes - self.loads.writes_before,
+        )
+
+    def wait_until_loaded(self, order: LoadOrder) -> None:
+        """Wait until the engine has carried out an order, restarts or times out."""
         ordered_at = clock.now()
         while clock.now() < ordered_at + LOAD_TIMEOUT_S:
             eventlet.sleep(STEP_INTERVAL_S)
             state = self.report_controller.state
-            if state is None or state.born_ms != previous_state.born_ms:
+            if state is None or state.born_ms != order.load.born_ms:
                 return
-            if state.version == wanted.version and not state.loading:
-                self.board.switching = False
-                self.report_controller.report_state()
+            if state.sequence < order.load.sequence or state.loading:
+                continue
+            if state.version == order.weights.version:
+                if self.loads.trusts(order.load) and order.layers is None:
+                    self.board.switching = False
+                    self.report_controller.report_state()
                 return
-            if (
-                state is not previous_state
-                and not state.loading
-                and not state.running
-                and clock.now() > ordered_at + ORDER_EFFECT_S
-            ):
+            if not state.running and clock.now() > ordered_at + ORDER_EFFECT_S:
                 break
         logger.warning(
             "the engine did not load the weights, they are verified and ordered again",
             extra={
-                "version": wanted.version,
+                "version": order.weights.version,
                 "waited_s": round(clock.now() - ordered_at, 2),
             },
         )
+
+
+def holds(held: LayerRange | None, layers: LayerRange) -> bool:
+    """Return whether an engine that holds some layers loads none for others."""
+    return held is not None and held.start <= layers.start and layers.end <= held.end
--- a/packages/primroselever-agent/src/primroselever_agent/direct/news.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/news.py
@@ -49,6 +49,7 @@
         self.weights_within_s = weights_within_s
         self.reports_memory = reports_memory
         self.state: EngineState | None = None
+        self.last_state: EngineState | None = None
         self.engine_reachable = True
         self.last_sent_at: dict[str, float] = {}
         self.last_sent_load: dict[str, int] = {}
@@ -67,9 +68,11 @@
 
     def read_engine_state(self) -> None:
         """Read the engine's state; log when the engine is lost or regained."""
+        writes = self.board.loads.writes
         try:
             state = self.model_server.read_state()
         except SourceError as exc:
+            self.board.loads.record_unreachable()
             if self.engine_reachable:
                 log_decision("dependency lost", "engine", self.engine_address, str(exc))
             self.engine_reachable = False
@@ -81,7 +84,17 @@
             )
         self.engine_reachable = True
         previous_state = self.state
-        self.state = state
+        self.state = self.last_state = state
+        if self.board.loads.observe(state.load, state.loading, state.layers, writes):
+            log_decision(
+                "load not verified",
+                f"{state.model}/{state.version}",
+                "closed until the staged pieces are verified",
+                "this process did not see the order accepted",
+                born_ms=state.born_ms,
+                sequence=state.sequence,
+                loading=state.loading,
+            )
         # A loading engine has finished its requests, whatever it reports of others.
         self.board.drain_times.observe(
             self.board.switching or state.loading,
@@ -109,12 +122,21 @@
 
     def report_state(self) -> None:
         """Report to the entries that are due, to all at once after a state change."""
+        loads = self.board.loads
         state = self.state
+        if state is None and loads.is_uncertain:
+            state = self.last_state  # what it accepts meanwhile must not serve
         if state is None:
             return
         now = clock.now()
         self.board.expire_silent_entries(now)
-        switching = self.board.switching or state.loading
+        switching = (
+            self.board.switching
+            or state.loading
+            or not loads.trusts(state.load)
+            or loads.waits_for_order(now)
+            or self.state is None
+        )
         closes_at = self.board.closes_at
         engine_news = schema.EngineNews(
             address=self.engine_address,
@@ -132,6 +154,7 @@
             else max(0, int((closes_at - now) * 1000)),
             memory_used=state.memory_used if self.reports_memory else None,
             memory_total=state.memory_total if self.reports_memory else None,
+            unverified=loads.inherited == state.load or None,
         )
         reported_state = (state.born_ms, state.version, switching, closes_at)
         state_changed = reported_state != self.last_reported_state
--- a/packages/primroselever-agent/src/primroselever_agent/direct/staging_area.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/staging_area.py
@@ -11,10 +11,16 @@
 from primroselever_node.logs import log_decision
 
 if TYPE_CHECKING:
+    from primroselever_core.filling.loads import Loads
     from primroselever_core.filling.piece_cache import PieceCache
     from primroselever_core.filling.pieces import PieceDigests, Staging
     from primroselever_node.direct.sources import ModelServer
 
+VERIFICATION_VALID_S = 0.2  # staged data may become corrupt at any time
+# From the first read of a pass to the order. Operators of engines count what was valid
+# 3 s before an order as valid; the call itself may take 1 s.
+MAX_CHECK_AGE_S = 1.5
+
 logger = logging.getLogger(__name__)
 
 
@@ -24,15 +30,20 @@
 
     ``found`` holds the pieces that an earlier process left, None before the first read.
     Their version is known only when a manifest arrives, and by then another version may
-    have been staged over them. They are dropped after the first load.
+    have been staged over them. They are dropped after the first load. The last pass
+    over the area began at ``first_read_at``. Until ``order_by`` it allows an order to
+    load; this is 0 if a piece was not valid, or one was staged since.
     """
 
-    def __init__(self, model_server: ModelServer, cache: PieceCache) -> None:
+    def __init__(
+        self, model_server: ModelServer, cache: PieceCache, loads: Loads
+    ) -> None:
         self.model_server = model_server
         self.cache = cache
+        self.loads = loads
         self.found: dict[int, bytes] | None = None
-        self.verified_at = 0.0
         self.first_read_at = 0.0
+        self.order_by = 0.0
         self.repairs = get_meter("primroselever.direct").create_counter(
             "primroselever.direct.fill.repairs",
             description="Corrupt staged pieces, by source of the valid bytes",
@@ -79,6 +90,8 @@
         model, digests = staging.wanted.model, staging.wanted.digests
         valid = set()
         self.first_read_at = clock.now()
+        self.order_by = 0.0
+        writes = self.loads.writes
         for index in sorted(self.model_server.list_staged(model)):
             if index >= len(digests):
                 continue
@@ -87,7 +100,11 @@
                 valid.add(index)
         lost = staging.held - valid
         staging.held = valid
-        self.verified_at = clock.now()
+        if staging.complete and self.loads.writes == writes:
+            self.order_by = min(
+                self.first_read_at + MAX_CHECK_AGE_S,
+                clock.now() + VERIFICATION_VALID_S,
+            )
         if lost:
             in_memory = lost & set(self.cache.held(staging.wanted.version))
             self.repairs.add(len(in_memory), {"source": "memory"})
@@ -114,6 +131,8 @@
 
     def stage(self, staging: Staging, index: int, data: bytes) -> None:
         """Stage one piece; the area must be read back before it is loaded."""
+        self.order_by = 0.0
+        self.loads.record_write()
         self.model_server.stage_piece(staging.wanted.model, index, data)
-        self.verified_at = 0.0
+        self.order_by = 0.0
         staging.held.add(index)
--- a/packages/primroselever-agent/tests/direct/conftest.py
+++ b/packages/primroselever-agent/tests/direct/conftest.py
@@ -34,6 +34,7 @@
         for world in worlds:
             world.end()
         cancel_timers(hub)
+        time[0] = 1000.0
         worlds.append(World(Random(seed)))
         return worlds[-1]
 
@@ -46,3 +47,7 @@
 def cancel_timers(hub) -> None:
     for _due_at, timer in [*hub.timers, *hub.next_timers]:
         timer.cancel()
+    # Cancelled timers would wake the hub, and shift the times of the next test.
+    hub.timers.clear()
+    hub.next_timers.clear()
+    hub.timers_canceled = 0
--- a/packages/primroselever-agent/tests/direct/simulated_engine.py
+++ b/packages/primroselever-agent/tests/direct/simulated_engine.py
@@ -1,15 +1,17 @@
 """
 An engine with its staging area, the agents beside it and what entries know of it.
 
-The controllers of the agent are the real ones. Their calls to the engine and to entries
-are replaced, and the hub of eventlet advances a fake clock instead of waiting. A stopped
-agent makes no call and learns no answer until it goes on.
+The controllers of the agent are the real ones. Their calls to the engine and to
+entries are replaced, and the hub of eventlet advances a fake clock instead of waiting.
+A stopped agent makes no call and learns no answer until it goes on.
 """
 
 from __future__ import annotations
 
 import hashlib
 from collections import Counter
+from dataclasses import replace
+from random import Random
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any
 
@@ -18,7 +20,8 @@
 
 from primroselever_agent.direct.filling import FillingController
 from primroselever_agent.direct.news import ReportController
-from primroselever_core.dispatch.backend import REPORT_VALID_S
+from primroselever_core.dispatch.backend import Backend, EngineReport, keep_closed
+from primroselever_core.filling.loads import LayerRange, LoadOrder, OrderAnswer
 from primroselever_core.filling.section import FillingBoard, WantedWeights
 from primroselever_core.identity import Identity
 from primroselever_node import clock
@@ -26,7 +29,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from random import Random
 
 PIECE_COUNT = 8
 LAYER_COUNT = 4
@@ -100,26 +102,39 @@
 
     def read_state(self) -> EngineState:
         loaded = 0 if self.loading and self.loads_other else self.version
-        return EngineState(
-            self.born_ms, "m" if loaded else "", loaded, self.loading, self.sequence,
-            0, 0, 1.0,
-        )  # fmt: skip
+        state = EngineState(
+            self.born_ms, "m", loaded, self.loading, self.sequence, 0, 0, 1.0
+        )
+        if not loaded:
+            return replace(state, model="")
+        return replace(state, layers=LayerRange(min(self.layers), max(self.layers) + 1))
 
     def stage_piece(self, index: int, data: bytes) -> None:
         self.area[index] = data
         self.spoilt_at.pop(index, None)
 
-    def order_load(self, version: int, sequence: int) -> bool:
-        if self.loading or sequence != self.sequence:
-            return False
+    def order_load(self, order: LoadOrder) -> OrderAnswer:
+        if self.loading or order.previous.sequence != self.sequence:
+            return OrderAnswer.REFUSED
+        wanted = set(range(*order.layers or (0, LAYER_COUNT)))
+        kept = {}
+        if self.version == order.weights.version:
+            kept = {k: fault for k, fault in self.layers.items() if k in wanted}
+        if kept.keys() == wanted == self.layers.keys():
+            return OrderAnswer.IN_EFFECT
         self.sequence += 1
-        self.loads_other = True
-        self.version = version
-        self.layers = {each: self.find_fault(each) for each in range(LAYER_COUNT)}
-        self.counts["bad loads"] += any(self.layers.values())
+        self.loads_other = self.version != order.weights.version
+        self.version = order.weights.version
+        loaded = {each: self.find_fault(each) for each in wanted - kept.keys()}
+        self.layers = {**loaded, **kept}
         self.counts["loads"] += 1
-        self.loaded_at = clock.now() + LOAD_S
-        return True
+        staged = {index: self.area.get(index) for index in range(PIECE_COUNT)}
+        needed = [index for layer in loaded for index in layer_pieces(layer)]
+        wrong = [i for i in needed if staged[i] != make_piece(self.version, i)]
+        self.counts["wrong loads"] += bool(wrong)
+        self.counts["mixed loads"] += any(b"rot" not in staged[i] for i in wrong)
+        self.loaded_at = clock.now() + LOAD_S * len(loaded) / LAYER_COUNT
+        return OrderAnswer.STARTED
 
     def find_fault(self, layer: int) -> str:
         for index in layer_pieces(layer):
@@ -148,6 +163,7 @@
         self.reports.port = self
         self.filling = FillingController(self.board, self, self.reports, 1)
         self.filling.reader.call_entry = self.call_entry
+        self.filling.fetcher.rng = Random(world.random.random())
         self.tasks = [
             eventlet.spawn(each)
             for each in (
@@ -183,12 +199,11 @@
 
     def send_all(self, _hosts: Any, engine: Any) -> None:
         if clock.now() >= self.stopped_until:
-            self.world.reported_at = clock.now()
-            self.world.reported_closed = engine.switching
-            self.world.reported_version = engine.version
+            self.world.receive_report(engine)
 
     def call_entry(self, _host: str, method: str, *args: Any) -> Any:
         self.wait_while_stopped()
+        self.world.entry_calls += 1
         eventlet.sleep(self.world.entry_call_s)
         version = args[1]
         if clock.now() < self.world.entries_down_until:
@@ -229,9 +244,8 @@
     def stage_piece(self, model: str, index: int, data: bytes) -> None:
         self.call("put", lambda: self.world.engine.stage_piece(index, data))
 
-    def order_load(self, model: str, version: int, sequence: int) -> bool:
-        engine = self.world.engine
-        return self.call("order", lambda: engine.order_load(version, sequence))
+    def order_load(self, order: LoadOrder) -> OrderAnswer:
+        return self.call("order", lambda: self.world.engine.order_load(order))
 
 
 class World:
@@ -248,8 +262,8 @@
         self.published = [(1, clock.now() - 60.0)]
         self.entries_down_until = 0.0
         self.call_s = self.entry_call_s = CALL_S
-        self.reported_at, self.reported_closed = 0.0, False
-        self.reported_version = 0
+        self.report: EngineReport | None = None
+        self.entry_calls = 0
         self.order_delays: list[float] = []
         self.lost_order_answers = 0
         self.lost_orders = 0
@@ -305,11 +319,20 @@
             return
         answer.send(result)
 
+    def receive_report(self, news: Any) -> None:
+        """Record an agent's report as an entry does."""
+        report = EngineReport(
+            clock.now(), news.born_ms, news.model, news.version, news.switching,
+            0, 0, 1.0, unverified=bool(news.unverified),
+        )  # fmt: skip
+        self.report = keep_closed(self.report, report)
+
     def is_open(self) -> bool:
         """Return whether entries send requests to the engine."""
-        if clock.now() - self.reported_at > REPORT_VALID_S:
-            return True  # they rely on the list of back ends
-        return not self.reported_closed
+        report = self.report
+        if report is not None and report.born_ms != self.engine.born_ms:
+            report = None  # of an earlier start
+        return not Backend(None, report).switching(clock.now())
 
     def watch(self) -> None:
         """Record generations with wrong weights."""
--- a/packages/primroselever-agent/tests/direct/test_filling.py
+++ b/packages/primroselever-agent/tests/direct/test_filling.py
@@ -9,9 +9,10 @@
 import eventlet
 import pytest
 
-from primroselever_agent.direct import fetching, filling
+from primroselever_agent.direct import fetching, filling, staging_area
 from primroselever_agent.direct.filling import FillingController
 from primroselever_core.filling import closing, plan, progress, switching
+from primroselever_core.filling.loads import LoadOrder, OrderAnswer
 from primroselever_core.filling.section import FillingBoard, WantedWeights
 from primroselever_core.identity import Identity
 from primroselever_node import clock
@@ -49,13 +50,14 @@
     def stage_piece(self, model: str, index: int, data: bytes) -> None:
         self.staging_area[index] = data
 
-    def order_load(self, model: str, version: int, sequence: int) -> bool:
+    def order_load(self, order: LoadOrder) -> OrderAnswer:
+        version, sequence = order.weights.version, order.previous.sequence
         self.loaded.append(version)
         self.loaded_bytes.append(dict(self.staging_area))
         self.engine_state = replace(
             self.engine_state, version=version, sequence=sequence + 1
         )
-        return True
+        return OrderAnswer.STARTED
 
 
 class FakeEntries:
@@ -107,7 +109,9 @@
         class FakeReportController:
             @property
             def state(self):
-                return engine.engine_state
+                state, loads = engine.engine_state, board.loads
+                loads.observe(state.load, state.loading, state.layers, loads.writes)
+                return state
 
             def report_state(self) -> None:
                 entries.calls.append(("report", board.switching))
@@ -209,7 +213,7 @@
 def test_piece_corrupted_before_the_load_order_is_replaced_from_memory(
     make_controller, monkeypatch
 ):
-    monkeypatch.setattr(filling, "VERIFICATION_VALID_S", 0.0)
+    monkeypatch.setattr(staging_area, "VERIFICATION_VALID_S", 0.0)
     controller, board, engine, entries = make_controller()
     stage_all = controller.stage_all
     corrupted = []
@@ -379,11 +383,11 @@
     controller, board, engine, _entries = make_controller()
     order_load = engine.order_load
 
-    def accept_then_load(model, version, sequence):
+    def accept_then_load(order):
         if "did not load" in caplog.text:
-            return order_load(model, version, sequence)
-        engine.engine_state = replace(engine.engine_state, sequence=sequence + 1)
-        return True
+            return order_load(order)
+        engine.engine_state = replace(engine.engine_state, sequence=order.load.sequence)
+        return OrderAnswer.STARTED
 
     engine.order_load = accept_then_load
     name_wanted_version(board, 1)
@@ -396,12 +400,12 @@
     controller, board, engine, entries = make_controller(1)
     orders = []
 
-    def accept(model, version, sequence):
-        orders.append(version)
+    def accept(order):
+        orders.append(order.weights.version)
         engine.engine_state = replace(
-            engine.engine_state, sequence=sequence + 1, running=3
+            engine.engine_state, sequence=order.load.sequence, running=3
         )
-        return True
+        return OrderAnswer.STARTED
 
     engine.order_load = accept
     name_wanted_version(board, 2, 1.0)
--- a/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from .announcements import Announced
@@ -24,6 +24,9 @@
 REPORT_LATE_S = 0.8  # two periods of the slower reports, which are sent every 0.4 s
 UNREPORTED_REQUEST_S = 3.0  # after which a request of another entry has ended
 REPORT_VALID_S = 1.5  # over three periods of 0.4 s; an older report is ignored
+# A report that an engine is closed counts for longer: what it loads may not be valid,
+# and its agent may be stopped or restarted before it has verified that.
+CLOSED_VALID_S = 10.0
 FIRST_EJECTION_S = 0.5  # below the shortest restart, so a brief failure costs little
 MAX_EJECTION_S = 4.0  # crashed servers are back after some seconds
 FULL_MARK_S = 0.15  # about two passes of an engine, in which slots are freed
@@ -47,6 +50,9 @@
     requests that were in flight when the report arrived. The state is ``lag_s`` older
     than the report, and ``ended`` requests have probably ended since. ``memory_used``
     and ``memory_total`` are in tokens, None where the engine does not report them.
+    ``unverified`` is set by an agent that did not order the weights itself. Until
+    ``closed_until`` the engine counts as closed if this report says so, also without
+    another report.
     """
 
     received_at: float
@@ -63,6 +69,8 @@
     ended: float = 0.0
     memory_used: int | None = None
     memory_total: int | None = None
+    unverified: bool = False
+    closed_until: float = 0.0
 
     def is_fresh(self, now: float) -> bool:
         """Return whether the report is recent enough to be used."""
@@ -216,7 +224,11 @@
     def switching(self, now: float) -> bool:
         """Return whether the engine is about to load other weights."""
         report = self.report
-        return report is not None and report.is_fresh(now) and report.switching
+        return (
+            report is not None
+            and report.switching
+            and (report.is_fresh(now) or now <= report.closed_until)
+        )
 
     def pace(self, now: float) -> float:
         """Return the factor by which the engine is slower than published."""
@@ -331,6 +343,24 @@
         self.mean_duration_s += 0.1 * (duration_s - self.mean_duration_s)
 
 
+def keep_closed(previous: EngineReport | None, report: EngineReport) -> EngineReport:
+    """
+    Return a report with the time until which an engine counts as closed.
+
+    A new process of an agent cannot tell whether the one before verified the weights.
+    If that one closed the engine, or reported another version, the engine stays closed.
+    """
+    if (
+        report.unverified
+        and previous is not None
+        and previous.born_ms == report.born_ms
+        and report.received_at <= previous.closed_until
+        and (previous.switching or previous.version != report.version)
+    ):
+        return replace(report, switching=True, closed_until=previous.closed_until)
+    return replace(report, closed_until=report.received_at + CLOSED_VALID_S)
+
+
 def find_failing_backends(backends: list[Backend]) -> set[str]:
     """
     Return the identifiers of back ends that fail far more often than the others.
--- a/packages/primroselever-core/src/primroselever_core/filling/targets.py
+++ b/packages/primroselever-core/src/primroselever_core/filling/targets.py
@@ -53,6 +53,10 @@
         del self.versions[:-MAX_TARGETS]
         return True
 
+    def drop_older(self, version: int) -> None:
+        """Drop the versions before one, to which an engine does not return."""
+        self.versions = [each for each in self.versions if each.version >= version]
+
     def newer_than(self, served: int) -> list[WantedWeights]:
         """Return the versions that are newer than the served one, oldest first."""
         return [wanted for wanted in self.versions if wanted.version > served]
--- a/packages/primroselever-node/src/primroselever_node/direct/calls.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/calls.py
@@ -54,14 +54,15 @@
         timeout_s: float,
         max_bytes: int,
         transfer_s: float = 0.0,
+        repeats: bool = True,
     ) -> Answer:
         """
         Return the answer, or raise ``ConnectError`` or ``BrokenExchangeError``.
 
         An answer whose body has more than ``max_bytes`` raises the latter.
         A body of which bytes keep arriving may take up to ``transfer_s`` seconds longer
-        than ``timeout_s``. Use it for idempotent calls only, because a call may be made
-        twice.
+        than ``timeout_s``. A call may be made twice, unless ``repeats`` is False: then
+        it is made once and on a new connection, since a kept one may have been closed.
         """
         deadline = clock.now() + timeout_s
         limits = BodyLimits(deadline, deadline + transfer_s, max_bytes)
@@ -69,6 +70,8 @@
         headers = [(b"Host", authority.encode())]
         if body or method in ("POST", "PUT"):
             headers.append((b"Content-Length", str(len(body)).encode()))
+        if not repeats:
+            self.close_idle_connections(authority)
         had_idle_connection = bool(self.pool.idle.get(authority))
         try:
             return self.call_once(
@@ -79,9 +82,13 @@
         except BrokenExchangeError:
             if not had_idle_connection or clock.now() >= deadline:
                 raise
+        self.close_idle_connections(authority)
+        return self.call_once(authority, address, method, target, headers, body, limits)
+
+    def close_idle_connections(self, authority: str) -> None:
+        """Close the kept connections to a server."""
         for connection in self.pool.idle.pop(authority, []):
             connection.abort()
-        return self.call_once(authority, address, method, target, headers, body, limits)
 
     def call_once(
         self,
--- a/packages/primroselever-node/src/primroselever_node/direct/direct.thrift
+++ b/packages/primroselever-node/src/primroselever_node/direct/direct.thrift
@@ -40,6 +40,7 @@
  * completely loaded weights. closes_in_ms is the time until the engine stops taking
  * requests to load other weights, and negative if that is not planned. memory_used and
  * memory_total are in tokens; agents of engines that do not report them send none.
+ * unverified says that an earlier process of the agent ordered what the engine holds.
  */
 struct EngineNews {
   1: string address,
@@ -55,6 +56,7 @@
   11: i32 closes_in_ms,
   12: optional i32 memory_used,
   13: optional i32 memory_total,
+  14: optional bool unverified,
 }
 
 /*
--- a/packages/primroselever-node/src/primroselever_node/direct/direct_thrift.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/direct_thrift.py
@@ -73,6 +73,7 @@
         11: (TType.I32, "closes_in_ms", False),
         12: (TType.I32, "memory_used", False),
         13: (TType.I32, "memory_total", False),
+        14: (TType.BOOL, "unverified", False),
     }
     default_spec: ClassVar[list[Any]] = [
         ("address", None),
@@ -88,6 +89,7 @@
         ("closes_in_ms", None),
         ("memory_used", None),
         ("memory_total", None),
+        ("unverified", None),
     ]
 
 
--- a/packages/primroselever-node/src/primroselever_node/direct/gossip.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/gossip.py
@@ -14,7 +14,7 @@
 
 from primroselever_core.catalogue.model import ServerState
 from primroselever_core.catalogue.store_position import StorePosition
-from primroselever_core.dispatch.backend import EngineReport
+from primroselever_core.dispatch.backend import EngineReport, keep_closed
 from primroselever_core.dispatch.predict import (
     predict_ends,
     predict_read_s,
@@ -447,7 +447,9 @@
             else 0.0,
             memory_used=message.memory_used,
             memory_total=message.memory_total,
+            unverified=bool(message.unverified),
         )
+        report = keep_closed(previous, report)
         self.board.backends.apply_report(address, report)
         if previous is None or (previous.version, previous.switching) != (
             report.version,
@@ -457,7 +459,7 @@
                 "engine reported",
                 message.address,
                 f"{message.model}/{message.version}",
-                "switching" if message.switching else "reported by its agent",
+                "switching" if report.switching else "reported by its agent",
                 born_ms=message.born_ms,
             )
         self.agents_reported_at[host] = now
--- a/packages/primroselever-node/src/primroselever_node/direct/sources.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/sources.py
@@ -8,10 +8,12 @@
 
 from primroselever_core.catalogue.store_position import StorePosition
 from primroselever_core.exceptions import PrimroseleverError
+from primroselever_core.filling.loads import Load
 
 if TYPE_CHECKING:
     from primroselever_core.catalogue.events import CatalogueEvent
     from primroselever_core.catalogue.model import Address, Configuration
+    from primroselever_core.filling.loads import LayerRange, LoadOrder, OrderAnswer
     from primroselever_core.filling.pieces import PieceDigests
 
 
@@ -120,7 +122,9 @@
     ``loading`` is true while an order to load weights is in progress. ``sequence``
     counts the orders that started an operation since the engine's own start at
     ``born_ms``. ``pace`` is the factor by which the engine is slower than published.
-    ``memory_used`` and ``memory_total`` are in tokens, None if not reported.
+    ``memory_used`` and ``memory_total`` are in tokens, None if not reported. ``layers``
+    are the layers of the model that it holds, None if not reported; with only some of
+    them it refuses requests.
     """
 
     born_ms: int
@@ -133,6 +137,12 @@
     pace: float
     memory_used: int | None = None
     memory_total: int | None = None
+    layers: LayerRange | None = None
+
+    @property
+    def load(self) -> Load:
+        """Return which load the engine holds or is carrying out."""
+        return Load(self.born_ms, self.sequence)
 
 
 class ModelServer(Protocol):
@@ -150,9 +160,10 @@
     def stage_piece(self, model: str, index: int, data: bytes) -> None:
         """Put a piece into the staging area."""
 
-    def order_load(self, model: str, version: int, sequence: int) -> bool:
+    def order_load(self, order: LoadOrder) -> OrderAnswer:
         """
-        Order the engine to load the staged pieces; return whether it accepted.
+        Order the engine to load the staged pieces, once.
 
-        It refuses the order if ``sequence`` is no longer the one that it reports.
+        After a ``SourceError`` the engine may have accepted the order, or accept it
+        later.
         """
