Join no answer of another content type to a stream

Callers saw the text of an error in the middle of a stream, which then ended as if it were complete. The stream had broken off, and the server that was to resume it answered 200 with an error of type application/json, text/plain or without a type.

A response now follows what another run sent only if its status is 200 and its media type and Content-Encoding are those of the head that the caller has. Otherwise the attempt has failed, and the next server is tried if the route and the budget allow, as for a 404.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/request_state.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/request_state.py
@@ -25,8 +25,9 @@
     ``deadline`` is when the route or the caller abandons it, ``objective_at`` when the
     first event is due, and ``late`` whether that time had already passed when the
     request arrived. ``silent_sender`` is the attempt whose back end fell silent; its
-    connection stays open until another back end answers. ``released_bytes`` counts the
-    bytes of a body that were forwarded, ``event_forwarded`` whether an event was among
+    connection stays open until another back end answers. ``forwarded_format`` is the
+    content format in the head that was forwarded. ``released_bytes`` counts the bytes
+    of a body that were forwarded, ``event_forwarded`` whether an event was among
     them, and ``last_event_id`` is that of the last event, after which another back end
     resumes the stream. Once a part of a plain answer was forwarded,
     ``plain_part_forwarded``, no other answer can replace it. ``workspace_regions`` are
@@ -46,6 +47,7 @@
     tried_server_ids: list[str] = field(default_factory=list)
     attempts: list[Attempt] = field(default_factory=list)
     head_forwarded: bool = False
+    forwarded_format: tuple[bytes, bytes] = (b"", b"")
     plain_part_forwarded: bool = False
     released_bytes: int = 0
     event_forwarded: bool = False
--- a/packages/primroselever-entry/src/primroselever_entry/direct/response_body.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/response_body.py
@@ -203,6 +203,13 @@
     return b""
 
 
+def content_format(head: ResponseHead) -> tuple[bytes, bytes]:
+    """Return the media type without parameters, and the encoding, of a body."""
+    media_type = header(head.headers, b"content-type").partition(b";")[0]
+    encoding = header(head.headers, b"content-encoding")
+    return media_type.strip().lower(), encoding.strip().lower()
+
+
 def is_bodiless(head: ResponseHead) -> bool:
     """Return whether the response has no body, as one to HEAD, whatever its length."""
     return head.framing is Framing.NO_BODY
--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -35,6 +35,7 @@
     accept_part,
     caller_length,
     check_end,
+    content_format,
     open_body,
     unsent_bytes,
 )
@@ -385,20 +386,33 @@
             return self.handle_refusal(connection, head)
         if status >= 500:
             self.backend.record_answered_failure()
-        # An error that follows events of another run would look like the end of it.
-        resume_failed = self.state.head_forwarded and status != 200
         unstated = status in UNSTATED_STATUSES and not not_run
         fails = status >= 500 and self.may_try_another_backend()
         if unstated:
             self.read_rest(connection, head)
-        if resume_failed or unstated or fails:
-            return Attempt(AttemptEnd.BROKEN, status, f"the back end answered {status}")
+        if unstated or fails or not self.may_follow(head):
+            reason = f"the back end answered {status}"
+            if status == 200:
+                reason += " with another content type"
+            return Attempt(AttemptEnd.BROKEN, status, reason)
         self.head = head
         self.body = open_body(
             self.state, head, self.flow.limits.buffers, self.flow.buffers
         )
         return self.forward_response(connection, head, self.body)
 
+    def may_follow(self, head: ResponseHead) -> bool:
+        """
+        Return whether a response may follow what another run sent, if anything was.
+
+        An error that follows events of another run would look like the end of it. Some
+        servers answer errors with 200, which differ from the stream by their type.
+        """
+        if not self.state.head_forwarded:
+            return True
+        is_same_format = content_format(head) == self.state.forwarded_format
+        return head.status_code == 200 and is_same_format
+
     def may_try_another_backend(self) -> bool:
         """Return whether the request may be retried on another back end."""
         state = self.state
@@ -622,6 +636,7 @@
             headers.append((b"Content-Length", length))
         self.caller.send_head(head.status_code, headers)
         state.head_forwarded = True
+        state.forwarded_format = content_format(head)
 
     def release_connection(
         self, connection: HttpConnection, head: ResponseHead
