Resume a stream only with the events after its last one

Callers got events twice, missed some, or got the text of an error among them: a server that was to resume a stream began it again at its first event, repeated the last one, left some out, or sent an event without an identifier, such as a notice of an error. A byte order mark before a resumed run hid the identifier of its first event from the caller.

Cause: whatever a resumed run sent was forwarded, from its first byte. Last-Event-Id was sent to the server, but its first event was never compared with it.

What a resumed run sends before its first event is now dropped, and this event must be the next one, else the attempt has failed and the next server is tried. Numbers must go on by one if those of the stream did so far, and otherwise increase. Of other identifiers only the repetition of the first or the last one can be noticed. Such an answer is a failure of the server but no crash, so that the request is not held as one that crashes servers.

Only blocks with data, event or id are events now, so that lines such as retry alone are no progress, as comments are.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/event_stream.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/event_stream.py
@@ -10,26 +10,82 @@
 
 import re
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
 
 # A CR at the end of what has arrived counts as a line end. If an LF follows, it becomes
 # an empty line before the next event, which has no meaning.
 LINE_END = re.compile(rb"\r\n|\n|\r")
 # Any two line ends in a row contain one of these, and each of these is or begins two.
 EVENT_ENDS = (b"\n\n", b"\n\r", b"\r\r")
-ID_LINE = re.compile(rb"(?:\A|[\r\n])id: ?([^\r\n\0]*)(?=[\r\n])")
+ID_LINE = re.compile(rb"id: ?([^\0]*)")
+# Only a block with one of these is an event. One of other lines, such as ``retry``, has
+# no content for the caller.
+EVENT_FIELD = re.compile(rb"(?:data|event|id)(?::|\Z)")
+MAX_NUMBER_DIGITS = 18  # longer identifiers are not compared as numbers
 COMMENT_START = b":"
 BYTE_ORDER_MARK = b"\xef\xbb\xbf"  # may precede the first line of a stream
 
 
+@dataclass(frozen=True, slots=True)
+class Event:
+    """
+    A complete event among released bytes.
+
+    ``identifier`` is None if it has none, and ``start`` its place in these bytes.
+    """
+
+    identifier: bytes | None
+    start: int
+
+
+@dataclass(slots=True)
+class EventIds:
+    """
+    The identifiers of a stream, to check that another run goes on after the last one.
+
+    Numbers are taken for consecutive until two events in a row are not. Of identifiers
+    that are no numbers, only the repetition of the first or last one is noticed.
+    """
+
+    first_id: bytes = b""
+    last_id: bytes = b""
+    are_consecutive: bool = True
+
+    def add(self, identifier: bytes | None) -> None:
+        """Add the identifier of the next event, None if it has none."""
+        if not identifier:
+            return
+        if self.last_id and self.are_consecutive:
+            self.are_consecutive = self.follows(identifier)
+        self.first_id = self.first_id or identifier
+        self.last_id = identifier
+
+    def follows(self, identifier: bytes | None) -> bool:
+        """Return whether an identifier can be that of the event after the last one."""
+        if not identifier:
+            return False
+        number, last_number = parse_number(identifier), parse_number(self.last_id)
+        if last_number is None:
+            return identifier not in (self.first_id, self.last_id)
+        if number is None:
+            return False
+        is_next = number == last_number + 1
+        return is_next or (number > last_number and not self.are_consecutive)
+
+
 @dataclass(slots=True)
 class EventBuffer:
     r"""
     Buffers the bytes that one back end sends and releases complete events only.
 
     ``partial_event`` is what has come of the next event, and ``last_event_id`` that of
-    the last complete event, empty before the first one. ``released_any`` is set once
-    an event was complete; comments alone are none. ``release_count`` counts the calls
-    of ``feed`` that completed an event, which shows whether a stream makes progress.
+    the last complete event, empty before the first one. ``completed`` are the events
+    that the last call of ``feed`` completed. ``released_any`` is set once an event was
+    complete; comments alone are none. ``release_count`` counts the calls of ``feed``
+    that completed an event, which shows whether a stream makes progress.
 
         >>> buffer = EventBuffer()
         >>> buffer.feed(b"id: 1\ndata: a\n\nid: 2\n")
@@ -40,11 +96,13 @@
 
     partial_event: bytearray = field(default_factory=bytearray)
     last_event_id: bytes = b""
+    completed: list[Event] = field(default_factory=list)
     released_any: bool = False
     release_count: int = 0
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes; return those of all events that are now complete."""
+        self.completed = []
         searched_from = max(0, len(self.partial_event) - 1)
         self.partial_event += data
         end = self.find_last_event_end(searched_from)
@@ -53,12 +111,13 @@
         complete = bytes(self.partial_event[:end])
         del self.partial_event[:end]
         lines = self.without_byte_order_mark(complete)
-        ids = ID_LINE.findall(lines)
-        if has_fields(lines):
+        self.completed = list(find_events(lines, len(complete) - len(lines)))
+        if self.completed:
             self.released_any = True
             self.release_count += 1
-        if ids:
-            self.last_event_id = ids[-1].strip()
+        for event in self.completed:
+            if event.identifier is not None:
+                self.last_event_id = event.identifier
         return complete
 
     def find_last_event_end(self, start: int) -> int:
@@ -85,6 +144,30 @@
         return bool(unfinished_line) or has_fields(data)
 
 
+def find_events(data: bytes, offset: int) -> Iterator[Event]:
+    """Yield the events in complete blocks, whose places count from an offset."""
+    block_start = line_start = 0
+    identifier: bytes | None = None
+    is_event = False
+    for line_end in LINE_END.finditer(data):
+        line = data[line_start : line_end.start()]
+        line_start = line_end.end()
+        if line:
+            is_event = is_event or EVENT_FIELD.match(line) is not None
+            if id_line := ID_LINE.fullmatch(line):
+                identifier = id_line[1].strip()
+            continue
+        if is_event:
+            yield Event(identifier, offset + block_start)
+        block_start, identifier, is_event = line_start, None, False
+
+
+def parse_number(identifier: bytes) -> int | None:
+    """Return the number that an identifier is, None if it is none."""
+    is_number = identifier.isdigit() and len(identifier) <= MAX_NUMBER_DIGITS
+    return int(identifier) if is_number else None
+
+
 def has_fields(data: bytes) -> bool:
     """Return whether any line is neither blank nor a comment."""
     return any(
--- a/packages/primroselever-entry/src/primroselever_entry/direct/request_state.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/request_state.py
@@ -7,6 +7,8 @@
 
 from primroselever_core.dispatch.urgent_work import DEFAULT_URGENCY
 
+from .event_stream import EventIds
+
 if TYPE_CHECKING:
     from primroselever_core.catalogue.model import Route
     from primroselever_core.catalogue.routes import RouteTable
@@ -28,8 +30,8 @@
     connection stays open until another back end answers. ``forwarded_format`` is the
     content format in the head that was forwarded. ``released_bytes`` counts the bytes
     of a body that were forwarded, ``event_forwarded`` whether an event was among
-    them, and ``last_event_id`` is that of the last event, after which another back end
-    resumes the stream. Once a part of a plain answer was forwarded,
+    them, and ``event_ids`` are those of these events; after the last one another back
+    end resumes the stream. Once a part of a plain answer was forwarded,
     ``plain_part_forwarded``, no other answer can replace it. ``workspace_regions`` are
     the allowed regions of the workspace at the time of admission, and ``admitted_by``
     is the table of routes then. ``priority`` is that of the workspace, or of the route
@@ -51,7 +53,7 @@
     plain_part_forwarded: bool = False
     released_bytes: int = 0
     event_forwarded: bool = False
-    last_event_id: bytes = b""
+    event_ids: EventIds = field(default_factory=EventIds)
     may_have_run: bool = False
     first_event_at: float | None = None
     last_event_at: float = 0.0
@@ -62,3 +64,8 @@
     priority: int = 0
     urgency: int = DEFAULT_URGENCY
     terms: AdmissionTerms | None = None
+
+    @property
+    def last_event_id(self) -> bytes:
+        """Return the identifier after which the stream resumes, empty without one."""
+        return self.event_ids.last_id
--- a/packages/primroselever-entry/src/primroselever_entry/direct/response_body.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/response_body.py
@@ -30,6 +30,10 @@
     """Other responses hold all that may be buffered."""
 
 
+class WrongEventsError(BrokenExchangeError):
+    """The events that a server sent are no part of the stream."""
+
+
 @dataclass(slots=True)
 class ResponseBody:
     """The body of one response; ``buffer`` accounts for what is kept of it."""
@@ -45,11 +49,14 @@
     The body of a stream.
 
     Complete events are forwarded if another back end may resume the stream, and
-    otherwise all bytes. ``events`` holds the incomplete event. ``ahead`` holds parts
-    that arrived after a silence and are not added yet, and ``events_ahead`` the events
-    after them.
+    otherwise all bytes. ``events`` holds the incomplete event. ``follows_run`` is set
+    if bytes of another run were forwarded, and ``is_joined`` once an event was found to
+    continue it. ``ahead`` holds parts that arrived after a silence and are not added
+    yet, and ``events_ahead`` the events after them.
     """
 
+    follows_run: bool = False
+    is_joined: bool = False
     events: EventBuffer = field(default_factory=EventBuffer)
     ahead: deque[bytes | ResponseEnd] = field(default_factory=deque)
     events_ahead: EventBuffer = field(default_factory=EventBuffer)
@@ -98,7 +105,9 @@
 ) -> StreamBody | PlainBody:
     """Return the empty body of a response to a request."""
     if state.route.kind is RouteKind.STREAMING and head.status_code == 200:
-        return StreamBody(state, limits, Buffer(account))
+        return StreamBody(
+            state, limits, Buffer(account), follows_run=state.head_forwarded
+        )
     return PlainBody(state, limits, Buffer(account))
 
 
@@ -111,7 +120,6 @@
 @accept_part.register(StreamBody)
 def _(body: StreamBody, data: bytes) -> bytes:
     """Return complete events, or all bytes if the stream may not be resumed."""
-    completed = body.events.release_count
     events = body.events.feed(data)
     partial_bytes = len(body.events.partial_event)
     if partial_bytes > body.limits.event_bytes:
@@ -121,14 +129,35 @@
     state = body.state
     if not state.route.resumable:
         return data
-    if body.events.release_count > completed:
+    if body.follows_run and not body.is_joined:
+        events = join_events(body, events)
+    if body.events.completed:
         # After comments alone, a silent back end may still resume.
         state.released_bytes += len(events)
-    state.event_forwarded = state.event_forwarded or body.events.released_any
-    state.last_event_id = body.events.last_event_id or state.last_event_id
+        state.event_forwarded = True
+    for event in body.events.completed:
+        state.event_ids.add(event.identifier)
     return events
 
 
+def join_events(body: StreamBody, events: bytes) -> bytes:
+    """
+    Return what may follow the events of another run, nothing before the first event.
+
+    What precedes it, such as comments or a byte order mark, belongs to the beginning of
+    a stream. Raise ``WrongEventsError`` if the event is not the next one: the caller
+    would get events twice, or miss some.
+    """
+    if not body.events.completed:
+        return b""
+    first = body.events.completed[0]
+    state = body.state
+    if state.event_forwarded and not state.event_ids.follows(first.identifier):
+        raise WrongEventsError("the events do not go on after the last one")
+    body.is_joined = True
+    return events[first.start :]
+
+
 @accept_part.register(PlainBody)
 def _(body: PlainBody, data: bytes) -> bytes:
     """Return nothing up to the limit, and then what was kept and all that follows."""
--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -32,6 +32,7 @@
     BuffersFullError,
     PlainBody,
     StreamBody,
+    WrongEventsError,
     accept_part,
     caller_length,
     check_end,
@@ -278,6 +279,7 @@
         self.log_response_end(self.head, str(exc))
         if isinstance(exc, AnswerTooLargeError | BuffersFullError):
             self.flow.instruments.count_too_large()
+        if isinstance(exc, AnswerTooLargeError | BuffersFullError | WrongEventsError):
             # With the status, this does not look like a crash.
             return Attempt(AttemptEnd.BROKEN, self.head.status_code, str(exc))
         return Attempt(AttemptEnd.BROKEN, reason=str(exc))
--- a/packages/primroselever-entry/tests/direct/test_response_body.py
+++ b/packages/primroselever-entry/tests/direct/test_response_body.py
@@ -5,6 +5,7 @@
 from types import SimpleNamespace
 
 from primroselever_core.dispatch.buffers import Buffer, BufferAccount, BufferLimits
+from primroselever_entry.direct.event_stream import EventIds
 from primroselever_entry.direct.response_body import StreamBody, accept_part
 
 from .conftest import EVENTS
@@ -17,7 +18,7 @@
         route=SimpleNamespace(resumable=True),
         released_bytes=0,
         event_forwarded=False,
-        last_event_id=b"",
+        event_ids=EventIds(),
     )
     account = BufferAccount(1000)
     body = StreamBody(state, BufferLimits(), Buffer(account))
--- a/packages/primroselever-entry/tests/direct/test_resumed_streams.py
+++ b/packages/primroselever-entry/tests/direct/test_resumed_streams.py
@@ -94,3 +94,76 @@
     good = [GOOD[0].replace(b"text/event-stream", media_type)]
     add_servers(entry, broken(EVENTS[:1]), good)
     assert_complete(ask(entry))
+
+
+def stream(events: list[bytes]) -> list[bytes]:
+    return [stream_head(headers=TYPE) + b"".join(map(chunk, events)) + STREAM_END]
+
+
+# Guards against events that come twice, or are missing, because the next server starts
+# elsewhere than it was asked to.
+@pytest.mark.parametrize(
+    "events",
+    [EVENTS, EVENTS[2:], [b"id: 7\ndata: c\n\n"], [b"data: b\n\n", EVENTS[2]]],
+    ids=["again at the first", "a gap", "a large gap", "no identifier"],
+)
+def test_run_that_does_not_go_on_after_the_last_event_is_dropped(entry, events):
+    wrong = stream(events)
+    first, second, third = add_servers(entry, broken(EVENTS[:1]), wrong, GOOD)
+    assert_complete(ask(entry))
+    assert second.header(b"x-after") == third.header(b"x-after") == b"1"
+
+
+def test_run_that_repeats_the_last_event_is_dropped(entry):
+    add_servers(entry, broken(EVENTS[:2]), stream(EVENTS[1:]))
+    assert_cut_off_after(ask(entry), EVENTS[:2])
+
+
+# Guards against a request that is held as one that crashes servers, or a silent server
+# that is given up, because another one started at the wrong event.
+def test_wrong_events_are_no_crash(entry):
+    crashes = []
+    entry.flow.crash_watch.record_broken_run = lambda *run: crashes.append(run)
+    add_servers(entry, broken(EVENTS[:1]), stream(EVENTS), stream(EVENTS))
+    assert_cut_off_after(ask(entry), EVENTS[:1])
+    assert len(crashes) == 1
+
+
+# Guards against a stream that cannot be resumed because its numbers are not
+# consecutive, or its identifiers no numbers.
+@pytest.mark.parametrize(
+    "ids",
+    [
+        (b"10", b"20", b"30", b"40"),
+        (b"0", b"5", b"6", b"100"),
+        (b"a-1", b"c-2", b"b-3", b"d-4"),
+        (b"1" * 30, b"2" * 30, b"1" * 29, b"7" * 5000),
+    ],
+)
+def test_run_with_other_identifiers_goes_on(entry, ids):
+    events = [b"id: %s\ndata: x\n\n" % identifier for identifier in ids]
+    _, second = add_servers(entry, broken(events[:2]), stream(events[2:]))
+    response = ask(entry)
+    assert events_of(response) == b"".join(events).replace(b"\n\n", b"\n")
+    assert response.endswith(STREAM_END)
+    assert second.header(b"x-after") == ids[1]
+
+
+@pytest.mark.parametrize("first", [0, 1])
+def test_repetition_of_other_identifiers_is_noticed(entry, first):
+    events = [b"id: %s\ndata: x\n\n" % name for name in (b"c", b"a", b"b")]
+    add_servers(entry, broken(events[:2]), stream(events[first:]))
+    assert_cut_off_after(ask(entry), events[:2])
+
+
+# Guards against the beginning of a stream in its middle: a byte order mark there makes
+# the first line of the next event another field.
+@pytest.mark.parametrize(
+    "beginning", [b"\xef\xbb\xbf", b"retry: 10\n\n", b": hello\n\n", b"note: x\n\n"]
+)
+def test_beginning_of_a_stream_is_no_part_of_its_middle(entry, beginning):
+    resumed = stream([beginning[:2], beginning[2:] + EVENTS[1], EVENTS[2]])
+    add_servers(entry, broken(EVENTS[:1]), resumed)
+    response = ask(entry)
+    assert_complete(response)
+    assert beginning.strip() not in response
