Do not complete a stream with a resumed run without events

Callers saw a stream end as if it were complete after some of its events. It had broken off, and the server that was to resume it answered 200 without events: nothing at all, a comment, or retry alone. A silent server that would have gone on was given up for it, too.

Cause: check_end refused an end before the first event only if the connection ended there. With a length or chunks, an empty answer counted as the rest of the stream.

Such an answer is now a failure of the attempt, so that the next server is tried, or the stream is cut off. It cannot be told from that of a server that knows that the last event had been sent. A caller that has all events then sees its stream broken off, which is the smaller harm.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/response_body.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/response_body.py
@@ -185,11 +185,20 @@
 
 @check_end.register(StreamBody)
 def _(body: StreamBody, head: ResponseHead) -> None:
-    """Raise an error inside an event, or if the connection ended before any event."""
+    """
+    Raise an error inside an event, or before any event if that may be too early.
+
+    That is so if the connection ended, or if the stream is to be resumed: an empty
+    answer does not show that the last event had been sent before.
+    """
     if body.events.is_inside_event():
         raise BrokenExchangeError("the stream ended inside an event")
-    if head.framing is Framing.CONNECTION and not body.events.released_any:
+    if body.events.released_any:
+        return
+    if head.framing is Framing.CONNECTION:
         raise BrokenExchangeError("the stream ended before its first event")
+    if body.follows_run:
+        raise WrongEventsError("the stream ended without going on")
 
 
 @singledispatch
--- a/packages/primroselever-entry/tests/direct/test_resumed_streams.py
+++ b/packages/primroselever-entry/tests/direct/test_resumed_streams.py
@@ -10,6 +10,7 @@
 
 from .conftest import (
     EVENTS,
+    PAUSE,
     RESET,
     STREAM_END,
     ask,
@@ -167,3 +168,45 @@
     response = ask(entry)
     assert_complete(response)
     assert beginning.strip() not in response
+
+
+# Guards against a stream that ends as if it were complete because the server that was
+# to resume it sent no event.
+@pytest.mark.parametrize(
+    "empty",
+    [
+        stream([]),
+        whole(b""),
+        stream([b": wait\n\n"]),
+        stream([b"\xef\xbb\xbf"]),
+        stream([b"retry: 10\n\n", b"\n"]),
+    ],
+    ids=["chunks", "length", "comment", "byte order mark", "retry"],
+)
+@pytest.mark.parametrize("is_last", [True, False])
+def test_run_without_events_does_not_complete_a_stream(entry, empty, is_last):
+    sent = EVENTS[:1]
+    add_servers(entry, broken(sent), empty, empty if is_last else GOOD)
+    response = ask(entry)
+    if is_last:
+        assert_cut_off_after(response, sent)
+    else:
+        assert_complete(response)
+
+
+def test_run_without_events_does_not_complete_comments(entry):
+    add_servers(entry, broken([b": wait\n\n"]), stream([]))
+    assert_cut_off_after(ask(entry), [])
+
+
+# Guards against giving up a silent server, which then goes on, for another one that
+# sends no events, or wrong ones.
+@pytest.mark.usefixtures("short_silence")
+@pytest.mark.parametrize(
+    "wrong", [stream([]), stream(EVENTS), stream(EVENTS[2:]), whole(b"", b"")]
+)
+def test_silent_server_goes_on_after_a_wrong_answer_of_another(entry, wrong):
+    paused = [*broken(EVENTS[:1])[:-1], PAUSE, *map(chunk, EVENTS[1:]), STREAM_END]
+    _, second = add_servers(entry, paused, wrong)
+    assert_complete(ask(entry))
+    assert len(second.requests) == 1
