Resume no stream after an event without an identifier

Callers got events twice: a stream whose last event had no identifier, or took it back with an empty one, broke off, and was resumed after the identifier of an earlier event. The next server sent again what followed that one.

Cause: the identifier of the last event that had one was kept as the place to resume after. By the standard it is what a caller itself would send, but a caller that reconnects may drop what it has, while an entry joins both runs.

The place is now that of the last event itself. If it has no identifier, the stream is cut off, as it was if no event had one. Comments and lines such as retry are no events, and do not change the place.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/event_stream.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/event_stream.py
@@ -48,14 +48,18 @@
 
     Numbers are taken for consecutive until two events in a row are not. Of identifiers
     that are no numbers, only the repetition of the first or last one is noticed.
+    ``ends_with_id`` is set if the last event has the identifier ``last_id``: after an
+    event without one, a server cannot be told where to go on.
     """
 
     first_id: bytes = b""
     last_id: bytes = b""
+    ends_with_id: bool = False
     are_consecutive: bool = True
 
     def add(self, identifier: bytes | None) -> None:
         """Add the identifier of the next event, None if it has none."""
+        self.ends_with_id = bool(identifier)
         if not identifier:
             return
         if self.last_id and self.are_consecutive:
--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -496,7 +496,7 @@
         if state.plain_part_forwarded:
             return attempt.reason
         if state.event_forwarded and not state.last_event_id:
-            return f"{attempt.reason}; no event has an identifier to resume after"
+            return f"{attempt.reason}; the last event has no identifier to resume after"
         if attempt.may_have_run and not state.route.repeatable:
             return attempt.reason
         if self.has_crashed_too_many(state, attempt):
--- a/packages/primroselever-entry/src/primroselever_entry/direct/request_state.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/request_state.py
@@ -68,4 +68,4 @@
     @property
     def last_event_id(self) -> bytes:
         """Return the identifier after which the stream resumes, empty without one."""
-        return self.event_ids.last_id
+        return self.event_ids.last_id if self.event_ids.ends_with_id else b""
--- a/packages/primroselever-entry/tests/direct/test_resumed_streams.py
+++ b/packages/primroselever-entry/tests/direct/test_resumed_streams.py
@@ -210,3 +210,37 @@
     _, second = add_servers(entry, paused, wrong)
     assert_complete(ask(entry))
     assert len(second.requests) == 1
+
+
+# Guards against events that come twice: resumed after an earlier event, the next server
+# sends those without an identifier again.
+@pytest.mark.parametrize(
+    "unnamed", [b"data: x\n\n", b"event: ping\n\n", b"id:\ndata: x\n\n", b"id\n\n"]
+)
+def test_stream_is_not_resumed_after_an_event_without_identifier(entry, unnamed):
+    sent = [EVENTS[0], unnamed]
+    _, second = add_servers(entry, broken(sent), stream([unnamed, *EVENTS[1:]]))
+    response = ask(entry)
+    assert not response.endswith(STREAM_END)
+    assert response.count(unnamed) == 1
+    assert second.requests == []
+
+
+# Guards against streams that are not resumed because of what is no event, or of an
+# event without an identifier before the last one.
+@pytest.mark.parametrize("other", [b": wait\n\n", b"retry: 10\n\n", b"data: x\n\n"])
+def test_stream_is_resumed_after_the_last_identifier(entry, other):
+    _, second = add_servers(
+        entry, broken([EVENTS[0], other, EVENTS[1]]), stream(EVENTS[2:])
+    )
+    response = ask(entry)
+    assert response.endswith(STREAM_END)
+    assert second.header(b"x-after") == b"2"
+    assert all(event in response for event in EVENTS)
+
+
+@pytest.mark.parametrize("other", [b": wait\n\n", b"retry: 10\n\n"])
+def test_stream_is_resumed_after_lines_that_are_no_event(entry, other):
+    _, second = add_servers(entry, broken([EVENTS[0], other]), GOOD)
+    assert_complete(ask(entry))
+    assert second.header(b"x-after") == b"1"
