Break off a stream at a text that is no event

Callers found the text of an error, or its whole head, between the events of a stream: a server, or something in front of it, sent it in the body behind the events. If it ended with a blank line, the stream could also end there as if it were complete.

Cause: each block of lines was an event, whatever was in it.

A block is now a text if none of its lines is a field of the format (data, event, id, retry) and some line has not even the form NAME:, which callers ignore. The attempt fails at such a block, and the stream is resumed or cut off. An event with an additional line of any kind, and a block of other fields such as weight-versions, are forwarded as before.

A text behind the beginning of an event cannot be told from its lines if the response has no chunks, nor can one that has the form NAME: in all lines, as in 'Error: failed'.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/event_stream.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/event_stream.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from primroselever_node.direct.responses import BrokenExchangeError
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -24,11 +26,17 @@
 # Only a block with one of these is an event. One of other lines, such as ``retry``, has
 # no content for the caller.
 EVENT_FIELD = re.compile(rb"(?:data|event|id)(?::|\Z)")
+STANDARD_FIELD = re.compile(rb"(?:data|event|id|retry)(?::|\Z)")
+OTHER_FIELD = re.compile(rb"[\w.-]+:")  # callers ignore it
 MAX_NUMBER_DIGITS = 18  # longer identifiers are not compared as numbers
 COMMENT_START = b":"
 BYTE_ORDER_MARK = b"\xef\xbb\xbf"  # may precede the first line of a stream
 
 
+class WrongEventsError(BrokenExchangeError):
+    """What a server sent is no part of the stream, although the exchange is sound."""
+
+
 @dataclass(frozen=True, slots=True)
 class Event:
     """
@@ -105,7 +113,11 @@
     release_count: int = 0
 
     def feed(self, data: bytes) -> bytes:
-        """Add bytes; return those of all events that are now complete."""
+        """
+        Add bytes; return those of all events that are now complete.
+
+        Raise ``WrongEventsError`` if one of them is a text that is no event.
+        """
         self.completed = []
         searched_from = max(0, len(self.partial_event) - 1)
         self.partial_event += data
@@ -149,21 +161,39 @@
 
 
 def find_events(data: bytes, offset: int) -> Iterator[Event]:
-    """Yield the events in complete blocks, whose places count from an offset."""
+    """
+    Yield the events in complete blocks, whose places count from an offset.
+
+    Raise ``WrongEventsError`` if a block is a text, such as that of an error.
+    """
     block_start = line_start = 0
-    identifier: bytes | None = None
-    is_event = False
+    lines: list[bytes] = []
     for line_end in LINE_END.finditer(data):
         line = data[line_start : line_end.start()]
         line_start = line_end.end()
+        if line.startswith(COMMENT_START):
+            continue
         if line:
-            is_event = is_event or EVENT_FIELD.match(line) is not None
-            if id_line := ID_LINE.fullmatch(line):
-                identifier = id_line[1].strip()
+            lines.append(line)
             continue
-        if is_event:
-            yield Event(identifier, offset + block_start)
-        block_start, identifier, is_event = line_start, None, False
+        if is_text(lines):
+            raise WrongEventsError("a text that is no event is in the stream")
+        if any(map(EVENT_FIELD.match, lines)):
+            yield Event(find_identifier(lines), offset + block_start)
+        block_start, lines = line_start, []
+
+
+def is_text(lines: list[bytes]) -> bool:
+    """Return whether a block has lines that are no fields, and none of an event."""
+    if any(map(STANDARD_FIELD.match, lines)):
+        return False
+    return not all(map(OTHER_FIELD.match, lines))
+
+
+def find_identifier(lines: list[bytes]) -> bytes | None:
+    """Return the identifier in the lines of an event, None without one."""
+    matches = [match for match in map(ID_LINE.fullmatch, lines) if match]
+    return matches[-1][1].strip() if matches else None
 
 
 def parse_number(identifier: bytes) -> int | None:
--- a/packages/primroselever-entry/src/primroselever_entry/direct/response_body.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/response_body.py
@@ -17,7 +17,7 @@
     header,
 )
 
-from .event_stream import EventBuffer
+from .event_stream import EventBuffer, WrongEventsError
 
 if TYPE_CHECKING:
     from primroselever_core.dispatch.buffers import BufferAccount, BufferLimits
@@ -30,10 +30,6 @@
     """Other responses hold all that may be buffered."""
 
 
-class WrongEventsError(BrokenExchangeError):
-    """The events that a server sent are no part of the stream."""
-
-
 @dataclass(slots=True)
 class ResponseBody:
     """The body of one response; ``buffer`` accounts for what is kept of it."""
--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -26,13 +26,13 @@
 from .attempt import Attempt, AttemptEnd
 from .caller_connection import CallerLeftError
 from .caller_request import forwardable_headers
+from .event_stream import WrongEventsError
 from .part_watch import PartRun
 from .placing import current_placement
 from .response_body import (
     BuffersFullError,
     PlainBody,
     StreamBody,
-    WrongEventsError,
     accept_part,
     caller_length,
     check_end,
--- a/packages/primroselever-entry/tests/direct/test_resumed_streams.py
+++ b/packages/primroselever-entry/tests/direct/test_resumed_streams.py
@@ -9,6 +9,7 @@
 from primroselever_core.catalogue.model import RouteKind
 
 from .conftest import (
+    CLOSE,
     EVENTS,
     PAUSE,
     RESET,
@@ -37,9 +38,11 @@
     return backends
 
 
-def allow_attempts(entry, count: int) -> None:
+def allow_attempts(entry, count: int, **changes) -> None:
     configuration = entry.board.catalogue.configuration
-    route = make_route(RouteKind.STREAMING, "ask", objective_s=0.4, max_attempts=count)
+    route = make_route(
+        RouteKind.STREAMING, "ask", objective_s=0.4, max_attempts=count, **changes
+    )
     entry.board.catalogue.configure(
         replace(configuration, revision=configuration.revision + 1, routes=(route,)),
         2.0,
@@ -244,3 +247,64 @@
     _, second = add_servers(entry, broken([EVENTS[0], other]), GOOD)
     assert_complete(ask(entry))
     assert second.header(b"x-after") == b"1"
+
+
+# Guards against the text or the head of an error in the middle of a stream, sent by the
+# server that had begun it or by something in front of it.
+@pytest.mark.parametrize(
+    "error",
+    [
+        b"upstream failed\n\n",
+        b"HTTP/1.1 502 Bad Gateway\r\nContent-Length: 6\r\n\r\nfailed",
+        b'{"error":\n"failed"}\n\n',
+        b"<html>\nfailed\n</html>\n\n",
+        b": x\nupstream failed\n\n",
+    ],
+)
+@pytest.mark.parametrize("framing", ["chunks", "neither", "with an event"])
+def test_error_text_behind_events_is_not_forwarded(entry, error, framing):
+    parts = [stream_head(headers=TYPE), chunk(EVENTS[0]), chunk(error), STREAM_END]
+    if framing == "with an event":
+        parts[1:3] = [chunk(EVENTS[0] + error)]
+    if framing == "neither":
+        head = parts[0].replace(b"Transfer-Encoding: chunked\r\n", b"")
+        parts = [head, EVENTS[0], error, CLOSE]
+    _, second = add_servers(entry, parts, [b"".join(GOOD)])
+    after = None if framing == "with an event" else b"1"
+    if after is None:
+        second.responses = [stream(EVENTS)]
+    response = ask(entry)
+    assert_complete(response)
+    assert not any(text in response for text in (b"failed", b"502", b"error"))
+    assert second.header(b"x-after") == after
+
+
+# Guards against the same on a route that does not allow another run, whose bytes are
+# forwarded as they arrive.
+def test_error_text_cuts_off_a_stream_that_is_not_resumed(entry):
+    error = b"upstream failed\n\n"
+    add_servers(entry, stream([EVENTS[0], error]))
+    allow_attempts(entry, 2, resumable=False)
+    response = ask(entry)
+    assert_cut_off_after(response, EVENTS[:1])
+    assert b"failed" not in response
+
+
+# Guards against a sound stream that is cut off for a line that callers ignore.
+@pytest.mark.parametrize(
+    "lines",
+    [
+        b"weight-versions: 3\n\n",
+        b"retry: 10\n\n",
+        b"data\n\n",
+        b"data: a\nno field\n\n",
+        b": wait\n\n",
+        b"\n\n\n",
+    ],
+)
+def test_lines_that_callers_ignore_are_part_of_a_stream(entry, lines):
+    add_servers(entry, stream([lines, EVENTS[0], lines, *EVENTS[1:], lines]))
+    response = ask(entry)
+    assert response.endswith(STREAM_END)
+    assert response.count(chunk(lines)) == 3
+    assert all(event in response for event in EVENTS)
