Find events in a stream without a loop over its lines

The check for texts went through the lines one by one. A server that floods an entry with blank lines kept it from its other work for 121 ms with each 64 KiB.

test_event_stream.py, test_resumed_streams.py and test_floods.py pass.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/event_stream.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/event_stream.py
@@ -22,12 +22,14 @@
 LINE_END = re.compile(rb"\r\n|\n|\r")
 # Any two line ends in a row contain one of these, and each of these is or begins two.
 EVENT_ENDS = (b"\n\n", b"\n\r", b"\r\r")
-ID_LINE = re.compile(rb"id: ?([^\0]*)")
+# Lines without a blank one between them.
+BLOCK = re.compile(rb"[^\r\n]+(?:(?:\r\n|[\r\n])[^\r\n]+)*")
+ID_LINE = re.compile(rb"(?:\A|[\r\n])id: ?([^\r\n\0]*)(?=[\r\n]|\Z)")
 # Only a block with one of these is an event. One of other lines, such as ``retry``, has
 # no content for the caller.
-EVENT_FIELD = re.compile(rb"(?:data|event|id)(?::|\Z)")
-STANDARD_FIELD = re.compile(rb"(?:data|event|id|retry)(?::|\Z)")
-OTHER_FIELD = re.compile(rb"[\w.-]+:")  # callers ignore it
+EVENT_FIELD = re.compile(rb"(?:\A|[\r\n])(?:data|event|id)(?=[:\r\n]|\Z)")
+RETRY_FIELD = re.compile(rb"(?:\A|[\r\n])retry(?=[:\r\n]|\Z)")
+OTHER_FIELD = re.compile(rb"[\w.-]*:")  # callers ignore it, or it is a comment
 MAX_NUMBER_DIGITS = 18  # longer identifiers are not compared as numbers
 COMMENT_START = b":"
 BYTE_ORDER_MARK = b"\xef\xbb\xbf"  # may precede the first line of a stream
@@ -166,34 +168,21 @@
 
     Raise ``WrongEventsError`` if a block is a text, such as that of an error.
     """
-    block_start = line_start = 0
-    lines: list[bytes] = []
-    for line_end in LINE_END.finditer(data):
-        line = data[line_start : line_end.start()]
-        line_start = line_end.end()
-        if line.startswith(COMMENT_START):
-            continue
-        if line:
-            lines.append(line)
-            continue
-        if is_text(lines):
+    for match in BLOCK.finditer(data):
+        block = match[0]
+        if EVENT_FIELD.search(block):
+            ids = ID_LINE.findall(block)
+            identifier = ids[-1].strip() if ids else None
+            yield Event(identifier, offset + match.start())
+        elif is_text(block):
             raise WrongEventsError("a text that is no event is in the stream")
-        if any(map(EVENT_FIELD.match, lines)):
-            yield Event(find_identifier(lines), offset + block_start)
-        block_start, lines = line_start, []
 
 
-def is_text(lines: list[bytes]) -> bool:
-    """Return whether a block has lines that are no fields, and none of an event."""
-    if any(map(STANDARD_FIELD.match, lines)):
+def is_text(block: bytes) -> bool:
+    """Return whether a block that is no event has lines that are no fields."""
+    if RETRY_FIELD.search(block):
         return False
-    return not all(map(OTHER_FIELD.match, lines))
-
-
-def find_identifier(lines: list[bytes]) -> bytes | None:
-    """Return the identifier in the lines of an event, None without one."""
-    matches = [match for match in map(ID_LINE.fullmatch, lines) if match]
-    return matches[-1][1].strip() if matches else None
+    return not all(map(OTHER_FIELD.match, LINE_END.split(block)))
 
 
 def parse_number(identifier: bytes) -> int | None:
