--- a/packages/primroselever-entry/tests/direct/conftest.py
+++ b/packages/primroselever-entry/tests/direct/conftest.py
@@ -86,7 +86,11 @@
         self.disconnects = 0
         self.flood_block = FLOOD_BLOCK
         self.flood_bytes = 0
-        eventlet.spawn(self.run)
+        self.acceptor = eventlet.spawn(self.run)
+
+    def close(self) -> None:
+        self.acceptor.kill()
+        self.socket.close()
 
     def run(self) -> None:
         while True:
@@ -255,6 +259,13 @@
     def connect(self):
         return eventlet.connect(self.address)
 
+    def close(self) -> None:
+        """Close all sockets, for tests that make many entries."""
+        self.server.stop_accepting()
+        self.flow.pool.close_removed_servers(())
+        for backend in self.backends:
+            backend.close()
+
     def send(
         self, path: str = "/read/x", *, method="GET", body=b"", headers=()
     ) -> bytes:
--- a/packages/primroselever-entry/tests/direct/test_resumed_streams.py
+++ b/packages/primroselever-entry/tests/direct/test_resumed_streams.py
@@ -7,6 +7,7 @@
 import pytest
 
 from primroselever_core.catalogue.model import RouteKind
+from primroselever_core.dispatch.retry_share import RetryLimits
 
 from .conftest import (
     CLOSE,
@@ -308,3 +309,11 @@
     assert response.endswith(STREAM_END)
     assert response.count(chunk(lines)) == 3
     assert all(event in response for event in EVENTS)
+
+
+# Guards against an error, or an end that looks complete, if no retry is left.
+def test_stream_is_cut_off_if_no_retry_is_left(entry):
+    entry.flow.limits = replace(entry.flow.limits, retries=RetryLimits(0.0, 0.0, 10.0))
+    _, second = add_servers(entry, broken(EVENTS[:2]), GOOD)
+    assert_cut_off_after(ask(entry), EVENTS[:2])
+    assert second.requests == []
