--- a/packages/primroselever-entry/src/primroselever_entry/direct/request_state.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/request_state.py
@@ -7,6 +7,8 @@
 
 from primroselever_core.dispatch.urgent_work import DEFAULT_URGENCY
 
+from .event_stream import EventIds
+
 if TYPE_CHECKING:
     from primroselever_core.catalogue.model import Route
     from primroselever_core.catalogue.routes import RouteTable
@@ -25,10 +27,11 @@
     ``deadline`` is when the route or the caller abandons it, ``objective_at`` when the
     first event is due, and ``late`` whether that time had already passed when the
     request arrived. ``silent_sender`` is the attempt whose back end fell silent; its
-    connection stays open until another back end answers. ``released_bytes`` counts the
-    bytes of a body that were forwarded, ``event_forwarded`` whether an event was among
-    them, and ``last_event_id`` is that of the last event, after which another back end
-    resumes the stream. Once a part of a plain answer was forwarded,
+    connection stays open until another back end answers. ``forwarded_format`` is the
+    content format in the head that was forwarded. ``released_bytes`` counts the bytes
+    of a body that were forwarded, ``event_forwarded`` whether an event was among
+    them, and ``event_ids`` are those of these events; after the last one another back
+    end resumes the stream. Once a part of a plain answer was forwarded,
     ``plain_part_forwarded``, no other answer can replace it. ``workspace_regions`` are
     the allowed regions of the workspace at the time of admission, and ``admitted_by``
     is the table of routes then. ``priority`` is that of the workspace, or of the route
@@ -46,10 +49,11 @@
     tried_server_ids: list[str] = field(default_factory=list)
     attempts: list[Attempt] = field(default_factory=list)
     head_forwarded: bool = False
+    forwarded_format: tuple[bytes, bytes] = (b"", b"")
     plain_part_forwarded: bool = False
     released_bytes: int = 0
     event_forwarded: bool = False
-    last_event_id: bytes = b""
+    event_ids: EventIds = field(default_factory=EventIds)
     may_have_run: bool = False
     first_event_at: float | None = None
     last_event_at: float = 0.0
@@ -60,3 +64,8 @@
     priority: int = 0
     urgency: int = DEFAULT_URGENCY
     terms: AdmissionTerms | None = None
+
+    @property
+    def last_event_id(self) -> bytes:
+        """Return the identifier after which the stream resumes, empty without one."""
+        return self.event_ids.last_id if self.event_ids.ends_with_id else b""
--- a/packages/primroselever-entry/src/primroselever_entry/direct/response_body.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/response_body.py
@@ -17,7 +17,7 @@
     header,
 )
 
-from .event_stream import EventBuffer
+from .event_stream import EventBuffer, WrongEventsError
 
 if TYPE_CHECKING:
     from primroselever_core.dispatch.buffers import BufferAccount, BufferLimits
@@ -45,11 +45,14 @@
     The body of a stream.
 
     Complete events are forwarded if another back end may resume the stream, and
-    otherwise all bytes. ``events`` holds the incomplete event. ``ahead`` holds parts
-    that arrived after a silence and are not added yet, and ``events_ahead`` the events
-    after them.
+    otherwise all bytes. ``events`` holds the incomplete event. ``follows_run`` is set
+    if bytes of another run were forwarded, and ``is_joined`` once an event was found to
+    continue it. ``ahead`` holds parts that arrived after a silence and are not added
+    yet, and ``events_ahead`` the events after them.
     """
 
+    follows_run: bool = False
+    is_joined: bool = False
     events: EventBuffer = field(default_factory=EventBuffer)
     ahead: deque[bytes | ResponseEnd] = field(default_factory=deque)
     events_ahead: EventBuffer = field(default_factory=EventBuffer)
@@ -98,7 +101,9 @@
 ) -> StreamBody | PlainBody:
     """Return the empty body of a response to a request."""
     if state.route.kind is RouteKind.STREAMING and head.status_code == 200:
-        return StreamBody(state, limits, Buffer(account))
+        return StreamBody(
+            state, limits, Buffer(account), follows_run=state.head_forwarded
+        )
     return PlainBody(state, limits, Buffer(account))
 
 
@@ -111,7 +116,6 @@
 @accept_part.register(StreamBody)
 def _(body: StreamBody, data: bytes) -> bytes:
     """Return complete events, or all bytes if the stream may not be resumed."""
-    completed = body.events.release_count
     events = body.events.feed(data)
     partial_bytes = len(body.events.partial_event)
     if partial_bytes > body.limits.event_bytes:
@@ -121,14 +125,35 @@
     state = body.state
     if not state.route.resumable:
         return data
-    if body.events.release_count > completed:
+    if body.follows_run and not body.is_joined:
+        events = join_events(body, events)
+    if body.events.completed:
         # After comments alone, a silent back end may still resume.
         state.released_bytes += len(events)
-    state.event_forwarded = state.event_forwarded or body.events.released_any
-    state.last_event_id = body.events.last_event_id or state.last_event_id
+        state.event_forwarded = True
+    for event in body.events.completed:
+        state.event_ids.add(event.identifier)
     return events
 
 
+def join_events(body: StreamBody, events: bytes) -> bytes:
+    """
+    Return what may follow the events of another run, nothing before the first event.
+
+    What precedes it, such as comments or a byte order mark, belongs to the beginning of
+    a stream. Raise ``WrongEventsError`` if the event is not the next one: the caller
+    would get events twice, or miss some.
+    """
+    if not body.events.completed:
+        return b""
+    first = body.events.completed[0]
+    state = body.state
+    if state.event_forwarded and not state.event_ids.follows(first.identifier):
+        raise WrongEventsError("the events do not go on after the last one")
+    body.is_joined = True
+    return events[first.start :]
+
+
 @accept_part.register(PlainBody)
 def _(body: PlainBody, data: bytes) -> bytes:
     """Return nothing up to the limit, and then what was kept and all that follows."""
@@ -156,11 +181,20 @@
 
 @check_end.register(StreamBody)
 def _(body: StreamBody, head: ResponseHead) -> None:
-    """Raise an error inside an event, or if the connection ended before any event."""
+    """
+    Raise an error inside an event, or before any event if that may be too early.
+
+    That is so if the connection ended, or if the stream is to be resumed: an empty
+    answer does not show that the last event had been sent before.
+    """
     if body.events.is_inside_event():
         raise BrokenExchangeError("the stream ended inside an event")
-    if head.framing is Framing.CONNECTION and not body.events.released_any:
+    if body.events.released_any:
+        return
+    if head.framing is Framing.CONNECTION:
         raise BrokenExchangeError("the stream ended before its first event")
+    if body.follows_run:
+        raise WrongEventsError("the stream ended without going on")
 
 
 @singledispatch
@@ -203,6 +237,13 @@
     return b""
 
 
+def content_format(head: ResponseHead) -> tuple[bytes, bytes]:
+    """Return the media type without parameters, and the encoding, of a body."""
+    media_type = header(head.headers, b"content-type").partition(b";")[0]
+    encoding = header(head.headers, b"content-encoding")
+    return media_type.strip().lower(), encoding.strip().lower()
+
+
 def is_bodiless(head: ResponseHead) -> bool:
     """Return whether the response has no body, as one to HEAD, whatever its length."""
     return head.framing is Framing.NO_BODY
