Follow the protocol of load orders in the soak's engine

Cause: the simulated engine recorded a violation of the rule "whole" when it accepted an order, ignored ranges of layers, repeated orders and stop_mode, answered no order late, and took a second corruption of a piece for the first one. It could show neither a load that an agent drops in time nor one whose order is accepted later. Change: soak/engines.py has the engine, its staging area and four layers. A load records the pieces that were bad when its order was accepted. The rule "whole" is violated by an event of a stream that is generated with such a layer; it allows a bad load that generates nothing because it is dropped and loaded again. Counted are bad loads, those dropped unused, and the events generated with bad ones. A new rule, "staged over", is violated by an agent that replaces the staged pieces of an order of its own that may still be accepted. At the end of a soak, an engine with a bad load has not recovered. FaultContext is in a module of its own.

--- a/soak/backends.py
+++ b/soak/backends.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import hashlib
 import itertools
 import json
@@ -9,7 +10,6 @@
 import socket
 import time
 from contextlib import suppress
-from enum import StrEnum
 from typing import TYPE_CHECKING, Any
 
 import eventlet
@@ -23,10 +23,10 @@
     not_found,
 )
 
-from .ledger import Arrival, ColdStart, Run, make_event
+from .ledger import Arrival, ColdStart, Run
 
 if TYPE_CHECKING:
-    from collections.abc import Generator, Iterable
+    from collections.abc import Iterable
 
     from primroselever_node.http import StartResponse
 
@@ -36,25 +36,9 @@
 PIECE_BYTES = 4096
 SLOTS = 8
 QUEUE_LENGTH = 8
-EVENT_INTERVAL_S = 0.03
 PLAIN_RUN_S = 0.1
-LOAD_DURATION_S = 0.2
-MODEL_NAME = "m"
-ENDLESS_BLOCK = b"x" * 65536
-ENDLESS_BLOCK_COUNT = 1600  # 100 MiB, much more than all buffers may hold
 RETRY_AFTER_S = 3  # in the refusals of a closed back end
 COLD_START_S = 3.0
-# A piece that was corrupted this recently may have been verified before.
-CORRUPTION_GRACE_S = 3.0
-
-
-class UnframedEnd(StrEnum):
-    """How a response ends that has neither a length nor chunks."""
-
-    WHOLE = "whole"
-    INSIDE = "inside an event"
-    EMPTY = "before the first event"
-    ENDLESS = "an event without end"
 
 
 class UnframedResponse(Exception):  # noqa: N818
@@ -69,9 +53,16 @@
     """Raised to close the connection of a request without an answer after a crash."""
 
 
+@functools.cache
 def make_piece(version: int, index: int) -> bytes:
     """Return the bytes of a piece of a weights version."""
-    return random.Random(version * 1000 + index).randbytes(PIECE_BYTES)
+    content = random.Random(version * 1000 + index).randbytes(PIECE_BYTES - 4)
+    return version.to_bytes(4) + content
+
+
+def piece_version(data: bytes) -> int:
+    """Return the version to which the bytes of a piece belong, if they are valid."""
+    return int.from_bytes(data[:4])
 
 
 class Origin(StandIn):
@@ -281,156 +272,3 @@
             raise UnframedResponse(Reply("200 OK", [run.body], headers))
         headers.append(("Content-Length", str(len(run.body))))
         return Reply("200 OK", [run.body], headers)
-
-
-class ModelServer(Backend):
-    """A model server whose staging area survives crashes."""
-
-    def __init__(self, ledger: Ledger, address: tuple[str, int], domain: str) -> None:
-        self.staged_pieces = {
-            index: make_piece(1, index) for index in range(PIECE_COUNT)
-        }
-        self.corrupted_at: dict[int, float] = {}
-        super().__init__(ledger, address, domain)
-        self.version = 1
-
-    def restart(self) -> None:
-        """Start a new incarnation without loaded weights."""
-        super().restart()
-        self.version = 0
-        self.loaded_at = 0.0
-        self.loading = False
-        self.order_count = 0
-
-    def corrupt_piece(self, index: int) -> None:
-        """Corrupt a staged piece."""
-        if index in self.staged_pieces:
-            self.staged_pieces[index] = b"rot" + self.staged_pieces[index][3:]
-            self.corrupted_at[index] = time.monotonic()
-
-    def answer(self, request: Request) -> Reply:
-        """Handle a command of the agent, or run a request."""
-        if self.down:
-            raise CrashedError
-        if not request.path.startswith(("/stream/", "/batch/")):
-            self.wait_while_silent()
-        if request.path == "/report":
-            return json_reply(self.make_report())
-        if request.path == "/order":
-            return self.handle_order(request.json())
-        if request.path.startswith("/stage-put/"):
-            index = int(request.query["num"])
-            self.staged_pieces[index] = request.body
-            self.corrupted_at.pop(index, None)
-            return json_reply({})
-        if request.path.startswith("/stage-get/"):
-            return self.handle_stage_get(request)
-        return self.run_stream(request)
-
-    def make_report(self) -> dict[str, Any]:
-        """Return the load and loaded weights in the format of the server protocol."""
-        models = [{"name": MODEL_NAME, "version": self.version}] if self.version else []
-        load = self.running + self.occupied
-        return {
-            "born": self.born_ms,
-            "models": models,
-            "busy": self.loading,
-            "seq": self.order_count,
-            "running": min(load, SLOTS),
-            "queued": max(0, load - SLOTS),
-            "pace": 1.0,
-        }
-
-    def handle_stage_get(self, request: Request) -> Reply:
-        """Return a staged piece, or the list of staged pieces."""
-        if "num" not in request.query:
-            return json_reply({"held": sorted(self.staged_pieces)})
-        data = self.staged_pieces.get(int(request.query["num"]))
-        return not_found() if data is None else bytes_reply(data)
-
-    def handle_order(self, order: dict[str, Any]) -> Reply:
-        """Start loading the staged weights, unless the order conflicts with another."""
-        if order.get("op") != "start":
-            return json_reply({}, "400 Bad Request")
-        if (
-            self.loading
-            or order.get("precondition", self.order_count) != self.order_count
-        ):
-            return json_reply({}, "409 Conflict")
-        self.order_count += 1
-        self.loading = True
-        self.check_staged_pieces(int(order["version"]))
-        eventlet.spawn(self.load_weights, int(order["version"]), self.server_id)
-        return json_reply({}, "202 Accepted")
-
-    def check_staged_pieces(self, version: int) -> None:
-        """Record a violation for each piece that does not match the version."""
-        now = time.monotonic()
-        for index in range(PIECE_COUNT):
-            if self.staged_pieces.get(index) == make_piece(version, index):
-                continue
-            if now - self.corrupted_at.get(index, 0.0) > CORRUPTION_GRACE_S:
-                self.ledger.record_violation(
-                    "whole", f"{self.server_id}: piece {index} of version {version}"
-                )
-
-    def load_weights(self, version: int, server_id: str) -> None:
-        """Load a version once no runs are left, unless the back end crashes."""
-        while self.running and server_id == self.server_id:
-            eventlet.sleep(0.01)
-        eventlet.sleep(LOAD_DURATION_S)
-        if server_id == self.server_id:
-            self.version, self.loading = version, False
-            self.loaded_at = time.monotonic()
-
-    def run_stream(self, request: Request) -> Reply:
-        """Run a request whose path ends with the number of its last event."""
-        refusal = self.check_admission(request)
-        if refusal is not None:
-            return refusal
-        if self.loading or not self.version:
-            return self.refuse(request, "503 Service Unavailable")
-        expected_version = request.headers.get("Expect-Version")
-        if expected_version is not None and int(expected_version) != self.version:
-            return self.refuse(request, "421 Misdirected Request")
-        run = self.begin_run(request)
-        headers = [
-            *self.make_headers(request, run),
-            ("Content-Type", "text/event-stream"),
-        ]
-        if time.monotonic() < self.unframed_until:
-            end = random.Random(run.seal).choice(list(UnframedEnd))
-            events = self.stream_unframed_events(request, run, end)
-            raise UnframedResponse(Reply("200 OK", events, headers))
-        return Reply("200 OK", self.stream_events(request, run), headers)
-
-    def stream_unframed_events(
-        self, request: Request, run: Run, end: UnframedEnd
-    ) -> Generator[bytes, None, None]:
-        """Yield some of the events and then what comes before the given end."""
-        events = self.stream_events(request, run)
-        self.ledger.counts[f"unframed: {end}"] += 1
-        if end is UnframedEnd.WHOLE:
-            yield from events
-            return
-        run.interrupted = True
-        event = next(events, b"")
-        if end is not UnframedEnd.EMPTY:
-            yield event
-            yield next(events, event)[: len(event) // 2]
-        events.close()
-        if end is UnframedEnd.ENDLESS:
-            # A link goes on reading after an entry has closed its side.
-            yield from itertools.repeat(ENDLESS_BLOCK, ENDLESS_BLOCK_COUNT)
-
-    def stream_events(self, request: Request, run: Run) -> Generator[bytes, None, None]:
-        """Yield the events after ``Last-Event-Id`` up to the requested last one."""
-        request_id = request.headers["Request-Id"]
-        last = int(request.path.rsplit("/", 1)[1])
-        first = int(request.headers.get("Last-Event-Id", "0")) + 1
-        try:
-            for number in range(first, last + 1):
-                self.simulate_work(run, EVENT_INTERVAL_S)
-                yield make_event(request_id, number)
-        finally:
-            self.running = max(0, self.running - 1)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -9,7 +9,8 @@
 
 import eventlet
 
-from .backends import SLOTS, ModelServer
+from .backends import SLOTS
+from .engines import ModelServer
 from .fleet import HOST_NAME, ROUTE_TIMEOUT_S, WORKSPACE_BY_API_KEY
 from .ledger import (
     CONFIGURATION_LIMIT_S,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,8 +9,6 @@
 
 import signal
 import time
-from collections import Counter
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import eventlet
@@ -23,9 +21,9 @@
     PIECE_COUNT,
     QUEUE_LENGTH,
     SLOTS,
-    ModelServer,
     PlainServer,
 )
+from .engines import ModelServer
 from .fleet import DOMAINS
 from .ledger import (
     CONFIGURATION_LIMIT_S,
@@ -40,17 +38,13 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from random import Random
 
     from .backends import Backend
-    from .callers import Prober
-    from .fleet import Fleet, Vm
+    from .fault_context import FaultContext
+    from .fleet import Vm
     from .ledger import Ledger
 
-MAX_FAULT_DURATION_S = 2.5
 RESTART_DELAY_S = 0.3
-BUSY_S = 2.0  # the time in which requests are counted to find the busiest back end
-SERIES_S = 3.0  # between two faults of one target that count as a series
 BACKEND_DOWN_S = 1.0
 LINK_DELAY_S = 0.3
 # A back end drains for this long, then up to as long again while it has runs.
@@ -75,68 +69,6 @@
 OCCUPYING_REQUESTS = SLOTS + QUEUE_LENGTH - 2
 
 
-@dataclass(slots=True)
-class FaultContext:
-    """
-    The fleet and the seeded random generator that faults use.
-
-    ``prefers_busy`` selects the back ends that received most requests lately.
-    """
-
-    fleet: Fleet
-    ledger: Ledger
-    prober: Prober
-    random: Random
-    prefers_busy: bool = False
-
-    def draw_duration_s(self) -> float:
-        """Return a random fault duration in seconds."""
-        return 0.2 + (MAX_FAULT_DURATION_S - 0.2) * self.random.random()
-
-    def record_fault(
-        self, kind: str, target: str, planned: bool = False
-    ) -> FaultPeriod:
-        """Record a fault that begins now; the caller sets the end of the period."""
-        period = FaultPeriod(kind, target, time.monotonic(), planned=planned)
-        earlier_periods = self.ledger.fault_periods
-        if any(earlier.end > period.start for earlier in earlier_periods):
-            self.ledger.counts["overlapping faults"] += 1
-        if any(
-            target == earlier.target and earlier.end > period.start - SERIES_S
-            for earlier in earlier_periods
-        ):
-            self.ledger.counts["faults in series"] += 1
-        self.ledger.fault_periods.append(period)
-        self.ledger.counts[f"fault {kind}"] += 1
-        return period
-
-    def choose_vm(self, role: str = "") -> Vm | None:
-        """Return a random VM that is not being stopped, or None if there is none."""
-        candidates = [
-            vm
-            for vm in self.fleet.vms.values()
-            if role in ("", vm.role) and not vm.stopping
-        ]
-        return self.random.choice(candidates) if candidates else None
-
-    def choose_backend(self, server_class: type[Backend]) -> str:
-        """Return the name of a listed back end of a class."""
-        backends = {
-            name: self.fleet.backends[name]
-            for name in sorted(self.fleet.listed_server_ids)
-            if isinstance(self.fleet.backends[name], server_class)
-        }
-        if not self.prefers_busy:
-            return self.random.choice(list(backends))
-        since = time.monotonic() - BUSY_S
-        arrival_counts = Counter(
-            arrival.server_id
-            for arrival in self.ledger.arrivals
-            if arrival.arrived_at > since
-        )
-        return max(backends, key=lambda name: arrival_counts[backends[name].server_id])
-
-
 def kill_program(context: FaultContext) -> None:
     """Kill a random program and restart it."""
     vm = context.choose_vm()
@@ -549,7 +481,7 @@
     publish_configuration(context)
 
 
-def publish_weights_version(context: FaultContext) -> None:
+def publish_version(context: FaultContext) -> None:
     """Publish the next version of the weights."""
     period = context.record_fault("version", "", planned=True)
     context.fleet.publish_weights_version(context.fleet.weights_version + 1)
@@ -565,7 +497,7 @@
     ]
     engine = context.random.choice(engines)
     period = context.record_fault("rot", engine.server_id)
-    engine.corrupt_piece(context.random.randrange(PIECE_COUNT))
+    engine.area.corrupt(context.random.randrange(PIECE_COUNT))
     period.end = time.monotonic()
 
 
@@ -591,17 +523,20 @@
     move_home: 0.5,
     start_cold_server: 0.5,
     occupy_engines: 0.5,
-    publish_weights_version: 0.7,
+    publish_version: 0.7,
     corrupt_piece: 1.0,
 }
-PLANNED_OPERATIONS = (
-    terminate_program,
-    reload_settings,
-    publish_configuration,
-    move_home,
-    publish_weights_version,
-    drain_backend,
-)
+PLANNED_FREQUENCIES: dict[Callable[[FaultContext], None], float] = {
+    fault: FAULT_FREQUENCIES[fault]
+    for fault in (
+        terminate_program,
+        reload_settings,
+        publish_configuration,
+        move_home,
+        publish_version,
+        drain_backend,
+    )
+}
 
 
 def wait_until_in_touch(context: FaultContext) -> None:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -22,13 +22,12 @@
 
 from .backends import (
     COLD_START_S,
-    MODEL_NAME,
     QUEUE_LENGTH,
     SLOTS,
-    ModelServer,
     Origin,
     PlainServer,
 )
+from .engines import MODEL_NAME, ModelServer
 from .ledger import Evacuation, Home
 from .load_checks import COLD_OVERAGE, COLD_PER_S, COLD_SLACK, PRIORITIES
 from .platform_store import PlatformStore
@@ -195,14 +194,16 @@
         self, suffix: str, host: str, shared_settings: dict[str, Any]
     ) -> None:
         """Add the VM of an agent that manages an engine."""
-        name = f"agent-{suffix}"
+        name, engine = f"agent-{suffix}", self.backends[f"engine-{suffix}"]
+        if isinstance(engine, ModelServer):
+            engine.agent = name
         settings = {
             **shared_settings,
             "vm_id": name,
             "host": host,
             "admin_port": find_free_port("tcp"),
             "store": format_address(self.store_address),
-            "engine": format_address(self.backends[f"engine-{suffix}"].address),
+            "engine": format_address(engine.address),
             "service": "gen",
         }
         self.vms[name] = Vm(name, "agent", settings)
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,11 +11,12 @@
 
 from .back_end_checks import check_back_ends
 from .callers import Caller, Prober
+from .engines import ModelServer
+from .fault_context import FaultContext
 from .faults import (
     FAULT_FREQUENCIES,
     INITIAL_SEQUENCE,
-    PLANNED_OPERATIONS,
-    FaultContext,
+    PLANNED_FREQUENCIES,
 )
 from .fleet import Fleet
 from .ledger import Ledger
@@ -67,12 +68,16 @@
             )
             for fault in () if self.planned_only else INITIAL_SEQUENCE:
                 fault(first_context)
+            frequencies = [FAULT_FREQUENCIES] * FAULT_SEQUENCE_COUNT
+            if self.planned_only:
+                frequencies = [PLANNED_FREQUENCIES] * FAULT_SEQUENCE_COUNT
             fault_tasks = [
                 eventlet.spawn(
                     self.inject_faults,
                     FaultContext(fleet, self.ledger, prober, Random(random.random())),
+                    each,
                 )
-                for _ in range(FAULT_SEQUENCE_COUNT)
+                for each in frequencies
             ]
             for fault_task in fault_tasks:
                 fault_task.wait()
@@ -101,16 +106,17 @@
                 )
             eventlet.sleep(0.1)
 
-    def inject_faults(self, context: FaultContext) -> None:
+    def inject_faults(
+        self,
+        context: FaultContext,
+        frequencies: dict[Callable[[FaultContext], None], float],
+    ) -> None:
         """Inject random faults in series for ``fault_duration_s``."""
-        faults: list[Callable[[FaultContext], None]] = list(FAULT_FREQUENCIES)
-        if self.planned_only:
-            faults = list(PLANNED_OPERATIONS)
-        frequencies = [FAULT_FREQUENCIES[fault] for fault in faults]
+        faults, weights = list(frequencies), list(frequencies.values())
         deadline = time.monotonic() + self.fault_duration_s
         while time.monotonic() < deadline:
             eventlet.sleep(2 * MEAN_PAUSE_BETWEEN_FAULTS_S * context.random.random())
-            context.random.choices(faults, frequencies)[0](context)
+            context.random.choices(faults, weights)[0](context)
 
     def check_recovery(self, fleet: Fleet, fault_free_since: float) -> None:
         """Check that requests, processes and weights have recovered from the faults."""
@@ -123,8 +129,11 @@
             if vm.process is None or vm.process.poll() is not None:
                 self.ledger.record_violation("ended", f"{vm.name} exited unexpectedly")
         for name, backend in fleet.backends.items():
-            version = getattr(backend, "version", fleet.weights_version)
-            if version != fleet.weights_version:
+            if not isinstance(backend, ModelServer):
+                continue
+            if backend.version != fleet.weights_version:
                 self.ledger.record_violation(
-                    "recover", f"{name} serves weights version {version}"
+                    "recover", f"{name} serves weights version {backend.version}"
                 )
+            if any(load.bad_pieces for load in backend.layers.values()):
+                self.ledger.record_violation("recover", f"{name} serves bad weights")
--- a/soak/tests/test_unframed.py
+++ b/soak/tests/test_unframed.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from soak.backends import UnframedEnd
+from soak.engines import UnframedEnd
 from soak.faults import MAX_GROWTH_BYTES, check_growth
 from soak.ledger import Attempt, Ledger, Run, make_event
 from soak.mutants import MUTANTS
