Disturb the loads of engines in the soak

Cause: no fault of the soak lay between the check of an engine's staged pieces and the load. Change: soak/load_faults.py corrupts three pieces of an engine at the moment at which its agent has read the whole area back, or at which an order arrives, and at that moment stops the agent, kills it, pauses the engine, holds the order, loses its answer or publishes a newer version. Random load faults come in a third sequence with delays of 1.5 to 4.5 s.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -35,6 +35,7 @@
     NamedLimit,
 )
 from .load_checks import SHORTAGE
+from .load_faults import disturb_loads, disturb_random_load, publish_version
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -481,13 +482,6 @@
     publish_configuration(context)
 
 
-def publish_version(context: FaultContext) -> None:
-    """Publish the next version of the weights."""
-    period = context.record_fault("version", "", planned=True)
-    context.fleet.publish_weights_version(context.fleet.weights_version + 1)
-    period.end = time.monotonic()
-
-
 def corrupt_piece(context: FaultContext) -> None:
     """Corrupt a staged piece of a random engine."""
     engines = [
@@ -526,6 +520,10 @@
     publish_version: 0.7,
     corrupt_piece: 1.0,
 }
+# These have a sequence of their own, so that the others are drawn for a seed as before.
+LOAD_FAULT_FREQUENCIES: dict[Callable[[FaultContext], None], float] = {
+    disturb_random_load: 1.0
+}
 PLANNED_FREQUENCIES: dict[Callable[[FaultContext], None], float] = {
     fault: FAULT_FREQUENCIES[fault]
     for fault in (
@@ -562,4 +560,5 @@
     leave_in_outage,
     silence_plain_server,
     evacuate_domain,
+    disturb_loads,
 )
--- a/soak/run.py
+++ b/soak/run.py
@@ -16,6 +16,7 @@
 from .faults import (
     FAULT_FREQUENCIES,
     INITIAL_SEQUENCE,
+    LOAD_FAULT_FREQUENCIES,
     PLANNED_FREQUENCIES,
 )
 from .fleet import Fleet
@@ -69,6 +70,7 @@
             for fault in () if self.planned_only else INITIAL_SEQUENCE:
                 fault(first_context)
             frequencies = [FAULT_FREQUENCIES] * FAULT_SEQUENCE_COUNT
+            frequencies.append(LOAD_FAULT_FREQUENCIES)
             if self.planned_only:
                 frequencies = [PLANNED_FREQUENCIES] * FAULT_SEQUENCE_COUNT
             fault_tasks = [
