Add mutants of the soak that load unverified weights

Cause: no mutant showed that the soak detects an agent that trusts a load without proof, orders one without any check, or stages the next version over an order on its way. Change: the mutants load-unproven, load-unchecked and stage-over-order replace the methods prove_load, verify_before_order (until then repair_staging) and resolve_pending_order of the agent's filling controller by nothing. The present agent has only repair_staging, so that the first and the last mutant are the present program.

--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -175,6 +175,30 @@
     AdmissionPolicy.differs = lambda self, service: False  # type: ignore[method-assign]
 
 
+def replace_filling(*names: str) -> None:
+    """Make methods of the agent's filling controller do nothing, if it has them."""
+    from primroselever_agent.direct.filling import FillingController
+
+    for name in names:
+        setattr(FillingController, name, lambda self, *args, **options: None)
+
+
+def load_unproven() -> None:
+    """Trust a load without reading the staged pieces after its order was accepted."""
+    replace_filling("prove_load")
+
+
+def load_unchecked() -> None:
+    """Order a load and trust it without reading the staged pieces at all."""
+    # The first name is that of the check before prove_load exists.
+    replace_filling("repair_staging", "verify_before_order", "prove_load")
+
+
+def stage_over_order() -> None:
+    """Stage the next version although an order may still be accepted."""
+    replace_filling("resolve_pending_order")
+
+
 MUTANTS = {
     "retry-after-send": retry_after_send,
     "configuration-back": configuration_back,
@@ -192,6 +216,9 @@
     "ignores-homes": ignores_homes,
     "ignores-cold-servers": ignores_cold_servers,
     "ignores-priorities": ignores_priorities,
+    "load-unproven": load_unproven,
+    "load-unchecked": load_unchecked,
+    "stage-over-order": stage_over_order,
 }
 
 
