Give each port of the soak's programs only once

The kernel had offered this port for four listeners of one entry. Change: a port that was assigned before is drawn again.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -56,6 +56,8 @@
     "batch": 6.0,
     "home": 1.5,
 }
+# The kernel often offers the same port again while few are free.
+ASSIGNED_PORTS: set[int] = set()
 ROOT = Path(__file__).resolve().parent.parent
 
 
@@ -449,8 +451,12 @@
 
 
 def find_free_port(protocol: str) -> int:
-    """Return a port that is currently free for TCP or UDP."""
+    """Return a port that is currently free for TCP or UDP, each port only once."""
     socket_type = socket.SOCK_DGRAM if protocol == "udp" else socket.SOCK_STREAM
-    with socket.socket(socket.AF_INET, socket_type) as sock:
-        sock.bind(("0.0.0.0", 0))
-        return int(sock.getsockname()[1])
+    while True:
+        with socket.socket(socket.AF_INET, socket_type) as sock:
+            sock.bind(("0.0.0.0", 0))
+            port = int(sock.getsockname()[1])
+        if port not in ASSIGNED_PORTS:
+            ASSIGNED_PORTS.add(port)
+            return port
