Test that an engine with bad weights has not recovered

Cause: no test showed that the check at the end of a soak regards the load, not only the version. Change: a test of the check with an engine that loaded the newest version from pieces that were corrupt for 1 s and for 10 s.

--- a/soak/tests/test_load_faults.py
+++ b/soak/tests/test_load_faults.py
@@ -4,6 +4,7 @@
 
 import json
 import signal
+import time
 from random import Random
 from typing import TYPE_CHECKING, Any
 
@@ -14,11 +15,12 @@
 from soak import load_faults
 from soak.backends import PIECE_COUNT, CrashedError, make_piece
 from soak.callers import Prober
-from soak.engines import ModelServer
+from soak.engines import CORRUPTION_GRACE_S, ModelServer, Moment
 from soak.fault_context import FaultContext
 from soak.fleet import DOMAINS, ENGINES_PER_DOMAIN, Fleet, Vm
 from soak.ledger import Ledger
 from soak.load_faults import CORRUPTED_PIECES, LOAD_FAULTS, ROUNDS, LoadFault
+from soak.run import Soak
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -126,6 +128,33 @@
     assert engine.ledger.counts["load faults not met"] == 1
 
 
+@pytest.mark.parametrize("corrupted_for_s", [1.0, 10.0])
+def test_an_engine_recovers_by_a_good_load_of_the_newest_version(
+    context: FaultContext, engine: ModelServer, corrupted_for_s: float
+) -> None:
+    """The newest version counts for nothing if it was loaded from corrupt pieces."""
+    soak = Soak(1, 0.0, ledger=engine.ledger)
+    del context.fleet.vms["agent-a-1"]
+    soak.check_recovery(context.fleet, 0.0)
+    assert found_in_recovery(engine) == ["engine-a-1 serves weights version 1"]
+    corrupted_at = time.monotonic() - corrupted_for_s
+    engine.hooks[Moment.ORDERED] = lambda: engine.area.corrupted_at.update(
+        {3: corrupted_at}
+    )
+    fill(engine)
+    while engine.loading is not None:
+        eventlet.sleep(0.01)
+    engine.ledger.violations.clear()
+    soak.check_recovery(context.fleet, 0.0)
+    is_bad = corrupted_for_s > CORRUPTION_GRACE_S
+    assert found_in_recovery(engine) == ["engine-a-1 serves bad weights"] * is_bad
+
+
+def found_in_recovery(engine: ModelServer) -> list[str]:
+    """Return what was found of engines; no request was sent, so none was served."""
+    return [each.details for each in engine.ledger.violations[1:]]
+
+
 def test_each_engine_has_one_fault_of_each_round() -> None:
     engine_count = len(DOMAINS) * ENGINES_PER_DOMAIN
     assert [len(faults) for faults in ROUNDS] == [engine_count] * len(ROUNDS)
