--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -22,13 +22,12 @@
 
 from .backends import (
     COLD_START_S,
-    MODEL_NAME,
     QUEUE_LENGTH,
     SLOTS,
-    ModelServer,
     Origin,
     PlainServer,
 )
+from .engines import MODEL_NAME, ModelServer
 from .ledger import Evacuation, Home
 from .load_checks import COLD_OVERAGE, COLD_PER_S, COLD_SLACK, PRIORITIES
 from .platform_store import PlatformStore
@@ -57,6 +56,8 @@
     "batch": 6.0,
     "home": 1.5,
 }
+# The kernel often offers the same port again while few are free.
+ASSIGNED_PORTS: set[int] = set()
 ROOT = Path(__file__).resolve().parent.parent
 
 
@@ -195,14 +196,16 @@
         self, suffix: str, host: str, shared_settings: dict[str, Any]
     ) -> None:
         """Add the VM of an agent that manages an engine."""
-        name = f"agent-{suffix}"
+        name, engine = f"agent-{suffix}", self.backends[f"engine-{suffix}"]
+        if isinstance(engine, ModelServer):
+            engine.agent = name
         settings = {
             **shared_settings,
             "vm_id": name,
             "host": host,
             "admin_port": find_free_port("tcp"),
             "store": format_address(self.store_address),
-            "engine": format_address(self.backends[f"engine-{suffix}"].address),
+            "engine": format_address(engine.address),
             "service": "gen",
         }
         self.vms[name] = Vm(name, "agent", settings)
@@ -448,8 +451,12 @@
 
 
 def find_free_port(protocol: str) -> int:
-    """Return a port that is currently free for TCP or UDP."""
+    """Return a port that is currently free for TCP or UDP, each port only once."""
     socket_type = socket.SOCK_DGRAM if protocol == "udp" else socket.SOCK_STREAM
-    with socket.socket(socket.AF_INET, socket_type) as sock:
-        sock.bind(("0.0.0.0", 0))
-        return int(sock.getsockname()[1])
+    while True:
+        with socket.socket(socket.AF_INET, socket_type) as sock:
+            sock.bind(("0.0.0.0", 0))
+            port = int(sock.getsockname()[1])
+        if port not in ASSIGNED_PORTS:
+            ASSIGNED_PORTS.add(port)
+            return port
