Let the soak's mutants replace the verification of loads

Cause: the mutants were written before the methods that they replace, and would have done nothing. Change: they trust loads unread, order them unread, or stage while an order may be accepted, and fail if a method is missing.

--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -15,6 +15,9 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
+    from primroselever_agent.direct.filling import FillingController
+    from primroselever_core.filling.loads import LoadOrder
+    from primroselever_core.filling.pieces import Staging
     from primroselever_node.direct.responses import ResponseHead
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -175,28 +178,38 @@
     AdmissionPolicy.differs = lambda self, service: False  # type: ignore[method-assign]
 
 
-def replace_filling(*names: str) -> None:
-    """Make methods of the agent's filling controller do nothing, if it has them."""
-    from primroselever_agent.direct.filling import FillingController
-
-    for name in names:
-        setattr(FillingController, name, lambda self, *args, **options: None)
+def trust_unread(controller: FillingController, order: LoadOrder, _: Staging) -> None:
+    """Trust a load as soon as its order was accepted."""
+    controller.loads.trusted = order.load
 
 
 def load_unproven() -> None:
     """Trust a load without reading the staged pieces after its order was accepted."""
-    replace_filling("prove_load")
+    from primroselever_agent.direct.filling import FillingController
+
+    assert FillingController.prove_load
+    FillingController.prove_load = trust_unread  # type: ignore[method-assign]
 
 
 def load_unchecked() -> None:
     """Order a load and trust it without reading the staged pieces at all."""
-    # The first name is that of the check before prove_load exists.
-    replace_filling("repair_staging", "verify_before_order", "prove_load")
+    from primroselever_agent.direct.filling import FillingController
+
+    assert FillingController.verify_before_order
+    FillingController.verify_before_order = (  # type: ignore[method-assign]
+        lambda self, wanted, staging: None
+    )
+    load_unproven()
 
 
 def stage_over_order() -> None:
     """Stage the next version although an order may still be accepted."""
-    replace_filling("resolve_pending_order")
+    from primroselever_agent.direct.filling import FillingController
+
+    assert FillingController.waits_for_order
+    FillingController.waits_for_order = (  # type: ignore[method-assign]
+        lambda self, wanted: False
+    )
 
 
 MUTANTS = {
