Keep engines closed for orders of earlier agents and starts

A new process of an agent reported the engine as open although an order of the process before was still on its way; a report of an engine as closed did not count for longer if it came from such a process; and an order that was sent before a crash of the engine was accepted by its next start, which no agent had reported.

--- a/packages/primroselever-agent/src/primroselever_agent/direct/news.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/news.py
@@ -85,7 +85,9 @@
         self.engine_reachable = True
         previous_state = self.state
         self.state = self.last_state = state
-        if self.board.loads.observe(state.load, state.loading, state.layers, writes):
+        if self.board.loads.observe(
+            state.load, state.loading, state.layers, writes, clock.now()
+        ):
             log_decision(
                 "load not verified",
                 f"{state.model}/{state.version}",
@@ -154,7 +156,7 @@
             else max(0, int((closes_at - now) * 1000)),
             memory_used=state.memory_used if self.reports_memory else None,
             memory_total=state.memory_total if self.reports_memory else None,
-            unverified=loads.inherited == state.load or None,
+            unverified=loads.may_be_inherited(state.load, now) or None,
         )
         reported_state = (state.born_ms, state.version, switching, closes_at)
         state_changed = reported_state != self.last_reported_state
--- a/packages/primroselever-agent/tests/direct/simulated_engine.py
+++ b/packages/primroselever-agent/tests/direct/simulated_engine.py
@@ -20,7 +20,12 @@
 
 from primroselever_agent.direct.filling import FillingController
 from primroselever_agent.direct.news import ReportController
-from primroselever_core.dispatch.backend import Backend, EngineReport, keep_closed
+from primroselever_core.dispatch.backend import (
+    Backend,
+    EngineReport,
+    close_new_start,
+    keep_closed,
+)
 from primroselever_core.filling.loads import LayerRange, LoadOrder, OrderAnswer
 from primroselever_core.filling.section import FillingBoard, WantedWeights
 from primroselever_core.identity import Identity
@@ -330,8 +335,8 @@
     def is_open(self) -> bool:
         """Return whether entries send requests to the engine."""
         report = self.report
-        if report is not None and report.born_ms != self.engine.born_ms:
-            report = None  # of an earlier start
+        if report is not None and report.born_ms < self.engine.born_ms:
+            report = close_new_start(report, self.engine.born_ms)
         return not Backend(None, report).switching(clock.now())
 
     def watch(self) -> None:
--- a/packages/primroselever-agent/tests/direct/test_filling.py
+++ b/packages/primroselever-agent/tests/direct/test_filling.py
@@ -110,7 +110,9 @@
             @property
             def state(self):
                 state, loads = engine.engine_state, board.loads
-                loads.observe(state.load, state.loading, state.layers, loads.writes)
+                loads.observe(
+                    state.load, state.loading, state.layers, loads.writes, clock.now()
+                )
                 return state
 
             def report_state(self) -> None:
--- a/packages/primroselever-agent/tests/direct/test_loads.py
+++ b/packages/primroselever-agent/tests/direct/test_loads.py
@@ -271,6 +271,14 @@
         assert_newest_is_served(world)
 
 
+@pytest.mark.parametrize("seed", [10076, 10091, 10201, 20152])
+def test_no_order_of_a_stopped_or_killed_agent_serves_wrong_weights(make_world, seed):
+    # The agent was killed twice, or the engine restarted, before an order was accepted.
+    world = make_world(seed)
+    run_drawn_sequence(world)
+    assert_newest_is_served(world)
+
+
 def test_no_drawn_order_on_its_way_loads_another_version(make_world):
     # The agent staged the next version after an order that timed out.
     for seed in (5, 7, 62):
--- a/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
@@ -347,11 +347,13 @@
     """
     Return a report with the time until which an engine counts as closed.
 
-    A new process of an agent cannot tell whether the one before verified the weights.
-    If that one closed the engine, or reported another version, the engine stays closed.
+    A new process of an agent cannot tell whether the one before verified the weights,
+    or whether an order of that one is still on its way. If that one closed the engine,
+    or reported another version, the engine stays closed.
     """
     if (
         report.unverified
+        and not report.switching
         and previous is not None
         and previous.born_ms == report.born_ms
         and report.received_at <= previous.closed_until
@@ -361,6 +363,27 @@
     return replace(report, closed_until=report.received_at + CLOSED_VALID_S)
 
 
+def close_new_start(report: EngineReport, born_ms: int) -> EngineReport:
+    """
+    Return what an agent's report on an earlier start says about a new start.
+
+    A new start holds no weights. If it is listed with some, its agent ordered them and
+    has not reported yet that they are valid.
+    """
+    return replace(
+        report,
+        born_ms=born_ms,
+        version=0,
+        switching=True,
+        running=0,
+        waiting=0,
+        closes_at=None,
+        memory_used=None,
+        memory_total=None,
+        closed_until=report.received_at + CLOSED_VALID_S,
+    )
+
+
 def find_failing_backends(backends: list[Backend]) -> set[str]:
     """
     Return the identifiers of back ends that fail far more often than the others.
--- a/packages/primroselever-core/src/primroselever_core/dispatch/section.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/section.py
@@ -7,7 +7,7 @@
 
 from ..catalogue.model import ServerState
 from .announcements import AnnouncementsSection, start_of
-from .backend import Backend
+from .backend import Backend, close_new_start
 from .cold_pace import ColdPace
 from .ramps import StartPace, let_through
 
@@ -63,6 +63,8 @@
                 if backend.report is not None:
                     backend.record_memory(backend.report)
                     backend.was_empty = not backend.report.version
+                else:
+                    backend.report = self.close_unreported_start(server)
                 backend.announced = self.announcements.of_start(start_of(server))
             backend.listed = server
         self.announcements.drop_unlisted({start_of(each) for each in listed.values()})
@@ -108,6 +110,13 @@
         report = self.reports.get(server.address)
         return report if report is not None and is_same_start(server, report) else None
 
+    def close_unreported_start(self, server: ListedServer) -> EngineReport | None:
+        """Return a report that closes a start after the one that was reported last."""
+        report = self.reports.get(server.address)
+        if report is None or report.born_ms >= server.born_ms:
+            return None
+        return close_new_start(report, server.born_ms)
+
     def apply_report(self, address: Address, report: EngineReport) -> None:
         """Store a report of the agent on a back end's VM."""
         self.reports[address] = report
--- a/packages/primroselever-core/src/primroselever_core/filling/loads.py
+++ b/packages/primroselever-core/src/primroselever_core/filling/loads.py
@@ -72,8 +72,10 @@
     """
     What is known about the loads of one engine.
 
-    ``trusted`` is the load that may serve, ``current`` the latest that was seen.
-    ``inherited`` is a trusted load that an earlier process ordered. ``invalid`` holds
+    ``trusted`` is the load that may serve, ``current`` the latest that was seen and
+    ``first`` the first one that this process saw.
+    ``inherited`` is a trusted load that an earlier process ordered. An order of that
+    process may be accepted until ``inherits_until`` or later. ``invalid`` holds
     the pieces that were not valid when they were read after the current load, None if
     that is not known. ``pending`` is an order without an answer, which may be accepted
     until ``pending_until`` or later. ``writes`` counts the pieces that were staged,
@@ -85,6 +87,8 @@
     trusted: Load | None = None
     current: Load | None = None
     inherited: Load | None = None
+    first: Load | None = None
+    inherits_until: float = 0.0
     invalid: frozenset[int] | None = None
     pending: LoadOrder | None = None
     pending_until: float = 0.0
@@ -97,6 +101,12 @@
         """Return whether requests may run on the result of a load."""
         return load == self.trusted
 
+    def may_be_inherited(self, load: Load, now: float) -> bool:
+        """Return whether an earlier process may have ordered what the engine holds."""
+        return load == self.inherited or (
+            load == self.first and now < self.inherits_until
+        )
+
     @property
     def is_uncertain(self) -> bool:
         """Return whether the engine may hold or accept a load that is not trusted."""
@@ -116,7 +126,12 @@
             self.missed = True
 
     def observe(
-        self, load: Load, loading: bool, layers: LayerRange | None, writes: int
+        self,
+        load: Load,
+        loading: bool,
+        layers: LayerRange | None,
+        writes: int,
+        now: float,
     ) -> bool:
         """
         Record the load that an engine's state names; return whether it is unexpected.
@@ -130,6 +145,8 @@
             if load == current:
                 self.writes_seen = writes
                 return False
+        if current is None:
+            self.first, self.inherits_until = load, now + PENDING_ORDER_S
         self.begin(load, self.writes_seen if current is not None else writes)
         self.writes_seen = writes
         if not load.sequence:
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -178,6 +178,12 @@
     AdmissionPolicy.differs = lambda self, service: False  # type: ignore[method-assign]
 
 
+def replace_method(owner: type, name: str, method: Any) -> None:
+    """Replace a method that must exist; a mutant without an effect finds nothing."""
+    getattr(owner, name)
+    setattr(owner, name, method)
+
+
 def trust_unread(controller: FillingController, order: LoadOrder, _: Staging) -> None:
     """Trust a load as soon as its order was accepted."""
     controller.loads.trusted = order.load
@@ -187,17 +193,15 @@
     """Trust a load without reading the staged pieces after its order was accepted."""
     from primroselever_agent.direct.filling import FillingController
 
-    assert FillingController.prove_load
-    FillingController.prove_load = trust_unread  # type: ignore[method-assign]
+    replace_method(FillingController, "prove_load", trust_unread)
 
 
 def load_unchecked() -> None:
     """Order a load and trust it without reading the staged pieces at all."""
     from primroselever_agent.direct.filling import FillingController
 
-    assert FillingController.verify_before_order
-    FillingController.verify_before_order = (  # type: ignore[method-assign]
-        lambda self, wanted, staging: None
+    replace_method(
+        FillingController, "verify_before_order", lambda self, wanted, staging: None
     )
     load_unproven()
 
@@ -206,10 +210,7 @@
     """Stage the next version although an order may still be accepted."""
     from primroselever_agent.direct.filling import FillingController
 
-    assert FillingController.waits_for_order
-    FillingController.waits_for_order = (  # type: ignore[method-assign]
-        lambda self, wanted: False
-    )
+    replace_method(FillingController, "waits_for_order", lambda self, wanted: False)
 
 
 MUTANTS = {
