Send ages of more than 24 days as the largest that a message holds

Effect: 24 days and 20 hours after a version was published, an entry sent no heartbeat any more, and no advice to its agents. Its peers counted it as gone, and the log repeated a TDecodeException. Cause: ages in milliseconds were encoded without a bound; the messages have 32 bits for them. Change: clock.age_ms limits an age to what a message holds. A negative age that a peer sends counts as 0. Before: test_gossip.py::test_an_entry_that_knows_a_version_for_long_still_sends_messages failed. After: the tests of the file pass.

--- a/packages/primroselever-node/src/primroselever_node/clock.py
+++ b/packages/primroselever-node/src/primroselever_node/clock.py
@@ -5,6 +5,10 @@
 import time
 
 
+# Messages have 32 bits for an age, which is enough for 24 days.
+MAX_AGE_MS = 2**31 - 1
+
+
 def now() -> float:
     """Return the monotonic time in seconds."""
     return time.monotonic()
@@ -23,3 +27,8 @@
 def remaining_ms(deadline: float) -> int:
     """Return the milliseconds until a deadline, at least zero."""
     return max(0, int((deadline - now()) * 1000))
+
+
+def age_ms(since: float, now: float) -> int:
+    """Return the milliseconds since a time, limited to what a message can hold."""
+    return int(max(0.0, min((now - since) * 1000, MAX_AGE_MS)))
--- a/packages/primroselever-node/src/primroselever_node/direct/gossip.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/gossip.py
@@ -208,10 +208,10 @@
             store_era=catalogue.store_position.era,
             evacuations_era=catalogue.evacuations.position.era,
             evacuations_revision=catalogue.evacuations.position.revision,
-            store_age_ms=-1 if read_at is None else int((now - read_at) * 1000),
+            store_age_ms=-1 if read_at is None else clock.age_ms(read_at, now),
             operator_age_ms=None
             if operator_read_at is None
-            else int((now - operator_read_at) * 1000),
+            else clock.age_ms(operator_read_at, now),
             weights={
                 model: published.version
                 for model, published in catalogue.weights.items()
@@ -221,7 +221,7 @@
             else {},
             weights_age_ms={
                 model: {
-                    learned.version: int((now - learned.learned_at) * 1000)
+                    learned.version: clock.age_ms(learned.learned_at, now)
                     for learned in published.history
                     if not learned.assumed
                 }
@@ -397,7 +397,7 @@
             if published is not None:
                 for version, learned_age_ms in ages_ms.items():
                     published.record_peer_learned_at(
-                        version, now - learned_age_ms / 1000
+                        version, now - max(0, learned_age_ms) / 1000
                     )
         catalogue = self.board.catalogue
         catalogue.freshness.record_named(
@@ -501,7 +501,7 @@
         for model in service.models:
             published = catalogue.weights.get(model)
             weights[model] = published.version if published else DEFAULT_VERSION
-            ages[model] = int((now - published.learned_at) * 1000) if published else 0
+            ages[model] = clock.age_ms(published.learned_at, now) if published else 0
         group = sorted(
             member.listed.server_id
             for member in self.board.backends.serving(service.name)
--- a/packages/primroselever-node/src/primroselever_node/direct/limit_news.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/limit_news.py
@@ -66,7 +66,7 @@
             *start.address,
             start.born_ms,
             NO_LIMIT if limit.rate is None else limit.rate,
-            int((now - limit.learned_at) * 1000),
+            clock.age_ms(limit.learned_at, now),
             started,
         )
         hosts = [peer.host for peer in self.board.peers.live(now)]
--- a/packages/primroselever-node/src/primroselever_node/direct/pace_news.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/pace_news.py
@@ -86,7 +86,7 @@
         if cold is not None and not cold.unknown and math.isfinite(cold.learned_at):
             cold_ms = round((cold.cold_until - now) * 1000)
             news.cold_ms = min(MAX_COLD_MS, max(0, cold_ms))
-            news.age_ms = max(0, round((now - cold.learned_at) * 1000))
+            news.age_ms = clock.age_ms(cold.learned_at, now)
         ramp = section.start_pace.ramps.get(start)
         if ramp is not None and ramp.ended_at is None:
             news.step, news.per_s, news.started = ramp.step, ramp.per_s, started
--- a/packages/primroselever-node/tests/direct/test_gossip.py
+++ b/packages/primroselever-node/tests/direct/test_gossip.py
@@ -127,6 +127,23 @@
     wait_until(lambda: catalogue.weights["m"].newest_learned_by(clock.now() - 6.9) == 2)
 
 
+# Guards against an entry whose heartbeats and advice can no longer be encoded after 24
+# days: 32 bits hold fewer milliseconds.
+def test_an_entry_that_knows_a_version_for_long_still_sends_messages(loopback_entries):
+    old, other = loopback_entries.add("127.0.0.1"), loopback_entries.add("127.0.0.2")
+    learned_at = clock.now() - 60 * 86400.0
+    for entry in (old, other):
+        entry.board.catalogue.configure(configuration(7), clock.now())
+        entry.board.catalogue.publish_weights("m", 3, clock.now())
+    old.board.catalogue.weights["m"].record_peer_learned_at(3, learned_at)
+    old.board.catalogue.own_read_at = learned_at
+    published = other.board.catalogue.weights["m"]
+    wait_until(lambda: published.learned_at < clock.now() - 20 * 86400.0)
+    old.board.backends.apply_listing([SERVER])
+    advice = old.build_advice(SERVER.address, clock.now())
+    assert advice.weights_age_ms == {"m": 2**31 - 1}
+
+
 def test_a_change_is_sent_to_the_own_domain_at_once(loopback_entries, monkeypatch):
     sender, other = loopback_entries.add("127.0.0.1"), loopback_entries.add("127.0.0.2")
     wait_until(lambda: sender.board.peers.live(clock.now()))
