List no server whose address, identifier or cold time cannot be used

Effect: an item of the store with port 0, a host that is no IPv4 address, an identifier with a line break or of more than 255 bytes, or a cold time of 1e300 ms named a server. Attempts on it failed with an error that no retry handles, a host name made the whole process wait for its resolution, and a long identifier kept the news of other servers from being received. Cause: decode_server checked the types of fields and the upper bound of the port only. A connection to a host or port that no address has raises ConnectError instead of OverflowError or TypeError.

--- a/packages/primroselever-core/src/primroselever_core/catalogue/usable.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/usable.py
@@ -1,7 +1,8 @@
-"""Ranges of a configuration outside which a process fails when it uses the value."""
+"""Values of a configuration or a server's entry with which a process fails."""
 
 from __future__ import annotations
 
+from ipaddress import AddressValueError, IPv4Address
 from typing import TYPE_CHECKING
 
 from ..findings import Finding
@@ -9,8 +10,19 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from .model import CallerLimits, Configuration, EngineFigures, Route, Service
-
+    from .model import (
+        CallerLimits,
+        Configuration,
+        EngineFigures,
+        ListedServer,
+        Route,
+        Service,
+    )
+
+MAX_INTEGER = 2**63 - 1  # in the messages between processes
+MAX_PORT = 65535
+# 16 identifiers are sent in one datagram, of which 8,192 bytes are received.
+MAX_SERVER_ID_BYTES = 255
 MAX_NUMBER = 2.0**63 - 1024  # the messages between processes have 64 bits for a number
 # A longer wait cannot be scheduled; 2**31 - 1 ms is a usual value for "no limit".
 MAX_DURATION_S = (2**31 - 1) / 1000
@@ -104,3 +116,45 @@
         yield Finding(
             f"{place}.read_tokens_per_s", "nothing is ever read", "make it positive"
         )
+
+
+def find_unusable_server(server: ListedServer) -> Iterator[Finding]:
+    """Yield why no request can be sent to a server, or its entry to a peer."""
+    if not is_header_value(server.server_id):
+        yield Finding(
+            "server_id",
+            "cannot be sent in a header",
+            f"make it 1 to {MAX_SERVER_ID_BYTES} bytes of printable text",
+        )
+    host, port = server.address
+    if not is_ipv4_address(host):
+        # A name would be resolved at each connection, for which the process waits.
+        yield Finding("address", f"{host!r} is no IPv4 address", "write one")
+    if not 0 < port <= MAX_PORT:
+        yield Finding("address", f"{port} is no port", f"make it 1 to {MAX_PORT}")
+    if server.cold_s is not None and not 0 <= server.cold_s <= MAX_DURATION_S:
+        yield Finding("cold_s", f"{server.cold_s:g} is out of range", "make it less")
+    versions = [version for _model, version in server.weights]
+    numbers = [server.born_ms, server.slots, server.revision, server.era, *versions]
+    if server.sequence is not None:
+        numbers.append(server.sequence)
+    if not all(abs(number) <= MAX_INTEGER for number in numbers):
+        yield Finding("numbers", "one is too large", "make all fit into 64 bits")
+
+
+def is_header_value(text: str) -> bool:
+    """Return whether a text can be sent as the value of a header."""
+    return (
+        text.isprintable()
+        and text == text.strip()
+        and 0 < len(text.encode()) <= MAX_SERVER_ID_BYTES
+    )
+
+
+def is_ipv4_address(host: str) -> bool:
+    """Return whether a host is an IPv4 address in the usual notation."""
+    try:
+        IPv4Address(host)
+    except AddressValueError:
+        return False
+    return True
--- a/packages/primroselever-node/src/primroselever_node/clock.py
+++ b/packages/primroselever-node/src/primroselever_node/clock.py
@@ -4,7 +4,6 @@
 
 import time
 
-
 # Messages have 32 bits for an age, which is enough for 24 days.
 MAX_AGE_MS = 2**31 - 1
 
--- a/packages/primroselever-node/src/primroselever_node/direct/exchange.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/exchange.py
@@ -82,7 +82,8 @@
             self.socket.setsockopt(
                 socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
             )
-        except OSError as exc:
+        # The other errors are of a host or port that no address has.
+        except (OSError, OverflowError, TypeError, ValueError) as exc:
             self.socket.close()
             raise ConnectError(f"no connection to {address[0]}:{address[1]}") from exc
 
--- a/packages/primroselever-node/tests/direct/test_exchange.py
+++ b/packages/primroselever-node/tests/direct/test_exchange.py
@@ -90,6 +90,16 @@
         exchange(server, timeout_s=0.05)
 
 
+# Guards against errors of the socket that are no ``OSError`` and end the caller's loop.
+@pytest.mark.parametrize(
+    "address",
+    [("127.0.0.1", 65536), ("127.0.0.1", -1), ("127.0.0.1", 10**9), ("a\0b", 80)],
+)
+def test_an_address_that_none_can_have_is_one_without_a_connection(address):
+    with pytest.raises(ConnectError):
+        HttpConnection(address, clock.now() + 1.0)
+
+
 def test_a_port_without_a_listener_raises_a_connect_error(server):
     server.socket.close()
     with pytest.raises(ConnectError):
