Check the bytes and values of a datagram before it is used

Effect: a datagram of 8 bytes with an unknown list of 2,147,483,647 items occupied a process for more than 300 s (the run was ended then; 50,000,000 items took 0.6 to 2.8 s). A heartbeat without a number made each later heartbeat of any peer fail. A text that was not UTF-8 became the host of a peer, a report with a pace of NaN went to the choice of servers, and a suspicion with the longest deadline could not be sent on. Cause: thrift's decoder does not compare the number of items with the bytes there are, marks no field as required, and returns bytes for a text that is not UTF-8. Change: read_datagram walks through the bytes first, then unsets texts and numbers that cannot be used, and refuses a datagram without a required value. An item of a list is left out on its own. Connecting to a host that no address has raises NeverSentError.

--- a/packages/primroselever-agent/src/primroselever_agent/direct/news.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/news.py
@@ -167,8 +167,10 @@
         now = clock.now()
         self.board.record_entry(advice.host, advice.failure_domain, now)
         self.board.add_reported_entries(advice.peers or {}, now)
+        if advice.rank is None or advice.group_size is None:
+            return
         for model, version in (advice.weights or {}).items():
-            age_s = (advice.weights_age_ms or {}).get(model, 0) / 1000
+            age_s = max(0, (advice.weights_age_ms or {}).get(model, 0)) / 1000
             wanted = WantedWeights(
                 model,
                 version,
--- a/packages/primroselever-node/src/primroselever_node/direct/datagrams.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/datagrams.py
@@ -8,8 +8,9 @@
 
 import eventlet
 from thriftpy2.protocol import TBinaryProtocolFactory
-from thriftpy2.utils import deserialize, serialize
+from thriftpy2.utils import serialize
 
+from .datagram_reader import read_datagram
 from .schema import schema
 
 if TYPE_CHECKING:
@@ -62,6 +63,14 @@
                 eventlet.sleep(0.1)
                 continue
             try:
-                self.receive(deserialize(schema.Datagram(), data, self.protocol), host)
+                datagram = read_datagram(data)
+            except ValueError as exc:
+                logger.warning(
+                    "received an invalid datagram",
+                    extra={"peer": host, "error": str(exc)},
+                )
+                continue
+            try:
+                self.receive(datagram, host)
             except Exception:
                 logger.exception("failed to process a datagram")
--- a/packages/primroselever-node/src/primroselever_node/direct/gossip.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/gossip.py
@@ -341,16 +341,18 @@
     def receive_request_report(self, report: Any) -> None:
         """Count the requests that another entry sent to back ends."""
         now = clock.now()
-        for sent in report.requests:
-            backend = self.board.backends.by_address.get(parse_address(sent.address))
+        for sent in report.requests or ():
+            address = parse_address(sent.address)
+            backend = self.board.backends.by_address.get(address) if address else None
             if backend is None:
                 continue
+            prompt_tokens = max(0, sent.prompt_tokens)
             service = self.board.catalogue.routes.services.get(backend.listed.service)
             if service is not None and service.engine is not None:
-                read_s = predict_read_s(service.engine, sent.prompt_tokens)
+                read_s = predict_read_s(service.engine, prompt_tokens)
                 backend.record_sent_by_other(read_s, now)
                 # The message does not tell the length of the answer.
-                prompt, answer = count_tokens(sent.prompt_tokens, 0, service.engine)
+                prompt, answer = count_tokens(prompt_tokens, 0, service.engine)
                 backend.memory.record_sent_by_other(prompt, answer, now)
                 backend.urgent_work.record_sent(
                     clamp_urgency(sent.urgency), predict_request_s(service.engine), now
@@ -428,21 +430,28 @@
         """Record an agent's report on its engine, and send it advice."""
         now = clock.now()
         address = parse_address(message.address)
+        if address is None:
+            logger.warning(
+                "received the report of an engine with an invalid address",
+                extra={"peer": host, "address": message.address[:80]},
+            )
+            return
         previous = self.board.backends.reports.get(address)
         lagging = self.board.backends.measured_pace
         figures = self.engine_figures(address) if lagging else None
+        running = max(0, message.running)
         report = EngineReport(
             now,
             message.born_ms,
             message.model,
             message.version,
             message.switching,
-            message.running,
-            message.waiting,
+            running,
+            max(0, message.waiting),
             message.pace,
             now + message.closes_in_ms / 1000 if message.closes_in_ms >= 0 else None,
             lag_s=figures.report_lag_s if figures else 0.0,
-            ended=predict_ends(figures, message.running, figures.report_lag_s)
+            ended=predict_ends(figures, running, figures.report_lag_s)
             if figures
             else 0.0,
             memory_used=message.memory_used,
@@ -529,7 +538,10 @@
         return hosts
 
 
-def parse_address(text: str) -> Address:
-    """Return the host and port of an ``IP:PORT`` string."""
+def parse_address(text: str) -> Address | None:
+    """Return the host and port of an ``IP:PORT`` string, None for any other text."""
     host, _, port = text.rpartition(":")
-    return host, int(port)
+    try:
+        return host, int(port)
+    except ValueError:
+        return None
--- a/packages/primroselever-node/src/primroselever_node/direct/pace_news.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/pace_news.py
@@ -33,6 +33,7 @@
 
 MANY_RAMPS = 4  # from which on all news wait as long as those of high rates
 MAX_IN_DATAGRAM = 10  # of at most 120 bytes each, to fit into one packet
+MAX_STEP = 1_000_000  # so that the next step still fits into a message
 MAX_COLD_MS = 600_000  # longer times are taken for mistakes of the sender
 
 logger = logging.getLogger(__name__)
@@ -136,7 +137,8 @@
     ) -> None:
         """Apply the pace of a server's ramp, and count the requests of its sender."""
         per_s, floor_ms = news.per_s, news.floor_ms
-        if not (math.isfinite(per_s) and 0 < per_s <= MAX_RATE):
+        valid_step = 0 <= news.step <= MAX_STEP
+        if not (valid_step and math.isfinite(per_s) and 0 < per_s <= MAX_RATE):
             logger.warning(
                 "received the news of a started server with an invalid pace",
                 extra={"peer": host, "server": start.server_id, "pace": per_s},
--- a/packages/primroselever-node/src/primroselever_node/rpc/client_pool.py
+++ b/packages/primroselever-node/src/primroselever_node/rpc/client_pool.py
@@ -125,7 +125,8 @@
         transport = TCyBufferedTransportFactory().get_transport(socket)
         try:
             transport.open()
-        except (TException, OSError) as exc:
+        # The last three are of a host or port that no address has.
+        except (TException, OSError, OverflowError, TypeError, ValueError) as exc:
             raise NeverSentError(f"cannot connect to {address}") from exc
         protocol = TCyBinaryProtocolFactory().get_protocol(transport)
         client = TClient(self.service, protocol)
--- a/packages/primroselever-node/src/primroselever_node/rpc/suspicions.py
+++ b/packages/primroselever-node/src/primroselever_node/rpc/suspicions.py
@@ -68,7 +68,8 @@
     """Return a received suspicion."""
     return Suspicion(
         Fingerprint(message.fingerprint),
-        clock.deadline_in(message.remaining_ms),
+        # A later deadline could not be sent on.
+        clock.deadline_in(min(message.remaining_ms, clock.MAX_AGE_MS)),
         {CrashId(name) for name in message.crash_ids or ()},
         {CrashId(name) for name in message.cleared_ids or ()},
     )
