Reject names of models that no message or request can carry

Effect: a published version of a model with a name of 70,000 characters kept all heartbeats and advice of an entry from being sent, since a datagram cannot have that size. An engine that reported such a name kept its agent from reporting. A name with a space, a line break or a letter that is not ASCII raised LocalProtocolError in the loops that read manifests and pieces. Cause: names were checked for their type only, and put into request lines as they are.

--- a/packages/primroselever-core/src/primroselever_core/catalogue/usable.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/usable.py
@@ -22,8 +22,9 @@
 MAX_INTEGER = 2**63 - 1  # in the messages between processes
 MAX_VERSION = 2**31 - 1  # of weights, in the messages between processes
 MAX_PORT = 65535
-# 16 identifiers are sent in one datagram, of which 8,192 bytes are received.
-MAX_SERVER_ID_BYTES = 255
+# Of an identifier or a model. 16 identifiers are sent in one datagram, of which 8,192
+# bytes are received.
+MAX_NAME_BYTES = 255
 MAX_NUMBER = 2.0**63 - 1024  # the messages between processes have 64 bits for a number
 # A longer wait cannot be scheduled; 2**31 - 1 ms is a usual value for "no limit".
 MAX_DURATION_S = (2**31 - 1) / 1000
@@ -125,7 +126,7 @@
         yield Finding(
             "server_id",
             "cannot be sent in a header",
-            f"make it 1 to {MAX_SERVER_ID_BYTES} bytes of printable text",
+            f"make it 1 to {MAX_NAME_BYTES} bytes of printable text",
         )
     host, port = server.address
     if not is_ipv4_address(host):
@@ -148,10 +149,15 @@
     return (
         text.isprintable()
         and text == text.strip()
-        and 0 < len(text.encode()) <= MAX_SERVER_ID_BYTES
+        and 0 < len(text.encode()) <= MAX_NAME_BYTES
     )
 
 
+def is_sendable_version(model: str, version: int) -> bool:
+    """Return whether heartbeats and advice can name a version of a model."""
+    return is_header_value(model) and 0 <= version <= MAX_VERSION
+
+
 def is_ipv4_address(host: str) -> bool:
     """Return whether a host is an IPv4 address in the usual notation."""
     try:
--- a/packages/primroselever-node/src/primroselever_node/direct/received_catalogues.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/received_catalogues.py
@@ -20,9 +20,9 @@
 from primroselever_core.catalogue.model import ListedServer
 from primroselever_core.catalogue.usable import (
     MAX_INTEGER,
-    MAX_VERSION,
     find_unusable,
     find_unusable_server,
+    is_sendable_version,
 )
 
 PACKED_PREFIX = b"\x78"  # the first byte of zlib's format; JSON begins with a brace
@@ -86,7 +86,7 @@
     weights = {
         model: version
         for model, version in copy.weights.items()
-        if 0 <= version <= MAX_VERSION
+        if is_sendable_version(model, version)
     }
     log_left_out("servers", copy.servers.keys() - servers.keys())
     log_left_out("withheld", copy.withheld.keys() - withheld.keys())
--- a/packages/primroselever-node/tests/direct/test_received_catalogues.py
+++ b/packages/primroselever-node/tests/direct/test_received_catalogues.py
@@ -114,6 +114,12 @@
     assert len(copy.servers) == 3
 
 
+@pytest.mark.parametrize("model", ["", "a\r\nb", "m" * 256])
+def test_a_model_that_no_message_can_carry_is_left_out(model):
+    data = change_copy(lambda value: value["weights"].update({model: 2}))
+    assert unpack_catalogue(data).weights == {"m": 2}
+
+
 # Guards against a configuration with which requests fail, from a peer of a release that
 # accepted it.
 @pytest.mark.parametrize(
