Do not ask a peer again at each heartbeat for a configuration that was left out

Effect: with a peer whose configuration an entry cannot use, the entry asked for the whole catalogue at each heartbeat of any peer. Cause: since unusable configurations are left out of copies, such a peer stays ahead, and a pull that succeeds allows the next one at once. Before: test_gossip.py::test_a_peer_with_an_unusable_configuration_is_seldom_asked failed. After: it passes, and so do the other tests of the file and of test_odd_items.py.

--- a/packages/primroselever-node/src/primroselever_node/direct/catalogue_pulls.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/catalogue_pulls.py
@@ -144,7 +144,6 @@
                 timeout_s=PULL_TIMEOUT_S,
             )
             copy = unpack_catalogue(data)
-            self.next_pull_at = 0.0
         except (NeverSentError, LostReplyError, ValueError) as exc:
             now = clock.now()
             self.failed_until[peer.host] = now + FAILED_PEER_S
@@ -160,6 +159,14 @@
         finally:
             self.pulls.pop(peer.host, None)
         self.merge_copy(copy, peer)
+        # A peer whose configuration was left out stays ahead, and is not asked again at
+        # each heartbeat of any peer.
+        own_revision = self.board.catalogue.configuration_revision
+        if (
+            copy.configuration is not None
+            or peer.configuration_revision <= own_revision
+        ):
+            self.next_pull_at = 0.0
 
     def merge_copy(self, copy: CatalogueCopy, peer: Peer) -> None:
         """Merge the copy of a peer's catalogue into the own one."""
--- a/packages/primroselever-node/tests/direct/test_gossip.py
+++ b/packages/primroselever-node/tests/direct/test_gossip.py
@@ -309,6 +309,27 @@
         unpack_catalogue(data)
 
 
+# Guards against a pull at each heartbeat of any peer, for a configuration of a peer of
+# another release that this process cannot use.
+def test_a_peer_with_an_unusable_configuration_is_seldom_asked(loopback_entries):
+    ahead, behind = loopback_entries.add("127.0.0.1"), loopback_entries.add("127.0.0.2")
+    behind.board.catalogue.configure(configuration(7), clock.now())
+    unusable = replace(configuration(8), limits=CallerLimits(1, 1, -1.0, 1.0))
+    ahead.board.catalogue.configure(unusable, clock.now())
+    ahead.board.catalogue.publish_weights("m", 2, clock.now())
+    pulls = []
+    call = behind.puller.pool.call_with_retry
+    behind.puller.pool.call_with_retry = lambda *args, **options: (
+        pulls.append(args) or call(*args, **options)
+    )
+    wait_until(lambda: "m" in behind.board.catalogue.weights)
+    eventlet.sleep(1.0)
+    assert len(pulls) <= 4
+    assert behind.board.catalogue.configuration_revision == 7
+    ahead.board.catalogue.configure(configuration(9), clock.now())
+    wait_until(lambda: behind.board.catalogue.configuration_revision == 9)
+
+
 def test_an_older_configuration_does_not_replace_a_newer_one(loopback_entries):
     behind, ahead = loopback_entries.add("127.0.0.1"), loopback_entries.add("127.0.0.2")
     behind.board.catalogue.configure(configuration(7), clock.now())
