Test odd values of advice, paces, hosts and numbers of requests

Effect: none; the tests belong to the check of the values of datagrams. Change: an advice without a rank or with a time in the future, a step of a pace without a next one, hosts to which no connection can be opened, and negative numbers of requests.

--- a/packages/primroselever-agent/tests/direct/test_news.py
+++ b/packages/primroselever-agent/tests/direct/test_news.py
@@ -12,6 +12,7 @@
 from primroselever_core.filling.section import FillingBoard
 from primroselever_core.identity import Identity
 from primroselever_node import clock
+from primroselever_node.direct.schema import schema
 from primroselever_node.direct.sources import EngineState
 
 SEED = "127.0.0.1"
@@ -70,3 +71,23 @@
     (engine_news,) = message.values()
     reported = (engine_news.memory_used, engine_news.memory_total)
     assert reported == ((5, 9) if reports_memory else (None, None))
+
+
+# Guards against an advice of another program after which each step of a fill fails, or
+# that postpones the bound of a version.
+def test_an_advice_without_a_rank_names_entries_only(controller):
+    for missing in ("rank", "group_size"):
+        advice = schema.FillingAdvice(
+            "10.0.0.2", "a", {"m": 2}, {"m": 0}, {"10.0.0.3": "a"}, 0, 2
+        )
+        setattr(advice, missing, None)
+        controller.apply_advice(advice)
+    assert set(controller.board.entries) == {"10.0.0.2", "10.0.0.3"}
+    assert controller.board.targets.newest is None
+
+
+def test_an_advice_of_the_future_does_not_postpone_a_bound(controller):
+    controller.apply_advice(
+        schema.FillingAdvice("10.0.0.2", "a", {"m": 2}, {"m": -(2**31)}, {}, 0, 2)
+    )
+    assert controller.board.targets.newest.bound_at <= clock.now() + 8.0
--- a/packages/primroselever-node/tests/direct/test_datagram_reader.py
+++ b/packages/primroselever-node/tests/direct/test_datagram_reader.py
@@ -225,6 +225,19 @@
     assert len(backend.sent_by_others) == 3
 
 
+# Guards against a load below zero, which makes a server the best one for all requests.
+def test_negative_numbers_of_requests_count_as_none(entry):
+    now = clock.now()
+    fields = {"running": -(2**31), "waiting": -5}
+    entry.receive(read_datagram(pack(**change("engine", **fields))), "10.0.0.9")
+    news = schema.SentNews([schema.Sent("10.0.0.9:1", -(2**31), 0)])
+    entry.receive(read_datagram(pack(sent=news)), "10.0.0.2")
+    backend = entry.board.backends.by_address[SERVER.address]
+    assert backend.load(now) >= 0
+    report = entry.board.backends.reports[SERVER.address]
+    assert (report.running, report.waiting) == (0, 0)
+
+
 # Guards against a deadline that is received and cannot be sent on.
 def test_the_longest_deadline_of_a_suspicion_can_be_sent_on(entry):
     suspicion = rpc_schema.Suspicion("ab", 2, 2**63 - 1, ["i-1/1", "i-2/1"], [])
--- a/packages/primroselever-node/tests/direct/test_pace_news.py
+++ b/packages/primroselever-node/tests/direct/test_pace_news.py
@@ -187,3 +187,13 @@
     controller = SimpleNamespace(board=entry.board, host="127.0.0.1")
     GossipController.update_members(controller, clock.now())
     assert bool(section.cold_pace.members.heard_at) == enabled
+
+
+# Guards against a step of a peer after which this entry's next one fits no message, so
+# that the news of all servers in the same datagrams are lost.
+@pytest.mark.parametrize("step", [2**31 - 1, 1_000_001, -1])
+def test_a_step_without_a_next_one_is_ignored(network, step):
+    entry = network.add("127.0.0.1")
+    news = schema.PaceNews("i-1", "127.0.0.9", 80, 5, step=step, per_s=2.0)
+    entry.receive(news, "127.0.0.2")
+    assert backend_of(entry).ramp.step == 0
--- a/packages/primroselever-node/tests/rpc/test_client_pool.py
+++ b/packages/primroselever-node/tests/rpc/test_client_pool.py
@@ -11,6 +11,7 @@
     ClientPool,
     Connection,
     LostReplyError,
+    NeverSentError,
 )
 from primroselever_node.rpc.schema import schema
 from primroselever_node.rpc.server import RpcServer
@@ -125,3 +126,15 @@
     """It is an error of this program."""
     with pytest.raises(AttributeError):
         ClientPool(schema.Node).call(addresses[0], "no_such_method", timeout_s=5.0)
+
+
+# Guards against a host that a peer named and that raises in the loop of the caller.
+@pytest.mark.parametrize(
+    "address",
+    [("10.0.0.1\0", 1), ("a" * 70, 1), ("a..b", 1), ("127.0.0.1", 65536), (None, -1)],
+    ids=str,
+)
+def test_an_address_that_none_can_have_is_one_that_nothing_is_sent_to(address):
+    pool = ClientPool(schema.Node)
+    with pytest.raises(NeverSentError):
+        pool.open_connection(address)
