Merge the checks of odd items of the store and of datagrams

Cause: an odd entry among those of the servers could stop the follower, end heartbeats or be used; the same through peers' copies, datagrams and engines' reports.

--- a/packages/primroselever-node/src/primroselever_node/direct/catalogue_pulls.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/catalogue_pulls.py
@@ -20,7 +20,7 @@
 from ..rpc.client_pool import ClientPool, LostReplyError, NeverSentError
 from .configurations import record_configuration
 from .evacuations import record_evacuations
-from .peer_handler import unpack_catalogue
+from .received_catalogues import unpack_catalogue
 from .restores import record_late_answer, record_restore
 from .schema import schema
 from .sources import CataloguePart
@@ -42,6 +42,7 @@
 # are slow, and each further copy delays the others.
 MAX_DISTANT_PULLS = 2
 FAILED_PEER_S = 5.0  # the time for which a peer that did not answer is asked last
+MAX_ERROR_CHARACTERS = 200  # of a log line; an invalid copy may have many errors
 
 logger = logging.getLogger(__name__)
 
@@ -143,7 +144,6 @@
                 timeout_s=PULL_TIMEOUT_S,
             )
             copy = unpack_catalogue(data)
-            self.next_pull_at = 0.0
         except (NeverSentError, LostReplyError, ValueError) as exc:
             now = clock.now()
             self.failed_until[peer.host] = now + FAILED_PEER_S
@@ -152,13 +152,21 @@
                 extra={
                     "peer": peer.host,
                     "took_s": round(now - started_at, 3),
-                    "error": str(exc),
+                    "error": str(exc)[:MAX_ERROR_CHARACTERS],
                 },
             )
             return
         finally:
             self.pulls.pop(peer.host, None)
         self.merge_copy(copy, peer)
+        # A peer whose configuration was left out stays ahead, and is not asked again at
+        # each heartbeat of any peer.
+        own_revision = self.board.catalogue.configuration_revision
+        if (
+            copy.configuration is not None
+            or peer.configuration_revision <= own_revision
+        ):
+            self.next_pull_at = 0.0
 
     def merge_copy(self, copy: CatalogueCopy, peer: Peer) -> None:
         """Merge the copy of a peer's catalogue into the own one."""
--- a/packages/primroselever-node/src/primroselever_node/direct/gossip.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/gossip.py
@@ -208,10 +208,10 @@
             store_era=catalogue.store_position.era,
             evacuations_era=catalogue.evacuations.position.era,
             evacuations_revision=catalogue.evacuations.position.revision,
-            store_age_ms=-1 if read_at is None else int((now - read_at) * 1000),
+            store_age_ms=-1 if read_at is None else clock.age_ms(read_at, now),
             operator_age_ms=None
             if operator_read_at is None
-            else int((now - operator_read_at) * 1000),
+            else clock.age_ms(operator_read_at, now),
             weights={
                 model: published.version
                 for model, published in catalogue.weights.items()
@@ -221,7 +221,7 @@
             else {},
             weights_age_ms={
                 model: {
-                    learned.version: int((now - learned.learned_at) * 1000)
+                    learned.version: clock.age_ms(learned.learned_at, now)
                     for learned in published.history
                     if not learned.assumed
                 }
@@ -341,16 +341,18 @@
     def receive_request_report(self, report: Any) -> None:
         """Count the requests that another entry sent to back ends."""
         now = clock.now()
-        for sent in report.requests:
-            backend = self.board.backends.by_address.get(parse_address(sent.address))
+        for sent in report.requests or ():
+            address = parse_address(sent.address)
+            backend = self.board.backends.by_address.get(address) if address else None
             if backend is None:
                 continue
+            prompt_tokens = max(0, sent.prompt_tokens)
             service = self.board.catalogue.routes.services.get(backend.listed.service)
             if service is not None and service.engine is not None:
-                read_s = predict_read_s(service.engine, sent.prompt_tokens)
+                read_s = predict_read_s(service.engine, prompt_tokens)
                 backend.record_sent_by_other(read_s, now)
                 # The message does not tell the length of the answer.
-                prompt, answer = count_tokens(sent.prompt_tokens, 0, service.engine)
+                prompt, answer = count_tokens(prompt_tokens, 0, service.engine)
                 backend.memory.record_sent_by_other(prompt, answer, now)
                 backend.urgent_work.record_sent(
                     clamp_urgency(sent.urgency), predict_request_s(service.engine), now
@@ -397,7 +399,7 @@
             if published is not None:
                 for version, learned_age_ms in ages_ms.items():
                     published.record_peer_learned_at(
-                        version, now - learned_age_ms / 1000
+                        version, now - max(0, learned_age_ms) / 1000
                     )
         catalogue = self.board.catalogue
         catalogue.freshness.record_named(
@@ -428,21 +430,28 @@
         """Record an agent's report on its engine, and send it advice."""
         now = clock.now()
         address = parse_address(message.address)
+        if address is None:
+            logger.warning(
+                "received the report of an engine with an invalid address",
+                extra={"peer": host, "address": message.address[:80]},
+            )
+            return
         previous = self.board.backends.reports.get(address)
         lagging = self.board.backends.measured_pace
         figures = self.engine_figures(address) if lagging else None
+        running = max(0, message.running)
         report = EngineReport(
             now,
             message.born_ms,
             message.model,
             message.version,
             message.switching,
-            message.running,
-            message.waiting,
+            running,
+            max(0, message.waiting),
             message.pace,
             now + message.closes_in_ms / 1000 if message.closes_in_ms >= 0 else None,
             lag_s=figures.report_lag_s if figures else 0.0,
-            ended=predict_ends(figures, message.running, figures.report_lag_s)
+            ended=predict_ends(figures, running, figures.report_lag_s)
             if figures
             else 0.0,
             memory_used=message.memory_used,
@@ -503,7 +512,7 @@
         for model in service.models:
             published = catalogue.weights.get(model)
             weights[model] = published.version if published else DEFAULT_VERSION
-            ages[model] = int((now - published.learned_at) * 1000) if published else 0
+            ages[model] = clock.age_ms(published.learned_at, now) if published else 0
         group = sorted(
             member.listed.server_id
             for member in self.board.backends.serving(service.name)
@@ -531,7 +540,10 @@
         return hosts
 
 
-def parse_address(text: str) -> Address:
-    """Return the host and port of an ``IP:PORT`` string."""
+def parse_address(text: str) -> Address | None:
+    """Return the host and port of an ``IP:PORT`` string, None for any other text."""
     host, _, port = text.rpartition(":")
-    return host, int(port)
+    try:
+        return host, int(port)
+    except ValueError:
+        return None
--- a/packages/primroselever-node/tests/direct/test_gossip.py
+++ b/packages/primroselever-node/tests/direct/test_gossip.py
@@ -33,10 +33,8 @@
 from primroselever_node.direct import catalogue_pulls, gossip as gossip_module
 from primroselever_node.direct.datagrams import DatagramPort
 from primroselever_node.direct.gossip import GossipController
-from primroselever_node.direct.peer_handler import (
-    DirectPeerHandler,
-    unpack_catalogue,
-)
+from primroselever_node.direct.peer_handler import DirectPeerHandler
+from primroselever_node.direct.received_catalogues import unpack_catalogue
 from primroselever_node.direct.schema import schema
 from primroselever_node.rpc.server import RpcServer
 
@@ -127,6 +125,23 @@
     wait_until(lambda: catalogue.weights["m"].newest_learned_by(clock.now() - 6.9) == 2)
 
 
+# Guards against an entry whose heartbeats and advice can no longer be encoded after 24
+# days: 32 bits hold fewer milliseconds.
+def test_an_entry_that_knows_a_version_for_long_still_sends_messages(loopback_entries):
+    old, other = loopback_entries.add("127.0.0.1"), loopback_entries.add("127.0.0.2")
+    learned_at = clock.now() - 60 * 86400.0
+    for entry in (old, other):
+        entry.board.catalogue.configure(configuration(7), clock.now())
+        entry.board.catalogue.publish_weights("m", 3, clock.now())
+    old.board.catalogue.weights["m"].record_peer_learned_at(3, learned_at)
+    old.board.catalogue.own_read_at = learned_at
+    published = other.board.catalogue.weights["m"]
+    wait_until(lambda: published.learned_at < clock.now() - 20 * 86400.0)
+    old.board.backends.apply_listing([SERVER])
+    advice = old.build_advice(SERVER.address, clock.now())
+    assert advice.weights_age_ms == {"m": 2**31 - 1}
+
+
 def test_a_change_is_sent_to_the_own_domain_at_once(loopback_entries, monkeypatch):
     sender, other = loopback_entries.add("127.0.0.1"), loopback_entries.add("127.0.0.2")
     wait_until(lambda: sender.board.peers.live(clock.now()))
@@ -294,6 +309,27 @@
         unpack_catalogue(data)
 
 
+# Guards against a pull at each heartbeat of any peer, for a configuration of a peer of
+# another release that this process cannot use.
+def test_a_peer_with_an_unusable_configuration_is_seldom_asked(loopback_entries):
+    ahead, behind = loopback_entries.add("127.0.0.1"), loopback_entries.add("127.0.0.2")
+    behind.board.catalogue.configure(configuration(7), clock.now())
+    unusable = replace(configuration(8), limits=CallerLimits(1, 1, -1.0, 1.0))
+    ahead.board.catalogue.configure(unusable, clock.now())
+    ahead.board.catalogue.publish_weights("m", 2, clock.now())
+    pulls = []
+    call = behind.puller.pool.call_with_retry
+    behind.puller.pool.call_with_retry = lambda *args, **options: (
+        pulls.append(args) or call(*args, **options)
+    )
+    wait_until(lambda: "m" in behind.board.catalogue.weights)
+    eventlet.sleep(1.0)
+    assert len(pulls) <= 4
+    assert behind.board.catalogue.configuration_revision == 7
+    ahead.board.catalogue.configure(configuration(9), clock.now())
+    wait_until(lambda: behind.board.catalogue.configuration_revision == 9)
+
+
 def test_an_older_configuration_does_not_replace_a_newer_one(loopback_entries):
     behind, ahead = loopback_entries.add("127.0.0.1"), loopback_entries.add("127.0.0.2")
     behind.board.catalogue.configure(configuration(7), clock.now())
