Name requests that come without an identifier

What callers saw: a caller that sends no Request-Id got the answer of another caller's request, or 503 for a request that ran, if a back end wrote an earlier answer once more on a kept connection.

Cause: for such a request any response was taken for its answer, whatever request it named.

Change: the entry gives these requests an identifier and forwards it, so that the answer is told like any other. This needs no further connections.

Before: test_a_request_without_an_identifier_gets_no_other_answer failed in its 6 cases (copies of 503, 421 and 200; repeatable requests and others). After: they pass, as do the other tests of packages/primroselever-entry/tests/direct but for test_in_force.py, whose fixed port is in use on this machine, also without this change.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/caller_request.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/caller_request.py
@@ -5,6 +5,7 @@
 import re
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
+from uuid import uuid4
 
 from primroselever_core.identifiers import PromptPart
 
@@ -38,6 +39,8 @@
     """
     One request with its complete body.
 
+    A request that came without an identifier was given one, since back ends repeat it
+    and an answer to another request is told by it alone.
     ``received_at`` is when its first byte arrived. ``deadline`` is when the caller
     stops waiting, None if the caller did not send it. Token counts are 0 for requests
     without a prompt. ``shared_parts`` are the parts of the prompt that other requests
@@ -87,13 +90,18 @@
     prompt_tokens, answer_tokens = parse_token_counts(
         first_values.get(names.token_counts, b"")
     )
+    request_id = first_values.get(names.request_id, b"")
+    if not request_id:
+        request_id = uuid4().hex.encode()
+        headers = [(name, value) for name, value in headers if name != names.request_id]
+        headers.append((names.request_id, request_id))
     return CallerRequest(
         method=method,
         target=target,
         headers=headers,
         body=body,
         received_at=received_at,
-        request_id=first_values.get(names.request_id, b""),
+        request_id=request_id,
         host=first_values[b"host"].decode("latin-1").partition(":")[0],
         path=target.partition(b"?")[0].decode("latin-1"),
         deadline=parse_deadline(first_values.get(names.remaining_ms, b""), received_at),
