Treat 408 with the not-run header as a refusal

What callers saw: 408, which says that the request has not run, for a repeatable request that another server may have run before; and 408 although another server would have answered.

Cause: 408 was not among the statuses that are refusals with the not-run header, and unlike 408 without the header it was forwarded.

Change: it is one of them, so it is followed by another attempt, and answered with 502 if an earlier attempt may have run.

Before: test_a_refusal_with_408_is_a_refusal_like_others failed in 3 of its 4 cases. After: all tests of test_repeated_refusals.py pass.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -67,7 +67,7 @@
 LOOK_AHEAD_S = 0.001  # to receive what a silent back end has sent already
 # These statuses and 400 mean, together with the not_run header, that the request did
 # not run; 421 also means it without the header.
-NOT_RUN_STATUSES = (421, 429, 503)
+NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Callers read these as "not run". Without the header the back end does not state it.
 UNSTATED_STATUSES = (408, 429, 503)
 # The body of a refusal, or of an unstated status, is only read to keep the connection.
--- a/packages/primroselever-entry/tests/direct/test_repeated_refusals.py
+++ b/packages/primroselever-entry/tests/direct/test_repeated_refusals.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from .conftest import ok_response, read_all, request
+from .conftest import RESET, ok_response, read_all, request
 
 CALLS = {"read": ("/read/x", "GET", b""), "order": ("/order/x", "POST", b"ink")}
 
@@ -60,3 +60,20 @@
     send_named(entry, call, b"r1")
     assert send_named(entry, call, b"").endswith(b"second")
     assert entry.flow.pool.opened_count == 1
+
+
+# Guards against a refusal with 408 that is forwarded: its caller would be told that the
+# request has not run although another server may have run it, and a request that has
+# not run would not be sent to a server that can answer it.
+@pytest.mark.parametrize(
+    ("earlier", "status"), [([RESET], b"502"), ([refuse(408)], b"503")]
+)
+@pytest.mark.parametrize("answers", [False, True])
+def test_a_refusal_with_408_is_a_refusal_like_others(entry, earlier, status, answers):
+    first, second = entry.add("a"), entry.add("b")
+    entry.board.backends.backends["b"].in_flight = 5
+    first.responses = [earlier]
+    second.responses = [ok_response() if answers else [refuse(408)]]
+    response = send_named(entry, "read", b"r1")
+    assert response[9:12] == (b"200" if answers else status)
+    assert len(first.requests) == len(second.requests) == 1
