Do not believe a refusal that is followed by other bytes

What callers saw: 503 for a request that a back end ran, and a second run of it on another one, if the back end wrote an earlier refusal of the same identifier once more in front of its answer.

Cause: the first response that named the request counted, although the next bytes showed that there were two. One of them is a copy, and it may be the refusal.

Change: after a refusal the entry looks at what has arrived behind it, in its buffer and on the socket, and at bytes that are no valid body. If there is anything, the request may have run: 502 for one that must not run twice, another back end for others.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -17,7 +17,9 @@
 from primroselever_node.direct.responses import (
     AnswerTooLargeError,
     BrokenExchangeError,
+    ConnectionEnd,
     Framing,
+    MalformedAnswerError,
     ResponseEnd,
     header,
 )
@@ -420,18 +422,29 @@
         else:
             self.backend.record_refusal(now)
             self.flow.announcements.record_refused(self.backend)
-        self.read_rest(connection, head)
+        if self.read_rest(connection, head):
+            # Either response may be a copy, so that the request may run.
+            reason = f"refused with {status}, and other bytes follow"
+            return Attempt(AttemptEnd.BROKEN, status, reason)
         return Attempt(AttemptEnd.NOT_RUN, status, f"refused with {status}")
 
-    def read_rest(self, connection: HttpConnection, head: ResponseHead) -> None:
-        """Read a body that is not forwarded, to make the connection reusable."""
+    def read_rest(self, connection: HttpConnection, head: ResponseHead) -> bool:
+        """
+        Read a body that is not forwarded, to make the connection reusable.
+
+        Return whether bytes have arrived that do not belong to the response.
+        """
         until = min(self.state.deadline, clock.now() + REFUSAL_BODY_S)
         try:
             connection.read_body(until, MAX_REFUSAL_BYTES)
-            self.release_connection(connection, head)
         except BrokenExchangeError as exc:
             # The connection is closed, but the status was read.
             self.log_response_end(head, str(exc))
+            ended = connection.reader.connection_end is not ConnectionEnd.OPEN
+            return isinstance(exc, MalformedAnswerError) and not ended
+        has_extra_bytes = connection.has_extra_bytes()
+        self.release_connection(connection, head)
+        return has_extra_bytes
 
     def backend_headers(self) -> Headers:
         """Return the request headers for the back end."""
--- a/packages/primroselever-entry/tests/direct/test_repeated_refusals.py
+++ b/packages/primroselever-entry/tests/direct/test_repeated_refusals.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from .conftest import RESET, ok_response, read_all, request
@@ -42,6 +44,17 @@
     return read_all(connection)
 
 
+def set_attempts(entry, max_attempts: int) -> None:
+    """Let requests that must not run twice be sent again after a refusal."""
+    catalogue = entry.board.catalogue
+    routes = tuple(
+        replace(route, max_attempts=max_attempts)
+        for route in catalogue.configuration.routes
+    )
+    configuration = replace(catalogue.configuration, revision=2, routes=routes)
+    catalogue.configure(configuration, 1.0)
+
+
 # Guards against callers without an identifier that get the answer of another request:
 # a copy cannot be told from the answer unless the entry names the request itself.
 @pytest.mark.parametrize("call", CALLS)
@@ -77,3 +90,42 @@
     response = send_named(entry, "read", b"r1")
     assert response[9:12] == (b"200" if answers else status)
     assert len(first.requests) == len(second.requests) == 1
+
+
+# Guards against a refusal that is believed although another response follows it: one of
+# the two is a copy, and the request may run. No other server may run an order then.
+@pytest.mark.parametrize("call", CALLS)
+@pytest.mark.parametrize("status", [503, 429, 421, 408])
+@pytest.mark.parametrize("headers", [b"", b"Connection: close\r\n"])
+@pytest.mark.parametrize(
+    "follows",
+    [ok_response()[0], ok_response()[0][:1], refuse(), refuse(503, b"r0")],
+    ids=["answer", "first byte", "refusal", "earlier refusal"],
+)
+def test_a_refusal_before_another_response_is_not_believed(
+    entry, call, status, headers, follows
+):
+    set_attempts(entry, 2)
+    first, second = entry.add("a"), entry.add("b")
+    entry.board.backends.backends["b"].in_flight = 5
+    first.responses = [[refuse(status, headers=headers) + follows]]
+    second.responses = [ok_response(b"second")]
+    response = send_named(entry, call, b"r1")
+    if call == "read":
+        assert response.endswith(b"second")
+    else:
+        assert response.startswith(b"HTTP/1.1 502")
+        assert b"retry-after" not in response.lower()
+        assert not second.requests
+
+
+# Guards against a copy of the head alone of a refusal, whose body is then read from the
+# response that follows.
+@pytest.mark.parametrize(
+    "framing", [b"Content-Length: 4", b"Transfer-Encoding: chunked"]
+)
+def test_a_refusal_without_its_body_is_not_believed(entry, framing):
+    entry.add("a").responses = [
+        [refuse().replace(b"Content-Length: 4", framing)[:-4] + ok_response()[0]]
+    ]
+    assert send_named(entry, "order", b"r1").startswith(b"HTTP/1.1 502")
--- a/packages/primroselever-node/src/primroselever_node/direct/exchange.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/exchange.py
@@ -237,6 +237,10 @@
             self.reader.record_end(ConnectionEnd.RESET)
             return False
 
+    def has_extra_bytes(self) -> bool:
+        """Return whether bytes have arrived after a complete answer."""
+        return self.reader.has_extra_bytes() or self.has_data()
+
     def wait_for_data(self) -> bool:
         """Wait until the connection has bytes or ends; return whether it has any."""
         try:
--- a/packages/primroselever-node/src/primroselever_node/direct/responses.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/responses.py
@@ -266,6 +266,10 @@
             return ResponseEnd.CLOSED
         return ResponseEnd.FRAMED
 
+    def has_extra_bytes(self) -> bool:
+        """Return whether bytes were received after a complete response."""
+        return bool(self.protocol.trailing_data[0])
+
     def prepare_for_reuse(self) -> bool:
         """Prepare for another request; return whether the connection may be kept."""
         states = (self.protocol.our_state, self.protocol.their_state)
@@ -273,8 +277,7 @@
             return False
         if self.connection_end is not ConnectionEnd.OPEN:
             return False
-        rest, closed = self.protocol.trailing_data
-        if rest or closed:
+        if self.has_extra_bytes() or self.protocol.trailing_data[1]:
             return False
         self.protocol.start_next_cycle()
         self.informational_count = 0
