Do not believe the second refusal of one identifier by one server

What callers saw: 503 for a request that ran, and a second run on another back end, if the caller sent a refused request again with the same identifier and the back end wrote its earlier refusal once more on the connection that was now used.

Cause: requests with one identifier do not share a connection, but a copy on another connection bears the identifier too, so that nothing in it shows that it is one.

Change: the entry counts how often it sent the latest 16384 identifiers to each server without an answer other than a refusal. If a server got the identifier before, its refusal is answered with 502 for a request that must not run twice, and followed by another back end for others. A request that must not run twice is first sent to servers that never got it, whose refusal is believed. This needs no further connections.

Before: test_a_second_refusal_by_one_server_is_not_believed failed in its 16 cases; test_an_order_that_is_sent_again_goes_to_another_server_first fails without the order of the servers. After: all tests of packages/primroselever-entry/tests/direct pass but for test_in_force.py, whose fixed port is in use on this machine.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -22,7 +22,12 @@
 from primroselever_core.catalogue.routes import effective_priority, pick_service
 from primroselever_core.dispatch.announcements import caller_return_s, earliest_return
 from primroselever_core.dispatch.buffers import BufferAccount, BufferLimits
-from primroselever_core.dispatch.choose import Refused, RequestNeeds, choose_backend
+from primroselever_core.dispatch.choose import (
+    Chosen,
+    Refused,
+    RequestNeeds,
+    choose_backend,
+)
 from primroselever_core.dispatch.predict import predict_read_s, predict_request_s
 from primroselever_core.dispatch.retry_share import RetryLimits, RetryShare
 from primroselever_node import clock
@@ -38,16 +43,16 @@
 from .request_log import log_choice, log_request_end
 from .request_state import RequestState
 from .sending import AttemptSender
+from .sent_requests import SentRequests
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Collection, Mapping, Sequence
     from random import Random
 
     from primroselever_core.catalogue.model import Address, EngineFigures, Route
     from primroselever_core.direct_board import DirectBoard
     from primroselever_core.dispatch.announcements import ServerStart
     from primroselever_core.dispatch.backend import Backend
-    from primroselever_core.dispatch.choose import Chosen
     from primroselever_core.identifiers import Fingerprint
     from primroselever_node.direct.connection_pool import ConnectionPool
 
@@ -126,6 +131,7 @@
             publish_limit,
             publish_pace,
         )
+        self.sent_requests = SentRequests()
         self.buffers = BufferAccount(limits.buffers.total_bytes)
         self.retry_shares: dict[str, RetryShare] = {}
         self.longest_remaining_s: dict[str, float] = {}
@@ -439,19 +445,41 @@
             if isinstance(holding, Refused):
                 return holding
             backends = holding
-        choice = choose_backend(
-            backends,
-            needs,
-            figures,
-            self.board.identity.failure_domain,
-            state.tried_server_ids,
-            now,
-            self.random,
-        )
+        choice = self.choose_unsent(state, backends, needs, figures, now)
         refused = choice if isinstance(choice, Refused) else None
         self.admission.record_choice(state, refused, now)
         return choice
 
+    def choose_unsent(
+        self,
+        state: RequestState,
+        backends: Sequence[Backend],
+        needs: RequestNeeds,
+        figures: EngineFigures | None,
+        now: float,
+    ) -> Chosen | Refused:
+        """
+        Return the choice of a back end, if possible one that never got the request.
+
+        A server that got the identifier before is not believed to refuse it now. The
+        caller of a request that must not run twice would then learn nothing certain.
+        """
+        own_domain = self.board.identity.failure_domain
+
+        def choose(excluded: Collection[str]) -> Chosen | Refused:
+            return choose_backend(
+                backends, needs, figures, own_domain, excluded, now, self.random
+            )
+
+        tried = state.tried_server_ids
+        if not state.route.repeatable:
+            server_ids = [each.listed.server_id for each in backends]
+            request_id = state.request.request_id
+            sent_to = self.sent_requests.servers_of(request_id, server_ids)
+            if sent_to and isinstance(choice := choose(sent_to.union(tried)), Chosen):
+                return choice
+        return choose(tried)
+
     def engine_figures(self, service: str) -> EngineFigures | None:
         """Return the engine figures of a service, or None for a plain service."""
         listed_service = self.board.catalogue.routes.services.get(service)
--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -356,6 +356,7 @@
             version = self.backend.loaded_version(request.model, clock.now())
             self.weights_lapse_at = self.flow.weights_lapse_at(request.model, version)
         self.caller.on_caller_left = self.connection.interrupt
+        self.flow.sent_requests.record_sent(listed.server_id, request.request_id)
         self.connection.send(
             request.method,
             request.target,
@@ -385,6 +386,9 @@
         not_run = status == 421 or bool(header(head.headers, names.not_run))
         if not_run and status in (*NOT_RUN_STATUSES, 400):
             return self.handle_refusal(connection, head)
+        self.flow.sent_requests.record_answered(
+            self.backend.listed.server_id, self.state.request.request_id
+        )
         if status >= 500:
             self.backend.record_answered_failure()
         # An error that follows events of another run would look like the end of it.
@@ -422,11 +426,25 @@
         else:
             self.backend.record_refusal(now)
             self.flow.announcements.record_refused(self.backend)
-        if self.read_rest(connection, head):
-            # Either response may be a copy, so that the request may run.
-            reason = f"refused with {status}, and other bytes follow"
-            return Attempt(AttemptEnd.BROKEN, status, reason)
-        return Attempt(AttemptEnd.NOT_RUN, status, f"refused with {status}")
+        reason = f"refused with {status}"
+        doubt = self.refusal_doubt(self.read_rest(connection, head))
+        if doubt:
+            return Attempt(AttemptEnd.BROKEN, status, f"{reason}, but {doubt}")
+        return Attempt(AttemptEnd.NOT_RUN, status, reason)
+
+    def refusal_doubt(self, extra_bytes: bool) -> str:
+        """
+        Return why a refusal may be a copy of an earlier one, empty if nothing says so.
+
+        ``extra_bytes`` states whether it is followed by other bytes.
+        """
+        if extra_bytes:
+            return "other bytes follow"
+        if self.flow.sent_requests.was_sent_twice(
+            self.backend.listed.server_id, self.state.request.request_id
+        ):
+            return "this request was sent there before"
+        return ""
 
     def read_rest(self, connection: HttpConnection, head: ResponseHead) -> bool:
         """
--- a/packages/primroselever-entry/tests/direct/test_repeated_refusals.py
+++ b/packages/primroselever-entry/tests/direct/test_repeated_refusals.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from .conftest import RESET, ok_response, read_all, request
+from .conftest import HANG, RESET, ok_response, read_all, request
 
 CALLS = {"read": ("/read/x", "GET", b""), "order": ("/order/x", "POST", b"ink")}
 
@@ -129,3 +129,60 @@
         [refuse().replace(b"Content-Length: 4", framing)[:-4] + ok_response()[0]]
     ]
     assert send_named(entry, "order", b"r1").startswith(b"HTTP/1.1 502")
+
+
+# Guards against the copy of a refusal on another connection: a caller that sends its
+# request again with the same identifier would be told that it has not run, although it
+# runs now, and another server could run it as well.
+@pytest.mark.parametrize("call", CALLS)
+@pytest.mark.parametrize("status", [503, 429, 421, 408])
+@pytest.mark.parametrize("earlier", [[], [HANG]], ids=["refused", "not answered"])
+def test_a_second_refusal_by_one_server_is_not_believed(entry, call, status, earlier):
+    backend = entry.add("a")
+    backend.responses = [
+        earlier or [refuse(status)],
+        [refuse(status), *ok_response()],
+    ]
+    first = send_named(entry, call, b"r1")
+    assert first[9:12] == (b"504" if earlier else b"503")
+    assert send_named(entry, call, b"r1").startswith(b"HTTP/1.1 502")
+    assert len(backend.requests) == entry.flow.pool.opened_count == 2
+
+
+# Guards against callers that are told nothing certain although another server is there,
+# whose refusal can be no copy.
+@pytest.mark.parametrize("answers", [False, True])
+def test_an_order_that_is_sent_again_goes_to_another_server_first(entry, answers):
+    first, second = entry.add("a"), entry.add("b", failure_domain="far")
+    first.responses = [[refuse()], ok_response()]
+    second.responses = [ok_response() if answers else [refuse()]]
+    assert send_named(entry, "order", b"r1").startswith(b"HTTP/1.1 503")
+    response = send_named(entry, "order", b"r1")
+    assert response[9:12] == (b"200" if answers else b"503")
+    assert len(first.requests) == len(second.requests) == 1
+
+
+# Guards against doubts about identifiers that a caller uses for several requests, of
+# which no earlier one was refused.
+@pytest.mark.parametrize("call", CALLS)
+def test_a_refusal_after_an_answer_is_believed(entry, call):
+    entry.add("a").responses = [ok_response(), [refuse()]]
+    responses = [send_named(entry, call, b"r1") for _ in range(2)]
+    assert [each[9:12] for each in responses] == [b"200", b"503"]
+
+
+# Guards against requests that are refused because they were sent to all servers before.
+@pytest.mark.parametrize("call", CALLS)
+def test_a_refused_request_is_sent_to_the_same_server_again(entry, call):
+    entry.add("a").responses = [[refuse()], ok_response()]
+    responses = [send_named(entry, call, b"r1") for _ in range(2)]
+    assert [each[9:12] for each in responses] == [b"503", b"200"]
+
+
+# Guards against doubts about callers that send different identifiers under overload.
+def test_refusals_of_different_requests_are_believed(entry):
+    entry.add("a").responses = [[refuse(503, b"r%d" % i)] for i in range(3)]
+    for i in range(3):
+        response = send_named(entry, "order", b"r%d" % i)
+        assert response.startswith(b"HTTP/1.1 503")
+    assert entry.flow.pool.opened_count == 1
