Do not reuse connections after refusals that name no request

What callers saw: 503 for a request that ran, or the answer of another caller's request, if a back end that names no requests wrote a refusal once more on a kept connection. The same for a first request on a connection if a back end that names requests sent a copy without an identifier.

Cause: without an identifier on the connection before, a response without one counted for the present request. After such a copy each answer was taken for that to the next request.

Change: a connection is closed after a refusal, or another 503, 429 or 408, that names no request. A refusal without an identifier is not believed once the server has named a request on any connection. The cost is a new connection after each refusal by a server that never names requests; servers that do are not affected.

Before: the 16 cases of test_a_connection_with_an_unnamed_refusal_is_not_used_again and the 8 of test_an_unnamed_refusal_of_a_server_that_names_requests_is_not_believed failed. After: all tests of packages/primroselever-entry/tests/direct pass but for test_in_force.py, whose fixed port is in use on this machine.

--- a/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
@@ -92,7 +92,8 @@
     what is known of a server that may be cold, None where servers have no such bound,
     and ``ramp`` the pace of one that started or recovered. ``was_empty`` is True from
     an engine's first report without weights to its first weights, False afterwards, and
-    None before any report. ``memory`` counts the tokens that an engine holds.
+    None before any report. ``memory`` counts the tokens that an engine holds, and
+    ``names_requests`` is set once the server repeated the identifier of a request.
     """
 
     listed: ListedServer
@@ -123,6 +124,7 @@
     ramp: Ramp | None = None
     was_empty: bool | None = None
     memory: ServerMemory = field(default_factory=ServerMemory)
+    names_requests: bool = False
 
     def record_sent(self, read_s: float, now: float) -> None:
         """Count a request that this entry sends, and its prompt."""
--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -382,6 +382,8 @@
         self.flow.announcements.read_head(
             head, self.backend.listed, self.state.request.log_id, self.started_at
         )
+        if self.names_request(head):
+            self.backend.names_requests = True
         status = head.status_code
         not_run = status == 421 or bool(header(head.headers, names.not_run))
         if not_run and status in (*NOT_RUN_STATUSES, 400):
@@ -427,12 +429,12 @@
             self.backend.record_refusal(now)
             self.flow.announcements.record_refused(self.backend)
         reason = f"refused with {status}"
-        doubt = self.refusal_doubt(self.read_rest(connection, head))
+        doubt = self.refusal_doubt(head, self.read_rest(connection, head))
         if doubt:
             return Attempt(AttemptEnd.BROKEN, status, f"{reason}, but {doubt}")
         return Attempt(AttemptEnd.NOT_RUN, status, reason)
 
-    def refusal_doubt(self, extra_bytes: bool) -> str:
+    def refusal_doubt(self, head: ResponseHead, extra_bytes: bool) -> str:
         """
         Return why a refusal may be a copy of an earlier one, empty if nothing says so.
 
@@ -444,6 +446,8 @@
             self.backend.listed.server_id, self.state.request.request_id
         ):
             return "this request was sent there before"
+        if self.backend.names_requests and not self.names_request(head):
+            return "it names no request"
         return ""
 
     def read_rest(self, connection: HttpConnection, head: ResponseHead) -> bool:
@@ -461,9 +465,15 @@
             ended = connection.reader.connection_end is not ConnectionEnd.OPEN
             return isinstance(exc, MalformedAnswerError) and not ended
         has_extra_bytes = connection.has_extra_bytes()
-        self.release_connection(connection, head)
+        if self.names_request(head):
+            self.release_connection(connection, head)
+        # Otherwise a copy could be taken for the answer to the next request.
         return has_extra_bytes
 
+    def names_request(self, head: ResponseHead) -> bool:
+        """Return whether a response repeats the identifier of its request."""
+        return bool(header(head.headers, self.flow.names.request_id))
+
     def backend_headers(self) -> Headers:
         """Return the request headers for the back end."""
         state = self.state
--- a/packages/primroselever-entry/tests/direct/test_repeated_refusals.py
+++ b/packages/primroselever-entry/tests/direct/test_repeated_refusals.py
@@ -186,3 +186,45 @@
         response = send_named(entry, "order", b"r%d" % i)
         assert response.startswith(b"HTTP/1.1 503")
     assert entry.flow.pool.opened_count == 1
+
+
+# Guards against the copy of a refusal that names no request, at a server that never
+# names any: the next request on the connection would be taken for refused, or the one
+# after it would get its answer.
+@pytest.mark.parametrize("call", CALLS)
+@pytest.mark.parametrize("status", [503, 429, 421, 408])
+@pytest.mark.parametrize("marked", [True, False])
+def test_a_connection_with_an_unnamed_refusal_is_not_used_again(
+    entry, call, status, marked
+):
+    refused = refuse(status, b"", marked)
+
+    def answer(body: bytes):
+        if entry.flow.pool.opened_count == 1:
+            yield refused
+        yield ok_response(body)[0].replace(b"x-request: r1\r\n", b"")
+
+    entry.add("a").responses = [[refused], answer(b"second"), answer(b"third")]
+    stated = marked or status == 421
+    response = send_named(entry, call, b"r1")
+    assert response[9:12] == (b"503" if stated else b"502")
+    assert send_named(entry, call, b"r2").endswith(b"second")
+    assert send_named(entry, call, b"r3").endswith(b"third")
+    assert entry.flow.pool.opened_count == 2
+
+
+# Guards against the copy of a refusal that names no request, on another connection than
+# the earlier request.
+@pytest.mark.parametrize("call", CALLS)
+@pytest.mark.parametrize("status", [503, 429, 421, 408])
+def test_an_unnamed_refusal_of_a_server_that_names_requests_is_not_believed(
+    entry, call, status
+):
+    backend = entry.add("a")
+    backend.responses = [
+        ok_response(headers=b"Connection: close\r\n"),
+        [refuse(status, b""), *ok_response(b"ok", b"r2")],
+    ]
+    assert send_named(entry, call, b"r1").endswith(b"ok")
+    assert send_named(entry, call, b"r2").startswith(b"HTTP/1.1 502")
+    assert entry.flow.pool.opened_count == 2
