Make short calls whose answer matters on clean connections

What was seen: an agent took an order that its engine had refused for accepted, or the reverse, and a corrupt staged piece for valid; a manifest of one version was read as that of the next one. The server had written an earlier answer once more on a kept connection.

Cause: these calls carry no identifier. A copy that arrives between the check of a kept connection and the answer was read as the answer.

Change: a connection is closed after a refused call (status 400 and above).

--- a/packages/primroselever-node/src/primroselever_node/direct/calls.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/calls.py
@@ -1,4 +1,10 @@
-"""Short HTTP calls on kept connections, whose answers are read as a whole."""
+"""
+Short HTTP calls on kept connections, whose answers are read as a whole.
+
+Answers name no call. A late copy of an earlier answer can be told from the present one
+only if it arrives before the connection is used again, so a connection is not used
+again after a refusal, and callers discard it where another answer would do harm.
+"""
 
 from __future__ import annotations
 
@@ -12,6 +18,7 @@
 if TYPE_CHECKING:
     from primroselever_core.catalogue.model import Address
 
+REFUSED_STATUS = 400  # and above
 PROGRESS_S = 0.6  # without new bytes of a body, after which its transfer has stalled
 
 
@@ -83,6 +90,11 @@
             connection.abort()
         return self.call_once(authority, address, method, target, headers, body, limits)
 
+    def discard_connections(self) -> None:
+        """Make later calls on new connections only."""
+        pool, self.pool = self.pool, ConnectionPool()
+        pool.close_removed_servers(())
+
     def call_once(
         self,
         authority: str,
@@ -94,7 +106,8 @@
         limits: BodyLimits,
     ) -> Answer:
         """Make a call on one connection, without repeating it."""
-        connection = self.pool.acquire_connection(
+        pool = self.pool
+        connection = pool.acquire_connection(
             authority, address, limits.deadline, float("inf")
         )
         try:
@@ -108,6 +121,9 @@
         except BaseException:
             connection.abort()
             raise
-        idle_s = allowed_idle_s(header(head.headers, b"keep-alive"))
-        self.pool.release_connection(authority, connection, idle_s)
+        if pool is not self.pool or head.status_code >= REFUSED_STATUS:
+            connection.abort()
+        else:
+            idle_s = allowed_idle_s(header(head.headers, b"keep-alive"))
+            pool.release_connection(authority, connection, idle_s)
         return Answer(head.status_code, tuple(head.headers), data)
