--- a/packages/primroselever-entry/tests/direct/test_repeated_refusals.py
+++ b/packages/primroselever-entry/tests/direct/test_repeated_refusals.py
@@ -228,3 +228,22 @@
     assert send_named(entry, call, b"r1").endswith(b"ok")
     assert send_named(entry, call, b"r2").startswith(b"HTTP/1.1 502")
     assert entry.flow.pool.opened_count == 2
+
+
+# Guards against a caller that is told that its request has not run by the refusal of
+# another one, left over on the connection or in front of the answer.
+@pytest.mark.parametrize("call", CALLS)
+@pytest.mark.parametrize("status", [503, 429, 421, 408])
+@pytest.mark.parametrize("copies", [1, 2, 3])
+@pytest.mark.parametrize("idle", [False, True])
+def test_the_refusal_of_an_earlier_request_reaches_no_other_caller(
+    entry, call, status, copies, idle
+):
+    refused = refuse(status)
+    front, late = ([], [copies * refused]) if idle else ([copies * refused], [])
+    backend = entry.add("a")
+    backend.responses = [[refused, *late], [*front, *ok_response(b"ok", b"r2")]]
+    assert send_named(entry, call, b"r1").startswith(b"HTTP/1.1 503")
+    response = send_named(entry, call, b"r2")
+    assert response.endswith(b"ok") or response.startswith(b"HTTP/1.1 502")
+    assert len(backend.requests) == 2
