--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -17,7 +17,9 @@
 from primroselever_node.direct.responses import (
     AnswerTooLargeError,
     BrokenExchangeError,
+    ConnectionEnd,
     Framing,
+    MalformedAnswerError,
     ResponseEnd,
     header,
 )
@@ -69,7 +71,7 @@
 LOOK_AHEAD_S = 0.001  # to receive what a silent back end has sent already
 # These statuses and 400 mean, together with the not_run header, that the request did
 # not run; 421 also means it without the header.
-NOT_RUN_STATUSES = (421, 429, 503)
+NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Callers read these as "not run". Without the header the back end does not state it.
 UNSTATED_STATUSES = (408, 429, 503)
 # The body of a refusal, or of an unstated status, is only read to keep the connection.
@@ -357,6 +359,7 @@
             version = self.backend.loaded_version(request.model, clock.now())
             self.weights_lapse_at = self.flow.weights_lapse_at(request.model, version)
         self.caller.on_caller_left = self.connection.interrupt
+        self.flow.sent_requests.record_sent(listed.server_id, request.request_id)
         self.connection.send(
             request.method,
             request.target,
@@ -382,10 +385,15 @@
         self.flow.announcements.read_head(
             head, self.backend.listed, self.state.request.log_id, self.started_at
         )
+        if self.names_request(head):
+            self.backend.names_requests = True
         status = head.status_code
         not_run = status == 421 or bool(header(head.headers, names.not_run))
         if not_run and status in (*NOT_RUN_STATUSES, 400):
             return self.handle_refusal(connection, head)
+        self.flow.sent_requests.record_answered(
+            self.backend.listed.server_id, self.state.request.request_id
+        )
         if status >= 500:
             self.backend.record_answered_failure()
         unstated = status in UNSTATED_STATUSES and not not_run
@@ -436,18 +444,51 @@
         else:
             self.backend.record_refusal(now)
             self.flow.announcements.record_refused(self.backend)
-        self.read_rest(connection, head)
-        return Attempt(AttemptEnd.NOT_RUN, status, f"refused with {status}")
+        reason = f"refused with {status}"
+        doubt = self.refusal_doubt(head, self.read_rest(connection, head))
+        if doubt:
+            return Attempt(AttemptEnd.BROKEN, status, f"{reason}, but {doubt}")
+        return Attempt(AttemptEnd.NOT_RUN, status, reason)
+
+    def refusal_doubt(self, head: ResponseHead, extra_bytes: bool) -> str:
+        """
+        Return why a refusal may be a copy of an earlier one, empty if nothing says so.
+
+        ``extra_bytes`` states whether it is followed by other bytes.
+        """
+        if extra_bytes:
+            return "other bytes follow"
+        if self.flow.sent_requests.was_sent_twice(
+            self.backend.listed.server_id, self.state.request.request_id
+        ):
+            return "this request was sent there before"
+        if self.backend.names_requests and not self.names_request(head):
+            return "it names no request"
+        return ""
+
+    def read_rest(self, connection: HttpConnection, head: ResponseHead) -> bool:
+        """
+        Read a body that is not forwarded, to make the connection reusable.
 
-    def read_rest(self, connection: HttpConnection, head: ResponseHead) -> None:
-        """Read a body that is not forwarded, to make the connection reusable."""
+        Return whether bytes have arrived that do not belong to the response.
+        """
         until = min(self.state.deadline, clock.now() + REFUSAL_BODY_S)
         try:
             connection.read_body(until, MAX_REFUSAL_BYTES)
-            self.release_connection(connection, head)
         except BrokenExchangeError as exc:
             # The connection is closed, but the status was read.
             self.log_response_end(head, str(exc))
+            ended = connection.reader.connection_end is not ConnectionEnd.OPEN
+            return isinstance(exc, MalformedAnswerError) and not ended
+        has_extra_bytes = connection.has_extra_bytes()
+        if self.names_request(head):
+            self.release_connection(connection, head)
+        # Otherwise a copy could be taken for the answer to the next request.
+        return has_extra_bytes
+
+    def names_request(self, head: ResponseHead) -> bool:
+        """Return whether a response repeats the identifier of its request."""
+        return bool(header(head.headers, self.flow.names.request_id))
 
     def backend_headers(self) -> Headers:
         """Return the request headers for the back end."""
