Read a manifest that repeats another version again after a wait

Callers would see tokens of weights of the version before: while versions follow each other, an origin that names no version in its manifest may answer with the version before. Both copies that have to be equal are read within milliseconds. The manifest was then kept for the new version, and pieces, also those that an agent's engine had staged, were compared with it.

An entry now reads a manifest that has the digests of another version which it keeps again after 1 s. An entry that keeps no other version of the model, as after a restart, does not notice the repetition.

test_a_manifest_of_the_version_before_is_not_kept_for_the_next failed before.

--- a/packages/primroselever-node/src/primroselever_node/direct/origin_reader.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/origin_reader.py
@@ -39,6 +39,9 @@
 START_DELAY_S = 1.2
 REQUIRED_EQUAL_MANIFESTS = 2  # because the origin may send corrupt bytes
 MAX_MANIFEST_COPIES = 6
+# Two copies are read within milliseconds, so that both may be of the version before
+# while a version is published. The wait is short against the 8 s until its bound.
+REPEATED_MANIFEST_WAIT_S = 1.0
 MAX_CORRUPT_COPIES = 3
 
 logger = logging.getLogger(__name__)
@@ -105,21 +108,54 @@
         raise SourceError(f"the origin sent corrupt bytes of {key}")
 
     def read_manifest(self, key: Key, fetch: Callable[[Relay], Any]) -> PieceDigests:
-        """Return the first manifest of which the origin sent enough equal copies."""
+        """
+        Return the first manifest of which the origin sent enough equal copies.
+
+        One with the digests of another version is read again after a wait: the origin
+        may have answered with that version. A version may also repeat another one.
+        """
         manifest: PieceDigests | None = self.claim(key, fetch)
         if manifest is not None:
             return manifest
         copies: Counter[PieceDigests] = Counter()
+        has_waited = False
         try:
             for _ in range(MAX_MANIFEST_COPIES):
                 copy = self.read_in_turn(key, self.source.read_manifest, *key[:2])
                 copies[copy] += 1
-                if copies[copy] >= REQUIRED_EQUAL_MANIFESTS:
+                if copies[copy] < REQUIRED_EQUAL_MANIFESTS:
+                    continue
+                if has_waited or not self.repeats_another_version(copy):
                     return copy
+                has_waited = True
+                copies.clear()
+                eventlet.sleep(REPEATED_MANIFEST_WAIT_S)
         finally:
             self.release(key)
         raise SourceError("the origin sent too few equal copies of the manifest")
 
+    def repeats_another_version(self, manifest: PieceDigests) -> bool:
+        """Return whether a manifest has the digests of another version of its model."""
+        other = next(
+            (
+                known
+                for known in self.keeper.manifests.values()
+                if known.model == manifest.model
+                and known.version != manifest.version
+                and known.digests == manifest.digests
+            ),
+            None,
+        )
+        if other is None:
+            return False
+        log_decision(
+            "manifest read again",
+            f"{manifest.model}/{manifest.version}",
+            f"in {REPEATED_MANIFEST_WAIT_S} s",
+            f"it has the digests of version {other.version}",
+        )
+        return True
+
     def claim(self, key: Key, fetch: Callable[[Relay], Any]) -> Any:
         """
         Claim a piece for this entry, or return what another entry holds or reads.
--- a/packages/primroselever-node/tests/direct/test_pieces.py
+++ b/packages/primroselever-node/tests/direct/test_pieces.py
@@ -75,6 +75,7 @@
     monkeypatch.setattr(origin_reads, "FIRST_RETRY_S", 0.001)
     monkeypatch.setattr(origin_reads, "MAX_RETRY_S", 0.002)
     monkeypatch.setattr(origin_reader, "START_DELAY_S", 0.0)
+    monkeypatch.setattr(origin_reader, "REPEATED_MANIFEST_WAIT_S", 0.002)
 
     def make(domain: str = "a") -> PieceKeeper:
         board = DirectBoard(Identity("e", domain, "r", 1), Peers("10.0.0.1", domain))
@@ -118,6 +119,38 @@
     assert keeper.get_manifest("m", 2, 0) == MANIFEST
 
 
+# Guards against weights of the version before that are kept, sent and loaded as the
+# new one: each hop compares pieces with the manifest only.
+def test_a_manifest_of_the_version_before_is_not_kept_for_the_next(
+    make_keeper, monkeypatch
+):
+    keeper = make_keeper()
+    keeper.prefetcher.start = lambda *_: None
+    keeper.manifests["m", 2] = MANIFEST
+    newer = PieceDigests("m", 3, tuple(reversed(MANIFEST.digests)))
+    published = eventlet.event.Event()
+    sleep = eventlet.sleep
+
+    def publish_after(seconds):
+        if seconds == origin_reader.REPEATED_MANIFEST_WAIT_S:
+            published.send()
+        sleep(seconds)
+
+    monkeypatch.setattr(origin_reader.eventlet, "sleep", publish_after)
+    keeper.reader.source.read_manifest = lambda _origin, _model, version: replace(
+        newer if published.ready() else MANIFEST, version=version
+    )
+    assert keeper.get_manifest("m", 3, 0) == newer
+
+
+def test_a_version_that_repeats_another_one_is_read_after_the_wait(make_keeper):
+    """A version is published again under a higher number to undo a newer one."""
+    keeper = make_keeper()
+    keeper.manifests["m", 2] = MANIFEST
+    assert keeper.get_manifest("m", 3, 0) == replace(MANIFEST, version=3)
+    assert keeper.get_piece("m", 3, 1, 0) == PIECES[1]
+
+
 def test_a_failed_read_raises_and_a_later_one_succeeds(make_keeper):
     keeper = make_keeper()
     keeper.reader.source.down = True
