Refuse reads of pieces that the manifest does not name

The origin's link would carry bytes that are dropped: a caller with another manifest, of more pieces, requested a piece that this entry's manifest does not name. The entry read it from the origin and failed with an IndexError at the comparison, at each request again. The index -1 was compared with the last digest.

The entry now refuses the read. The tests of relayed pieces with other bytes and of answers after the drop of their version pass before and after.

Three cases of test_a_piece_that_the_manifest_does_not_name_is_not_read failed before.

--- a/packages/primroselever-node/src/primroselever_node/direct/pieces.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/pieces.py
@@ -144,6 +144,8 @@
         if (model, version) in self.dropped:
             # An old version is dropped as soon as its manifest was read.
             raise SourceError(f"version {version} of {model} is no longer kept")
+        if not 0 <= index < len(manifest.digests):
+            raise SourceError(f"the manifest of {model}/{version} has no piece {index}")
 
         def fetch(relay: Relay) -> bytes | None:
             return self.read_from_relay(relay, key, manifest)
--- a/packages/primroselever-node/tests/direct/test_pieces.py
+++ b/packages/primroselever-node/tests/direct/test_pieces.py
@@ -151,6 +151,17 @@
     assert keeper.get_piece("m", 3, 1, 0) == PIECES[1]
 
 
+# Guards against reads of the origin whose bytes are dropped: a caller whose manifest
+# differs requests a piece that this entry's manifest does not name, again and again.
+@pytest.mark.parametrize("index", [len(PIECES), 100, -1])
+def test_a_piece_that_the_manifest_does_not_name_is_not_read(make_keeper, index):
+    keeper = make_keeper()
+    keeper.prefetcher.start = lambda *_: None
+    handler = DirectPeerHandler(keeper.board, keeper)
+    assert handler.fetch_piece("m", 2, index, False, 0, 0, 0).state == "pending"
+    assert keeper.reader.source.reads == []
+
+
 def test_a_failed_read_raises_and_a_later_one_succeeds(make_keeper):
     keeper = make_keeper()
     keeper.reader.source.down = True
@@ -566,6 +577,50 @@
     assert max(active) == keeper.view().read_limit == 1
 
 
+# Guards against bytes of another version, or of another piece, that pass through an
+# entry: whatever a relay holds is compared with this entry's own manifest.
+@pytest.mark.parametrize("domain", ["a", "b"])
+@pytest.mark.parametrize("sent", [PIECES[2], PIECES[3] + b"x", PIECES[3][:4], b""])
+def test_a_relayed_piece_of_other_bytes_is_not_kept(make_keeper, domain, sent):
+    keeper = make_keeper(domain)
+    keeper.prefetcher.start = lambda *_: None
+    keeper.board.peers.record_heartbeat("10.0.0.7", "a", clock.now())
+    keeper.board.holdings.record("10.0.0.7", {"m": {2: b"\x08"}})
+    keeper.manifests["m", 2] = MANIFEST
+    keeper.reader.source.down = True
+    keeper.call_entry = lambda *_, **__: SimpleNamespace(
+        state="held", data=sent, holder=None
+    )
+    with pytest.raises(SourceError):
+        keeper.get_piece("m", 2, 3, 0)
+    assert keeper.pieces == {}
+
+
+# Guards against pieces of a dropped version that are kept for good, and against a
+# second manifest of it: an answer arrives after the version was dropped.
+def test_an_answer_after_the_drop_of_its_version_is_not_kept(make_keeper):
+    keeper = make_keeper()
+    keeper.prefetcher.start = lambda *_: None
+    keeper.manifests["m", 2] = MANIFEST
+    started, release = eventlet.event.Event(), eventlet.event.Event()
+    read_piece = keeper.reader.source.read_piece
+
+    def read_late(*args):
+        started.send()
+        release.wait()
+        return read_piece(*args)
+
+    keeper.reader.source.read_piece = read_late
+    late = eventlet.spawn(keeper.get_piece, "m", 2, 1, 0)
+    started.wait()
+    keeper.drop_version("m", 2)
+    release.send()
+    assert late.wait() == PIECES[1]
+    assert (keeper.pieces, keeper.board.holdings.own) == ({}, {})
+    with pytest.raises(SourceError):
+        keeper.get_manifest("m", 2, 0)
+
+
 def test_pieces_claims_and_manifests_pass_over_connections(make_keeper):
     """A field that is missing in the schema shows only in a real call."""
     reader, asking = make_keeper(), make_keeper()
