Check the weights of an engine again when a request is sent

Callers would see tokens of older weights after the bound of a newer version.

The choice now carries the time until which the request may be sent, and the version that the engine reports is compared again before sending.

test_a_request_is_not_sent_to_weights_that_lapsed_since_the_choice[0.3] and test_a_request_is_not_sent_to_an_engine_that_went_back_to_old_weights failed before. The fixture of the other tests in this file, which simulates a prediction that is too short, now replaces both predictions.

--- a/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
@@ -15,12 +15,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from math import inf
 from statistics import median
 from typing import TYPE_CHECKING
 
 from .announcements import caller_return_s, earliest_return
 from .backend import find_failing_backends
-from .old_weights import starts_in_time
+from .old_weights import send_deadline, starts_in_time
 from .pace import plain_duration_s, slowness
 from .predict import (
     predict_answer_s,
@@ -104,13 +105,15 @@
     ``predicted_s`` is the predicted wait plus the domain penalty and jitter, and
     ``expected_s`` the time that a server of the usual pace needs for what is measured:
     the first event of an engine, the whole answer of another server. Both are in
-    seconds. ``expected_s`` is 0 where the pace is not measured.
+    seconds. ``expected_s`` is 0 where the pace is not measured. After ``send_by`` the
+    request would start too late on the weights of the engine.
     """
 
     backend: Backend
     predicted_s: float
     candidates: str
     expected_s: float = 0.0
+    send_by: float = inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -195,14 +198,17 @@
         retry_s = choose_retry_s(verdict.late_by_s, needs, random)
         return Refused(verdict.cause.value, retry_s, summary, verdict.cause)
     chosen = healthy[verdict]
+    send_by = inf
+    if figures is not None:
+        send_by = send_deadline(chosen, needs, figures, now)
     if not measures_pace:
-        return Chosen(chosen, predictions[verdict], summary)
+        return Chosen(chosen, predictions[verdict], summary, send_by=send_by)
     expected_s = (
         chosen.mean_duration_s
         if figures is None
         else predict_published_s(chosen, needs, figures, now)
     )
-    return Chosen(chosen, predictions[verdict], summary, expected_s or usual)
+    return Chosen(chosen, predictions[verdict], summary, expected_s or usual, send_by)
 
 
 def is_candidate(
--- a/packages/primroselever-core/src/primroselever_core/dispatch/old_weights.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/old_weights.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import TYPE_CHECKING
 
 from ..catalogue.published_weights import LEAST_MARGIN_S, OLD_WEIGHTS_MARGIN_S
@@ -33,17 +34,29 @@
 def old_weights_left_s(needs: RequestNeeds, version: int) -> float:
     """Return for how long requests may start on a version of the weights."""
     left = (left_s for newer, left_s in needs.newer_bounds if newer > version)
-    return min(left, default=float("inf"))
+    return min(left, default=inf)
 
 
 def starts_in_time(
     backend: Backend, needs: RequestNeeds, figures: EngineFigures, now: float
 ) -> bool:
     """Return whether a request sent now starts before the engine's weights lapse."""
+    return now < send_deadline(backend, needs, figures, now)
+
+
+def send_deadline(
+    backend: Backend, needs: RequestNeeds, figures: EngineFigures, now: float
+) -> float:
+    """
+    Return until when a request may be sent that starts before the weights lapse.
+
+    It is infinite for weights that do not lapse. A connection is opened after the
+    choice of the engine, and the process may be paused meanwhile.
+    """
     left_s = old_weights_left_s(needs, backend.loaded_version(needs.model, now))
-    if left_s == float("inf"):
-        return True
-    return old_weights_margin_s(backend, needs, figures, now) < left_s
+    if left_s == inf:
+        return inf
+    return now + left_s - old_weights_margin_s(backend, needs, figures, now)
 
 
 def old_weights_margin_s(
--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -411,11 +411,7 @@
         request = state.request
         needs = RequestNeeds(
             model=request.model,
-            min_version=self.min_version(
-                request.model,
-                now,
-                RESEND_OLD_WEIGHTS_MARGIN_S if state.attempts else LEAST_MARGIN_S,
-            ),
+            min_version=self.min_version_of(state, now),
             prompt_tokens=request.prompt_tokens,
             answer_tokens=request.answer_tokens,
             first_event_within_s=state.objective_at - now,
@@ -467,6 +463,21 @@
         max_age_s = self.limits.weights_within_s - margin_s
         return published_weights.newest_learned_by(now - max_age_s)
 
+    def min_version_of(self, state: RequestState, now: float) -> int:
+        """Return the oldest version on which a request may be sent now, 0 for any."""
+        return self.min_version(
+            state.request.model,
+            now,
+            RESEND_OLD_WEIGHTS_MARGIN_S if state.attempts else LEAST_MARGIN_S,
+        )
+
+    def may_send(self, state: RequestState, choice: Chosen, now: float) -> bool:
+        """Return whether a request may still be sent to the weights of an engine."""
+        loaded_version = choice.backend.loaded_version(state.request.model, now)
+        return now < choice.send_by and loaded_version >= self.min_version_of(
+            state, now
+        )
+
     def weights_lapse_at(self, model: str, version: int) -> float:
         """
         Return when a request that waits for its first event on weights is cancelled.
--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -75,6 +75,7 @@
 MAX_REFUSAL_BYTES = 65536
 OVERTAKEN_REASON = "the silent back end resumed"
 LAPSED_REASON = "the engine did not start on its weights while they were usable"
+OUTDATED_REASON = "it would start too late on the engine's weights"
 MISPLACED_REASON = "its failure domain may no longer be used"
 BODY_METHODS = (b"POST", b"PUT", b"PATCH")
 
@@ -350,6 +351,11 @@
         if not current_placement(self.flow, self.state).admits(listed.failure_domain):
             # A configuration or an evacuation came while the connection was opened.
             return Attempt(AttemptEnd.NOT_SENT, reason=MISPLACED_REASON)
+        if self.samples_first_event and not self.flow.may_send(
+            self.state, self.choice, clock.now()
+        ):
+            # The connection was opened slowly, or the process was paused.
+            return Attempt(AttemptEnd.NOT_SENT, reason=OUTDATED_REASON)
         if self.samples_first_event and route.kind is RouteKind.STREAMING:
             version = self.backend.loaded_version(request.model, clock.now())
             self.weights_lapse_at = self.flow.weights_lapse_at(request.model, version)
--- a/packages/primroselever-entry/tests/direct/test_lapsing_weights.py
+++ b/packages/primroselever-entry/tests/direct/test_lapsing_weights.py
@@ -8,9 +8,11 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from math import inf
 
 import pytest
 
+from primroselever_core.catalogue.published_weights import OLD_WEIGHTS_MARGIN_S
 from primroselever_core.dispatch import choose
 from primroselever_entry.direct import flow
 from primroselever_node import clock
@@ -36,15 +38,19 @@
     monkeypatch.setattr(flow, "LEAST_MARGIN_S", flow.CANCEL_MARGIN_S)
     # As with a prediction that is too short.
     monkeypatch.setattr(choose, "starts_in_time", lambda *_: True)
+    monkeypatch.setattr(choose, "send_deadline", lambda *_: inf)
+    return add_engines(entry, flow.CANCEL_MARGIN_S + LAPSE_S)
+
+
+def add_engines(entry, left_s: float):
+    """Add an engine on version 1 that is preferred, and a loaded one on version 2."""
     old, new = entry.add("a", "engine"), entry.add("b", "engine")
     old_listed, new_listed = old.listed(), replace(new.listed(), weights=(("m", 2),))
     entry.board.backends.apply_listing([old_listed, new_listed])
     entry.board.backends.backends["b"].in_flight = 7
     within_s = entry.flow.limits.weights_within_s
     entry.board.catalogue.publish_weights("m", 1, clock.now() - 60.0)
-    entry.board.catalogue.publish_weights(
-        "m", 2, clock.now() - within_s + flow.CANCEL_MARGIN_S + LAPSE_S
-    )
+    entry.board.catalogue.publish_weights("m", 2, clock.now() - within_s + left_s)
     return old, new
 
 
@@ -91,3 +97,55 @@
     old.responses = [[HANG]]
     assert ask(entry).startswith(b"HTTP/1.1 502")
     assert (len(old.requests), new.requests) == (1, [])
+
+
+def pass_time_before_sending(entry, monkeypatch, seconds: float) -> None:
+    """Have the clock advance while the first connection is opened."""
+    now, acquire = clock.now, entry.flow.pool.acquire_connection
+    left_s = [seconds]
+
+    def acquire_late(*args):
+        connection = acquire(*args)
+        passed_s = left_s.pop() if left_s else 0.0
+        if passed_s:
+            monkeypatch.setattr(clock, "now", lambda: now() + passed_s)
+        return connection
+
+    monkeypatch.setattr(entry.flow.pool, "acquire_connection", acquire_late)
+
+
+# Guards against requests that start on old weights after their deadline: the engine is
+# chosen while they may, and the connection is opened after that, or the process is
+# paused in between.
+@pytest.mark.parametrize("passed_s", [0.0, 0.3])
+def test_a_request_is_not_sent_to_weights_that_lapsed_since_the_choice(
+    entry, monkeypatch, passed_s
+):
+    old, new = add_engines(entry, OLD_WEIGHTS_MARGIN_S + LAPSE_S)
+    events = [stream_head(), *map(chunk, EVENTS), STREAM_END]
+    old.responses, new.responses = [events], [events]
+    pass_time_before_sending(entry, monkeypatch, passed_s)
+    assert_complete(ask(entry))
+    assert (len(old.requests), len(new.requests)) == ((0, 1) if passed_s else (1, 0))
+    assert entry.board.backends.backends["a"].in_flight == 0
+
+
+# Guards against requests on the weights of an engine that restarted on an older version
+# while the connection was opened.
+def test_a_request_is_not_sent_to_an_engine_that_went_back_to_old_weights(
+    entry, monkeypatch
+):
+    old, new = add_engines(entry, -1.0)
+    backends = entry.board.backends
+    ahead = replace(old.listed(), weights=(("m", 2),))
+    backends.apply_listing([ahead, backends.backends["b"].listed])
+    new.responses = [[stream_head(), *map(chunk, EVENTS), STREAM_END]]
+    acquire = entry.flow.pool.acquire_connection
+
+    def acquire_while_restarting(*args):
+        backends.apply_listing([old.listed(), backends.backends["b"].listed])
+        return acquire(*args)
+
+    monkeypatch.setattr(entry.flow.pool, "acquire_connection", acquire_while_restarting)
+    assert_complete(ask(entry))
+    assert (len(old.requests), len(new.requests)) == (0, 1)
