Cancel requests on weights that were the newest when they were sent

When weights lapse was looked up once, when the request was sent. A version that was published later set no limit.

The limit is now looked up for each wait. On the newest weights, a wait ends by the time at which they would lapse if the next version was published at its start, and goes on if none was.

test_a_request_on_the_newest_weights_is_cancelled_when_they_lapse failed before.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -478,19 +478,24 @@
             state, now
         )
 
-    def weights_lapse_at(self, model: str, version: int) -> float:
+    def weights_lapse_at(self, model: str, version: int, now: float) -> float:
         """
-        Return when a request that waits for its first event on weights is cancelled.
+        Return until when a request may wait for its first event on weights.
 
         Its prediction may be wrong, for example if other entries sent requests to the
-        same engine at the same moment. It is infinite for the newest version.
+        same engine at the same moment. The newest version lapses no earlier than it
+        would if the next one was published now.
         """
-        published_weights = self.board.catalogue.weights.get(model)
-        if published_weights is None or not version:
+        if not version:
             return inf
-        outdated_since = published_weights.outdated_since(version)
+        published_weights = self.board.catalogue.weights.get(model)
+        outdated_since = (
+            None
+            if published_weights is None
+            else published_weights.outdated_since(version)
+        )
         if outdated_since is None:
-            return inf
+            outdated_since = now
         return outdated_since + self.limits.weights_within_s - CANCEL_MARGIN_S
 
     def newer_bounds(self, model: str, now: float) -> tuple[tuple[int, float], ...]:
--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -90,8 +90,9 @@
     silent back end is waited for at least. ``released_bytes`` counts what had been
     forwarded of the body when the back end became silent. ``head_ahead`` is a head that
     was received meanwhile, and ``broken_ahead`` is set if the exchange broke.
-    ``weights_lapse_at`` is when an attempt without a first event is cancelled, as it
-    may not start on the engine's weights any more.
+    ``sent_version`` is the version of the engine's weights on which the request starts,
+    0 if that is not bounded. An attempt without a first event is cancelled when they
+    lapse.
     """
 
     def __init__(
@@ -115,7 +116,7 @@
         self.started_at = clock.now()
         self.last_received_at = self.started_at
         self.wait_until = 0.0
-        self.weights_lapse_at = inf
+        self.sent_version = 0
         self.first_event_recorded = False
         self.known_crashes: frozenset[CrashId] = frozenset()
         self.part_run = PartRun()
@@ -303,13 +304,16 @@
     def handle_silence(self, exc: ExchangeTimeoutError) -> Attempt:
         """Record that no data arrived in time; return the result."""
         now = clock.now()
-        if self.wait_until == 0.0:
+        if self.wait_until == 0.0 and now >= self.wait_deadline():
             self.log_silence(exc, now)
         if now >= self.state.deadline:
             return Attempt(AttemptEnd.OUT_OF_TIME, reason="the deadline passed")
         if now >= self.start_limit():
             # The engine is not at fault: it may be about to answer.
             return Attempt(AttemptEnd.LAPSED, reason=LAPSED_REASON)
+        if now < self.silence_limit():
+            # Only the weights might have lapsed.
+            return self.exchange_or_fail(self.receive_response)
         if self.wait_until == 0.0:
             self.backend.record_failure(now, self.started_at)
             self.flow.announcements.record_failure(self.backend, self.started_at)
@@ -357,8 +361,7 @@
             # The connection was opened slowly, or the process was paused.
             return Attempt(AttemptEnd.NOT_SENT, reason=OUTDATED_REASON)
         if self.samples_first_event and route.kind is RouteKind.STREAMING:
-            version = self.backend.loaded_version(request.model, clock.now())
-            self.weights_lapse_at = self.flow.weights_lapse_at(request.model, version)
+            self.sent_version = self.backend.loaded_version(request.model, clock.now())
         self.caller.on_caller_left = self.connection.interrupt
         self.connection.send(
             request.method,
@@ -380,7 +383,7 @@
         if self.head is not None and self.body is not None:
             return self.forward_response(connection, self.head, self.body)
         names = self.flow.names
-        head = self.head_ahead or self.read_head(connection, self.head_deadline())
+        head = self.head_ahead or self.read_head(connection, self.wait_deadline())
         self.last_received_at = clock.now()
         self.flow.announcements.read_head(
             head, self.backend.listed, self.state.request.log_id, self.started_at
@@ -466,23 +469,42 @@
             headers.append((b"Content-Length", str(len(body)).encode()))
         return headers
 
-    def head_deadline(self) -> float:
+    def wait_deadline(self) -> float:
+        """Return until when the head, or the next part, of a response must arrive."""
+        if self.head is not None and not isinstance(self.body, StreamBody):
+            return self.state.deadline
+        return min(self.silence_limit(), self.start_limit())
+
+    def silence_limit(self) -> float:
         """
         Return until when to wait for a response before another back end is tried.
 
-        Unless the deadline is earlier, this is at least twice the predicted wait.
+        Until the first event this is at least twice the predicted wait, unless the
+        deadline is earlier.
         """
         route = self.state.route
+        if self.head is not None:
+            if not isinstance(self.body, StreamBody):
+                return self.state.deadline
+            if self.state.first_event_at is not None:
+                return self.silence_deadline(MAX_STREAM_SILENCE_S)
         if route.kind is RouteKind.STREAMING:
             limit_s = max(MAX_STREAM_SILENCE_S, MAX_SILENCE_FACTOR * route.objective_s)
         else:
             limit_s = max(MIN_SILENCE_LIMIT_S, route.objective_s)
-        deadline = self.silence_deadline(max(limit_s, 2 * self.choice.predicted_s))
-        return min(deadline, self.start_limit())
+        return self.silence_deadline(max(limit_s, 2 * self.choice.predicted_s))
 
     def start_limit(self) -> float:
-        """Return when the attempt is cancelled if the engine has not started it."""
-        return inf if self.first_event_recorded else self.weights_lapse_at
+        """
+        Return until when to wait for the engine to start the attempt.
+
+        It is asked for again by then, since a newer version may have been published.
+        """
+        if self.first_event_recorded:
+            return inf
+        return self.flow.weights_lapse_at(
+            self.state.request.model, self.sent_version, clock.now()
+        )
 
     def silence_deadline(self, limit_s: float) -> float:
         """Return until when a back end may be silent before another one is tried."""
@@ -503,7 +525,7 @@
             if isinstance(body, StreamBody) and body.ahead:
                 part = body.ahead.popleft()
             else:
-                part = connection.read_part(self.body_deadline(streaming))
+                part = connection.read_part(self.wait_deadline())
             if isinstance(part, ResponseEnd):
                 break
             if self.overtaken:
@@ -609,14 +631,6 @@
                 (now - self.started_at) / self.choice.expected_s
             )
 
-    def body_deadline(self, streaming: bool) -> float:
-        """Return until when the next part of a response must arrive."""
-        if not streaming:
-            return self.state.deadline
-        if self.state.first_event_at is None:
-            return self.head_deadline()
-        return min(self.silence_deadline(MAX_STREAM_SILENCE_S), self.start_limit())
-
     def forward_head(self, head: ResponseHead, body: StreamBody | PlainBody) -> None:
         """Forward the response head, unless one has already been forwarded."""
         state = self.state
--- a/packages/primroselever-entry/tests/direct/test_lapsing_weights.py
+++ b/packages/primroselever-entry/tests/direct/test_lapsing_weights.py
@@ -67,6 +67,30 @@
     assert backend.available(clock.now())
 
 
+# Guards against requests that start after the deadline of weights that were the newest
+# when they were sent.
+def test_a_request_on_the_newest_weights_is_cancelled_when_they_lapse(
+    entry, monkeypatch
+):
+    monkeypatch.setattr(flow, "LEAST_MARGIN_S", flow.CANCEL_MARGIN_S)
+    entry.flow.limits = replace(
+        entry.flow.limits, weights_within_s=flow.CANCEL_MARGIN_S + LAPSE_S
+    )
+    old, new = add_engines(entry, inf)
+    published_weights = entry.board.catalogue.weights["m"]
+    del published_weights.history[1:]
+
+    def hang():
+        published_weights.append(2, clock.now())
+        yield HANG
+
+    old.responses = [hang()]
+    new.responses = [[stream_head(), *map(chunk, EVENTS), STREAM_END]]
+    assert_complete(ask(entry))
+    assert (len(old.requests), len(new.requests), old.disconnects) == (1, 1, 1)
+    assert entry.board.backends.backends["a"].available(clock.now())
+
+
 # Guards against streams that are cut off because their weights lapse while they run.
 def test_a_stream_that_has_started_runs_to_its_end(entry, engines):
     old, new = engines
