Cancel a silent attempt when its weights lapse

Callers would see tokens of older weights after the bound of a newer version, if the silent attempt resumed, and the engine's slots were used for them. While another back end was tried for a request, the limit of the silent attempt was not watched: it waited in the engine's queue past the bound.

The greenlet that watches the silent attempt now cancels it at its limit.

test_a_silent_attempt_is_cancelled_when_its_weights_lapse failed before.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -160,12 +160,21 @@
             watcher.kill()
 
     def watch_silent(self, silent: AttemptSender, connection: HttpConnection) -> None:
-        """End this attempt if a silent one resumes before this one has sent events."""
+        """
+        End this attempt if a silent one resumes before this one has sent events.
+
+        The silent one is cancelled when the weights lapse on which it has not started.
+        """
         while not silent.has_resumed():
             if silent.broken_ahead or not silent.may_resume():
                 return
-            if not connection.wait_for_data():
+            left_s = silent.start_limit() - clock.now()
+            if left_s <= 0:
+                silent.close()
                 return
+            with eventlet.Timeout(None if left_s == inf else left_s, False):
+                if not connection.wait_for_data():
+                    return
         if not silent.may_resume():
             return
         self.overtaken = True
--- a/packages/primroselever-entry/tests/direct/test_lapsing_weights.py
+++ b/packages/primroselever-entry/tests/direct/test_lapsing_weights.py
@@ -12,9 +12,10 @@
 
 import pytest
 
+from primroselever_core.catalogue.model import RouteKind
 from primroselever_core.catalogue.published_weights import OLD_WEIGHTS_MARGIN_S
 from primroselever_core.dispatch import choose
-from primroselever_entry.direct import flow
+from primroselever_entry.direct import flow, sending
 from primroselever_node import clock
 
 from .conftest import (
@@ -91,6 +92,36 @@
     assert entry.board.backends.backends["a"].available(clock.now())
 
 
+# Guards against requests that start after the deadline of old weights while another
+# back end is tried: the limit was not watched meanwhile.
+def test_a_silent_attempt_is_cancelled_when_its_weights_lapse(
+    entry, engines, monkeypatch
+):
+    old, new = engines
+    monkeypatch.setattr(sending, "MAX_STREAM_SILENCE_S", 0.04)
+    monkeypatch.setattr(sending, "MAX_SILENCE_FACTOR", 0.1)
+    disconnects = []
+
+    def answer_late():
+        yield stream_head()
+        yield from [PAUSE, PAUSE, PAUSE]
+        disconnects.append(old.disconnects)
+        yield from [*map(chunk, EVENTS), STREAM_END]
+
+    configuration = entry.board.catalogue.configuration
+    routes = tuple(
+        replace(route, timeout_s=1.0) if route.kind is RouteKind.STREAMING else route
+        for route in configuration.routes
+    )
+    entry.board.catalogue.configure(
+        replace(configuration, revision=2, routes=routes), clock.now()
+    )
+    old.responses, new.responses = [[HANG]], [answer_late()]
+    assert_complete(ask(entry))
+    assert (len(old.requests), len(new.requests)) == (1, 1)
+    assert disconnects == [1]
+
+
 # Guards against streams that are cut off because their weights lapse while they run.
 def test_a_stream_that_has_started_runs_to_its_end(entry, engines):
     old, new = engines
