Open a new connection for requests shortly before weights lapse

Callers saw tokens of older weights after the bound of a newer version: on links of 0.95 Mbit/s, requests that were sent 2.3 s before the bound waited in the link, and the engine ran them up to 0.3 s after it. They were sent on kept connections, which show nothing about the link.

In the last 2 s before a request would be sent too late to old weights, it is now sent on a new connection only. That is opened within 0.25 s or not at all, which the margin for the way to the engine covers. Until then, and for other engines, connections are reused as before.

test_shortly_before_the_lapse_a_new_connection_shows_that_the_link_is_free [1.0-False] failed before. Not measured on narrowed links.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -57,6 +57,9 @@
 # than this: the back end's idle timeout has not closed them, so the request arrives.
 MAX_IDLE_NON_REPEATABLE_S = 0.5
 MAX_IDLE_S = 60.0  # for requests that may be repeated
+# Before the time by which a request must be sent to old weights. On a link of
+# 0.95 Mbit/s, requests sent 2.3 s before the bound arrived 0.3 s after it.
+NEW_CONNECTION_BEFORE_S = 2.0
 # A streaming back end that sends nothing before its first event for this many times the
 # objective of the route is considered silent.
 MAX_SILENCE_FACTOR = 3.0
@@ -345,13 +348,12 @@
         """Send the request on a connection, and handle the response."""
         listed = self.backend.listed
         route = self.state.route
-        max_idle_s = MAX_IDLE_S if route.repeatable else MAX_IDLE_NON_REPEATABLE_S
         request = self.state.request
         self.connection = self.flow.pool.acquire_connection(
             listed.server_id,
             listed.address,
             self.state.deadline,
-            max_idle_s,
+            self.max_idle_s(),
             request.request_id,
         )
         if self.caller.caller_left:
@@ -382,6 +384,19 @@
         self.last_received_at = clock.now()
         return self.receive_response()
 
+    def max_idle_s(self) -> float:
+        """
+        Return for how long the connection may have been idle, -1 for a new one.
+
+        A new connection is opened within 0.25 s only if the link to the engine is not
+        congested, as it has to be shortly before the weights lapse.
+        """
+        if self.choice.send_by < self.started_at + NEW_CONNECTION_BEFORE_S:
+            return -1.0
+        if self.state.route.repeatable:
+            return MAX_IDLE_S
+        return MAX_IDLE_NON_REPEATABLE_S
+
     def receive_response(self) -> Attempt:
         """Receive the response, or the rest of it, and handle it."""
         if self.caller.caller_left:
--- a/packages/primroselever-entry/tests/direct/test_lapsing_weights.py
+++ b/packages/primroselever-entry/tests/direct/test_lapsing_weights.py
@@ -17,6 +17,8 @@
 from primroselever_core.dispatch import choose
 from primroselever_entry.direct import flow, sending
 from primroselever_node import clock
+from primroselever_node.direct import connection_pool
+from primroselever_node.direct.exchange import ConnectError
 
 from .conftest import (
     EVENTS,
@@ -204,3 +206,27 @@
     monkeypatch.setattr(entry.flow.pool, "acquire_connection", acquire_while_restarting)
     assert_complete(ask(entry))
     assert (len(old.requests), len(new.requests)) == (0, 1)
+
+
+# Guards against requests that wait in a congested link until the engine's weights have
+# lapsed: a connection that is kept shows nothing about the link.
+@pytest.mark.parametrize(("left_s", "reached"), [(1.0, False), (3.0, True)])
+def test_shortly_before_the_lapse_a_new_connection_shows_that_the_link_is_free(
+    entry, monkeypatch, left_s, reached
+):
+    old, new = add_engines(entry, OLD_WEIGHTS_MARGIN_S + left_s)
+    events = [stream_head(), *map(chunk, EVENTS), STREAM_END]
+    old.responses, new.responses = [events], [events]
+    connect = connection_pool.HttpConnection
+    kept = connect(old.address, clock.now() + 1.0)
+    kept.usable_until = clock.now() + 10.0
+    entry.flow.pool.idle["a"].append(kept)
+
+    def connect_late(address, deadline):
+        if address == old.address:
+            raise ConnectError("no connection within 0.25 s")
+        return connect(address, deadline)
+
+    monkeypatch.setattr(connection_pool, "HttpConnection", connect_late)
+    assert_complete(ask(entry))
+    assert (len(old.requests), len(new.requests)) == ((1, 0) if reached else (0, 1))
