Keep requests off congested links shortly before weights lapse

Callers saw tokens of older weights after the bound of a newer version: on links of 0.95 Mbit/s, requests that were sent 2.3 s before the bound and cancelled 0.3 s before it started up to 0.3 s after it. They had waited in the link, where a cancellation does not overtake them. The margin before the bound counted a delay only after two late first events, and not requests that still waited.

An entry now records when first events are due. If the latest one was late, or the oldest is overdue, by more than the margin allows for, the delay is added to the margin; that of a waiting request counts twice, since a congested link grows worse. Without a newer version nothing changes, nor while first events are late by at most 0.8 s, 0.3 s on an engine with free slots.

--- a/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from .announcements import Announced
+from .first_events import FirstEvents
 from .pace import Pace
 from .server_memory import REPORT_TRANSIT_S, ServerMemory
 from .urgent_work import UrgentWork
@@ -93,6 +94,8 @@
     and ``ramp`` the pace of one that started or recovered. ``was_empty`` is True from
     an engine's first report without weights to its first weights, False afterwards, and
     None before any report. ``memory`` counts the tokens that an engine holds.
+    ``first_events`` are those of streams, which affect a choice only shortly before an
+    engine's weights lapse.
     """
 
     listed: ListedServer
@@ -123,6 +126,7 @@
     ramp: Ramp | None = None
     was_empty: bool | None = None
     memory: ServerMemory = field(default_factory=ServerMemory)
+    first_events: FirstEvents = field(default_factory=FirstEvents)
 
     def record_sent(self, read_s: float, now: float) -> None:
         """Count a request that this entry sends, and its prompt."""
--- a/packages/primroselever-core/src/primroselever_core/dispatch/old_weights.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/old_weights.py
@@ -23,6 +23,8 @@
 
 PREDICTION_ERROR_S = 0.8  # the p90 of the error near full load
 SLOW_FACTOR = 2.5  # of engines that slow down now and then
+# An engine that answers nothing gets no request this long before its usual margin.
+MAX_LATE_S = 3.0
 # For the way to the engine. Pieces of weights delay requests on the VM's link by 0.2 s.
 TRANSIT_S = 0.3
 # Agents report every 0.2 or 0.4 s. Others may have filled the engine in a longer time.
@@ -67,7 +69,10 @@
 
     The engine is taken for as slow as reported and measured, and its queue is not
     shortened by the urgency of the request, since urgent requests may still arrive.
+    First events that are late by more than the margin allows for are added to it: the
+    request may wait in the link, where the cancellation does not overtake it.
     """
+    late_s = min(backend.first_events.delay_s(now), MAX_LATE_S)
     load = backend.load(now)
     pace = max(backend.pace(now), backend.measured.value(now) or 1.0)
     pending_read_s = backend.pending_read_s(now)
@@ -77,12 +82,15 @@
     queued_s = max(OLD_WEIGHTS_MARGIN_S, predicted_s + PREDICTION_ERROR_S)
     report = backend.report
     unseen = max(1, figures.slots // UNSEEN_DIVISOR)
-    if (
+    may_queue = (
         report is None
         or not report.is_fresh(now)
         or now - report.received_at > MAX_REPORT_AGE_S
         or load + 1 + unseen > figures.slots
-    ):
+    )
+    if late_s > (PREDICTION_ERROR_S if may_queue else TRANSIT_S):
+        return queued_s + late_s
+    if may_queue:
         return queued_s
     unseen_read_s = unseen * predict_read_s(figures, figures.usual_prompt_tokens)
     worst_s = backend.unexpected_delay_s(now) + predict_first_event_s(
--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -138,6 +138,11 @@
                 *tokens, self.started_at
             )
         # 0 is the number of no request.
+        self.first_event_number = 0
+        if figures is not None and state.route.kind is RouteKind.STREAMING:
+            self.first_event_number = self.backend.first_events.record_sent(
+                self.started_at + choice.predicted_s
+            )
         self.sample_number = 0
         if self.backend.measures_pace:
             self.sample_number = self.backend.measured.record_sent(
@@ -244,7 +249,9 @@
         self.closed = True
         self.backend.in_flight -= 1
         self.backend.memory.record_ended(self.memory_number)
-        self.backend.measured.record_unanswered(self.sample_number, clock.now())
+        now = clock.now()
+        self.backend.measured.record_unanswered(self.sample_number, now)
+        self.backend.first_events.record_ended(self.first_event_number, now)
         if self.body is not None:
             self.body.buffer.resize(0)
         if self.connection is not None:
@@ -627,6 +634,7 @@
             now = clock.now()
             late_by_s = now - self.started_at - self.choice.predicted_s
             self.backend.record_first_event(late_by_s, now)
+            self.backend.first_events.record_arrived(self.first_event_number, now)
             # Smaller differences from a prediction are its usual error.
             usual_s = max(self.choice.predicted_s, MIN_UNEXPECTED_DELAY_S)
             self.flow.announcements.record_pace(
--- a/packages/primroselever-entry/tests/direct/test_lapsing_weights.py
+++ b/packages/primroselever-entry/tests/direct/test_lapsing_weights.py
@@ -230,3 +230,23 @@
     monkeypatch.setattr(connection_pool, "HttpConnection", connect_late)
     assert_complete(ask(entry))
     assert (len(old.requests), len(new.requests)) == ((1, 0) if reached else (0, 1))
+
+
+# Guards against a margin that does not know of late first events.
+def test_late_first_events_of_streams_are_recorded(entry):
+    first = entry.add("a", "engine")
+    events = entry.board.backends.backends["a"].first_events
+    waiting = []
+
+    def answer_late():
+        yield PAUSE
+        waiting.append((len(events.due_at), events.delay_s(clock.now()) > 0.0))
+        yield from [stream_head(), *map(chunk, EVENTS), STREAM_END]
+
+    first.responses = [answer_late(), [HANG]]
+    assert_complete(ask(entry))
+    assert waiting == [(1, True)]
+    assert (events.due_at, events.late_by_s > 0.05) == ({}, True)
+    late_by_s = events.late_by_s
+    ask(entry)
+    assert (events.due_at, events.late_by_s > late_by_s) == ({}, True)
