Discard the unsent bytes of a request when weights lapse

Callers would see tokens of older weights after the bound of a newer version. A request was written until its deadline, whatever lapsed meanwhile, and after the cancellation the system went on to send what it held of the request, so that it arrived complete and could start.

The request is now written until the weights lapse, and a cancelled one is reset so that the system drops the bytes that it has not sent.

test_a_request_that_is_not_written_before_the_lapse_is_discarded failed before. The case of test_a_discarded_request_does_not_arrive_complete without a discard shows the complete arrival. Bytes that are already in the link still arrive.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -254,7 +254,12 @@
         self.backend.first_events.record_ended(self.first_event_number, now)
         if self.body is not None:
             self.body.buffer.resize(0)
-        if self.connection is not None:
+        if self.connection is None:
+            return
+        if now >= self.start_limit():
+            # What still waits on this VM must not start on the lapsed weights.
+            self.connection.discard_request()
+        else:
             self.connection.abort()
 
     def receive_result(self, exchange: Callable[[], Attempt]) -> Attempt:
@@ -386,7 +391,7 @@
             request.target,
             self.backend_headers(),
             request.body,
-            self.state.deadline,
+            min(self.state.deadline, self.start_limit()),
         )
         self.last_received_at = clock.now()
         return self.receive_response()
--- a/packages/primroselever-entry/tests/direct/test_lapsing_weights.py
+++ b/packages/primroselever-entry/tests/direct/test_lapsing_weights.py
@@ -10,6 +10,7 @@
 from dataclasses import replace
 from math import inf
 
+import eventlet
 import pytest
 
 from primroselever_core.catalogue.model import RouteKind
@@ -18,7 +19,7 @@
 from primroselever_entry.direct import flow, sending
 from primroselever_node import clock
 from primroselever_node.direct import connection_pool
-from primroselever_node.direct.exchange import ConnectError
+from primroselever_node.direct.exchange import ConnectError, ExchangeTimeoutError
 
 from .conftest import (
     EVENTS,
@@ -70,6 +71,33 @@
     assert backend.available(clock.now())
 
 
+# Guards against requests that start after the deadline of old weights because the rest
+# of them is written, or sent by the system, after the weights have lapsed.
+def test_a_request_that_is_not_written_before_the_lapse_is_discarded(
+    entry, engines, monkeypatch
+):
+    old, new = engines
+    connection_class = connection_pool.HttpConnection
+    send, discard = connection_class.send, connection_class.discard_request
+    discarded = []
+
+    def send_slowly(connection, *args):
+        if connection.address == old.address:
+            eventlet.sleep(max(0.0, args[-1] - clock.now()))
+            raise ExchangeTimeoutError("the request could not be written in time")
+        send(connection, *args)
+
+    def record_and_discard(connection):
+        discarded.append(connection.address)
+        discard(connection)
+
+    monkeypatch.setattr(connection_class, "send", send_slowly)
+    monkeypatch.setattr(connection_class, "discard_request", record_and_discard)
+    new.responses = [[stream_head(), *map(chunk, EVENTS), STREAM_END]]
+    assert_complete(ask(entry))
+    assert discarded == [old.address]
+
+
 # Guards against requests that start after the deadline of weights that were the newest
 # when they were sent.
 def test_a_request_on_the_newest_weights_is_cancelled_when_they_lapse(
--- a/packages/primroselever-node/src/primroselever_node/direct/exchange.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/exchange.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
@@ -44,6 +45,10 @@
 select_module = patcher.original("select")
 
 
+# A linger time of 0 s: the system sends a reset instead of the bytes that are left.
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+
+
 class ConnectError(PrimroseleverError):
     """No connection could be opened, so nothing was sent."""
 
@@ -257,6 +262,17 @@
         self.interrupt()
         self.socket.close()
 
+    def discard_request(self) -> None:
+        """
+        Close the connection, and drop what was not transmitted of the request.
+
+        Bytes that the system still holds would otherwise be sent after the close, and
+        the request would arrive complete.
+        """
+        with suppress(OSError):  # the connection has ended already
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        self.abort()
+
 
 def receive_bytes(sock: Any, deadline: float) -> bytes:
     """
--- a/packages/primroselever-node/tests/direct/test_exchange.py
+++ b/packages/primroselever-node/tests/direct/test_exchange.py
@@ -4,7 +4,7 @@
 
 import socket
 import struct
-from contextlib import nullcontext
+from contextlib import nullcontext, suppress
 
 import eventlet
 import pytest
@@ -296,3 +296,29 @@
         connection.read_part(deadline)
     other.kill()
     assert len(turns) >= 10
+
+
+# Guards against a request that is cancelled, and arrives complete nevertheless once the
+# link is free: the system goes on to send what it holds of it.
+@pytest.mark.parametrize("discards", [True, False])
+def test_a_discarded_request_does_not_arrive_complete(discards):
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    listener.bind(("127.0.0.1", 0))
+    listener.listen()
+    deadline = clock.now() + 1.0
+    connection = HttpConnection(listener.getsockname(), deadline)
+    connection.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 20)
+    body = b"x" * 200_000
+    headers = [(b"Host", b"h"), (b"Content-Length", b"%d" % len(body))]
+    connection.send(b"POST", b"/", headers, body, deadline)
+    accepted, _address = listener.accept()
+    if discards:
+        connection.discard_request()
+    else:
+        connection.abort()
+    received = b""
+    with suppress(ConnectionResetError):
+        while data := accepted.recv(65536):
+            received += data
+    assert received.endswith(body) is not discards
