Serve nothing while an order without an answer may be accepted

Callers would see answers that begin on the old weights and fail at their end: after an order without an answer, the agent served the version that the engine still reported, while the engine could accept the order at any later time. Each run compares the digests of the start and the end, but tokens are forwarded before the end. A version that was requested again and was still loaded was served without another order, so that nothing replaced the lost one.

The engine now stays closed until it has accepted that order or a later one. A refusal, and a call that reached no engine, settle nothing else and keep the old version in use as before. An agent that restarts forgets such an order.

--- a/packages/primroselever-agent/src/primroselever_agent/engine/engine_client.py
+++ b/packages/primroselever-agent/src/primroselever_agent/engine/engine_client.py
@@ -18,7 +18,7 @@
     read_body,
 )
 
-from ..exceptions import BackendError, EngineCallError
+from ..exceptions import BackendError, EngineCallError, UnansweredCallError
 from .failure import error_for_exception
 
 if TYPE_CHECKING:
@@ -107,7 +107,12 @@
     def call_engine(
         self, method: str, path: str, body: bytes, timeout_s: float
     ) -> dict[str, Any]:
-        """Return the engine's reply, a JSON object, or raise ``EngineCallError``."""
+        """
+        Return the engine's reply, a JSON object, or raise ``EngineCallError``.
+
+        ``UnansweredCallError`` is raised if the engine may have acted, or may yet act,
+        on a call of which it did not state the outcome.
+        """
         try:
             reply = self.http.request(
                 method,
@@ -117,11 +122,21 @@
                 preload_content=False,
             )
             data = read_body(reply, MAX_STATE_BYTES)
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as exc:
+            raise EngineCallError(f"{path}: the engine is not reached: {exc}") from exc
         except urllib3.exceptions.HTTPError as exc:
-            raise EngineCallError(f"{path}: the engine does not answer: {exc}") from exc
+            raise UnansweredCallError(
+                f"{path}: the engine does not answer: {exc}"
+            ) from exc
         if reply.status >= 300:
             text = data[:MAX_LOGGED_BYTES].decode("utf-8", "replace")
-            raise EngineCallError(f"{path}: the engine answered {reply.status}: {text}")
+            message = f"{path}: the engine answered {reply.status}: {text}"
+            if reply.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+                raise UnansweredCallError(message)
+            raise EngineCallError(message)
         try:
             fields = json.loads(data or b"{}")
         except ValueError as exc:
--- a/packages/primroselever-agent/src/primroselever_agent/exceptions.py
+++ b/packages/primroselever-agent/src/primroselever_agent/exceptions.py
@@ -25,3 +25,7 @@
 
 class EngineCallError(PrimroseleverError):
     """A call to the engine got no reply, an error status or an invalid reply."""
+
+
+class UnansweredCallError(EngineCallError):
+    """A call to the engine got no answer; the engine may act on it now or later."""
--- a/packages/primroselever-agent/src/primroselever_agent/transfer/engine_switch.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/engine_switch.py
@@ -20,7 +20,7 @@
 from primroselever_node import clock
 from primroselever_node.logs import log_decision
 
-from ..exceptions import EngineCallError
+from ..exceptions import EngineCallError, UnansweredCallError
 
 if TYPE_CHECKING:
     from primroselever_core.board import Blackboard
@@ -29,7 +29,7 @@
     from primroselever_core.transfer.manifest import Manifest
     from primroselever_core.transfer.section import TransfersSection
 
-    from ..engine.engine_client import EngineClient
+    from ..engine.engine_client import EngineClient, EngineState
     from .instruments import TransferInstruments
     from .peers import Peers
 
@@ -41,7 +41,13 @@
 
 
 class EngineSwitch:
-    """Hands chunks to the engine, switches its version and reads its state back."""
+    """
+    Hands chunks to the engine, switches its version and reads its state back.
+
+    ``unanswered`` is the latest order of which the engine did not state the outcome. It
+    may be accepted until the engine has accepted a later one, so that the engine serves
+    nothing until then.
+    """
 
     def __init__(
         self,
@@ -60,6 +66,7 @@
         self.instruments = instruments
         self.handed_chunks: dict[WeightsDigest, set[int]] = {}
         self.order_count = 0
+        self.unanswered: SwitchPlan | None = None
         self.failed_state_reads = 0
         self.logged_reason = ""
 
@@ -83,8 +90,8 @@
         self, manifest: Manifest, revision: int, min_serving: int
     ) -> bool:
         """Switch to a completely held version; return whether the engine serves it."""
-        state = self.engine.state()
-        if state.digest == manifest.digest:
+        state = self.read_state()
+        if state.digest == manifest.digest and self.unanswered is None:
             self.start_serving(manifest, "the engine already has this version")
             return True
         for index in range(len(manifest.chunks)):
@@ -132,7 +139,7 @@
         try:
             delay = self.drain_runs(plan) or self.check_plan(plan)
             if delay is None:
-                self.engine.load(manifest, plan.fencing)
+                self.order_load(manifest, plan)
             else:
                 self.postpone_switch(manifest, delay)
             self.read_back_version(manifest, previous_digest, plan)
@@ -143,6 +150,25 @@
         self.instruments.switch_duration.record(clock.now() - started_at)
         return self.section.serving == manifest.digest
 
+    def order_load(self, manifest: Manifest, plan: SwitchPlan) -> None:
+        """Order the engine to load a version; note an order without an answer."""
+        try:
+            self.engine.load(manifest, plan.fencing)
+        except UnansweredCallError:
+            self.unanswered = plan
+            raise
+        self.unanswered = None
+
+    def read_state(self) -> EngineState:
+        """Return the engine's state, which may settle an order without an answer."""
+        state = self.engine.state()
+        order = self.unanswered
+        if order is not None and (
+            state.fencing >= order.fencing or state.digest == order.digest
+        ):
+            self.unanswered = None
+        return state
+
     def drain_runs(self, plan: SwitchPlan) -> SwitchDelay | None:
         """Wait until no run is in flight; return why the switch must wait, or None."""
         deadline = clock.now() + DRAIN_TIMEOUT_S
@@ -164,8 +190,13 @@
         plan: SwitchPlan,
     ) -> None:
         """Start serving if the engine reports the new or still the previous version."""
-        digest = self.engine.state().digest
-        if digest == manifest.digest:
+        digest = self.read_state().digest
+        if self.unanswered is not None:
+            self.postpone_switch(
+                manifest,
+                SwitchDelay("the engine may still accept an order that got no answer"),
+            )
+        elif digest == manifest.digest:
             self.start_serving(manifest, "read back", fencing=plan.fencing)
         elif previous_digest is not None and digest == previous_digest:
             self.section.serving = previous_digest
--- a/packages/primroselever-agent/tests/engine/test_engine_client.py
+++ b/packages/primroselever-agent/tests/engine/test_engine_client.py
@@ -3,6 +3,7 @@
 import gc
 from typing import TYPE_CHECKING, Any
 
+import eventlet
 import pytest
 
 from primroselever_agent.engine.engine_client import (
@@ -10,7 +11,11 @@
     MAX_STATE_BYTES,
     EngineClient,
 )
-from primroselever_agent.exceptions import BackendError, EngineCallError
+from primroselever_agent.exceptions import (
+    BackendError,
+    EngineCallError,
+    UnansweredCallError,
+)
 from primroselever_core.identifiers import (
     Fingerprint,
     RunId,
@@ -180,3 +185,48 @@
         gc.collect()
     (pool,) = client.http.pools._container.values()
     assert pool.num_connections == 1
+
+
+# Guards against an engine that serves although it may still accept an order.
+@pytest.mark.parametrize(
+    ("status", "unanswered"),
+    [
+        ("409 Conflict", False),
+        ("422 Unprocessable", False),
+        ("500 Internal Server Error", True),
+        ("504 Gateway Timeout", True),
+    ],
+)
+def test_an_error_status_says_whether_the_engine_acted_on_a_call(
+    engine: FakeEngine, client: EngineClient, status: str, unanswered: bool
+) -> None:
+    engine.status = status
+    with pytest.raises(EngineCallError) as caught:
+        client.put_chunk("d", 0, b"x")
+    assert isinstance(caught.value, UnansweredCallError) is unanswered
+
+
+def test_a_call_that_reached_no_engine_is_not_unanswered() -> None:
+    listener = listen("127.0.0.1", 0)
+    port = listener.getsockname()[1]
+    listener.close()
+    with pytest.raises(EngineCallError) as caught:
+        EngineClient(f"http://127.0.0.1:{port}").state()
+    assert not isinstance(caught.value, UnansweredCallError)
+
+
+def test_a_call_whose_connection_ends_is_unanswered() -> None:
+    listener = listen("127.0.0.1", 0)
+
+    def close_connections() -> None:
+        while True:
+            connection, _address = listener.accept()
+            connection.recv(100)
+            connection.close()
+
+    server = eventlet.spawn(close_connections)
+    port = listener.getsockname()[1]
+    with pytest.raises(UnansweredCallError):
+        EngineClient(f"http://127.0.0.1:{port}").state()
+    server.kill()
+    listener.close()
