Hand chunks over again that the engine has had for more than 3 s

Callers would see tokens of corrupted weights: chunks were handed to the engine when they arrived, and ordered once all were held, the other VMs allowed the switch and the running requests had ended, with no bound on the time between. The engine's copy cannot be read back.

Chunks that were handed over more than 3 s before the order are handed over again after the running requests have ended, and the plan is checked again after that. The engine serves nothing meanwhile; how long this takes for large weights was not measured. The fake engine of the tests now keeps the bytes and refuses an order while chunks are missing, as the protocol says.

--- a/packages/primroselever-agent/src/primroselever_agent/transfer/engine_switch.py
+++ b/packages/primroselever-agent/src/primroselever_agent/transfer/engine_switch.py
@@ -35,6 +35,9 @@
 
 DRAIN_TIMEOUT_S = 20.0
 DRAIN_POLL_INTERVAL_S = 0.02
+# The engine's copy of a chunk cannot be read back and may become corrupted. A load of
+# chunks that were intact within this time before the order is within the requirement.
+HANDED_VALID_S = 3.0
 FAILED_READS_TO_STOP = 2  # consecutive failures
 
 logger = logging.getLogger(__name__)
@@ -64,7 +67,7 @@
         self.engine = engine
         self.peers = peers
         self.instruments = instruments
-        self.handed_chunks: dict[WeightsDigest, set[int]] = {}
+        self.handed_chunks: dict[WeightsDigest, dict[int, float]] = {}
         self.order_count = 0
         self.unanswered: SwitchPlan | None = None
         self.failed_state_reads = 0
@@ -72,17 +75,27 @@
 
     def hand_over_chunk(self, manifest: Manifest, index: int) -> None:
         """Hand one verified chunk to the engine unless it already has it."""
-        handed_indexes = self.handed_chunks.setdefault(manifest.digest, set())
+        handed_until = self.handed_chunks.setdefault(manifest.digest, {})
         data = self.section.store.get(manifest.chunks[index])
-        if index not in handed_indexes and data is not None:
+        if index not in handed_until and data is not None:
+            valid_until = clock.now() + HANDED_VALID_S
             self.engine.put_chunk(manifest.digest, index, data)
-            handed_indexes.add(index)
+            handed_until[index] = valid_until
+
+    def hand_over_again(self, manifest: Manifest) -> None:
+        """Hand the chunks over again that the engine has had for too long."""
+        now = clock.now()
+        handed_until = self.handed_chunks.get(manifest.digest, {})
+        for index in [i for i, until in handed_until.items() if until <= now]:
+            del handed_until[index]
+        for index in range(len(manifest.chunks)):
+            self.hand_over_chunk(manifest, index)
 
     def forget_other_versions(self, manifest: Manifest) -> None:
         """Forget which chunks of other versions the engine was handed."""
         self.handed_chunks = {
-            digest: indexes
-            for digest, indexes in self.handed_chunks.items()
+            digest: handed_until
+            for digest, handed_until in self.handed_chunks.items()
             if digest == manifest.digest
         }
 
@@ -138,6 +151,9 @@
         previous_digest, self.section.serving = self.section.serving, None
         try:
             delay = self.drain_runs(plan) or self.check_plan(plan)
+            if delay is None:
+                self.hand_over_again(manifest)
+                delay = self.check_plan(plan)
             if delay is None:
                 self.order_load(manifest, plan)
             else:
--- a/packages/primroselever-agent/tests/transfer/conftest.py
+++ b/packages/primroselever-agent/tests/transfer/conftest.py
@@ -46,12 +46,17 @@
 
 @dataclass(slots=True)
 class FakeEngine:
-    """An in-memory engine; ``overwritten_digest`` replaces each ordered version."""
+    """
+    An in-memory engine; ``overwritten_digest`` replaces each ordered version.
+
+    ``loaded`` holds the chunks that it had when it accepted the latest order.
+    """
 
     honours_fencing: bool = True
     digest: str = ""
     fencing: int = 0
-    handed: dict[str, set[int]] = field(default_factory=dict)
+    handed: dict[str, dict[int, bytes]] = field(default_factory=dict)
+    loaded: dict[int, bytes] = field(default_factory=dict)
     orders: list[tuple[str, int]] = field(default_factory=list)
     overwritten_digest: str = ""
 
@@ -59,11 +64,14 @@
         return EngineState(self.digest, self.fencing, 0)
 
     def put_chunk(self, digest: str, index: int, data: bytes) -> None:
-        self.handed.setdefault(digest, set()).add(index)
+        self.handed.setdefault(digest, {})[index] = data
 
     def load(self, manifest: Manifest, fencing: int) -> None:
         if self.honours_fencing and fencing < self.fencing:
             raise EngineCallError("the fencing number is lower than the current one")
+        if len(self.handed.get(manifest.digest, {})) != len(manifest.chunks):
+            raise EngineCallError("chunks are missing")
+        self.loaded = dict(self.handed[manifest.digest])
         self.orders.append((manifest.version, fencing))
         self.digest, self.fencing = self.overwritten_digest or manifest.digest, fencing
 
