Bound the versions of weights after a service is removed

Callers would see tokens of older weights after the bound of a newer version: a retry of a request whose service had been removed from the configuration since its admission took the engines for plain servers. It was sent to any version, and named none for the engine to check.

The engine figures of the admission now hold if the service is no longer configured.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -223,6 +223,7 @@
             workspace_regions=workspace_regions,
             admitted_by=catalogue.routes,
         )
+        state.admitted_figures = self.engine_figures(state)
         self.admission.record_arrival(state, known_workspace, now)
         return state
 
@@ -375,7 +376,7 @@
         self, state: RequestState, backend: Backend, now: float
     ) -> None:
         """Count a request that is about to be sent, and publish it to peers."""
-        figures = self.engine_figures(state.service)
+        figures = self.engine_figures(state)
         if figures is None:
             if backend.measures_pace:
                 self.publish_sent(backend.listed.address, 0, state.urgency)
@@ -429,7 +430,7 @@
                 deadline_within_s=NO_TIME_LIMIT_S,
                 terms=None,
             )
-        figures = self.engine_figures(state.service)
+        figures = self.engine_figures(state)
         if figures is not None and self.board.backends.server_memory:
             holding = keep_holding(self, state, backends, needs, figures, now)
             if isinstance(holding, Refused):
@@ -448,10 +449,15 @@
         self.admission.record_choice(state, refused, now)
         return choice
 
-    def engine_figures(self, service: str) -> EngineFigures | None:
-        """Return the engine figures of a service, or None for a plain service."""
-        listed_service = self.board.catalogue.routes.services.get(service)
-        return listed_service.engine if listed_service else None
+    def engine_figures(self, state: RequestState) -> EngineFigures | None:
+        """
+        Return the engine figures of a request's service, or None for a plain service.
+
+        They are those now in force. If the service is no longer configured, those of
+        the admission still bound the versions of weights on which the request starts.
+        """
+        service = self.board.catalogue.routes.services.get(state.service)
+        return state.admitted_figures if service is None else service.engine
 
     def min_version(
         self, model: str, now: float, margin_s: float = OLD_WEIGHTS_MARGIN_S
--- a/packages/primroselever-entry/src/primroselever_entry/direct/request_state.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/request_state.py
@@ -8,7 +8,7 @@
 from primroselever_core.dispatch.urgent_work import DEFAULT_URGENCY
 
 if TYPE_CHECKING:
-    from primroselever_core.catalogue.model import Route
+    from primroselever_core.catalogue.model import EngineFigures, Route
     from primroselever_core.catalogue.routes import RouteTable
     from primroselever_core.dispatch.shedding import AdmissionTerms
 
@@ -31,9 +31,10 @@
     resumes the stream. Once a part of a plain answer was forwarded,
     ``plain_part_forwarded``, no other answer can replace it. ``workspace_regions`` are
     the allowed regions of the workspace at the time of admission, and ``admitted_by``
-    is the table of routes then. ``priority`` is that of the workspace, or of the route
-    if the workspace has none; ``urgency`` is that with which the latest attempt is
-    sent, and ``terms`` are those on which it was judged.
+    is the table of routes then; ``admitted_figures`` are those of the service's engines
+    then, None for a plain service. ``priority`` is that of the workspace, or of the
+    route if the workspace has none; ``urgency`` is that with which the latest attempt
+    is sent, and ``terms`` are those on which it was judged.
     """
 
     request: CallerRequest
@@ -57,6 +58,7 @@
     silent_sender: AttemptSender | None = None
     workspace_regions: tuple[str, ...] = ()
     admitted_by: RouteTable | None = None
+    admitted_figures: EngineFigures | None = None
     priority: int = 0
     urgency: int = DEFAULT_URGENCY
     terms: AdmissionTerms | None = None
--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -128,7 +128,7 @@
         self.closed = False
         self.overtaken = False
         self.backend.in_flight += 1
-        figures = flow.engine_figures(state.service)
+        figures = flow.engine_figures(state)
         self.samples_first_event = figures is not None
         self.memory_number = 0
         if figures is not None:
@@ -493,7 +493,7 @@
             headers.append((names.workspace, state.workspace.encode()))
         if state.last_event_id:
             headers.append((names.resume_after, state.last_event_id))
-        if self.flow.engine_figures(state.service) is not None:
+        if self.flow.engine_figures(state) is not None:
             headers.append((names.urgency, str(state.urgency).encode()))
             now = clock.now()
             if self.flow.min_version(state.request.model, now):
