--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -328,7 +328,8 @@
     def handle_silence(self, exc: ExchangeTimeoutError) -> Attempt:
         """Record that no data arrived in time; return the result."""
         now = clock.now()
-        if self.wait_until == 0.0 and now >= self.wait_deadline():
+        limit = min(self.state.deadline, self.silence_limit(), self.start_limit())
+        if self.wait_until == 0.0 and now >= limit:
             self.log_silence(exc, now)
         if now >= self.state.deadline:
             return Attempt(AttemptEnd.OUT_OF_TIME, reason="the deadline passed")
@@ -419,7 +420,7 @@
         if self.head is not None and self.body is not None:
             return self.forward_response(connection, self.head, self.body)
         names = self.flow.names
-        head = self.head_ahead or self.read_head(connection, self.wait_deadline())
+        head = self.head_ahead or self.read_head(connection, self.head_deadline())
         self.last_received_at = clock.now()
         self.flow.announcements.read_head(
             head, self.backend.listed, self.state.request.log_id, self.started_at
@@ -505,9 +506,13 @@
             headers.append((b"Content-Length", str(len(body)).encode()))
         return headers
 
-    def wait_deadline(self) -> float:
-        """Return until when the head, or the next part, of a response must arrive."""
-        if self.head is not None and not isinstance(self.body, StreamBody):
+    def head_deadline(self) -> float:
+        """Return until when the head of a response must arrive."""
+        return min(self.silence_limit(), self.start_limit())
+
+    def body_deadline(self, streaming: bool) -> float:
+        """Return until when the next part of a response must arrive."""
+        if not streaming:
             return self.state.deadline
         return min(self.silence_limit(), self.start_limit())
 
@@ -561,7 +566,7 @@
             if isinstance(body, StreamBody) and body.ahead:
                 part = body.ahead.popleft()
             else:
-                part = connection.read_part(self.wait_deadline())
+                part = connection.read_part(self.body_deadline(streaming))
             if isinstance(part, ResponseEnd):
                 break
             if self.overtaken:
