Count the delay of a congested link once in the margin of old weights

Engines would stop serving earlier than needed: the margin before a bound held both the delay of two late first events and that of the latest one, which are the same events. The larger one now counts.

The simulation in test_congested_links.py now also feeds the older rule, as an entry does.

--- a/packages/primroselever-core/src/primroselever_core/dispatch/old_weights.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/old_weights.py
@@ -76,10 +76,11 @@
     load = backend.load(now)
     pace = max(backend.pace(now), backend.measured.value(now) or 1.0)
     pending_read_s = backend.pending_read_s(now)
-    predicted_s = backend.unexpected_delay_s(now) + predict_first_event_s(
+    delay_s = backend.unexpected_delay_s(now)
+    predicted_s = predict_first_event_s(
         figures, load, needs.prompt_tokens, pace, pending_read_s
     )
-    queued_s = max(OLD_WEIGHTS_MARGIN_S, predicted_s + PREDICTION_ERROR_S)
+    queued_s = max(OLD_WEIGHTS_MARGIN_S, delay_s + predicted_s + PREDICTION_ERROR_S)
     report = backend.report
     unseen = max(1, figures.slots // UNSEEN_DIVISOR)
     may_queue = (
@@ -89,11 +90,13 @@
         or load + 1 + unseen > figures.slots
     )
     if late_s > (PREDICTION_ERROR_S if may_queue else TRANSIT_S):
-        return queued_s + late_s
+        # Both describe the same late events, so the larger one counts.
+        margin_s = max(OLD_WEIGHTS_MARGIN_S, predicted_s + PREDICTION_ERROR_S)
+        return max(queued_s, margin_s + late_s)
     if may_queue:
         return queued_s
     unseen_read_s = unseen * predict_read_s(figures, figures.usual_prompt_tokens)
-    worst_s = backend.unexpected_delay_s(now) + predict_first_event_s(
+    worst_s = delay_s + predict_first_event_s(
         figures,
         load + unseen,
         needs.prompt_tokens,
--- a/packages/primroselever-core/tests/dispatch/test_congested_links.py
+++ b/packages/primroselever-core/tests/dispatch/test_congested_links.py
@@ -61,6 +61,8 @@
             now += self.random.uniform(0.02, 0.3)
             while self.arrivals and self.arrivals[0][0] <= now:
                 arrived_at, number = heapq.heappop(self.arrivals)
+                late_by_s = arrived_at - self.backend.first_events.due_at[number]
+                self.backend.record_first_event(late_by_s, arrived_at)
                 self.backend.first_events.record_arrived(number, arrived_at)
             while next_report_at <= now:
                 self.backend.apply_report(self.make_report(next_report_at))
