--- a/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from .announcements import Announced
+from .first_events import FirstEvents
 from .pace import Pace
 from .server_memory import REPORT_TRANSIT_S, ServerMemory
 from .urgent_work import UrgentWork
@@ -100,8 +101,10 @@
     what is known of a server that may be cold, None where servers have no such bound,
     and ``ramp`` the pace of one that started or recovered. ``was_empty`` is True from
     an engine's first report without weights to its first weights, False afterwards, and
-    None before any report. ``memory`` counts the tokens that an engine holds, and
+    None before any report. ``memory`` counts the tokens that an engine holds.
     ``names_requests`` is set once the server repeated the identifier of a request.
+    ``first_events`` are those of streams, which affect a choice only shortly before an
+    engine's weights lapse.
     """
 
     listed: ListedServer
@@ -133,6 +136,7 @@
     was_empty: bool | None = None
     memory: ServerMemory = field(default_factory=ServerMemory)
     names_requests: bool = False
+    first_events: FirstEvents = field(default_factory=FirstEvents)
 
     def record_sent(self, read_s: float, now: float) -> None:
         """Count a request that this entry sends, and its prompt."""
--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -229,6 +229,7 @@
             workspace_regions=workspace_regions,
             admitted_by=catalogue.routes,
         )
+        state.admitted_figures = self.engine_figures(state)
         self.admission.record_arrival(state, known_workspace, now)
         return state
 
@@ -381,7 +382,7 @@
         self, state: RequestState, backend: Backend, now: float
     ) -> None:
         """Count a request that is about to be sent, and publish it to peers."""
-        figures = self.engine_figures(state.service)
+        figures = self.engine_figures(state)
         if figures is None:
             if backend.measures_pace:
                 self.publish_sent(backend.listed.address, 0, state.urgency)
@@ -417,11 +418,7 @@
         request = state.request
         needs = RequestNeeds(
             model=request.model,
-            min_version=self.min_version(
-                request.model,
-                now,
-                RESEND_OLD_WEIGHTS_MARGIN_S if state.attempts else LEAST_MARGIN_S,
-            ),
+            min_version=self.min_version_of(state, now),
             prompt_tokens=request.prompt_tokens,
             answer_tokens=request.answer_tokens,
             first_event_within_s=state.objective_at - now,
@@ -439,7 +436,7 @@
                 deadline_within_s=NO_TIME_LIMIT_S,
                 terms=None,
             )
-        figures = self.engine_figures(state.service)
+        figures = self.engine_figures(state)
         if figures is not None and self.board.backends.server_memory:
             holding = keep_holding(self, state, backends, needs, figures, now)
             if isinstance(holding, Refused):
@@ -480,10 +477,15 @@
                 return choice
         return choose(tried)
 
-    def engine_figures(self, service: str) -> EngineFigures | None:
-        """Return the engine figures of a service, or None for a plain service."""
-        listed_service = self.board.catalogue.routes.services.get(service)
-        return listed_service.engine if listed_service else None
+    def engine_figures(self, state: RequestState) -> EngineFigures | None:
+        """
+        Return the engine figures of a request's service, or None for a plain service.
+
+        They are those now in force. If the service is no longer configured, those of
+        the admission still bound the versions of weights on which the request starts.
+        """
+        service = self.board.catalogue.routes.services.get(state.service)
+        return state.admitted_figures if service is None else service.engine
 
     def min_version(
         self, model: str, now: float, margin_s: float = OLD_WEIGHTS_MARGIN_S
@@ -495,19 +497,39 @@
         max_age_s = self.limits.weights_within_s - margin_s
         return published_weights.newest_learned_by(now - max_age_s)
 
-    def weights_lapse_at(self, model: str, version: int) -> float:
+    def min_version_of(self, state: RequestState, now: float) -> int:
+        """Return the oldest version on which a request may be sent now, 0 for any."""
+        return self.min_version(
+            state.request.model,
+            now,
+            RESEND_OLD_WEIGHTS_MARGIN_S if state.attempts else LEAST_MARGIN_S,
+        )
+
+    def may_send(self, state: RequestState, choice: Chosen, now: float) -> bool:
+        """Return whether a request may still be sent to the weights of an engine."""
+        loaded_version = choice.backend.loaded_version(state.request.model, now)
+        return now < choice.send_by and loaded_version >= self.min_version_of(
+            state, now
+        )
+
+    def weights_lapse_at(self, model: str, version: int, now: float) -> float:
         """
-        Return when a request that waits for its first event on weights is cancelled.
+        Return until when a request may wait for its first event on weights.
 
         Its prediction may be wrong, for example if other entries sent requests to the
-        same engine at the same moment. It is infinite for the newest version.
+        same engine at the same moment. The newest version lapses no earlier than it
+        would if the next one was published now.
         """
-        published_weights = self.board.catalogue.weights.get(model)
-        if published_weights is None or not version:
+        if not version:
             return inf
-        outdated_since = published_weights.outdated_since(version)
+        published_weights = self.board.catalogue.weights.get(model)
+        outdated_since = (
+            None
+            if published_weights is None
+            else published_weights.outdated_since(version)
+        )
         if outdated_since is None:
-            return inf
+            outdated_since = now
         return outdated_since + self.limits.weights_within_s - CANCEL_MARGIN_S
 
     def newer_bounds(self, model: str, now: float) -> tuple[tuple[int, float], ...]:
--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -61,6 +61,9 @@
 # than this: the back end's idle timeout has not closed them, so the request arrives.
 MAX_IDLE_NON_REPEATABLE_S = 0.5
 MAX_IDLE_S = 60.0  # for requests that may be repeated
+# Before the time by which a request must be sent to old weights. On a link of
+# 0.95 Mbit/s, requests sent 2.3 s before the bound arrived 0.3 s after it.
+NEW_CONNECTION_BEFORE_S = 2.0
 # A streaming back end that sends nothing before its first event for this many times the
 # objective of the route is considered silent.
 MAX_SILENCE_FACTOR = 3.0
@@ -79,6 +82,7 @@
 MAX_REFUSAL_BYTES = 65536
 OVERTAKEN_REASON = "the silent back end resumed"
 LAPSED_REASON = "the engine did not start on its weights while they were usable"
+OUTDATED_REASON = "it would start too late on the engine's weights"
 MISPLACED_REASON = "its failure domain may no longer be used"
 BODY_METHODS = (b"POST", b"PUT", b"PATCH")
 
@@ -93,8 +97,9 @@
     silent back end is waited for at least. ``released_bytes`` counts what had been
     forwarded of the body when the back end became silent. ``head_ahead`` is a head that
     was received meanwhile, and ``broken_ahead`` is set if the exchange broke.
-    ``weights_lapse_at`` is when an attempt without a first event is cancelled, as it
-    may not start on the engine's weights any more.
+    ``sent_version`` is the version of the engine's weights on which the request starts,
+    0 if that is not bounded. An attempt without a first event is cancelled when they
+    lapse.
     """
 
     def __init__(
@@ -118,7 +123,7 @@
         self.started_at = clock.now()
         self.last_received_at = self.started_at
         self.wait_until = 0.0
-        self.weights_lapse_at = inf
+        self.sent_version = 0
         self.first_event_recorded = False
         self.known_crashes: frozenset[CrashId] = frozenset()
         self.part_run = PartRun()
@@ -127,7 +132,7 @@
         self.closed = False
         self.overtaken = False
         self.backend.in_flight += 1
-        figures = flow.engine_figures(state.service)
+        figures = flow.engine_figures(state)
         self.samples_first_event = figures is not None
         self.memory_number = 0
         if figures is not None:
@@ -137,6 +142,11 @@
                 *tokens, self.started_at
             )
         # 0 is the number of no request.
+        self.first_event_number = 0
+        if figures is not None and state.route.kind is RouteKind.STREAMING:
+            self.first_event_number = self.backend.first_events.record_sent(
+                self.started_at + choice.predicted_s
+            )
         self.sample_number = 0
         if self.backend.measures_pace:
             self.sample_number = self.backend.measured.record_sent(
@@ -162,12 +172,21 @@
             watcher.kill()
 
     def watch_silent(self, silent: AttemptSender, connection: HttpConnection) -> None:
-        """End this attempt if a silent one resumes before this one has sent events."""
+        """
+        End this attempt if a silent one resumes before this one has sent events.
+
+        The silent one is cancelled when the weights lapse on which it has not started.
+        """
         while not silent.has_resumed():
             if silent.broken_ahead or not silent.may_resume():
                 return
-            if not connection.wait_for_data():
+            left_s = silent.start_limit() - clock.now()
+            if left_s <= 0:
+                silent.close()
                 return
+            with eventlet.Timeout(None if left_s == inf else left_s, False):
+                if not connection.wait_for_data():
+                    return
         if not silent.may_resume():
             return
         self.overtaken = True
@@ -234,10 +253,17 @@
         self.closed = True
         self.backend.in_flight -= 1
         self.backend.memory.record_ended(self.memory_number)
-        self.backend.measured.record_unanswered(self.sample_number, clock.now())
+        now = clock.now()
+        self.backend.measured.record_unanswered(self.sample_number, now)
+        self.backend.first_events.record_ended(self.first_event_number, now)
         if self.body is not None:
             self.body.buffer.resize(0)
-        if self.connection is not None:
+        if self.connection is None:
+            return
+        if now >= self.start_limit():
+            # What still waits on this VM must not start on the lapsed weights.
+            self.connection.discard_request()
+        else:
             self.connection.abort()
 
     def receive_result(self, exchange: Callable[[], Attempt]) -> Attempt:
@@ -307,13 +333,17 @@
     def handle_silence(self, exc: ExchangeTimeoutError) -> Attempt:
         """Record that no data arrived in time; return the result."""
         now = clock.now()
-        if self.wait_until == 0.0:
+        limit = min(self.state.deadline, self.silence_limit(), self.start_limit())
+        if self.wait_until == 0.0 and now >= limit:
             self.log_silence(exc, now)
         if now >= self.state.deadline:
             return Attempt(AttemptEnd.OUT_OF_TIME, reason="the deadline passed")
         if now >= self.start_limit():
             # The engine is not at fault: it may be about to answer.
             return Attempt(AttemptEnd.LAPSED, reason=LAPSED_REASON)
+        if now < self.silence_limit():
+            # Only the weights might have lapsed.
+            return self.exchange_or_fail(self.receive_response)
         if self.wait_until == 0.0:
             self.backend.record_failure(now, self.started_at)
             self.flow.announcements.record_failure(self.backend, self.started_at)
@@ -336,13 +366,12 @@
         """Send the request on a connection, and handle the response."""
         listed = self.backend.listed
         route = self.state.route
-        max_idle_s = MAX_IDLE_S if route.repeatable else MAX_IDLE_NON_REPEATABLE_S
         request = self.state.request
         self.connection = self.flow.pool.acquire_connection(
             listed.server_id,
             listed.address,
             self.state.deadline,
-            max_idle_s,
+            self.max_idle_s(),
             request.request_id,
         )
         if self.caller.caller_left:
@@ -355,9 +384,13 @@
         if not current_placement(self.flow, self.state).admits(listed.failure_domain):
             # A configuration or an evacuation came while the connection was opened.
             return Attempt(AttemptEnd.NOT_SENT, reason=MISPLACED_REASON)
+        if self.samples_first_event and not self.flow.may_send(
+            self.state, self.choice, clock.now()
+        ):
+            # The connection was opened slowly, or the process was paused.
+            return Attempt(AttemptEnd.NOT_SENT, reason=OUTDATED_REASON)
         if self.samples_first_event and route.kind is RouteKind.STREAMING:
-            version = self.backend.loaded_version(request.model, clock.now())
-            self.weights_lapse_at = self.flow.weights_lapse_at(request.model, version)
+            self.sent_version = self.backend.loaded_version(request.model, clock.now())
         self.caller.on_caller_left = self.connection.interrupt
         self.flow.sent_requests.record_sent(listed.server_id, request.request_id)
         self.connection.send(
@@ -365,11 +398,24 @@
             request.target,
             self.backend_headers(),
             request.body,
-            self.state.deadline,
+            min(self.state.deadline, self.start_limit()),
         )
         self.last_received_at = clock.now()
         return self.receive_response()
 
+    def max_idle_s(self) -> float:
+        """
+        Return for how long the connection may have been idle, -1 for a new one.
+
+        A new connection is opened within 0.25 s only if the link to the engine is not
+        congested, as it has to be shortly before the weights lapse.
+        """
+        if self.choice.send_by < self.started_at + NEW_CONNECTION_BEFORE_S:
+            return -1.0
+        if self.state.route.repeatable:
+            return MAX_IDLE_S
+        return MAX_IDLE_NON_REPEATABLE_S
+
     def receive_response(self) -> Attempt:
         """Receive the response, or the rest of it, and handle it."""
         if self.caller.caller_left:
@@ -505,7 +551,7 @@
             headers.append((names.workspace, state.workspace.encode()))
         if state.last_event_id:
             headers.append((names.resume_after, state.last_event_id))
-        if self.flow.engine_figures(state.service) is not None:
+        if self.flow.engine_figures(state) is not None:
             headers.append((names.urgency, str(state.urgency).encode()))
             now = clock.now()
             if self.flow.min_version(state.request.model, now):
@@ -518,22 +564,45 @@
         return headers
 
     def head_deadline(self) -> float:
+        """Return until when the head of a response must arrive."""
+        return min(self.silence_limit(), self.start_limit())
+
+    def body_deadline(self, streaming: bool) -> float:
+        """Return until when the next part of a response must arrive."""
+        if not streaming:
+            return self.state.deadline
+        return min(self.silence_limit(), self.start_limit())
+
+    def silence_limit(self) -> float:
         """
         Return until when to wait for a response before another back end is tried.
 
-        Unless the deadline is earlier, this is at least twice the predicted wait.
+        Until the first event this is at least twice the predicted wait, unless the
+        deadline is earlier.
         """
         route = self.state.route
+        if self.head is not None:
+            if not isinstance(self.body, StreamBody):
+                return self.state.deadline
+            if self.state.first_event_at is not None:
+                return self.silence_deadline(MAX_STREAM_SILENCE_S)
         if route.kind is RouteKind.STREAMING:
             limit_s = max(MAX_STREAM_SILENCE_S, MAX_SILENCE_FACTOR * route.objective_s)
         else:
             limit_s = max(MIN_SILENCE_LIMIT_S, route.objective_s)
-        deadline = self.silence_deadline(max(limit_s, 2 * self.choice.predicted_s))
-        return min(deadline, self.start_limit())
+        return self.silence_deadline(max(limit_s, 2 * self.choice.predicted_s))
 
     def start_limit(self) -> float:
-        """Return when the attempt is cancelled if the engine has not started it."""
-        return inf if self.first_event_recorded else self.weights_lapse_at
+        """
+        Return until when to wait for the engine to start the attempt.
+
+        It is asked for again by then, since a newer version may have been published.
+        """
+        if self.first_event_recorded:
+            return inf
+        return self.flow.weights_lapse_at(
+            self.state.request.model, self.sent_version, clock.now()
+        )
 
     def silence_deadline(self, limit_s: float) -> float:
         """Return until when a back end may be silent before another one is tried."""
@@ -632,6 +701,7 @@
             now = clock.now()
             late_by_s = now - self.started_at - self.choice.predicted_s
             self.backend.record_first_event(late_by_s, now)
+            self.backend.first_events.record_arrived(self.first_event_number, now)
             # Smaller differences from a prediction are its usual error.
             usual_s = max(self.choice.predicted_s, MIN_UNEXPECTED_DELAY_S)
             self.flow.announcements.record_pace(
@@ -660,14 +730,6 @@
                 (now - self.started_at) / self.choice.expected_s
             )
 
-    def body_deadline(self, streaming: bool) -> float:
-        """Return until when the next part of a response must arrive."""
-        if not streaming:
-            return self.state.deadline
-        if self.state.first_event_at is None:
-            return self.head_deadline()
-        return min(self.silence_deadline(MAX_STREAM_SILENCE_S), self.start_limit())
-
     def forward_head(self, head: ResponseHead, body: StreamBody | PlainBody) -> None:
         """Forward the response head, unless one has already been forwarded."""
         state = self.state
--- a/packages/primroselever-entry/tests/direct/test_lapsing_weights.py
+++ b/packages/primroselever-entry/tests/direct/test_lapsing_weights.py
@@ -8,12 +8,18 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from math import inf
 
+import eventlet
 import pytest
 
+from primroselever_core.catalogue.model import RouteKind
+from primroselever_core.catalogue.published_weights import OLD_WEIGHTS_MARGIN_S
 from primroselever_core.dispatch import choose
-from primroselever_entry.direct import flow
+from primroselever_entry.direct import flow, sending
 from primroselever_node import clock
+from primroselever_node.direct import connection_pool
+from primroselever_node.direct.exchange import ConnectError, ExchangeTimeoutError
 
 from .conftest import (
     EVENTS,
@@ -36,15 +42,19 @@
     monkeypatch.setattr(flow, "LEAST_MARGIN_S", flow.CANCEL_MARGIN_S)
     # As with a prediction that is too short.
     monkeypatch.setattr(choose, "starts_in_time", lambda *_: True)
+    monkeypatch.setattr(choose, "send_deadline", lambda *_: inf)
+    return add_engines(entry, flow.CANCEL_MARGIN_S + LAPSE_S)
+
+
+def add_engines(entry, left_s: float):
+    """Add an engine on version 1 that is preferred, and a loaded one on version 2."""
     old, new = entry.add("a", "engine"), entry.add("b", "engine")
     old_listed, new_listed = old.listed(), replace(new.listed(), weights=(("m", 2),))
     entry.board.backends.apply_listing([old_listed, new_listed])
     entry.board.backends.backends["b"].in_flight = 7
     within_s = entry.flow.limits.weights_within_s
     entry.board.catalogue.publish_weights("m", 1, clock.now() - 60.0)
-    entry.board.catalogue.publish_weights(
-        "m", 2, clock.now() - within_s + flow.CANCEL_MARGIN_S + LAPSE_S
-    )
+    entry.board.catalogue.publish_weights("m", 2, clock.now() - within_s + left_s)
     return old, new
 
 
@@ -61,6 +71,87 @@
     assert backend.available(clock.now())
 
 
+# Guards against requests that start after the deadline of old weights because the rest
+# of them is written, or sent by the system, after the weights have lapsed.
+def test_a_request_that_is_not_written_before_the_lapse_is_discarded(
+    entry, engines, monkeypatch
+):
+    old, new = engines
+    connection_class = connection_pool.HttpConnection
+    send, discard = connection_class.send, connection_class.discard_request
+    discarded = []
+
+    def send_slowly(connection, *args):
+        if connection.address == old.address:
+            eventlet.sleep(max(0.0, args[-1] - clock.now()))
+            raise ExchangeTimeoutError("the request could not be written in time")
+        send(connection, *args)
+
+    def record_and_discard(connection):
+        discarded.append(connection.address)
+        discard(connection)
+
+    monkeypatch.setattr(connection_class, "send", send_slowly)
+    monkeypatch.setattr(connection_class, "discard_request", record_and_discard)
+    new.responses = [[stream_head(), *map(chunk, EVENTS), STREAM_END]]
+    assert_complete(ask(entry))
+    assert discarded == [old.address]
+
+
+# Guards against requests that start after the deadline of weights that were the newest
+# when they were sent.
+def test_a_request_on_the_newest_weights_is_cancelled_when_they_lapse(
+    entry, monkeypatch
+):
+    monkeypatch.setattr(flow, "LEAST_MARGIN_S", flow.CANCEL_MARGIN_S)
+    entry.flow.limits = replace(
+        entry.flow.limits, weights_within_s=flow.CANCEL_MARGIN_S + LAPSE_S
+    )
+    old, new = add_engines(entry, inf)
+    published_weights = entry.board.catalogue.weights["m"]
+    del published_weights.history[1:]
+
+    def hang():
+        published_weights.append(2, clock.now())
+        yield HANG
+
+    old.responses = [hang()]
+    new.responses = [[stream_head(), *map(chunk, EVENTS), STREAM_END]]
+    assert_complete(ask(entry))
+    assert (len(old.requests), len(new.requests), old.disconnects) == (1, 1, 1)
+    assert entry.board.backends.backends["a"].available(clock.now())
+
+
+# Guards against requests that start after the deadline of old weights while another
+# back end is tried: the limit was not watched meanwhile.
+def test_a_silent_attempt_is_cancelled_when_its_weights_lapse(
+    entry, engines, monkeypatch
+):
+    old, new = engines
+    monkeypatch.setattr(sending, "MAX_STREAM_SILENCE_S", 0.04)
+    monkeypatch.setattr(sending, "MAX_SILENCE_FACTOR", 0.1)
+    disconnects = []
+
+    def answer_late():
+        yield stream_head()
+        yield from [PAUSE, PAUSE, PAUSE]
+        disconnects.append(old.disconnects)
+        yield from [*map(chunk, EVENTS), STREAM_END]
+
+    configuration = entry.board.catalogue.configuration
+    routes = tuple(
+        replace(route, timeout_s=1.0) if route.kind is RouteKind.STREAMING else route
+        for route in configuration.routes
+    )
+    entry.board.catalogue.configure(
+        replace(configuration, revision=2, routes=routes), clock.now()
+    )
+    old.responses, new.responses = [[HANG]], [answer_late()]
+    assert_complete(ask(entry))
+    assert (len(old.requests), len(new.requests)) == (1, 1)
+    assert disconnects == [1]
+
+
 # Guards against streams that are cut off because their weights lapse while they run.
 def test_a_stream_that_has_started_runs_to_its_end(entry, engines):
     old, new = engines
@@ -91,3 +182,103 @@
     old.responses = [[HANG]]
     assert ask(entry).startswith(b"HTTP/1.1 502")
     assert (len(old.requests), new.requests) == (1, [])
+
+
+def pass_time_before_sending(entry, monkeypatch, seconds: float) -> None:
+    """Have the clock advance while the first connection is opened."""
+    now, acquire = clock.now, entry.flow.pool.acquire_connection
+    left_s = [seconds]
+
+    def acquire_late(*args):
+        connection = acquire(*args)
+        passed_s = left_s.pop() if left_s else 0.0
+        if passed_s:
+            monkeypatch.setattr(clock, "now", lambda: now() + passed_s)
+        return connection
+
+    monkeypatch.setattr(entry.flow.pool, "acquire_connection", acquire_late)
+
+
+# Guards against requests that start on old weights after their deadline: the engine is
+# chosen while they may, and the connection is opened after that, or the process is
+# paused in between.
+@pytest.mark.parametrize("passed_s", [0.0, 0.3])
+def test_a_request_is_not_sent_to_weights_that_lapsed_since_the_choice(
+    entry, monkeypatch, passed_s
+):
+    old, new = add_engines(entry, OLD_WEIGHTS_MARGIN_S + LAPSE_S)
+    events = [stream_head(), *map(chunk, EVENTS), STREAM_END]
+    old.responses, new.responses = [events], [events]
+    pass_time_before_sending(entry, monkeypatch, passed_s)
+    assert_complete(ask(entry))
+    assert (len(old.requests), len(new.requests)) == ((0, 1) if passed_s else (1, 0))
+    assert entry.board.backends.backends["a"].in_flight == 0
+
+
+# Guards against requests on the weights of an engine that restarted on an older version
+# while the connection was opened.
+def test_a_request_is_not_sent_to_an_engine_that_went_back_to_old_weights(
+    entry, monkeypatch
+):
+    old, new = add_engines(entry, -1.0)
+    backends = entry.board.backends
+    ahead = replace(old.listed(), weights=(("m", 2),))
+    backends.apply_listing([ahead, backends.backends["b"].listed])
+    new.responses = [[stream_head(), *map(chunk, EVENTS), STREAM_END]]
+    acquire = entry.flow.pool.acquire_connection
+
+    def acquire_while_restarting(*args):
+        backends.apply_listing([old.listed(), backends.backends["b"].listed])
+        return acquire(*args)
+
+    monkeypatch.setattr(entry.flow.pool, "acquire_connection", acquire_while_restarting)
+    assert_complete(ask(entry))
+    assert (len(old.requests), len(new.requests)) == (0, 1)
+
+
+# Guards against requests that wait in a congested link until the engine's weights have
+# lapsed: a connection that is kept shows nothing about the link.
+@pytest.mark.parametrize(("left_s", "reached"), [(1.0, False), (3.0, True)])
+def test_shortly_before_the_lapse_a_new_connection_shows_that_the_link_is_free(
+    entry, monkeypatch, left_s, reached
+):
+    old, new = add_engines(entry, OLD_WEIGHTS_MARGIN_S + left_s)
+    events = [stream_head(), *map(chunk, EVENTS), STREAM_END]
+    old.responses, new.responses = [events], [events]
+    connect = connection_pool.HttpConnection
+    kept = connect(old.address, clock.now() + 1.0)
+    kept.usable_until = clock.now() + 10.0
+    entry.flow.pool.idle["a"].append(kept)
+
+    def connect_late(address, deadline):
+        if address == old.address:
+            raise ConnectError("no connection within 0.25 s")
+        return connect(address, deadline)
+
+    monkeypatch.setattr(connection_pool, "HttpConnection", connect_late)
+    assert_complete(ask(entry))
+    assert (len(old.requests), len(new.requests)) == ((1, 0) if reached else (0, 1))
+
+
+# Guards against a margin that does not know of late first events.
+def test_late_first_events_of_streams_are_recorded(entry):
+    first = entry.add("a", "engine")
+    events = entry.board.backends.backends["a"].first_events
+    waiting = []
+
+    def answer_late():
+        yield PAUSE
+        waiting.append((len(events.due_at), events.delay_s(clock.now()) > 0.0))
+        yield from [stream_head(), *map(chunk, EVENTS), STREAM_END]
+
+    first.responses = [answer_late()]
+    assert_complete(ask(entry))
+    assert waiting == [(1, True)]
+    assert (events.due_at, events.late_by_s > 0.0) == ({}, True)
+
+
+def test_first_events_that_never_come_are_recorded(entry):
+    entry.add("a", "engine").responses = [[HANG]]
+    assert ask(entry).startswith(b"HTTP/1.1 504")
+    events = entry.board.backends.backends["a"].first_events
+    assert (events.due_at, events.late_by_s > 0.2) == ({}, True)
