Reproduce faults that remain after the verification of loads

Tests of the simulated engine with faults that the drawn sequences lack or do not check: loads of one layer, an agent that is killed after a repair, late staging calls, lost reports, engines without layers or sequence numbers.

--- /dev/null
+++ b/packages/primroselever-agent/tests/direct/test_loads_review.py
@@ -0,0 +1,296 @@
+"""Faults beside corrupted pieces that the drawn sequences of loads do not contain."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import eventlet
+import pytest
+
+from primroselever_core.filling.loads import OrderAnswer
+from primroselever_node import clock
+
+from .simulated_engine import LAYER_COUNT, PIECE_COUNT, World
+from .test_loads import STOP_S, assert_newest_is_served, run_drawn_sequence, spoil_once
+
+
+def assert_all_layers_serve(world: World) -> None:
+    assert_newest_is_served(world)
+    assert len(world.engine.layers) == LAYER_COUNT
+
+
+def test_an_engine_with_one_layer_is_filled_after_an_agent_restart(make_world):
+    # A load of one layer was verified, counted as the whole version, and stayed.
+    world = make_world()
+    world.run(1.0)
+    world.publish(2)
+    world.run(10.0)
+    assert_all_layers_serve(world)
+    world.agent.kill()
+    engine = world.engine
+    engine.layers = {0: ""}
+    engine.sequence += 1
+    world.restart_agent(0.5)
+    world.run(15.0)
+    assert_all_layers_serve(world)
+
+
+def test_a_load_with_corruption_in_every_layer_is_replaced_completely(make_world):
+    # The second of three orders was verified, and the third one was not sent.
+    world = make_world()
+    world.run(1.0)
+    world.stops.append(("before order", STOP_S))
+
+    def on_call(_agent, name):
+        if name == "before order":
+            for index in range(0, PIECE_COUNT, 2):
+                world.engine.spoil(index)
+            world.on_call = lambda _agent, _name: None
+
+    world.on_call = on_call
+    world.publish(2)
+    world.run(15.0)
+    assert_all_layers_serve(world)
+
+
+def test_a_repaired_area_does_not_prove_the_load_before_the_repair(make_world):
+    # The agent was killed after it had repaired the area, and before it dropped the
+    # load. The next process read a valid area and trusted the load.
+    world = make_world()
+    world.run(1.0)
+    world.stops.append(("before order", STOP_S))
+    loads = world.engine.counts
+
+    def on_call(agent, name):
+        if name == "before order" and not loads["wrong loads"]:
+            world.engine.spoil(2)
+        if name == "after put" and loads["wrong loads"]:
+            world.on_call = lambda _agent, _name: None
+            agent.stopped_until = float("inf")
+            eventlet.spawn(world.restart_agent, 0.1)
+
+    world.on_call = on_call
+    world.publish(2)
+    world.run(20.0)
+    assert loads["wrong loads"]
+    assert_all_layers_serve(world)
+
+
+def test_a_late_piece_does_not_prove_a_load(make_world):
+    # A piece was corrupt when the engine accepted an order without an answer. The call
+    # that had staged it, which had timed out, was carried out after that.
+    world = make_world()
+    world.run(1.0)
+    engine = world.engine
+    take_delay, delays = world.take_delay, [8.0]
+    world.take_delay = lambda name: (
+        delays.pop() if name == "put" and delays else take_delay(name)
+    )
+
+    def on_call(agent, name):
+        if name == "before order":
+            engine.spoil(0)
+            agent.stopped_until = clock.now() + STOP_S
+            world.stops.append(("after order", 5.0))
+            world.on_call = lambda _agent, _name: None
+
+    world.on_call = on_call
+    world.publish(2)
+    world.run(20.0)
+    assert not delays
+    assert_all_layers_serve(world)
+
+
+def test_a_load_without_manifest_stays_closed_after_an_agent_restart(make_world):
+    # Entries opened the engine 10 s after the last report of the process before.
+    world = make_world()
+    world.run(1.0)
+    world.stops += [("before order", STOP_S), ("after order", 100.0)]
+    spoil_once(world, "before order")
+    world.publish(2)
+    while not world.engine.counts["wrong loads"]:
+        world.run(0.01)
+    world.run(1.0)
+    world.entries_down_until = clock.now() + 15.0
+    world.restart_agent(0.1)
+    world.run(40.0)
+    assert_all_layers_serve(world)
+
+
+@pytest.mark.parametrize("lost", [1, 2, 3])
+def test_a_load_stays_closed_if_a_report_is_lost(make_world, lost):
+    # The report that the engine is closed was lost, and the agent was stopped.
+    world = make_world()
+    world.run(1.0)
+    world.stops += [("before order", STOP_S), ("after order", STOP_S)]
+    spoil_once(world, "before order")
+    receive, left = world.receive_report, [lost]
+
+    def receive_report(news):
+        if news.switching and left[0]:
+            left[0] -= 1
+            return
+        receive(news)
+
+    world.receive_report = receive_report
+    world.publish(2)
+    world.run(25.0)
+    assert_all_layers_serve(world)
+
+
+def test_a_load_stays_closed_if_reports_are_reordered(make_world):
+    # An older report that the engine is open arrived after the one that closed it.
+    world = make_world()
+    world.run(1.0)
+    world.stops += [("before order", STOP_S), ("after order", STOP_S)]
+    spoil_once(world, "before order")
+    receive, last, done = world.receive_report, [None], []
+
+    def receive_report(news):
+        receive(news)
+        if news.switching and not done:
+            done.append(news)
+            eventlet.spawn_after(0.1, receive, last[0])
+        last[0] = news
+
+    world.receive_report = receive_report
+    world.publish(2)
+    world.run(25.0)
+    assert_all_layers_serve(world)
+
+
+def test_an_engine_without_layers_does_not_stay_closed(make_world):
+    # Orders for the version in effect loaded nothing, about once a second.
+    world = make_world()
+    engine = world.engine
+    read_state = engine.read_state
+    engine.read_state = lambda: replace(read_state(), layers=None)
+    world.run(1.0)
+    world.stops.append(("before order", STOP_S))
+    spoil_once(world, "before order")
+    world.publish(2)
+    world.run(40.0)
+    assert_all_layers_serve(world)
+
+
+def test_an_engine_without_sequence_numbers_is_opened(make_world):
+    # An accepted order counted as the next sequence, which the engine never reported.
+    world = make_world()
+    engine = world.engine
+    read_state = engine.read_state
+    order_load = engine.order_load
+    engine.read_state = lambda: replace(read_state(), sequence=0)
+    engine.order_load = lambda order: order_load(
+        replace(order, previous=order.previous._replace(sequence=engine.sequence))
+    )
+    world.run(1.0)
+    world.publish(2)
+    world.run(10.0)
+    assert_all_layers_serve(world)
+
+
+def test_an_engine_that_refuses_layers_is_not_ordered_without_pause(make_world):
+    # Each refusal was followed by the next order as soon as the area had been read.
+    world = make_world()
+    engine = world.engine
+    order_load = engine.order_load
+    refused = []
+
+    def refuse_layers(order):
+        if order.layers is not None:
+            refused.append(clock.now())
+            return OrderAnswer.REFUSED
+        return order_load(order)
+
+    engine.order_load = refuse_layers
+    world.run(1.0)
+    world.stops.append(("before order", STOP_S))
+    spoil_once(world, "before order")
+    world.publish(2)
+    world.run(20.0)
+    assert refused
+    assert len(refused) <= refused[-1] - refused[0] + 2
+
+
+def test_another_model_is_loaded_over_an_unverified_load(make_world):
+    # The wanted version was dropped, as its number is lower than that of the model that
+    # the engine held.
+    world = make_world()
+    world.run(1.0)
+    world.publish(2)
+    world.run(10.0)
+    world.agent.kill()
+    engine = world.engine
+    read_state = engine.read_state
+    engine.version = 9  # of another model
+    engine.sequence += 1
+    engine.loaded_at = clock.now() + 0.5  # seen by the next process while it loads
+    engine.loads_other = False
+
+    def read_other():
+        state = read_state()
+        return replace(state, model="other") if state.version == 9 else state
+
+    engine.read_state = read_other
+    world.restart_agent(0.2)
+    world.run(15.0)
+    assert_all_layers_serve(world)
+
+
+def test_a_restarted_agent_does_not_abort_an_engine_that_is_in_use(make_world):
+    # A piece that became corrupt long after the load closed the engine at once. All
+    # engines of a fleet close together if all agents are killed.
+    world = make_world()
+    world.run(1.0)
+    world.publish(2)
+    world.run(10.0)
+    assert_all_layers_serve(world)
+    world.engine.spoil(2)
+    world.run(5.0)
+    orders = []
+    order_load = world.engine.order_load
+    world.engine.order_load = lambda order: orders.append(order) or order_load(order)
+    eventlet.spawn(world.restart_agent, 0.5)
+    closed_s = 0.0
+    for _ in range(1500):
+        world.run(0.01)
+        closed_s += 0.01 * (not world.is_open() or world.engine.loading)
+    print(
+        "closed_s", round(closed_s, 2), [(o.layers, o.aborts_requests) for o in orders]
+    )
+    assert not any(order.aborts_requests for order in orders)
+
+
+def test_an_agent_that_restarts_before_the_order_reopens_the_engine(make_world):
+    # The engine was closed for an order that was not sent, and holds verified weights.
+    # Entries kept it closed for 10 s while the next version could not be fetched.
+    world = make_world()
+    world.run(1.0)
+    world.publish(2)
+    world.run(10.0)
+    assert_all_layers_serve(world)
+
+    def on_call(agent, name):
+        if name == "before order":
+            world.on_call = lambda _agent, _name: None
+            world.entries_down_until = clock.now() + 30.0
+            world.engine.spoil(0)
+            agent.stopped_until = float("inf")
+            eventlet.spawn(world.restart_agent, 0.2)
+
+    world.on_call = on_call
+    world.publish(3)
+    closed_s = 0.0
+    for _ in range(700):  # until version 2 may not be served any more
+        world.run(0.01)
+        closed_s += 0.01 * (not world.is_open())
+    assert world.engine.version == 2
+    assert closed_s < 3.0
+
+
+def test_drawn_sequences_end_with_all_layers(make_world):
+    # A sequence ended with an engine of one layer, which refuses requests.
+    for seed in (2, 20, 71):
+        world = make_world(seed)
+        run_drawn_sequence(world)
+        assert_all_layers_serve(world)
