Load the other layers after a load of one layer was verified

An engine stayed with one layer of its version, was reported as open and refused all requests. Cause: a load of one layer was trusted once its pieces were valid. The plan then held no newer version, and the order for the other layers was not sent. Change: a load of one layer is verified, and is never trusted. Orders that were planned for a load are not sent after another one was accepted, and an engine's load is not compared with the pieces of another model.

--- a/packages/primroselever-agent/src/primroselever_agent/direct/filling.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/filling.py
@@ -145,7 +145,11 @@
             return
         started_at = clock.now()
         staging = self.prepare_staging(progress.manifest)
-        if not trusted and state.version == wanted.version:
+        if (
+            not trusted
+            and (state.model, state.version) == (wanted.model, wanted.version)
+            and not is_partial(state.layers)
+        ):
             self.verify_load(state.load, staging)
             if self.loads.trusts(state.load):
                 self.report_controller.report_state()
@@ -262,10 +266,11 @@
 
     def switch_weights(self, wanted: WantedWeights, staging: Staging) -> None:
         """Order the engine to load the staged weights and wait until it serves them."""
+        current = self.loads.current
         for layers in self.plan_orders(wanted, staging):
             state = self.close_and_verify(wanted, staging)
-            if state is None:
-                return
+            if state is None or state.load != current:
+                return  # another order was accepted since these were planned
             order = LoadOrder(
                 staging.wanted,
                 state.load,
@@ -280,11 +285,11 @@
             if answer is not OrderAnswer.STARTED:
                 return
             loads_pieces = layers is None or not holds(state.layers, layers)
-            if loads_pieces:
-                self.prove_load(order, staging)
+            valid = not loads_pieces or self.prove_load(order, staging)
             self.wait_until_loaded(order)
-            if loads_pieces and not self.loads.trusts(order.load):
+            if not valid:
                 return
+            current = order.load
 
     def plan_orders(
         self, wanted: WantedWeights, staging: Staging
@@ -349,27 +354,37 @@
         )
         return answer
 
-    def prove_load(self, order: LoadOrder, staging: Staging) -> None:
-        """Read the staging area after the engine accepted an order to load it."""
+    def prove_load(self, order: LoadOrder, staging: Staging) -> bool:
+        """Read the area after an order was accepted; return whether it was valid."""
         self.area.verify(staging)
-        self.verify_load(order.load, staging)
+        return self.verify_load(
+            order.load, staging, is_partial=order.layers is not None
+        )
 
-    def verify_load(self, load: Load, staging: Staging) -> None:
-        """Trust a load if the area was read after it and every piece was valid."""
+    def verify_load(
+        self, load: Load, staging: Staging, *, is_partial: bool = False
+    ) -> bool:
+        """
+        Trust a load if the area was read after it and every piece was valid.
+
+        Return whether it is valid.
+        """
         weights = staging.wanted
         invalid = set(range(len(weights.digests))) - staging.held
-        trusted = self.loads.verify(load, invalid)
-        if not trusted:
+        valid = self.loads.verify(load, invalid, is_partial=is_partial)
+        if not valid:
             self.unverified_loads.add(1)
+        choice = "other layers are loaded next" if is_partial else "may serve"
         log_decision(
-            "load verified" if trusted else "load not verified",
+            "load verified" if valid else "load not verified",
             f"{weights.model}/{weights.version}",
-            "may serve" if trusted else "loaded again",
+            choice if valid else "loaded again",
             "staged pieces read after the order",
             sequence=load.sequence,
             invalid=len(invalid),
             staged_since=self.loads.writes - self.loads.writes_before,
         )
+        return valid
 
     def wait_until_loaded(self, order: LoadOrder) -> None:
         """Wait until the engine has carried out an order, restarts or times out."""
@@ -397,6 +412,11 @@
         )
 
 
+def is_partial(layers: LayerRange | None) -> bool:
+    """Return whether an engine holds only the layer of an order for one layer."""
+    return layers is not None and layers.end - layers.start == 1
+
+
 def holds(held: LayerRange | None, layers: LayerRange) -> bool:
     """Return whether an engine that holds some layers loads none for others."""
     return held is not None and held.start <= layers.start and layers.end <= held.end
--- a/packages/primroselever-agent/tests/direct/test_loads.py
+++ b/packages/primroselever-agent/tests/direct/test_loads.py
@@ -14,7 +14,7 @@
 from primroselever_core.filling.loads import Loads
 from primroselever_node import clock
 
-from .simulated_engine import PIECE_COUNT, World, make_piece
+from .simulated_engine import LAYER_COUNT, PIECE_COUNT, World, make_piece
 
 STOP_S = 4.5
 PIECE = make_piece(2, 7)
@@ -40,6 +40,7 @@
     assert not world.violations
     assert engine.version == world.published[-1][0]
     assert not any(engine.layers.values())
+    assert len(engine.layers) == LAYER_COUNT  # with some, it refuses requests
     assert world.is_open()
 
 
--- a/packages/primroselever-core/src/primroselever_core/filling/loads.py
+++ b/packages/primroselever-core/src/primroselever_core/filling/loads.py
@@ -162,15 +162,20 @@
             self.pending = order
             self.pending_until = now + PENDING_ORDER_S
 
-    def verify(self, load: Load, invalid: Collection[int]) -> bool:
+    def verify(
+        self, load: Load, invalid: Collection[int], *, is_partial: bool = False
+    ) -> bool:
         """
         Trust the current load if all staged pieces were valid after it was accepted.
 
         ``invalid`` are the pieces that were read since and are not valid. Return
-        whether the load is trusted.
+        whether the load is valid. A load of some layers is never trusted, because the
+        engine does not serve with them and the others must be loaded as well.
         """
         if load != self.current or self.writes != self.writes_before:
             return self.trusts(load)
+        if is_partial:
+            return not invalid
         if invalid:
             if self.trusts(load):
                 self.trusted = None
