Keep the wanted version of another model while a load is not verified

An engine was never filled with the wanted model. Cause: while the load of an engine is not trusted, wanted versions with a lower number were dropped every 50 ms, also those of another model than the engine holds. Change: only versions of the model that the engine holds are dropped. Evidence: test_another_model_is_loaded_over_an_unverified_load fails before and passes after.

--- a/packages/primroselever-agent/src/primroselever_agent/direct/fetching.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/fetching.py
@@ -95,7 +95,7 @@
         if not self.board.loads.trusts(state.load):
             # It is verified, loaded again, or replaced by a newer version.
             served = 0
-            self.board.targets.drop_older(state.version)
+            self.board.targets.drop_older(state.model, state.version)
         for decision in self.plan.update(state.model, served, clock.now()):
             log_made(decision)
         for position, wanted in enumerate(self.plan.fetched):
--- a/packages/primroselever-core/src/primroselever_core/filling/targets.py
+++ b/packages/primroselever-core/src/primroselever_core/filling/targets.py
@@ -53,9 +53,13 @@
         del self.versions[:-MAX_TARGETS]
         return True
 
-    def drop_older(self, version: int) -> None:
-        """Drop the versions before one, to which an engine does not return."""
-        self.versions = [each for each in self.versions if each.version >= version]
+    def drop_older(self, model: str, version: int) -> None:
+        """Drop the versions of a model before one, as engines do not return to them."""
+        self.versions = [
+            each
+            for each in self.versions
+            if each.model != model or each.version >= version
+        ]
 
     def newer_than(self, served: int) -> list[WantedWeights]:
         """Return the versions that are newer than the served one, oldest first."""
