Pause after an order for one layer is refused

The agent sent 166 orders in 15 s to an engine that refuses orders for single layers, and read the staging area before each. Change: it waits 1 s after such a refusal, as after an order without an effect. Evidence: test_an_engine_that_refuses_layers_is_not_ordered_without_pause.

--- a/packages/primroselever-agent/src/primroselever_agent/direct/filling.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/filling.py
@@ -42,8 +42,9 @@
 # Time for the report of a switch to reach entries before the engine refuses requests.
 ANNOUNCE_DELAY_S = 0.03
 INHERITED_CHECK_INTERVAL_S = 1.0
-# An engine that holds a version and reports no layers does not load it again.
-IN_EFFECT_DELAY_S = 1.0
+# An engine that holds a version and reports no layers does not load it again, and one
+# may refuse orders for single layers. Repeated at once, these were 11 orders a second.
+INEFFECTIVE_ORDER_DELAY_S = 1.0
 LOAD_TIMEOUT_S = 15.0  # the longest answers take several seconds, loading under 1 s
 # An engine that is idle this long after it accepted an order does not carry it out. Its
 # state is read every 0.1 s.
@@ -280,8 +281,10 @@
                 and not self.loads.trusts(state.load),
             )
             answer = self.send_order(order)
-            if answer is OrderAnswer.IN_EFFECT:
-                eventlet.sleep(IN_EFFECT_DELAY_S)
+            if answer is OrderAnswer.IN_EFFECT or (
+                answer is OrderAnswer.REFUSED and layers is not None
+            ):
+                eventlet.sleep(INEFFECTIVE_ORDER_DELAY_S)
             if answer is not OrderAnswer.STARTED:
                 return
             loads_pieces = layers is None or not holds(state.layers, layers)
