--- a/packages/primroselever-agent/src/primroselever_agent/direct/filling.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/filling.py
@@ -42,8 +42,9 @@
 # Time for the report of a switch to reach entries before the engine refuses requests.
 ANNOUNCE_DELAY_S = 0.03
 INHERITED_CHECK_INTERVAL_S = 1.0
-# An engine that holds a version and reports no layers does not load it again.
-IN_EFFECT_DELAY_S = 1.0
+# An engine that holds a version and reports no layers does not load it again, and one
+# may refuse orders for single layers. Repeated at once, these were 11 orders a second.
+INEFFECTIVE_ORDER_DELAY_S = 1.0
 LOAD_TIMEOUT_S = 15.0  # the longest answers take several seconds, loading under 1 s
 # An engine that is idle this long after it accepted an order does not carry it out. Its
 # state is read every 0.1 s.
@@ -145,11 +146,23 @@
             return
         started_at = clock.now()
         staging = self.prepare_staging(progress.manifest)
-        if not trusted and state.version == wanted.version:
+        if (
+            not trusted
+            and (state.model, state.version) == (wanted.model, wanted.version)
+            and not is_partial(state.layers)
+        ):
             self.verify_load(state.load, staging)
             if self.loads.trusts(state.load):
                 self.report_controller.report_state()
                 return
+        orders = self.plan_orders(wanted, staging)
+        state, current = self.report_controller.state, None
+        if state is not None and orders[0] is not None:
+            current = self.loads.current
+            if holds(state.layers, orders[0]):
+                current = self.drop_layers(staging, current, orders.pop(0))
+                if current is None:
+                    return
         self.stage_all(wanted, staging)
         log_decision(
             "staging complete",
@@ -159,7 +172,7 @@
             took_s=round(clock.now() - started_at, 3),
         )
         self.wait_for_closing_time(wanted)
-        self.switch_weights(wanted, staging)
+        self.switch_weights(wanted, staging, orders, current)
         state = self.report_controller.state
         if (
             state is not None
@@ -260,31 +273,75 @@
             self.stage_all(wanted, staging)
         raise SourceError("the staging area becomes corrupt faster than it is repaired")
 
-    def switch_weights(self, wanted: WantedWeights, staging: Staging) -> None:
-        """Order the engine to load the staged weights and wait until it serves them."""
-        for layers in self.plan_orders(wanted, staging):
+    def drop_layers(
+        self, staging: Staging, current: Load | None, kept: LayerRange | None
+    ) -> Load | None:
+        """
+        Have the engine drop the layers of its ``current`` load, except ``kept``.
+
+        This precedes the repair of the staging area. If this process ends in between,
+        the next one finds a valid area, which does not prove the earlier load, but an
+        engine without all layers. Return the load, None if the order did not start.
+        """
+        self.board.switching = True
+        self.report_controller.report_state()
+        eventlet.sleep(ANNOUNCE_DELAY_S)
+        state = self.report_controller.state
+        if state is None or state.load != current:
+            return None
+        order = self.build_order(staging, state, kept)
+        if not self.start_order(order):
+            return None
+        self.wait_until_loaded(order)
+        return order.load
+
+    def build_order(
+        self, staging: Staging, state: EngineState, layers: LayerRange | None
+    ) -> LoadOrder:
+        """Return the next order to an engine with a state."""
+        return LoadOrder(
+            staging.wanted,
+            state.load,
+            layers,
+            # Requests that run on weights that are not valid must not go on.
+            aborts_requests=self.loads.invalid is not None
+            and not self.loads.trusts(state.load),
+        )
+
+    def start_order(self, order: LoadOrder) -> bool:
+        """Send an order; return whether the engine carries it out."""
+        answer = self.send_order(order)
+        if answer is OrderAnswer.IN_EFFECT or (
+            answer is OrderAnswer.REFUSED and order.layers is not None
+        ):
+            eventlet.sleep(INEFFECTIVE_ORDER_DELAY_S)
+        return answer is OrderAnswer.STARTED
+
+    def switch_weights(
+        self,
+        wanted: WantedWeights,
+        staging: Staging,
+        orders: list[LayerRange | None],
+        current: Load | None,
+    ) -> None:
+        """
+        Order the engine to load the staged weights and wait until it serves them.
+
+        ``orders`` are the layers of the orders. They were planned for an engine that
+        holds the ``current`` load, None for any.
+        """
+        for layers in orders:
             state = self.close_and_verify(wanted, staging)
-            if state is None:
-                return
-            order = LoadOrder(
-                staging.wanted,
-                state.load,
-                layers,
-                # Requests that run on weights that are not valid must not go on.
-                aborts_requests=self.loads.invalid is not None
-                and not self.loads.trusts(state.load),
-            )
-            answer = self.send_order(order)
-            if answer is OrderAnswer.IN_EFFECT:
-                eventlet.sleep(IN_EFFECT_DELAY_S)
-            if answer is not OrderAnswer.STARTED:
+            if state is None or current not in (None, state.load):
+                return  # another order was accepted since these were planned
+            order = self.build_order(staging, state, layers)
+            if not self.start_order(order):
                 return
-            loads_pieces = layers is None or not holds(state.layers, layers)
-            if loads_pieces:
-                self.prove_load(order, staging)
+            valid = self.prove_load(order, staging)
             self.wait_until_loaded(order)
-            if loads_pieces and not self.loads.trusts(order.load):
+            if not valid:
                 return
+            current = order.load
 
     def plan_orders(
         self, wanted: WantedWeights, staging: Staging
@@ -349,27 +406,37 @@
         )
         return answer
 
-    def prove_load(self, order: LoadOrder, staging: Staging) -> None:
-        """Read the staging area after the engine accepted an order to load it."""
+    def prove_load(self, order: LoadOrder, staging: Staging) -> bool:
+        """Read the area after an order was accepted; return whether it was valid."""
         self.area.verify(staging)
-        self.verify_load(order.load, staging)
+        return self.verify_load(
+            order.load, staging, is_partial=order.layers is not None
+        )
+
+    def verify_load(
+        self, load: Load, staging: Staging, *, is_partial: bool = False
+    ) -> bool:
+        """
+        Trust a load if the area was read after it and every piece was valid.
 
-    def verify_load(self, load: Load, staging: Staging) -> None:
-        """Trust a load if the area was read after it and every piece was valid."""
+        Return whether it is valid.
+        """
         weights = staging.wanted
         invalid = set(range(len(weights.digests))) - staging.held
-        trusted = self.loads.verify(load, invalid)
-        if not trusted:
+        valid = self.loads.verify(load, invalid, is_partial=is_partial)
+        if not valid:
             self.unverified_loads.add(1)
+        choice = "other layers are loaded next" if is_partial else "may serve"
         log_decision(
-            "load verified" if trusted else "load not verified",
+            "load verified" if valid else "load not verified",
             f"{weights.model}/{weights.version}",
-            "may serve" if trusted else "loaded again",
+            choice if valid else "loaded again",
             "staged pieces read after the order",
             sequence=load.sequence,
             invalid=len(invalid),
             staged_since=self.loads.writes - self.loads.writes_before,
         )
+        return valid
 
     def wait_until_loaded(self, order: LoadOrder) -> None:
         """Wait until the engine has carried out an order, restarts or times out."""
@@ -397,6 +464,11 @@
         )
 
 
+def is_partial(layers: LayerRange | None) -> bool:
+    """Return whether an engine holds only the layer of an order for one layer."""
+    return layers is not None and layers.end - layers.start == 1
+
+
 def holds(held: LayerRange | None, layers: LayerRange) -> bool:
     """Return whether an engine that holds some layers loads none for others."""
     return held is not None and held.start <= layers.start and layers.end <= held.end
