Reload engines that report some layers as no loaded version

Cause: an engine that holds layers without the first one counts as having no weights, so the order after the one that drops layers waited for a second, and after an interruption the layer that it had kept would have been trusted unread. Change: the state names the version of the layers, and a partial order is complete once the engine reports its layers.

--- a/packages/primroselever-agent/src/primroselever_agent/direct/filling.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/filling.py
@@ -351,7 +351,8 @@
         if (
             state is None
             or state.layers is None
-            or (state.model, state.version) != (wanted.model, wanted.version)
+            or state.model not in ("", wanted.model)
+            or state.layers_version != wanted.version
         ):
             return [None]
         return plan_reload(
@@ -448,7 +449,10 @@
                 return
             if state.sequence < order.load.sequence or state.loading:
                 continue
-            if state.version == order.weights.version:
+            has_loaded = state.version == order.weights.version
+            if order.layers is not None and state.layers is not None:
+                has_loaded = state.layers == order.layers
+            if has_loaded:
                 if self.loads.trusts(order.load) and order.layers is None:
                     self.board.switching = False
                     self.report_controller.report_state()
--- a/packages/primroselever-agent/tests/direct/simulated_engine.py
+++ b/packages/primroselever-agent/tests/direct/simulated_engine.py
@@ -112,7 +112,10 @@
         )
         if not loaded:
             return replace(state, model="")
-        return replace(state, layers=LayerRange(min(self.layers), max(self.layers) + 1))
+        layers = LayerRange(min(self.layers), max(self.layers) + 1)
+        state = replace(state, layers=layers, layers_version=loaded)
+        # Without the first layer, it does not count as loaded.
+        return replace(state, model="", version=0) if layers.start else state
 
     def stage_piece(self, index: int, data: bytes) -> None:
         self.area[index] = data
--- a/packages/primroselever-node/src/primroselever_node/direct/sources.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/sources.py
@@ -123,8 +123,8 @@
     counts the orders that started an operation since the engine's own start at
     ``born_ms``. ``pace`` is the factor by which the engine is slower than published.
     ``memory_used`` and ``memory_total`` are in tokens, None if not reported. ``layers``
-    are the layers of the model that it holds, None if not reported; with only some of
-    them it refuses requests.
+    are the layers that it holds of ``layers_version``, None if not reported; with only
+    some of a model's layers, it refuses requests.
     """
 
     born_ms: int
@@ -138,6 +138,7 @@
     memory_used: int | None = None
     memory_total: int | None = None
     layers: LayerRange | None = None
+    layers_version: int = 0
 
     @property
     def load(self) -> Load:
