Reproduce a wrong load that entries without reports may use

Entries of other failure domains that get no reports, and entries that start, know only the list of back ends.

--- a/packages/primroselever-agent/tests/direct/test_loads_review.py
+++ b/packages/primroselever-agent/tests/direct/test_loads_review.py
@@ -161,6 +161,23 @@
     assert_newest_is_served(world)
 
 
+def test_no_wrong_load_is_complete_for_entries_without_reports(make_world):
+    # Entries of other failure domains that get no reports, and entries that start, know
+    # only the list of back ends. A load that is not valid is complete until the order
+    # that drops it.
+    world = make_world()
+    world.run(1.0)
+    world.stops.append(("before order", STOP_S))
+    spoil_once(world, "before order")
+    world.publish(2)
+    wrong_s = 0.0
+    for _ in range(1500):
+        world.run(0.01)
+        wrong_s += 0.01 * bool(world.engine.fault)
+    assert_newest_is_served(world)
+    assert wrong_s == 0.0
+
+
 def test_an_engine_without_layers_does_not_stay_closed(make_world):
     # Orders for the version in effect loaded nothing, about once a second.
     world = make_world()
