--- a/packages/primroselever-agent/tests/direct/conftest.py
+++ b/packages/primroselever-agent/tests/direct/conftest.py
@@ -11,6 +11,8 @@
 
 from .simulated_engine import World
 
+TIMER_ORDER_S = 1e-10
+
 
 @pytest.fixture
 def make_world(monkeypatch):
@@ -19,13 +21,22 @@
 
     The timers of earlier tests are cancelled: on this clock they may be due at once.
     """
-    hub, time = get_hub(), [1000.0]
+    hub, time, order = get_hub(), [1000.0], [0]
     cancel_timers(hub)
     worlds = []
 
     def wait(seconds=None):
         time[0] += max(seconds or 0.0, 1e-6)
 
+    def add_timer(timer):
+        # Timers that are due at the same time were run in the order of their addresses
+        # in memory, so that a seed did not always give the same sequence.
+        order[0] += 1
+        due_at = time[0] + timer.seconds + order[0] * TIMER_ORDER_S
+        hub.next_timers.append((due_at, timer))
+        return due_at
+
+    monkeypatch.setattr(hub, "add_timer", add_timer)
     monkeypatch.setattr(hub, "clock", lambda: time[0])
     monkeypatch.setattr(hub, "wait", wait)
     monkeypatch.setattr(clock, "now", lambda: time[0])
@@ -34,7 +45,7 @@
         for world in worlds:
             world.end()
         cancel_timers(hub)
-        time[0] = 1000.0
+        time[0], order[0] = 1000.0, 0
         worlds.append(World(Random(seed)))
         return worlds[-1]
 
