--- a/packages/primroselever-agent/tests/direct/test_loads_review.py
+++ b/packages/primroselever-agent/tests/direct/test_loads_review.py
@@ -111,6 +111,17 @@
     assert_newest_is_served(world)
 
 
+def test_a_load_stays_closed_while_its_agent_is_stopped_for_longer(make_world):
+    # Entries opened the engine 10 s after the last report of its agent.
+    world = make_world()
+    world.run(1.0)
+    world.stops += [("before order", STOP_S), ("after order", 14.0)]
+    spoil_once(world, "before order")
+    world.publish(2)
+    world.run(30.0)
+    assert_newest_is_served(world)
+
+
 def test_a_load_stays_closed_if_the_report_of_its_order_is_lost(make_world):
     # The reports that the engine is closed were lost until the agent was stopped for
     # the second time.
