Test that inherited loads are verified and no corrupt layer is kept

Programs without the check of inherited loads, without the count of staged pieces, or that forget which pieces were invalid passed the named tests and 100 drawn sequences. Each fails one of the added tests.

--- a/packages/primroselever-agent/tests/direct/test_drawn_review.py
+++ b/packages/primroselever-agent/tests/direct/test_drawn_review.py
@@ -13,9 +13,9 @@
 from .simulated_engine import AgentProcess, World
 from .test_loads import assert_newest_is_served, draw_faults
 
-# By hand: REVIEW_SEQUENCES=0:1000. Seed 226 of the long stops and seed 395 of the refused
-# orders serve wrong weights 10 s after the last report of a closed engine; the check
-# does not know that entries no longer use these versions then.
+# By hand: REVIEW_SEQUENCES=0:1000. Seed 226 of the long stops and seed 395 of the
+# refused orders serve wrong weights 10 s after the last report of a closed engine; the
+# check does not know that entries no longer use these versions then.
 FIRST_SEQUENCE, END_SEQUENCE = map(
     int, os.environ.get("REVIEW_SEQUENCES", "0:8").split(":")
 )
--- a/packages/primroselever-agent/tests/direct/test_loads_review.py
+++ b/packages/primroselever-agent/tests/direct/test_loads_review.py
@@ -5,8 +5,9 @@
 from dataclasses import replace
 
 import eventlet
+import pytest
 
-from primroselever_core.filling.loads import OrderAnswer
+from primroselever_core.filling.loads import Load, Loads, OrderAnswer
 from primroselever_node import clock
 
 from .simulated_engine import PIECE_COUNT
@@ -95,6 +96,43 @@
     assert_newest_is_served(world)
 
 
+def test_a_restarted_agent_verifies_a_complete_load(make_world):
+    # Without a check of a load that an earlier process ordered, it served after 10 s.
+    world = make_world()
+    world.run(1.0)
+    world.stops += [("before order", STOP_S), ("after order", 100.0)]
+    spoil_once(world, "before order")
+    world.publish(2)
+    while not world.engine.counts["wrong loads"]:
+        world.run(0.01)
+    world.run(1.0)
+    world.restart_agent(0.1)
+    world.run(20.0)
+    assert_newest_is_served(world)
+
+
+@pytest.mark.parametrize("index", range(0, PIECE_COUNT, 2))
+def test_no_layer_with_a_corrupt_piece_is_kept(make_world, index):
+    # The layer that stays while the others are loaded anew must be a valid one.
+    world = make_world()
+    world.run(1.0)
+    world.stops.append(("before order", STOP_S))
+    spoil_once(world, "before order", index)
+    world.publish(2)
+    world.run(15.0)
+    assert_newest_is_served(world)
+
+
+def test_a_piece_staged_after_a_load_was_accepted_does_not_prove_it():
+    # The order was not answered, and a piece was repaired before its load was seen.
+    loads = Loads()
+    loads.observe(Load(1000, 1), False, None, 0)
+    loads.record_write()
+    loads.observe(Load(1000, 2), False, None, 1)
+    assert not loads.verify(Load(1000, 2), ())
+    assert not loads.trusts(Load(1000, 2))
+
+
 def test_a_load_without_manifest_stays_closed_after_an_agent_restart(make_world):
     # Entries opened the engine 10 s after the last report of the process before.
     world = make_world()
