Keep an engine closed for an order that an earlier process sent

Corrupt weights served: a new process of the agent found an engine without weights, reported it as open and was stopped, and the engine accepted the order of the process before. Entries also counted the closure by a new process from the last report of the one before. Change: a new process reports an engine without weights as unverified until its first order, and a report that an engine is closed always counts from its own time.

--- a/packages/primroselever-agent/src/primroselever_agent/direct/news.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/news.py
@@ -154,7 +154,10 @@
             else max(0, int((closes_at - now) * 1000)),
             memory_used=state.memory_used if self.reports_memory else None,
             memory_total=state.memory_total if self.reports_memory else None,
-            unverified=loads.inherited == state.load or None,
+            unverified=loads.inherited == state.load
+            # Without weights it serves nothing, so that waiting costs nothing.
+            or (loads.first == state.load and not state.version)
+            or None,
         )
         reported_state = (state.born_ms, state.version, switching, closes_at)
         state_changed = reported_state != self.last_reported_state
--- a/packages/primroselever-agent/tests/direct/test_loads_review.py
+++ b/packages/primroselever-agent/tests/direct/test_loads_review.py
@@ -7,6 +7,7 @@
 import eventlet
 import pytest
 
+from primroselever_core.dispatch.backend import Backend, EngineReport, keep_closed
 from primroselever_core.filling.loads import Load, Loads, OrderAnswer
 from primroselever_node import clock
 
@@ -111,6 +112,32 @@
     assert_newest_is_served(world)
 
 
+def test_an_empty_engine_stays_closed_for_an_order_on_its_way(make_world):
+    # The order of a process that had ended was accepted late. The next process found an
+    # engine without weights and reported it as open, and was stopped.
+    world = make_world()
+    world.publish(2)
+    world.order_delays.append(STOP_S)
+
+    def restart():
+        world.restart_agent(0.5)
+        eventlet.sleep(0.0)
+        world.entries_down_until = clock.now() + 10.0
+        eventlet.sleep(0.2)
+        world.agent.stopped_until = clock.now() + 8.0
+
+    def on_call(_agent, name):
+        if name == "before order":
+            world.engine.spoil(2)
+            world.on_call = lambda _agent, _name: None
+            eventlet.spawn_after(0.01, restart)
+
+    world.on_call = on_call
+    world.restart_engine(0.1)
+    world.run(30.0)
+    assert_newest_is_served(world)
+
+
 @pytest.mark.parametrize("index", range(0, PIECE_COUNT, 2))
 def test_no_layer_with_a_corrupt_piece_is_kept(make_world, index):
     # The layer that stays while the others are loaded anew must be a valid one.
@@ -362,3 +389,12 @@
         world = make_world(seed)
         run_drawn_sequence(world)
         assert_newest_is_served(world)
+
+
+def test_a_process_that_closes_an_inherited_load_keeps_it_closed():
+    # The time counted from the last report of the process before, and ended while the
+    # new one was stopped after its own order.
+    report = EngineReport(100.0, 1, "m", 1, True, 0, 0, 1.0, unverified=True)
+    previous = keep_closed(None, report)
+    report = keep_closed(previous, replace(report, received_at=108.0))
+    assert Backend(None, report).switching(117.0)
--- a/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
@@ -352,6 +352,7 @@
     """
     if (
         report.unverified
+        and not report.switching  # the new process closed it itself, for its own order
         and previous is not None
         and previous.born_ms == report.born_ms
         and report.received_at <= previous.closed_until
--- a/packages/primroselever-core/src/primroselever_core/filling/loads.py
+++ b/packages/primroselever-core/src/primroselever_core/filling/loads.py
@@ -73,9 +73,11 @@
     What is known about the loads of one engine.
 
     ``trusted`` is the load that may serve, ``current`` the latest that was seen.
-    ``inherited`` is a trusted load that an earlier process ordered. ``invalid`` holds
-    the pieces that were not valid when they were read after the current load, None if
-    that is not known. ``pending`` is an order without an answer, which may be accepted
+    ``first`` is the first one that was seen, after which an order of an earlier process
+    may still be accepted. ``inherited`` is a trusted load that such a process ordered.
+    ``invalid`` holds the pieces that were not valid when they were read after the
+    current load, None if that is not known. ``pending`` is an order without an answer,
+    which may be accepted
     until ``pending_until`` or later. ``writes`` counts the pieces that were staged,
     ``writes_before`` those that were certainly staged before the current load, and
     ``writes_seen`` those before the last read of the engine's state. ``missed`` says
@@ -84,6 +86,7 @@
 
     trusted: Load | None = None
     current: Load | None = None
+    first: Load | None = None
     inherited: Load | None = None
     invalid: frozenset[int] | None = None
     pending: LoadOrder | None = None
@@ -130,6 +133,8 @@
             if load == current:
                 self.writes_seen = writes
                 return False
+        if current is None:
+            self.first = load
         self.begin(load, self.writes_seen if current is not None else writes)
         self.writes_seen = writes
         if not load.sequence:
