--- a/packages/primroselever-agent/src/primroselever_agent/direct/filling.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/filling.py
@@ -305,6 +305,7 @@
             layers,
             # Requests that run on weights that are not valid must not go on.
             aborts_requests=self.loads.invalid is not None
+            and not self.loads.was_trusted
             and not self.loads.trusts(state.load),
         )
 
--- a/packages/primroselever-agent/tests/direct/test_loads_review.py
+++ b/packages/primroselever-agent/tests/direct/test_loads_further_faults.py
@@ -5,8 +5,10 @@
 from dataclasses import replace
 
 import eventlet
+import pytest
 
-from primroselever_core.filling.loads import OrderAnswer
+from primroselever_core.dispatch.backend import Backend, EngineReport, keep_closed
+from primroselever_core.filling.loads import Load, Loads, OrderAnswer
 from primroselever_node import clock
 
 from .simulated_engine import PIECE_COUNT
@@ -95,6 +97,69 @@
     assert_newest_is_served(world)
 
 
+def test_a_restarted_agent_verifies_a_complete_load(make_world):
+    # Without a check of a load that an earlier process ordered, it served after 10 s.
+    world = make_world()
+    world.run(1.0)
+    world.stops += [("before order", STOP_S), ("after order", 100.0)]
+    spoil_once(world, "before order")
+    world.publish(2)
+    while not world.engine.counts["wrong loads"]:
+        world.run(0.01)
+    world.run(1.0)
+    world.restart_agent(0.1)
+    world.run(20.0)
+    assert_newest_is_served(world)
+
+
+def test_an_empty_engine_stays_closed_for_an_order_on_its_way(make_world):
+    # The order of a process that had ended was accepted late. The next process found an
+    # engine without weights and reported it as open, and was stopped.
+    world = make_world()
+    world.publish(2)
+    world.order_delays.append(STOP_S)
+
+    def restart():
+        world.restart_agent(0.5)
+        eventlet.sleep(0.0)
+        world.entries_down_until = clock.now() + 10.0
+        eventlet.sleep(0.2)
+        world.agent.stopped_until = clock.now() + 8.0
+
+    def on_call(_agent, name):
+        if name == "before order":
+            world.engine.spoil(2)
+            world.on_call = lambda _agent, _name: None
+            eventlet.spawn_after(0.01, restart)
+
+    world.on_call = on_call
+    world.restart_engine(0.1)
+    world.run(30.0)
+    assert_newest_is_served(world)
+
+
+@pytest.mark.parametrize("index", range(0, PIECE_COUNT, 2))
+def test_no_layer_with_a_corrupt_piece_is_kept(make_world, index):
+    # The layer that stays while the others are loaded anew must be a valid one.
+    world = make_world()
+    world.run(1.0)
+    world.stops.append(("before order", STOP_S))
+    spoil_once(world, "before order", index)
+    world.publish(2)
+    world.run(15.0)
+    assert_newest_is_served(world)
+
+
+def test_a_piece_staged_after_a_load_was_accepted_does_not_prove_it():
+    # The order was not answered, and a piece was repaired before its load was seen.
+    loads = Loads()
+    loads.observe(Load(1000, 1), False, None, 0, 100.0)
+    loads.record_write()
+    loads.observe(Load(1000, 2), False, None, 1, 100.1)
+    assert not loads.verify(Load(1000, 2), ())
+    assert not loads.trusts(Load(1000, 2))
+
+
 def test_a_load_without_manifest_stays_closed_after_an_agent_restart(make_world):
     # Entries opened the engine 10 s after the last report of the process before.
     world = make_world()
@@ -111,6 +176,17 @@
     assert_newest_is_served(world)
 
 
+def test_a_load_stays_closed_while_its_agent_is_stopped_for_longer(make_world):
+    # Entries opened the engine 10 s after the last report of its agent.
+    world = make_world()
+    world.run(1.0)
+    world.stops += [("before order", STOP_S), ("after order", 14.0)]
+    spoil_once(world, "before order")
+    world.publish(2)
+    world.run(30.0)
+    assert_newest_is_served(world)
+
+
 def test_a_load_stays_closed_if_the_report_of_its_order_is_lost(make_world):
     # The reports that the engine is closed were lost until the agent was stopped for
     # the second time.
@@ -161,6 +237,23 @@
     assert_newest_is_served(world)
 
 
+def test_no_wrong_load_is_complete_for_entries_without_reports(make_world):
+    # Entries of other failure domains that get no reports, and entries that start, know
+    # only the list of back ends. A load that is not valid is complete until the order
+    # that drops it.
+    world = make_world()
+    world.run(1.0)
+    world.stops.append(("before order", STOP_S))
+    spoil_once(world, "before order")
+    world.publish(2)
+    wrong_s = 0.0
+    for _ in range(1500):
+        world.run(0.01)
+        wrong_s += 0.01 * bool(world.engine.fault)
+    assert_newest_is_served(world)
+    assert wrong_s == 0.0
+
+
 def test_an_engine_without_layers_does_not_stay_closed(make_world):
     # Orders for the version in effect loaded nothing, about once a second.
     world = make_world()
@@ -253,13 +346,8 @@
     order_load = world.engine.order_load
     world.engine.order_load = lambda order: orders.append(order) or order_load(order)
     eventlet.spawn(world.restart_agent, 0.5)
-    closed_s = 0.0
-    for _ in range(1500):
-        world.run(0.01)
-        closed_s += 0.01 * (not world.is_open() or world.engine.loading)
-    print(
-        "closed_s", round(closed_s, 2), [(o.layers, o.aborts_requests) for o in orders]
-    )
+    world.run(15.0)
+    assert orders
     assert not any(order.aborts_requests for order in orders)
 
 
@@ -296,3 +384,12 @@
         world = make_world(seed)
         run_drawn_sequence(world)
         assert_newest_is_served(world)
+
+
+def test_a_process_that_closes_an_inherited_load_keeps_it_closed():
+    # The time counted from the last report of the process before, and ended while the
+    # new one was stopped after its own order.
+    report = EngineReport(100.0, 1, "m", 1, True, 0, 0, 1.0, unverified=True)
+    previous = keep_closed(None, report)
+    report = keep_closed(previous, replace(report, received_at=108.0))
+    assert Backend(None, report).switching(117.0)
--- a/packages/primroselever-core/src/primroselever_core/filling/loads.py
+++ b/packages/primroselever-core/src/primroselever_core/filling/loads.py
@@ -73,15 +73,16 @@
     What is known about the loads of one engine.
 
     ``trusted`` is the load that may serve, ``current`` the latest that was seen and
-    ``first`` the first one that this process saw.
-    ``inherited`` is a trusted load that an earlier process ordered. An order of that
-    process may be accepted until ``inherits_until`` or later. ``invalid`` holds
-    the pieces that were not valid when they were read after the current load, None if
-    that is not known. ``pending`` is an order without an answer, which may be accepted
-    until ``pending_until`` or later. ``writes`` counts the pieces that were staged,
-    ``writes_before`` those that were certainly staged before the current load, and
-    ``writes_seen`` those before the last read of the engine's state. ``missed`` says
-    that the engine could not be read before it was read for the first time.
+    ``first`` the first one that this process saw. ``inherited`` is a trusted load that
+    an earlier process ordered; an order of that process may be accepted until
+    ``inherits_until`` or later. ``invalid`` holds the pieces that were not valid when
+    they were read after the current load, None if that is not known, and
+    ``was_trusted`` says that they may have become so long after it. ``pending`` is an
+    order without an answer, which may be accepted until ``pending_until`` or later.
+    ``writes`` counts the pieces that were staged, ``writes_before`` those that were
+    certainly staged before the current load, and ``writes_seen`` those before the last
+    read of the engine's state. ``missed`` says that the engine could not be read before
+    it was read for the first time.
     """
 
     trusted: Load | None = None
@@ -90,6 +91,7 @@
     first: Load | None = None
     inherits_until: float = 0.0
     invalid: frozenset[int] | None = None
+    was_trusted: bool = False
     pending: LoadOrder | None = None
     pending_until: float = 0.0
     writes: int = 0
@@ -164,6 +166,7 @@
         self.current = load
         self.writes_before = writes_before
         self.invalid = self.inherited = None
+        self.was_trusted = False
         pending = self.pending
         if pending is not None and pending.previous != load:
             self.pending = None
@@ -195,7 +198,7 @@
             return not invalid
         if invalid:
             if self.trusts(load):
-                self.trusted = None
+                self.trusted, self.was_trusted = None, True
             self.invalid = frozenset(invalid).union(self.invalid or ())
         elif self.invalid is None:
             self.trusted = load
