Test reordered reports of an agent that has run for a while

Cause: within 5 s of the start of a process entries keep an engine closed, so that the test of reordered reports passed and no longer showed the fault, which remains. Change: the process of the test is older.

--- a/packages/primroselever-agent/tests/direct/test_loads_further_faults.py
+++ b/packages/primroselever-agent/tests/direct/test_loads_further_faults.py
@@ -8,7 +8,7 @@
 import pytest
 
 from primroselever_core.dispatch.backend import Backend, EngineReport, keep_closed
-from primroselever_core.filling.loads import Load, Loads, OrderAnswer
+from primroselever_core.filling.loads import PENDING_ORDER_S, Load, Loads, OrderAnswer
 from primroselever_node import clock
 
 from .simulated_engine import PIECE_COUNT
@@ -211,9 +211,10 @@
 
 def test_a_load_stays_closed_if_reports_are_reordered(make_world):
     # An older report that the engine is open arrived after the one that closed it, and
-    # none followed before the agent was stopped for the second time.
+    # none followed before the agent was stopped for the second time. Its process is old
+    # enough for entries to believe it at once.
     world = make_world()
-    world.run(1.0)
+    world.run(PENDING_ORDER_S + 2.0)
     world.stops += [("before order", STOP_S), ("after order", STOP_S)]
     receive, last_open, replayed = world.receive_report, [], []
 
