Keep no found pieces of a model that is no longer wanted

Cause: an agent read the staging area between the check that a version is still wanted and keeping its pieces, which are numbered by version only. After a change of model, pieces of the earlier one stayed in memory, and would have been used for repairs. Change: the area is read before that check. Measured: the new test fails before and passes now.

--- a/packages/primroselever-agent/src/primroselever_agent/direct/fetching.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/fetching.py
@@ -137,6 +137,7 @@
         """Fetch the manifest or one piece, or raise ``SourceError``."""
         if progress.manifest is None or index == MANIFEST:
             manifest = self.reader.read_manifest(wanted)
+            self.area.read_found(manifest.model)
             self.check_current(progress)
             self.area.adopt_found(manifest)
             progress.set_manifest(manifest)
--- a/packages/primroselever-agent/src/primroselever_agent/direct/staging_area.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/staging_area.py
@@ -49,13 +49,16 @@
             description="Corrupt staged pieces, by source of the valid bytes",
         )
 
+    def read_found(self, model: str) -> None:
+        """Read the pieces that an earlier process left, once."""
+        if self.found is None:
+            self.found = self.read_all(model)
+
     def adopt_found(self, manifest: PieceDigests) -> None:
         """Take valid pieces of a version, left by an earlier process, into memory."""
-        if self.found is None:
-            self.found = self.read_all(manifest.model)
         valid = {
             index: data
-            for index, data in self.found.items()
+            for index, data in (self.found or {}).items()
             if index < len(manifest.digests) and manifest.matches(index, data)
         }
         for index, data in valid.items():
--- a/packages/primroselever-agent/tests/direct/test_filling.py
+++ b/packages/primroselever-agent/tests/direct/test_filling.py
@@ -572,3 +572,25 @@
     greenlet.kill()
     sent = [call[3:5] for call in entries.calls if call[1] == "fetch_piece"]
     assert all(sent.count(piece) <= 2 for piece in set(sent) - missing)
+
+
+def test_found_pieces_of_an_earlier_model_are_not_kept(make_controller):
+    # The wanted model changed while the staging area was read, and pieces of the
+    # earlier one stayed in memory under the number of the new one's version.
+    controller, board, engine, _entries = make_controller()
+    targets, fetcher = board.targets, controller.fetcher
+    engine.staging_area = dict(enumerate(make_pieces(1)))
+    name_wanted_version(board, 1)
+    controller.plan.update("m", 0, clock.now())
+    earlier, wanted = controller.plan.progress[1], targets.newest
+    list_staged = engine.list_staged
+
+    def list_while_the_model_changes(model):
+        targets.add_version(replace(wanted, model="n"))
+        controller.plan.update("m", 0, clock.now())
+        return list_staged(model)
+
+    engine.list_staged = list_while_the_model_changes
+    with pytest.raises(SourceError):
+        fetcher.fetch(earlier, progress.MANIFEST, wanted)
+    assert not controller.plan.held(1)
