Load inherited weights again only with the pieces for it in memory

Cause: an agent that restarted beside a piece that had become corrupt long after the load emptied its engine, which stayed empty while entries lacked that piece. Change: the invalid pieces are fetched while the engine serves; it is closed once they are in memory.

--- a/packages/primroselever-agent/src/primroselever_agent/direct/filling.py
+++ b/packages/primroselever-agent/src/primroselever_agent/direct/filling.py
@@ -187,7 +187,8 @@
         Verify a load that an earlier process ordered, if it is the newest version.
 
         That process may have ended before it verified the load itself. What has become
-        corrupt since then cannot be told apart, so the weights are loaded again.
+        corrupt since then cannot be told apart, so the weights are loaded again once
+        the pieces for that are in memory.
         """
         newest = self.board.targets.newest
         if (
@@ -197,8 +198,19 @@
         ):
             return
         self.inherited_check_at = clock.now() + INHERITED_CHECK_INTERVAL_S
-        staging = Staging(self.reader.read_manifest(newest))
+        manifest = self.reader.read_manifest(newest)
+        staging = Staging(manifest)
         self.area.verify(staging)
+        invalid = set(range(len(manifest.digests))) - staging.held
+        for index in sorted(invalid - set(self.area.cache.held(manifest.version))):
+            data = self.reader.read_piece(
+                manifest,
+                newest,
+                index,
+                lambda: self.plan.pace.slice_bytes,
+                lambda size: self.plan.rate.record(size, clock.now()),
+            )
+            self.area.cache.put(manifest.version, index, data)
         self.verify_load(state.load, staging)
         if not self.loads.trusts(state.load):
             self.report_controller.report_state()
--- a/packages/primroselever-agent/tests/direct/simulated_engine.py
+++ b/packages/primroselever-agent/tests/direct/simulated_engine.py
@@ -218,6 +218,8 @@
             return None
         if method == "fetch_digests":
             return make_digests(version)
+        if clock.now() < self.world.pieces_missing_until:
+            return SimpleNamespace(state="pending", data=b"", size=0)
         data = make_piece(version, args[2])
         offset, length = args[4], args[5]
         end = offset + length if length else len(data)
@@ -268,7 +270,7 @@
         self.random = random
         self.engine = Engine()
         self.published = [(1, clock.now() - 60.0)]
-        self.entries_down_until = 0.0
+        self.entries_down_until = self.pieces_missing_until = 0.0
         self.call_s = self.entry_call_s = CALL_S
         self.report: EngineReport | None = None
         self.entry_calls = 0
--- a/packages/primroselever-agent/tests/direct/test_loads_further_faults.py
+++ b/packages/primroselever-agent/tests/direct/test_loads_further_faults.py
@@ -11,7 +11,7 @@
 from primroselever_core.filling.loads import PENDING_ORDER_S, Load, Loads, OrderAnswer
 from primroselever_node import clock
 
-from .simulated_engine import PIECE_COUNT
+from .simulated_engine import PIECE_COUNT, make_piece
 from .test_loads import STOP_S, assert_newest_is_served, run_drawn_sequence, spoil_once
 
 
@@ -352,6 +352,26 @@
     assert not any(order.aborts_requests for order in orders)
 
 
+def test_an_engine_in_use_is_not_closed_for_pieces_that_cannot_be_fetched(make_world):
+    # The engine was emptied for a piece that had become corrupt long after the load,
+    # and stayed empty while entries lacked that piece.
+    world = make_world()
+    world.run(1.0)
+    world.publish(2)
+    world.run(10.0)
+    world.engine.spoil(2)
+    world.run(5.0)
+    world.pieces_missing_until = clock.now() + 20.0
+    eventlet.spawn(world.restart_agent, 0.5)
+    for _ in range(150):
+        world.run(0.1)
+        assert world.is_open()
+        assert not world.engine.loading
+    world.run(15.0)
+    assert_newest_is_served(world)
+    assert world.engine.area[2] == make_piece(2, 2)
+
+
 def test_an_agent_that_restarts_before_the_order_reopens_the_engine(make_world):
     # The engine was closed for an order that was not sent, and holds verified weights.
     # Entries kept it closed for 10 s while the next version could not be fetched.
