--- a/soak/run.py
+++ b/soak/run.py
@@ -137,5 +137,5 @@
                 self.ledger.record_violation(
                     "recover", f"{name} serves weights version {backend.version}"
                 )
-            if any(load.bad_pieces for load in backend.layers.values()):
+            if any(layer in load.bad_pieces for layer, load in backend.layers.items()):
                 self.ledger.record_violation("recover", f"{name} serves bad weights")
