Keep an engine closed for an order that its next start may accept

An agent was stopped, its engine restarted, and the order for the earlier start timed out; it was not taken for pending, since the start differed, and the new start accepted it. Change: an unanswered order is pending for the present start if that has accepted as many orders as the order requires.

--- a/packages/primroselever-agent/tests/direct/test_loads.py
+++ b/packages/primroselever-agent/tests/direct/test_loads.py
@@ -272,7 +272,7 @@
         assert_newest_is_served(world)
 
 
-@pytest.mark.parametrize("seed", [10076, 10091, 10201, 20152])
+@pytest.mark.parametrize("seed", [10076, 10091, 10201, 20152, 50049])
 def test_no_order_of_a_stopped_or_killed_agent_serves_wrong_weights(make_world, seed):
     # The agent was killed twice, or the engine restarted, before an order was accepted.
     world = make_world(seed)
--- a/packages/primroselever-core/src/primroselever_core/filling/loads.py
+++ b/packages/primroselever-core/src/primroselever_core/filling/loads.py
@@ -11,7 +11,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -177,9 +177,15 @@
             self.begin(order.load, writes)
 
     def record_unanswered(self, order: LoadOrder, now: float) -> None:
-        """Record an order that the engine may have accepted or accept later."""
-        if self.current == order.previous:
-            self.pending = order
+        """
+        Record an order that the engine may have accepted or accept later.
+
+        A start of the engine that followed meanwhile accepts it if it has accepted as
+        many orders as the start that it was meant for.
+        """
+        current = self.current
+        if current is not None and current.sequence == order.previous.sequence:
+            self.pending = replace(order, previous=current)
             self.pending_until = now + PENDING_ORDER_S
 
     def verify(
--- a/packages/primroselever-core/tests/filling/test_loads.py
+++ b/packages/primroselever-core/tests/filling/test_loads.py
@@ -124,6 +124,15 @@
     assert loads.trusts(Load(2, 0))
 
 
+def test_an_order_may_be_accepted_by_the_next_start_of_the_engine():
+    # It was sent after a restart that the agent had not noticed.
+    loads = Loads()
+    observe(loads, Load(1, 0))
+    observe(loads, Load(2, 0))
+    loads.record_unanswered(LoadOrder(WEIGHTS, Load(1, 0)), 100.0)
+    assert loads.waits_for_order(100.0)
+
+
 def test_neighbouring_layers_share_a_piece():
     assert [list(pieces_of_layer(layer, 3, 4)) for layer in range(3)] == [
         [0, 1],
