--- a/packages/primroselever-entry/tests/direct/test_in_force.py
+++ b/packages/primroselever-entry/tests/direct/test_in_force.py
@@ -24,6 +24,8 @@
 # Guards against an admin port without the page, and against keys in clear on it.
 def test_a_running_entry_serves_its_configuration_without_keys():
     settings = DirectEntrySettings.model_validate(SETTINGS | LISTENERS | LOCAL)
+    # Any free port, since two test runs on one machine must not meet.
+    settings = settings.model_copy(update={"news_port": 0})
     process = DirectEntryProcess(settings, SimpleNamespace(), SimpleNamespace(), NAMES)
     configuration = Configuration(
         7, (), (), CallerLimits(1, 2, 3.0, 4.0), (Workspace("t", ("open-sesame",)),)
