Give engines only the time until their weights lapse

Cause: only a timer of the entry kept a request that waits in an engine's queue from starting on lapsed weights. If the event loop is late at the lapse, the first event has arrived by the time the timer is handled, and is forwarded.

Change: the time that a request header gives the engine ends when the engine's weights lapse, so the engine refuses what has not started by then. A stream that it ends then is resumed elsewhere and is no crash or failure of the engine. The expected version is always sent, so the limit is that of the version which the engine runs; nothing is sent to an engine whose version became unknown. On the newest version the limit counts from the latest proof that there is none after it.

Result: of the new tests in test_lapsing_weights.py six cases failed on, among them the stalled event loop: the engine had started the request. Two guard the new paths and passed before. All tests of the entry's direct flow pass.

--- a/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
@@ -63,6 +63,7 @@
     store_contact_at: float | None = None
     own_read_at: float | None = None
     freshness: Freshness = field(default_factory=Freshness)
+    contact_s: float = 3.0
     lapse_grace_until: float = 0.0
     evacuations: Evacuations = field(default_factory=Evacuations)
 
--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -508,8 +508,10 @@
     def may_send(self, state: RequestState, choice: Chosen, now: float) -> bool:
         """Return whether a request may still be sent to the weights of an engine."""
         loaded_version = choice.backend.loaded_version(state.request.model, now)
-        return now < choice.send_by and loaded_version >= self.min_version_of(
-            state, now
+        return (
+            now < choice.send_by
+            and loaded_version > 0
+            and loaded_version >= self.min_version_of(state, now)
         )
 
     def weights_lapse_at(self, model: str, version: int, now: float) -> float:
@@ -517,8 +519,8 @@
         Return until when a request may wait for its first event on weights.
 
         Its prediction may be wrong, for example if other entries sent requests to the
-        same engine at the same moment. The newest version lapses no earlier than it
-        would if the next one was published now.
+        same engine at the same moment. The newest version lapses as if the next one had
+        been published right after the latest proof that there is none.
         """
         if not version:
             return inf
@@ -529,9 +531,22 @@
             else published_weights.outdated_since(version)
         )
         if outdated_since is None:
-            outdated_since = now
+            outdated_since = self.absence_proven_at(now)
         return outdated_since + self.limits.weights_within_s - CANCEL_MARGIN_S
 
+    def absence_proven_at(self, now: float) -> float:
+        """
+        Return when it was last proven that nothing newer was published.
+
+        It is now without a proof for ``contact_s``: an entry that is cut off from the
+        store for so long serves what it can.
+        """
+        catalogue = self.board.catalogue
+        proof_at = catalogue.freshness.proof_at
+        if proof_at is None or now - proof_at > catalogue.contact_s:
+            return now
+        return proof_at
+
     def is_outdated(self, model: str, version: int) -> bool:
         """Return whether a newer version is known than the one an engine runs."""
         published_weights = self.board.catalogue.weights.get(model)
--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -82,6 +82,7 @@
 MAX_REFUSAL_BYTES = 65536
 OVERTAKEN_REASON = "the silent back end resumed"
 LAPSED_REASON = "the engine did not start on its weights while they were usable"
+ENDED_REASON = "the engine ended the request when its weights lapsed"
 OUTDATED_REASON = "it would start too late on the engine's weights"
 MISPLACED_REASON = "its failure domain may no longer be used"
 BODY_METHODS = (b"POST", b"PUT", b"PATCH")
@@ -99,7 +100,7 @@
     was received meanwhile, and ``broken_ahead`` is set if the exchange broke.
     ``sent_version`` is the version of the engine's weights on which the request starts,
     0 if that is not bounded. An attempt without a first event is cancelled when they
-    lapse.
+    lapse. ``engine_ends_at`` is when the engine was told to end its work.
     """
 
     def __init__(
@@ -124,6 +125,7 @@
         self.last_received_at = self.started_at
         self.wait_until = 0.0
         self.sent_version = 0
+        self.engine_ends_at = inf
         self.first_event_recorded = False
         self.known_crashes: frozenset[CrashId] = frozenset()
         self.part_run = PartRun()
@@ -300,6 +302,9 @@
 
     def handle_break(self, exc: BrokenExchangeError) -> Attempt:
         """Record that the exchange broke; return the result."""
+        if self.has_ended_at_lapse() and not isinstance(exc, BuffersFullError):
+            self.log_lapse(clock.now())
+            return Attempt(AttemptEnd.LAPSED, reason=ENDED_REASON)
         if not isinstance(exc, BuffersFullError):
             self.backend.record_failure(clock.now(), self.started_at)
             self.flow.announcements.record_failure(self.backend, self.started_at)
@@ -367,7 +372,6 @@
     def start_exchange(self) -> Attempt:
         """Send the request on a connection, and handle the response."""
         listed = self.backend.listed
-        route = self.state.route
         request = self.state.request
         self.connection = self.flow.pool.acquire_connection(
             listed.server_id,
@@ -391,7 +395,7 @@
         ):
             # The connection was opened slowly, or the process was paused.
             return Attempt(AttemptEnd.NOT_SENT, reason=OUTDATED_REASON)
-        if self.samples_first_event and route.kind is RouteKind.STREAMING:
+        if self.samples_first_event:
             self.sent_version = self.backend.loaded_version(request.model, clock.now())
         self.caller.on_caller_left = self.connection.interrupt
         self.flow.sent_requests.record_sent(listed.server_id, request.request_id)
@@ -442,7 +446,7 @@
         self.flow.sent_requests.record_answered(
             self.backend.listed.server_id, self.state.request.request_id
         )
-        if status >= 500:
+        if status >= 500 and not self.has_ended_at_lapse():
             self.backend.record_answered_failure()
         unstated = status in UNSTATED_STATUSES and not not_run
         fails = status >= 500 and self.may_try_another_backend()
@@ -489,6 +493,8 @@
             self.backend.record_mismatch(now)
             if self.backend.cold is not None:
                 self.backend.cold.record_not_taken(self.started_at, now)
+        elif self.has_ended_at_lapse():
+            self.log_lapse(now)
         else:
             self.backend.record_refusal(now)
             self.flow.announcements.record_refused(self.backend)
@@ -546,7 +552,8 @@
         if state.last_event_id:
             excluded |= {names.resume_after}
         headers = forwardable_headers(state.request.headers, excluded)
-        remaining_ms = max(1, int((state.deadline - clock.now()) * 1000))
+        self.engine_ends_at = self.engine_deadline()
+        remaining_ms = max(1, int((self.engine_ends_at - clock.now()) * 1000))
         headers.append((names.remaining_ms, str(remaining_ms).encode()))
         headers.append((names.expected_server, self.backend.listed.server_id.encode()))
         if state.workspace is not None:
@@ -555,11 +562,10 @@
             headers.append((names.resume_after, state.last_event_id))
         if self.flow.engine_figures(state) is not None:
             headers.append((names.urgency, str(state.urgency).encode()))
-            now = clock.now()
-            if self.flow.min_version(state.request.model, now):
-                # The back end refuses any other version, even a newer one.
-                held_version = self.backend.loaded_version(state.request.model, now)
-                headers.append((names.expected_weights, str(held_version).encode()))
+        if self.sent_version:
+            # The back end refuses any other version, even a newer one. The limit of the
+            # request is that of this version.
+            headers.append((names.expected_weights, str(self.sent_version).encode()))
         body = state.request.body
         if body or state.request.method in BODY_METHODS:
             headers.append((b"Content-Length", str(len(body)).encode()))
@@ -599,13 +605,39 @@
         Return until when to wait for the engine to start the attempt.
 
         It is asked for again by then, since a newer version may have been published.
+        The entry cannot tell when a plain answer was started.
         """
-        if self.first_event_recorded:
+        is_stream = self.state.route.kind is RouteKind.STREAMING
+        if self.first_event_recorded or not is_stream:
             return inf
         return self.flow.weights_lapse_at(
             self.state.request.model, self.sent_version, clock.now()
         )
 
+    def engine_deadline(self) -> float:
+        """
+        Return until when the back end may work on the attempt.
+
+        A request that still waits there by the time that it is given is refused, so it
+        never starts on lapsed weights, however late this process, its knowledge of
+        versions or the engine is. One that has started is ended by the engine as well.
+        On the newest version the limit only counts if it is beyond the usual times of
+        callers: a long answer would otherwise always be ended.
+        """
+        deadline, now = self.state.deadline, clock.now()
+        model = self.state.request.model
+        lapses_at = self.flow.weights_lapse_at(model, self.sent_version, now)
+        is_outdated = self.flow.is_outdated(model, self.sent_version)
+        if not is_outdated and deadline > now + self.flow.limits.weights_within_s:
+            return deadline
+        return min(deadline, lapses_at)
+
+    def has_ended_at_lapse(self) -> bool:
+        """Return whether the engine had to end its work since its weights lapsed."""
+        return self.engine_ends_at < self.state.deadline and (
+            clock.now() >= self.engine_ends_at
+        )
+
     def silence_deadline(self, limit_s: float) -> float:
         """Return until when a back end may be silent before another one is tried."""
         deadline = self.state.deadline
@@ -729,13 +761,15 @@
             )
 
     def log_lapse(self, now: float) -> None:
-        """Log that an attempt is cancelled, and how late its limit was noticed."""
+        """Log that an attempt ended with its weights, and how late this was noticed."""
+        limit = self.start_limit()
         log_decision(
             "weights lapsed",
             self.state.request.log_id,
             self.backend.listed.server_id,
-            f"no first event on version {self.sent_version}",
-            noticed_late_ms=round((now - self.start_limit()) * 1000),
+            f"version {self.sent_version} may no longer be used",
+            noticed_late_ms=round((now - min(self.engine_ends_at, limit)) * 1000),
+            answer_begun=self.first_event_recorded,
             waited_ms=round((now - self.started_at) * 1000),
         )
 
--- a/packages/primroselever-entry/tests/direct/test_lapsing_weights.py
+++ b/packages/primroselever-entry/tests/direct/test_lapsing_weights.py
@@ -12,8 +12,9 @@
 
 import eventlet
 import pytest
+from eventlet import patcher
 
-from primroselever_core.catalogue.model import RouteKind
+from primroselever_core.catalogue.model import RouteKind, WeightedService
 from primroselever_core.catalogue.published_weights import OLD_WEIGHTS_MARGIN_S
 from primroselever_core.dispatch import choose
 from primroselever_entry.direct import flow, sending
@@ -25,11 +26,14 @@
     EVENTS,
     HANG,
     PAUSE,
+    RESET,
     STREAM_END,
     ask,
     assert_complete,
     chunk,
     make_route,
+    ok_response,
+    refusal,
     stream_head,
 )
 
@@ -282,3 +286,128 @@
     assert ask(entry).startswith(b"HTTP/1.1 504")
     events = entry.board.backends.backends["a"].first_events
     assert (events.due_at, events.late_by_s > 0.2) == ({}, True)
+
+
+def start_after(engine, wait_s: float, started: list[str]):
+    """
+    Yield what an engine sends that starts a request after a wait.
+
+    It refuses the request if its time, counted from arrival, passes before.
+    """
+    arrived_at = clock.now()
+    limit = arrived_at + int(engine.header(b"x-left")) / 1000
+    starts_at = arrived_at + wait_s
+    while clock.now() < min(starts_at, limit):
+        yield PAUSE
+    if limit <= starts_at:
+        yield from refusal()
+        return
+    started.append(engine.name)
+    yield from [stream_head(), *map(chunk, EVENTS), STREAM_END]
+
+
+def stall_event_loop(delay_s: float, stall_s: float) -> None:
+    """Let no greenlet run for a while, after a delay."""
+    unpatched_time = patcher.original("time")
+    eventlet.spawn_after(delay_s, unpatched_time.sleep, stall_s)
+
+
+# Guards against requests that an engine starts after the lapse of its weights because
+# the event loop of the entry runs late, so that nothing cancels them in time.
+def test_no_request_starts_on_lapsed_weights_while_the_event_loop_is_late(
+    entry, engines
+):
+    old, new = engines
+    started: list[str] = []
+    old.responses = [start_after(old, LAPSE_S + 0.1, started)]
+    new.responses = [start_after(new, 0.0, started)]
+    stall_event_loop(LAPSE_S - 0.1, 0.3)
+    assert_complete(ask(entry))
+    assert started == ["b"]
+
+
+# Guards against engines that were told to work for as long as the caller waits: nothing
+# but the entry then keeps a request from starting on lapsed weights.
+@pytest.mark.parametrize("kind", [RouteKind.STREAMING, RouteKind.IDEMPOTENT])
+def test_the_engine_is_given_the_time_until_its_weights_lapse(entry, engines, kind):
+    old, _new = engines
+    configuration = entry.board.catalogue.configuration
+    routes = tuple(
+        make_route(kind, route.name, services=(WeightedService("engine", 1),))
+        for route in configuration.routes
+    )
+    entry.board.catalogue.configure(
+        replace(configuration, revision=2, routes=routes), clock.now()
+    )
+    events = [stream_head(), *map(chunk, EVENTS), STREAM_END]
+    old.responses = [events if kind is RouteKind.STREAMING else ok_response()]
+    assert ask(entry).startswith(b"HTTP/1.1 200")
+    assert int(old.header(b"x-left")) <= LAPSE_S * 1000
+    assert old.header(b"x-weights") == b"1"
+
+
+# Guards against answers on the newest weights that are cut although nothing newer can
+# have been published long ago.
+@pytest.mark.parametrize(("proof_age_s", "is_limited"), [(0.0, False), (7.6, True)])
+def test_on_the_newest_weights_the_time_is_that_since_the_latest_proof(
+    entry, proof_age_s, is_limited
+):
+    engine = entry.add("a", "engine")
+    catalogue = entry.board.catalogue
+    catalogue.contact_s = 7.8
+    catalogue.publish_weights("m", 1, clock.now() - 60.0)
+    catalogue.freshness.record_proof(clock.now() - proof_age_s)
+    engine.responses = [[stream_head(), *map(chunk, EVENTS), STREAM_END]]
+    assert_complete(ask(entry))
+    assert (int(engine.header(b"x-left")) <= 100) == is_limited
+
+
+# Guards against an engine that counts as crashed, and a request that counts as crashing
+# it, because it ended a stream when its weights lapsed.
+def test_a_stream_that_the_engine_ends_at_the_lapse_is_resumed(entry, engines):
+    old, new = engines
+    lapses_at = clock.now() + LAPSE_S
+
+    def end_at_lapse():
+        yield stream_head() + chunk(EVENTS[0])
+        while clock.now() < lapses_at:
+            yield PAUSE
+        yield RESET
+
+    old.responses = [end_at_lapse()]
+    new.responses = [[stream_head(), *map(chunk, EVENTS[1:]), STREAM_END]]
+    assert_complete(ask(entry))
+    assert (len(old.requests), len(new.requests)) == (1, 1)
+    assert new.header(b"x-after") == b"1"
+    assert entry.board.backends.backends["a"].available(clock.now())
+    assert not entry.board.suspects.records
+
+
+# Guards against requests to engines that are full for others because their weights
+# lapsed while a request waited.
+def test_an_engine_that_refuses_a_request_at_the_lapse_is_not_full(entry, engines):
+    old, new = engines
+    started: list[str] = []
+    old.responses = [start_after(old, 10.0, started)]
+    new.responses = [start_after(new, 0.0, started)]
+    assert_complete(ask(entry))
+    assert started == ["b"]
+    assert entry.board.backends.backends["a"].marked_full_until <= clock.now()
+
+
+# Guards against requests without a limit: the loaded version became unknown while the
+# connection was opened.
+def test_a_request_is_not_sent_to_an_engine_of_unknown_weights(entry, monkeypatch):
+    old, new = add_engines(entry, inf)
+    backends = entry.board.backends
+    unknown = replace(old.listed(), weights=())
+    new.responses = [[stream_head(), *map(chunk, EVENTS), STREAM_END]]
+    acquire = entry.flow.pool.acquire_connection
+
+    def acquire_while_unloading(*args):
+        backends.apply_listing([unknown, backends.backends["b"].listed])
+        return acquire(*args)
+
+    monkeypatch.setattr(entry.flow.pool, "acquire_connection", acquire_while_unloading)
+    assert_complete(ask(entry))
+    assert (len(old.requests), len(new.requests)) == (0, 1)
