Let resent requests use weights until they lapse

Callers saw: none of the 41 streams that engines ended at a lapse was resumed.

Cause: a resent request got no weights that lapse within 2.5 s, since it may get a late place in a queue.

--- a/packages/primroselever-core/src/primroselever_core/catalogue/published_weights.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/published_weights.py
@@ -9,7 +9,6 @@
 # wait in a queue for this long: the usual objective of 0.4 s, and 0.8 s, which is the
 # p90 of the prediction error near full load. Agents assume the same.
 OLD_WEIGHTS_MARGIN_S = 1.2
-RESEND_OLD_WEIGHTS_MARGIN_S = 2.5  # a retry may get a late place in the queue
 # No request at all is sent to older weights: an idle engine may be slow for a moment.
 LEAST_MARGIN_S = 0.8
 
--- a/packages/primroselever-core/src/primroselever_core/dispatch/old_weights.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/old_weights.py
@@ -5,8 +5,7 @@
 ones. A request starts with its first token. It is sent to an engine with old weights
 only if the predicted time to that token and a safety margin end before the bound. The
 margin is large where the request may wait in a queue, since the prediction then depends
-on requests of other entries that this one does not see yet. As engines end at the bound
-what runs on their old weights, its whole answer must also be predicted to end by then.
+on requests of other entries that this one does not see yet.
 """
 
 from __future__ import annotations
@@ -15,7 +14,7 @@
 from typing import TYPE_CHECKING
 
 from ..catalogue.published_weights import LEAST_MARGIN_S, OLD_WEIGHTS_MARGIN_S
-from .predict import predict_answer_s, predict_first_event_s, predict_read_s
+from .predict import predict_first_event_s, predict_read_s
 
 if TYPE_CHECKING:
     from ..catalogue.model import EngineFigures
@@ -59,28 +58,7 @@
     left_s = old_weights_left_s(needs, backend.loaded_version(needs.model, now))
     if left_s == inf:
         return inf
-    margin_s = max(
-        old_weights_margin_s(backend, needs, figures, now),
-        TRANSIT_S + predict_run_s(backend, needs, figures, now),
-    )
-    return now + left_s - margin_s
-
-
-def predict_run_s(
-    backend: Backend, needs: RequestNeeds, figures: EngineFigures, now: float
-) -> float:
-    """Return the seconds until an engine with full slots has ended a whole answer."""
-    pace = max(backend.pace(now), backend.measured.value(now) or 1.0)
-    first_event_s = predict_first_event_s(
-        figures,
-        backend.load(now),
-        needs.prompt_tokens,
-        pace,
-        backend.pending_read_s(now),
-    )
-    answer_tokens = needs.answer_tokens or figures.usual_answer_tokens
-    answer_s = predict_answer_s(figures, figures.slots, answer_tokens)
-    return backend.unexpected_delay_s(now) + first_event_s + pace * answer_s
+    return now + left_s - old_weights_margin_s(backend, needs, figures, now)
 
 
 def old_weights_margin_s(
--- a/packages/primroselever-entry/src/primroselever_entry/direct/explain.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/explain.py
@@ -5,7 +5,6 @@
 from random import Random
 from typing import TYPE_CHECKING, Any
 
-from primroselever_core.catalogue.published_weights import LEAST_MARGIN_S
 from primroselever_core.dispatch.choose import Refused, RequestNeeds, choose_backend
 from primroselever_core.dispatch.placement import (
     REFUSAL_REASONS,
@@ -59,7 +58,7 @@
         engine_figures = service.engine
         needs = RequestNeeds(
             model,
-            self.flow.min_version(model, now, LEAST_MARGIN_S),
+            self.flow.min_version(model, now),
             engine_figures.usual_prompt_tokens if engine_figures else 0.0,
             engine_figures.usual_answer_tokens if engine_figures else 0.0,
             routes.objectives.get(service_name, ASSUMED_DEADLINE_S),
--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -16,8 +16,6 @@
 from primroselever_core.catalogue.model import RouteKind
 from primroselever_core.catalogue.published_weights import (
     LEAST_MARGIN_S,
-    OLD_WEIGHTS_MARGIN_S,
-    RESEND_OLD_WEIGHTS_MARGIN_S,
 )
 from primroselever_core.catalogue.routes import effective_priority, pick_service
 from primroselever_core.dispatch.announcements import caller_return_s, earliest_return
@@ -418,7 +416,7 @@
         request = state.request
         needs = RequestNeeds(
             model=request.model,
-            min_version=self.min_version_of(state, now),
+            min_version=self.min_version(request.model, now),
             prompt_tokens=request.prompt_tokens,
             answer_tokens=request.answer_tokens,
             first_event_within_s=state.objective_at - now,
@@ -487,31 +485,21 @@
         service = self.board.catalogue.routes.services.get(state.service)
         return state.admitted_figures if service is None else service.engine
 
-    def min_version(
-        self, model: str, now: float, margin_s: float = OLD_WEIGHTS_MARGIN_S
-    ) -> int:
-        """Return the oldest version on which a request may start, 0 for any."""
+    def min_version(self, model: str, now: float) -> int:
+        """Return the oldest version to which a request may be sent now, 0 for any."""
         published_weights = self.board.catalogue.weights.get(model)
         if published_weights is None:
             return 0
-        max_age_s = self.limits.weights_within_s - margin_s
+        max_age_s = self.limits.weights_within_s - LEAST_MARGIN_S
         return published_weights.newest_learned_by(now - max_age_s)
 
-    def min_version_of(self, state: RequestState, now: float) -> int:
-        """Return the oldest version on which a request may be sent now, 0 for any."""
-        return self.min_version(
-            state.request.model,
-            now,
-            RESEND_OLD_WEIGHTS_MARGIN_S if state.attempts else LEAST_MARGIN_S,
-        )
-
     def may_send(self, state: RequestState, choice: Chosen, now: float) -> bool:
         """Return whether a request may still be sent to the weights of an engine."""
         loaded_version = choice.backend.loaded_version(state.request.model, now)
         return (
             now < choice.send_by
             and loaded_version > 0
-            and loaded_version >= self.min_version_of(state, now)
+            and loaded_version >= self.min_version(state.request.model, now)
         )
 
     def weights_lapse_at(self, model: str, version: int, now: float) -> float:
--- a/packages/primroselever-entry/tests/direct/test_lapsing_weights.py
+++ b/packages/primroselever-entry/tests/direct/test_lapsing_weights.py
@@ -411,3 +411,20 @@
     monkeypatch.setattr(entry.flow.pool, "acquire_connection", acquire_while_unloading)
     assert_complete(ask(entry))
     assert (len(old.requests), len(new.requests)) == (0, 1)
+
+
+# Guards against resent requests that start on lapsed weights, from a late place in the
+# queue of the second engine, and against refusing those that it may start.
+def test_a_resent_request_has_the_time_until_the_weights_of_its_engine_lapse(
+    entry, engines
+):
+    old, new = engines
+    within_s = entry.flow.limits.weights_within_s
+    entry.board.catalogue.publish_weights("m", 3, clock.now() - within_s + 0.55)
+    started: list[str] = []
+    old.responses = [[RESET]]
+    new.responses = [start_after(new, 10.0, started)]
+    response = ask(entry)
+    assert int(new.header(b"x-left")) <= 550 - flow.CANCEL_MARGIN_S * 1000
+    assert response.startswith(b"HTTP/1.1 502")
+    assert started == []
