--- a/packages/primroselever-node/src/primroselever_node/platform/http_client.py
+++ b/packages/primroselever-node/src/primroselever_node/platform/http_client.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import http.client
+import io
 from typing import TYPE_CHECKING, Any
 
 import urllib3
@@ -60,9 +62,51 @@
             return int(count)
 
 
+class LineReader(io.BufferedReader):
+    """
+    A reader whose lines are whole; ``met_end`` is set if one was read at the end.
+
+    The base class returns a line that the end of the connection cut off like any other,
+    so that a part of a header, or of the size of a chunk, would count.
+    """
+
+    met_end = False
+
+    def readline(self, size: int | None = -1, /) -> bytes:
+        """Return a line of at most ``size`` bytes, empty at an orderly end."""
+        line = super().readline(-1 if size is None else size)
+        self.met_end = not line
+        is_limited = size is not None and 0 <= size <= len(line)
+        if line and not line.endswith(b"\n") and not is_limited:
+            raise http.client.RemoteDisconnected("the connection ended within a line")
+        return line
+
+
+class WholeHeadResponse(http.client.HTTPResponse):
+    """
+    A response that is an error if the connection ends inside its head.
+
+    The base class takes that end for the end of the head. Without the header of the
+    length, an empty body would be complete.
+    """
+
+    def __init__(self, sock: Any, *args: Any, **kwargs: Any) -> None:
+        super().__init__(sock, *args, **kwargs)
+        self.fp: Any = LineReader(self.fp.detach())
+
+    def begin(self) -> None:
+        """Read the head."""
+        reader = self.fp
+        super().begin()
+        if reader.met_end:
+            raise http.client.RemoteDisconnected("the connection ended within a head")
+
+
 class ResetDetectingConnection(HTTPConnection):
     """A connection whose responses end early if it is reset."""
 
+    response_class = WholeHeadResponse
+
     def _new_conn(self) -> socket.socket:
         """Return a new connected socket."""
         sock: Any = super()._new_conn()
