Skip informational responses in thrift deployments

Callers saw: an empty answer, framed as whole, if a plain service sent an informational response other than 100, such as 103, before its answer; its connection could break off behind that. Cause: http.client skips status 100 only and takes any other below 200 for the response. Change: the responses of the pool skip up to 16 informational responses of these kinds, the number in direct deployments. Those with status 100 are skipped without a limit, as before.

--- a/packages/primroselever-node/src/primroselever_node/platform/http_client.py
+++ b/packages/primroselever-node/src/primroselever_node/platform/http_client.py
@@ -4,6 +4,7 @@
 
 import http.client
 import io
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
 import urllib3
@@ -16,6 +17,7 @@
 
 CONNECT_TIMEOUT_S = 1.0
 READ_BYTES = 65536
+MAX_INFORMATIONAL_RESPONSES = 16  # as in direct deployments
 
 
 class ReplyTooLargeError(urllib3.exceptions.HTTPError):
@@ -95,7 +97,21 @@
         self.fp: Any = LineReader(self.fp.detach())
 
     def begin(self) -> None:
-        """Read the head."""
+        """
+        Read the head, and skip the heads of informational responses before it.
+
+        The base class skips those with status 100 only, and takes any other for the
+        response itself, which has no body then.
+        """
+        for _index in range(MAX_INFORMATIONAL_RESPONSES + 1):
+            self.begin_next()
+            if self.status >= HTTPStatus.OK:
+                return
+            self.headers = self.msg = None  # type: ignore[assignment]
+        raise http.client.HTTPException("too many informational responses")
+
+    def begin_next(self) -> None:
+        """Read the next head."""
         reader = self.fp
         super().begin()
         if reader.met_end:
--- a/packages/primroselever-node/tests/test_http_client.py
+++ b/packages/primroselever-node/tests/test_http_client.py
@@ -16,6 +16,7 @@
 from primroselever_node.exceptions import PlatformError
 from primroselever_node.platform.configuration_service import ConfigurationService
 from primroselever_node.platform.http_client import (
+    MAX_INFORMATIONAL_RESPONSES,
     new_http_pool,
     new_timeout,
     read_body,
@@ -30,6 +31,7 @@
     "no body": b"HTTP/1.1 204 None\r\nX-Revision: 7\r\n\r\n",
 }
 WHOLE_ANSWER = HEADS["length"] + BODY
+EARLY_HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 CHUNKED_BODY = b"0005\r\nwhole\r\n000A\r\n0123456789\r\n"
 TIMEOUT_S = 2.0
@@ -103,10 +105,11 @@
     [
         ([], b"", "HEAD"),
         ([], CONTINUE, "GET"),
+        ([], EARLY_HINTS, "GET"),
         ([[WHOLE_ANSWER]], b"", "GET"),
         ([[WHOLE_ANSWER]], CONTINUE, "GET"),
     ],
-    ids=["HEAD", "behind 100", "kept", "kept, behind 100"],
+    ids=["HEAD", "behind 100", "behind 103", "kept", "kept, behind 100"],
 )
 def test_a_cut_head_is_an_error_in_all_places(before, prefix, method):
     heads = prefix + HEADS["length"]
@@ -132,6 +135,7 @@
         (HEADS["connection"], b""),
         (HEADS["no body"], b""),
         (CONTINUE + WHOLE_ANSWER, BODY),
+        (EARLY_HINTS + CONTINUE + EARLY_HINTS + WHOLE_ANSWER, BODY),
         (HEADS["chunks"] + CHUNKED_BODY + b"0\r\n\r\n", b"whole0123456789"),
         (HEADS["chunks"] + CHUNKED_BODY + b"0\r\n", b"whole0123456789"),
     ],
@@ -141,6 +145,13 @@
     assert get(new_http_pool(), server.url) == body
 
 
+# Guards against a server that sends informational answers without end: each of them is
+# in time for the next read.
+def test_too_many_informational_answers_are_an_error():
+    many = EARLY_HINTS * (MAX_INFORMATIONAL_RESPONSES + 1)
+    assert_no_answer([[many + WHOLE_ANSWER]])
+
+
 # Guards against an empty configuration with a valid revision.
 def test_a_value_whose_head_is_cut_is_not_published():
     for size in range(len(HEADS["length"])):
