Answer HEAD requests that fail

Callers saw: the connection closed without any answer if a HEAD request failed, such as with 404, 502 or 503, and a log line of an unexpected error. Cause: the body of the problem was sent as for other requests, which h11 refuses. Change: problems and refusals of HEAD requests have the head only, with the length that a body would have.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
@@ -74,6 +74,7 @@
     are sent together with the next part. ``caller_waits_until`` is when the caller of
     the current request stops waiting, None if it did not say so, and ``body_buffer``
     accounts for the body of that request, ``pipelined_buffer`` for later ones.
+    ``wants_no_body`` is set for a request whose response has no body, HEAD.
     """
 
     def __init__(self, server: CallerServer, sock: Any) -> None:
@@ -89,6 +90,7 @@
         self.reading_body = False
         self.busy_at_close = False
         self.request_id = b""
+        self.wants_no_body = False
         self.unsent = b""
         self.caller_waits_until: float | None = None
         self.body_buffer = Buffer(server.request_buffers)
@@ -155,10 +157,12 @@
         self.limits = self.server.limits()
         has_started = self.next_request_has_started()
         self.request_started_at = clock.now() if has_started else 0.0
+        self.wants_no_body = False
         try:
             head = self.next_event(clock.now())
             if not isinstance(head, h11.Request):
                 return None
+            self.wants_no_body = head.method == b"HEAD"
             if head_size(head) > self.limits.header_bytes:
                 self.refuse_request(431, "the head is too large")
                 return None
@@ -453,7 +457,8 @@
         if retry_after_s is not None:
             headers.append((b"Retry-After", f"{retry_after_s:.2f}".encode()))
         self.send_head(status, headers)
-        self.unsent += self.protocol.send(h11.Data(data=body)) or b""
+        if not self.wants_no_body:
+            self.unsent += self.protocol.send(h11.Data(data=body)) or b""
         self.finish_response()
 
     def refuse_request(
@@ -473,7 +478,8 @@
             headers.append((b"Retry-After", f"{retry_after_s:.2f}".encode()))
         response = h11.Response(status_code=status, headers=headers)
         data = self.protocol.send(response) or b""
-        data += self.protocol.send(h11.Data(data=body)) or b""
+        if not self.wants_no_body:
+            data += self.protocol.send(h11.Data(data=body)) or b""
         data += self.protocol.send(h11.EndOfMessage()) or b""
         self.write(data)
         self.linger_before_close()
--- a/packages/primroselever-entry/tests/direct/test_caller_connection.py
+++ b/packages/primroselever-entry/tests/direct/test_caller_connection.py
@@ -399,3 +399,29 @@
         while received := receive_bytes(connection, deadline):
             response += received
     assert b"data: a" in response
+
+
+# Guards against callers of HEAD that get no answer, because a problem was sent with a
+# body, and the connection ended by the error.
+@pytest.mark.parametrize(
+    ("path", "body", "status"),
+    [
+        ("/nowhere/x", b"", b"404"),
+        ("/read/x", b"", b"503"),
+        ("/read/x", bytes(20_000), b"413"),
+    ],
+)
+def test_a_problem_of_a_head_request_has_no_body(entry, path, body, status):
+    response = entry.send(path, method="HEAD", body=body)
+    assert response.startswith(b"HTTP/1.1 " + status)
+    assert b"Content-Length: " in response
+    assert response.endswith(b"\r\n\r\n")
+
+
+# Guards against a refusal that lacks its body because the request before was a HEAD.
+def test_a_refusal_behind_a_head_request_has_its_body(entry):
+    connection = entry.connect()
+    connection.sendall(request(method="HEAD", close=False) + b"no request\r\n\r\n")
+    response = read_all(connection)
+    assert b"HTTP/1.1 400" in response
+    assert response.endswith(b"}")
