Refuse requests that the end of a stopping entry could cut off

Callers saw, in a planned stop: requests passed on after turn_away_s got 502 or a stream without an end when the process ended, also those that must not be repeated. Cause: until the end a request was taken if it was read behind another one, came first on a connection accepted shortly before, or had begun to arrive. One that was admitted in time was passed on at any time after a wait for a connection or a refusal. No deadline was compared with the end. Change: GracePeriod stores until when requests are taken and by when each must have ended. Later ones are passed on only if the deadline of their caller or route is no later than that, and get 503 with Retry-After at once otherwise. It is asked at admission, before each attempt and before each sending. A late retry that could be cut off is not made: a silent server is waited for, and a 5xx answer is forwarded. A stream of which a part was forwarded is still resumed. Requests on connections opened after turn_away_s are served if they end in time.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/caller_connection.py
@@ -415,8 +415,8 @@
             self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
 
     @property
-    def refuses_requests(self) -> bool:
-        """Return whether a request comes too late to be served before the end."""
+    def comes_late(self) -> bool:
+        """Return whether the current request began to arrive after the close."""
         return self.server.closing and not self.busy_at_close
 
     def is_idle(self) -> bool:
--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -37,6 +37,7 @@
 from .attempt import Attempt, AttemptEnd
 from .caller_connection import CallerLeftError
 from .crash_watch import CrashWatch
+from .grace_period import LEAVING_REASON, LEAVING_RETRY_AFTER_S, GracePeriod
 from .memory import keep_holding
 from .part_watch import CRASHING_PART_REASON, PartWatch
 from .placing import current_placement, refuse_placement
@@ -61,7 +62,6 @@
     from .header_names import HeaderNames
     from .instruments import FlowInstruments
 
-LEAVING_RETRY_AFTER_S = 0.05
 # For failures without a better estimate. A starting entry receives its configuration
 # within a few responses from the store.
 DEFAULT_RETRY_AFTER_S = 0.5
@@ -135,6 +135,7 @@
         self.buffers = BufferAccount(limits.buffers.total_bytes)
         self.retry_shares: dict[str, RetryShare] = {}
         self.longest_remaining_s: dict[str, float] = {}
+        self.grace_period = GracePeriod()
 
     def handle(self, request: CallerRequest, caller: CallerConnection) -> None:
         """Process one request and send its response."""
@@ -180,10 +181,6 @@
         self, request: CallerRequest, caller: CallerConnection
     ) -> RequestState | None:
         """Return the state of an admitted request; otherwise send an error."""
-        if caller.refuses_requests:
-            # Another entry can take it at once; here shutdown would cut it off.
-            self.send_error(request, caller, 503, "leaving", LEAVING_RETRY_AFTER_S)
-            return None
         catalogue = self.board.catalogue
         configuration = catalogue.configuration
         if configuration is None:
@@ -205,13 +202,17 @@
             if known_workspace is not None:
                 workspace = known_workspace.name
                 workspace_regions = known_workspace.regions
+        timeout_at = request.received_at + route.timeout_s
+        deadline = min(timeout_at, request.deadline or timeout_at)
+        if not self.grace_period.admits(deadline, clock.now(), caller.comes_late):
+            # Another entry can take it at once; here shutdown could cut it off.
+            self.send_error(request, caller, 503, LEAVING_REASON, LEAVING_RETRY_AFTER_S)
+            return None
         service = pick_service(route, self.random)
         quarantine_s = self.crash_watch.quarantine_remaining_s(request, workspace)
         if quarantine_s is not None:
             self.send_error(request, caller, 503, CRASHED_SERVERS_REASON, quarantine_s)
             return None
-        timeout_at = request.received_at + route.timeout_s
-        deadline = min(timeout_at, request.deadline or timeout_at)
         waited_s = self.waited_before_s(route, request)
         priority = effective_priority(route, known_workspace)
         objective_s = self.admission.objective_s(service, route, priority)
@@ -306,6 +307,10 @@
         if silent is not None and not silent.may_resume():
             silent.close()
             silent = state.silent_sender = None
+        if no_retry_reason is None and not self.may_pass_on(state):
+            if silent is None:
+                return Refused(LEAVING_REASON, LEAVING_RETRY_AFTER_S)
+            no_retry_reason = LEAVING_REASON
         if no_retry_reason is not None:
             if silent is None:
                 return Refused(no_retry_reason, self.retry_delay_s(state))
@@ -512,6 +517,17 @@
             state, now
         )
 
+    def may_pass_on(self, state: RequestState) -> bool:
+        """
+        Return whether a stop of this process permits another attempt now.
+
+        A stream of which a part was forwarded cannot be refused any more. It is resumed
+        at any time, since it would be cut off at once otherwise.
+        """
+        return state.head_forwarded or self.grace_period.admits(
+            state.deadline, clock.now()
+        )
+
     def weights_lapse_at(self, model: str, version: int, now: float) -> float:
         """
         Return until when a request may wait for its first event on weights.
--- a/packages/primroselever-entry/src/primroselever_entry/direct/process.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/process.py
@@ -178,18 +178,31 @@
             share.limits = self.flow.limits.retries
         self.start_watch.apply_settings(settings)
 
+    def begin_stop(self, signal_at: float) -> None:
+        """
+        Store until when requests are taken and by when each must have ended.
+
+        A reload during the stop does not change them.
+        """
+        self.flow.grace_period.begin(
+            signal_at + self.settings.turn_away_s,
+            signal_at + self.settings.shutdown_s - END_MARGIN_S,
+        )
+        self.withdrawing = True
+        self.board.leaving = True
+
     def shut_down(self) -> bool:
         """
         Wait for the load balancer to stop sending, then drain requests.
 
         Return whether all requests ended in time.
         """
-        deadline = clock.now() + self.settings.shutdown_s - END_MARGIN_S
-        self.withdrawing = True
-        self.board.leaving = True
-        eventlet.sleep(self.settings.turn_away_s)
+        self.begin_stop(clock.now())
+        grace_period = self.flow.grace_period
+        eventlet.sleep(max(0.0, grace_period.takes_until - clock.now()))
         self.caller_server.close_idle_connections()
-        drained = drain(self.caller_server.unfinished_count, deadline)
+        drained = drain(self.caller_server.unfinished_count, grace_period.ends_at)
+        grace_period.close()
         if not drained:
             self.caller_server.answer_unfinished()
         self.caller_server.stop_accepting()
--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -29,6 +29,7 @@
 from .caller_connection import CallerLeftError
 from .caller_request import forwardable_headers
 from .event_stream import WrongEventsError
+from .grace_period import LEAVING_REASON
 from .part_watch import PartRun
 from .placing import current_placement
 from .response_body import (
@@ -389,6 +390,9 @@
         ):
             # The connection was opened slowly, or the process was paused.
             return Attempt(AttemptEnd.NOT_SENT, reason=OUTDATED_REASON)
+        if not self.flow.may_pass_on(self.state):
+            # A stop signal came, or its time passed, while the connection was opened.
+            return Attempt(AttemptEnd.NOT_SENT, reason=LEAVING_REASON)
         if self.samples_first_event and route.kind is RouteKind.STREAMING:
             self.sent_version = self.backend.loaded_version(request.model, clock.now())
         self.caller.on_caller_left = self.connection.interrupt
@@ -472,6 +476,8 @@
     def may_try_another_backend(self) -> bool:
         """Return whether the request may be retried on another back end."""
         state = self.state
+        if not self.flow.may_pass_on(state):
+            return False
         others = sum(
             1
             for attempt in state.attempts
--- /dev/null
+++ b/packages/primroselever-entry/tests/direct/test_planned_stop.py
@@ -0,0 +1,459 @@
+"""Requests that arrive, wait or are retried while an entry stops."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import replace
+from types import SimpleNamespace
+from typing import TYPE_CHECKING
+
+import eventlet
+import pytest
+
+from primroselever_core.catalogue.model import Configuration, RouteKind
+from primroselever_entry.direct import process as process_module, sending
+from primroselever_entry.direct.process import LAST_WRITES_S, DirectEntryProcess
+from primroselever_entry.direct.settings import DirectEntrySettings
+from primroselever_node import clock
+from primroselever_node.process import DRAIN_POLL_S
+
+from .conftest import (
+    CLOSE,
+    EVENTS,
+    LIMITS,
+    STREAM_END,
+    assert_complete,
+    chunk,
+    make_route,
+    ok_response,
+    read_all,
+    refusal,
+    request,
+    stream_head,
+)
+from .test_process import SETTINGS
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+GATE = b"<gate>"
+LONG = "x-left: 9000"  # ends after the process
+SHORT = "x-left: 3000"
+WAIT_S = 3.0  # of a test for a condition
+
+
+class FakeClock:
+    """A monotonic clock that stands still until a test advances it."""
+
+    def __init__(self) -> None:
+        self.time = time.monotonic()  # sockets of the entry were created before
+
+    def now(self) -> float:
+        return self.time
+
+    def advance(self, seconds: float) -> None:
+        self.time += seconds
+        for _ in range(50):
+            eventlet.sleep(0.001)
+
+    def sleep(self, seconds: float) -> None:
+        """Sleep until the clock was advanced far enough."""
+        until = self.now() + seconds
+        while self.now() < until:
+            eventlet.sleep(0.001)
+
+
+def wait_for(condition) -> None:
+    with eventlet.Timeout(WAIT_S):
+        while not condition():
+            eventlet.sleep(0.001)
+
+
+class Stop:
+    """The process of an entry on loopback, and its planned stop."""
+
+    def __init__(self, entry, fake_clock, **changes) -> None:
+        self.entry, self.clock = entry, fake_clock
+        self.process = DirectEntryProcess.__new__(DirectEntryProcess)
+        self.process.settings = DirectEntrySettings.model_validate(SETTINGS | changes)
+        self.process.board = entry.board
+        self.process.flow = entry.flow
+        self.process.caller_server = entry.server
+        self.process.start_watch = SimpleNamespace(apply_settings=lambda _: None)
+        self.process.withdrawing = False
+        entry.server.is_leaving = self.process.is_leaving
+        self.ended = None
+
+    def begin(self, noticed_late_s=0.0) -> None:
+        """Receive SIGTERM; the greenlet that waits for it runs late."""
+        self.process.begin_stop(clock.now())
+        self.clock.advance(noticed_late_s)
+        self.ended = eventlet.spawn(self.process.shut_down)
+        eventlet.sleep(0)
+
+    def end(self) -> None:
+        if self.ended is not None:
+            self.ended.kill()
+        if self.entry.server.socket.fileno() >= 0:
+            self.entry.close()
+
+
+class Gates:
+    """Lets a back end send the rest of its answer when the test opens a gate."""
+
+    def __init__(self, backend) -> None:
+        self.event = eventlet.event.Event()
+        self.backend = backend
+        backend.serve = self.serve
+
+    def open(self) -> None:
+        self.event.send()
+
+    def serve(self, connection) -> None:
+        while data := connection.recv(65536):
+            self.backend.requests.append(data)
+            for part in self.backend.responses.pop(0):
+                if part == GATE:
+                    self.event.wait()
+                elif part == CLOSE:
+                    connection.close()
+                    return
+                else:
+                    connection.sendall(part)
+
+
+@pytest.fixture
+def fake_clock(monkeypatch) -> FakeClock:
+    fake = FakeClock()
+    monkeypatch.setattr(clock, "now", fake.now)
+    # The process waits by the clock of the test.
+    fake_eventlet = SimpleNamespace(sleep=fake.sleep, spawn=eventlet.spawn)
+    monkeypatch.setattr(process_module, "eventlet", fake_eventlet)
+    return fake
+
+
+@pytest.fixture
+def slow_entry(entry):
+    """An entry whose routes and callers wait for longer than a stop takes."""
+    current = entry.board.catalogue.configuration
+    routes = (
+        make_route(RouteKind.IDEMPOTENT, "read", timeout_s=30.0, objective_s=0.05),
+        make_route(RouteKind.NON_IDEMPOTENT, "order", timeout_s=30.0, max_attempts=2),
+        make_route(RouteKind.STREAMING, "ask", timeout_s=30.0, objective_s=0.4),
+        make_route(RouteKind.IDEMPOTENT, "brief", timeout_s=3.0),
+    )
+    entry.board.catalogue.configure(
+        Configuration(2, routes, current.services, LIMITS, current.workspaces), 1.0
+    )
+    limits = replace(LIMITS, header_timeout_s=60.0, idle_timeout_s=60.0)
+    entry.server.limits = lambda: limits
+    return entry
+
+
+@pytest.fixture
+def stop(slow_entry, fake_clock) -> Iterator[Stop]:
+    stop = Stop(slow_entry, fake_clock)
+    yield stop
+    stop.end()
+
+
+def order(left=LONG, close=False) -> bytes:
+    return request("/order/x", "POST", b"ink", [left], close=close)
+
+
+def ask_request(left=LONG, close=False) -> bytes:
+    return request("/ask/x", "POST", b"p", ["x-model: m", left], close=close)
+
+
+def assert_refused(response: bytes) -> None:
+    assert response.startswith(b"HTTP/1.1 503"), response[:200]
+    assert b"retry-after:" in response.lower()
+
+
+# Guards against a request that is read behind another one, handled late, passed on and
+# cut off without an answer when the process ends.
+@pytest.mark.parametrize("kind", ["order", "stream"])
+def test_a_pipelined_request_handled_late_is_refused_before_it_is_sent(stop, kind):
+    backend = stop.entry.add("a")
+    engine = stop.entry.add("e", "engine")
+    gates = Gates(backend)
+    backend.responses = [[GATE, *ok_response()], ok_response()]
+    engine.responses = [[stream_head(), chunk(EVENTS[0])]]
+    connection = stop.entry.connect()
+    connection.sendall(order() + (order() if kind == "order" else ask_request()))
+    wait_for(lambda: backend.requests)
+    stop.begin()
+    stop.clock.advance(3.5)
+    gates.open()
+    first, _, second = read_all(connection).partition(b"\r\n\r\nok")
+    assert first.startswith(b"HTTP/1.1 200")
+    assert_refused(second)
+    assert len(backend.requests) == 1
+    assert engine.requests == []
+
+
+# Guards against a refusal of requests that end in time for certain.
+@pytest.mark.parametrize("ends_by", ["caller", "route"])
+def test_a_late_request_that_ends_in_time_for_certain_is_served(stop, ends_by):
+    backend, engine = stop.entry.add("a"), stop.entry.add("e", "engine")
+    gates = Gates(engine)
+    engine.responses = [[GATE, stream_head(), *map(chunk, EVENTS), STREAM_END]]
+    backend.responses = [ok_response(b"late")]
+    late = (
+        order(SHORT)
+        if ends_by == "caller"
+        else request("/brief/x", headers=[LONG], close=False)
+    )
+    connection = stop.entry.connect()
+    connection.sendall(ask_request())
+    wait_for(lambda: engine.requests)
+    stop.begin()
+    stop.clock.advance(3.5)
+    connection.sendall(late)
+    eventlet.sleep(0.02)
+    gates.open()
+    assert read_all(connection).endswith(b"late")
+    wait_for(lambda: stop.entry.server.socket.fileno() < 0)
+    stop.clock.advance(2 * LAST_WRITES_S)
+    with eventlet.Timeout(WAIT_S):
+        assert stop.ended.wait()
+
+
+# Guards against a refusal of a new connection's request that ends in time for certain,
+# and against one that is passed on and cut off.
+@pytest.mark.parametrize(("left", "status"), [(SHORT, b"200"), (LONG, b"503")])
+def test_a_connection_that_opens_late_is_judged_by_its_deadline(stop, left, status):
+    backend = stop.entry.add("a")
+    gates = Gates(backend)
+    backend.responses = [[GATE, *ok_response()], ok_response(b"late")]
+    busy = stop.entry.connect()
+    busy.sendall(order())
+    wait_for(lambda: backend.requests)
+    stop.begin()
+    stop.clock.advance(3.5)
+    late = stop.entry.connect()
+    late.sendall(order(left))
+    assert read_all(late)[9:12] == status
+    gates.open()
+    assert read_all(busy).endswith(b"ok")
+
+
+# Guards against a request on a connection accepted shortly before the turning away that
+# is passed on after it and cut off.
+def test_the_first_request_on_a_young_connection_is_refused_if_it_is_late(stop):
+    backend = stop.entry.add("a")
+    backend.responses = [ok_response()]
+    stop.begin()
+    stop.clock.advance(2.9)
+    connection = stop.entry.connect()
+    wait_for(lambda: stop.entry.server.connections)
+    stop.clock.advance(0.11)
+    connection.sendall(order())
+    assert_refused(read_all(connection))
+    assert backend.requests == []
+
+
+# Guards against a body that arrives slowly and whose request is passed on too late.
+def test_a_request_whose_body_ends_late_is_refused(stop):
+    backend = stop.entry.add("a")
+    backend.responses = [ok_response()]
+    connection = stop.entry.connect()
+    data = request("/order/x", "POST", b"ink", [LONG], close=False)
+    stop.begin()
+    connection.sendall(data[:-1])
+    stop.clock.advance(3.5)
+    connection.sendall(data[-1:])
+    assert_refused(read_all(connection))
+    assert backend.requests == []
+
+
+# Guards against a refusal in the part of the grace period in which the balancer still
+# sends requests.
+def test_a_request_before_the_turning_away_is_served(stop):
+    backend = stop.entry.add("a")
+    backend.responses = [ok_response()]
+    stop.begin()
+    stop.clock.advance(2.8)
+    connection = stop.entry.connect()
+    connection.sendall(order())
+    assert read_all(connection).endswith(b"ok")
+
+
+# Guards against a request that was admitted in time, waits for a connection, and is
+# passed on late.
+def test_a_request_that_waits_for_a_connection_until_it_is_late_is_not_sent(
+    stop, monkeypatch
+):
+    backend = stop.entry.add("a")
+    backend.responses = [ok_response()]
+    acquire = stop.entry.flow.pool.acquire_connection
+
+    def acquire_slowly(*arguments):
+        connection = acquire(*arguments)
+        stop.clock.advance(0.5)
+        return connection
+
+    monkeypatch.setattr(stop.entry.flow.pool, "acquire_connection", acquire_slowly)
+    stop.begin()
+    stop.clock.advance(2.6)
+    connection = stop.entry.connect()
+    connection.sendall(order())
+    assert_refused(read_all(connection))
+    assert backend.requests == []
+
+
+# Guards against a retry after the turning away that is cut off: the request has not run
+# and is refused.
+def test_a_refused_request_is_not_sent_again_late(stop):
+    first, other = stop.entry.add("a"), stop.entry.add("b")
+    gates = [Gates(first), Gates(other)]
+    first.responses = [[GATE, *refusal()]]
+    other.responses = [[GATE, *refusal()]]
+    connection = stop.entry.connect()
+    stop.begin()
+    connection.sendall(order())
+    wait_for(lambda: first.requests or other.requests)
+    stop.clock.advance(3.5)
+    for gate in gates:
+        gate.open()
+    assert_refused(read_all(connection))
+    assert len(first.requests) + len(other.requests) == 1
+
+
+# Guards against a late retry of a request that may have run, and against a statement
+# that it has not.
+def test_a_broken_request_is_not_sent_again_late(stop):
+    first, other = stop.entry.add("a"), stop.entry.add("b")
+    gates = [Gates(first), Gates(other)]
+    first.responses = [[GATE, CLOSE]]
+    other.responses = [[GATE, CLOSE]]
+    connection = stop.entry.connect()
+    stop.begin()
+    connection.sendall(request("/read/x", headers=[LONG], close=False))
+    wait_for(lambda: first.requests or other.requests)
+    stop.clock.advance(3.5)
+    for gate in gates:
+        gate.open()
+    response = read_all(connection)
+    assert response.startswith(b"HTTP/1.1 502")
+    assert b"retry-after:" in response.lower()
+    assert len(first.requests) + len(other.requests) == 1
+
+
+# Guards against an answer with an error that is dropped, while no retry is possible.
+def test_an_error_that_cannot_be_retried_late_is_forwarded(stop):
+    first, other = stop.entry.add("a"), stop.entry.add("b")
+    gates = [Gates(first), Gates(other)]
+    error = b"HTTP/1.1 500 E\r\nx-request: r1\r\nContent-Length: 2\r\n\r\nno"
+    first.responses = [[GATE, error]]
+    other.responses = [[GATE, error]]
+    connection = stop.entry.connect()
+    stop.begin()
+    connection.sendall(request("/read/x", headers=[LONG], close=False))
+    wait_for(lambda: first.requests or other.requests)
+    stop.clock.advance(3.5)
+    for gate in gates:
+        gate.open()
+    assert read_all(connection).startswith(b"HTTP/1.1 500")
+    assert len(first.requests) + len(other.requests) == 1
+
+
+# Guards against a slow server whose request is sent to another one late, instead of the
+# answer being waited for.
+def test_a_slow_server_is_waited_for_when_a_retry_would_be_late(stop, monkeypatch):
+    monkeypatch.setattr(sending, "MIN_SILENCE_LIMIT_S", 0.04)
+    first, other = stop.entry.add("a"), stop.entry.add("b")
+    gates = [Gates(first), Gates(other)]
+    first.responses = [[GATE, *ok_response()]]
+    other.responses = [[GATE, *ok_response()]]
+    connection = stop.entry.connect()
+    stop.begin()
+    stop.clock.advance(2.5)
+    connection.sendall(request("/read/x", headers=[LONG], close=False))
+    wait_for(lambda: first.requests or other.requests)
+    stop.clock.advance(3.5)
+    eventlet.sleep(0.2)
+    for gate in gates:
+        gate.open()
+    assert read_all(connection).endswith(b"ok")
+    assert len(first.requests) + len(other.requests) == 1
+
+
+# Guards against a stream that is cut off at once, although another server could resume
+# it: it cannot be refused any more.
+def test_a_stream_that_broke_off_late_is_resumed(stop):
+    first, other = stop.entry.add("a", "engine"), stop.entry.add("b", "engine")
+    gates = [Gates(first), Gates(other)]
+    start = [stream_head(), chunk(EVENTS[0])]
+    rest = [stream_head(), *map(chunk, EVENTS[1:]), STREAM_END]
+    first.responses = [[*start, GATE, CLOSE], rest]
+    other.responses = [[*start, GATE, CLOSE], rest]
+    connection = stop.entry.connect()
+    stop.begin()
+    connection.sendall(ask_request())
+    wait_for(lambda: first.requests or other.requests)
+    used, unused = (first, other) if first.requests else (other, first)
+    unused.responses = [rest]
+    eventlet.sleep(0.02)
+    stop.clock.advance(3.5)
+    for gate in gates:
+        gate.open()
+    assert_complete(read_all(connection))
+    assert (len(used.requests), len(unused.requests)) == (1, 1)
+
+
+# Guards against a reload that moves the times of a stop, which the platform does not.
+def test_a_reload_does_not_change_a_stop(stop):
+    stop.begin()
+    grace_period = stop.entry.flow.grace_period
+    times = grace_period.takes_until, grace_period.ends_at
+    changed = stop.process.settings.model_copy(
+        update={"turn_away_s": 20.0, "shutdown_s": 60.0}
+    )
+    stop.process.reload(changed)
+    stop.process.begin_stop(clock.now())
+    assert (grace_period.takes_until, grace_period.ends_at) == times
+
+
+# Guards against a grace period that ignores the settings: with less time, fewer
+# deadlines can be met.
+@pytest.mark.parametrize(("left", "status"), [("500", b"200"), ("1500", b"503")])
+def test_a_shorter_grace_period_refuses_by_its_own_end(
+    slow_entry, fake_clock, left, status
+):
+    stop = Stop(slow_entry, fake_clock, shutdown_s=3.0, turn_away_s=1.0)
+    backend = slow_entry.add("a")
+    gates = Gates(backend)
+    backend.responses = [[GATE, *ok_response()], ok_response()]
+    busy = slow_entry.connect()
+    busy.sendall(order())
+    wait_for(lambda: backend.requests)
+    stop.begin()
+    stop.clock.advance(1.2)
+    late = slow_entry.connect()
+    late.sendall(order(f"x-left: {left}"))
+    assert read_all(late)[9:12] == status
+    gates.open()
+    stop.end()
+
+
+# Guards against a request that is passed on while the process, which has nothing left
+# to do, is about to end.
+def test_a_request_after_the_drain_is_refused(stop):
+    backend = stop.entry.add("a")
+    backend.responses = [[GATE, *ok_response()], ok_response()]
+    gates = Gates(backend)
+    busy = stop.entry.connect()
+    busy.sendall(order())
+    wait_for(lambda: backend.requests)
+    stop.begin()
+    stop.clock.advance(3.5)
+    late = stop.entry.connect()
+    wait_for(lambda: len(stop.entry.server.connections) == 2)
+    gates.open()
+    assert read_all(busy).endswith(b"ok")
+    wait_for(lambda: not stop.entry.server.unfinished_count())
+    eventlet.sleep(2 * DRAIN_POLL_S)
+    late.sendall(order(SHORT))
+    assert_refused(read_all(late))
+    assert len(backend.requests) == 1
