Count the times of a planned stop from the signal

Callers saw: with an event loop that ran late, an entry took requests for longer after SIGTERM, and the platform could kill it before it answered what was left. Cause: the times counted from when the greenlet that waits for the signal ran. Change: the signal handler stores them. It runs between two instructions of the interpreter, before any other greenlet. Measured: on the code before, both new tests failed; with an event loop 2 s late, a request 3.5 s after the signal got 200, and now gets 503. The 21 cases of test_planned_stop.py pass.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/process.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/process.py
@@ -147,7 +147,7 @@
 
     def run(self) -> int:
         """Serve until a stop signal, then drain; return the exit code."""
-        stop = ShutdownSignal()
+        stop = ShutdownSignal(self.begin_stop)
         self.rpc.start()
         self.gossip.start()
         self.follower.start()
@@ -182,7 +182,8 @@
         """
         Store until when requests are taken and by when each must have ended.
 
-        A reload during the stop does not change them.
+        Both count from the signal: other greenlets may run late, while the platform
+        kills the process on time. A reload during the stop does not change them.
         """
         self.flow.grace_period.begin(
             signal_at + self.settings.turn_away_s,
@@ -197,7 +198,6 @@
 
         Return whether all requests ended in time.
         """
-        self.begin_stop(clock.now())
         grace_period = self.flow.grace_period
         eventlet.sleep(max(0.0, grace_period.takes_until - clock.now()))
         self.caller_server.close_idle_connections()
--- a/packages/primroselever-entry/tests/direct/test_planned_stop.py
+++ b/packages/primroselever-entry/tests/direct/test_planned_stop.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import time
 from dataclasses import replace
 from types import SimpleNamespace
@@ -34,7 +35,9 @@
 from .test_process import SETTINGS
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
+
+    from primroselever_entry.direct.caller_connection import CallerConnection
 
 GATE = b"<gate>"
 LONG = "x-left: 9000"  # ends after the process
@@ -51,9 +54,9 @@
     def now(self) -> float:
         return self.time
 
-    def advance(self, seconds: float) -> None:
+    def advance(self, seconds: float, runs_others: bool = True) -> None:
         self.time += seconds
-        for _ in range(50):
+        for _ in range(50 if runs_others else 0):
             eventlet.sleep(0.001)
 
     def sleep(self, seconds: float) -> None:
@@ -84,13 +87,26 @@
         entry.server.is_leaving = self.process.is_leaving
         self.ended = None
 
-    def begin(self, noticed_late_s=0.0) -> None:
-        """Receive SIGTERM; the greenlet that waits for it runs late."""
+    def begin(self) -> None:
+        """Do what the process does after SIGTERM."""
         self.process.begin_stop(clock.now())
-        self.clock.advance(noticed_late_s)
         self.ended = eventlet.spawn(self.process.shut_down)
         eventlet.sleep(0)
 
+    def run(self) -> None:
+        """Run the process, whose other components are not needed, until a signal."""
+        idle = SimpleNamespace(start=lambda: None)
+        for name in ("rpc", "gossip", "follower", "readiness", "admin", "reloader"):
+            setattr(self.process, name, idle)
+        self.process.start_watch = idle
+        self.process.sweep_connections = lambda: None
+        self.entry.server.start = lambda: None  # it runs already
+        self.ended = eventlet.spawn(self.process.run)
+        eventlet.sleep(0)
+
+    def connections(self) -> set[CallerConnection]:
+        return self.entry.server.connections
+
     def end(self) -> None:
         if self.ended is not None:
             self.ended.kill()
@@ -132,6 +148,14 @@
     return fake
 
 
+@pytest.fixture
+def signal_handlers(monkeypatch) -> dict[int, Callable[[int, object], None]]:
+    """Return the handlers that the process installs, without installing them."""
+    handlers: dict[int, Callable[[int, object], None]] = {}
+    monkeypatch.setattr(signal, "signal", handlers.__setitem__)
+    return handlers
+
+
 @pytest.fixture
 def slow_entry(entry):
     """An entry whose routes and callers wait for longer than a stop takes."""
@@ -402,6 +426,35 @@
     assert (len(used.requests), len(unused.requests)) == (1, 1)
 
 
+# Guards against times that count from when the process noticed the signal: with a late
+# event loop, requests were taken for longer, and the process was killed before its end.
+def test_a_late_event_loop_does_not_prolong_the_stop(stop, signal_handlers):
+    backend = stop.entry.add("a")
+    backend.responses = [ok_response()]
+    partial = stop.entry.connect()
+    partial.sendall(order()[:-1])
+    wait_for(lambda: any(each.request_started_at for each in stop.connections()))
+    stop.run()
+    signal_handlers[signal.SIGTERM](signal.SIGTERM, None)
+    stop.clock.advance(2.0, runs_others=False)
+    stop.clock.advance(1.5)
+    connection = stop.entry.connect()
+    connection.sendall(order())
+    assert_refused(read_all(connection))
+    assert backend.requests == []
+
+
+# Guards against requests that are taken because they are handled before the greenlet
+# that waits for the signal.
+def test_a_stop_begins_in_the_signal_handler(stop, signal_handlers):
+    stop.run()
+    signal_handlers[signal.SIGTERM](signal.SIGTERM, None)
+    grace_period = stop.entry.flow.grace_period
+    assert grace_period.takes_until == clock.now() + 3.0
+    assert grace_period.ends_at == pytest.approx(clock.now() + 7.4)
+    assert stop.process.unready_reason() == "leaving"
+
+
 # Guards against a reload that moves the times of a stop, which the platform does not.
 def test_a_reload_does_not_change_a_stop(stop):
     stop.begin()
--- a/packages/primroselever-node/src/primroselever_node/process.py
+++ b/packages/primroselever-node/src/primroselever_node/process.py
@@ -62,12 +62,14 @@
     Waits for the first SIGTERM or SIGINT.
 
     A second signal ends the process immediately, for operators who cannot wait for
-    the graceful shutdown.
+    the graceful shutdown. ``on_stop`` is called in the signal handler with the time of
+    the first signal, before any other greenlet runs. It must not switch greenlets.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, on_stop: Callable[[float], None] | None = None) -> None:
         self.event = Event()
         self.signal_count = 0
+        self.on_stop = on_stop
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self.on_signal)
 
@@ -77,6 +79,8 @@
         if self.signal_count > 1:
             logger.warning("second signal (%d) received; exiting immediately", number)
             os._exit(EXIT_FAILED)
+        if self.on_stop is not None:
+            self.on_stop(clock.now())
         eventlet.hubs.get_hub().schedule_call_global(0, self.send_event)
 
     def send_event(self) -> None:
