--- a/packages/primroselever-core/src/primroselever_core/catalogue/freshness.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/freshness.py
@@ -12,9 +12,10 @@
 
     ``own_answer_at`` is when the store last answered this process on the operator's
     part. ``proof_at`` is when this process or a peer last learned from the store that
-    nothing later is published than what is in force here. ``named_revision`` is the
-    latest revision that a peer named, and ``named_at`` when a peer first named one that
-    was not in force, None if there is none.
+    nothing later is published than what is in force here, and ``previous_proof_at`` the
+    proof before that one. ``named_revision`` is the latest revision that a peer named,
+    and ``named_at`` when a peer first named one that was not in force, None if there is
+    none.
 
         >>> freshness = Freshness()
         >>> freshness.record_named(8, 7, 10.0)
@@ -24,6 +25,7 @@
 
     own_answer_at: float | None = None
     proof_at: float | None = None
+    previous_proof_at: float | None = None
     named_revision: int = 0
     named_at: float | None = None
 
@@ -35,7 +37,7 @@
     def record_proof(self, at: float) -> None:
         """Record a time at which nothing later was published."""
         if self.proof_at is None or at > self.proof_at:
-            self.proof_at = at
+            self.previous_proof_at, self.proof_at = self.proof_at, at
 
     def record_named(self, revision: int, in_force: int, now: float) -> None:
         """Record the revision that a peer has in force."""
--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -532,6 +532,15 @@
             outdated_since = now
         return outdated_since + self.limits.weights_within_s - CANCEL_MARGIN_S
 
+    def is_outdated(self, model: str, version: int) -> bool:
+        """Return whether a newer version is known than the one an engine runs."""
+        published_weights = self.board.catalogue.weights.get(model)
+        return (
+            version > 0
+            and published_weights is not None
+            and published_weights.outdated_since(version) is not None
+        )
+
     def newer_bounds(self, model: str, now: float) -> tuple[tuple[int, float], ...]:
         """Return versions, and the seconds until requests may not start on older."""
         published_weights = self.board.catalogue.weights.get(model)
--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -182,6 +182,7 @@
                 return
             left_s = silent.start_limit() - clock.now()
             if left_s <= 0:
+                silent.log_lapse(clock.now())
                 silent.close()
                 return
             with eventlet.Timeout(None if left_s == inf else left_s, False):
@@ -340,6 +341,7 @@
             return Attempt(AttemptEnd.OUT_OF_TIME, reason="the deadline passed")
         if now >= self.start_limit():
             # The engine is not at fault: it may be about to answer.
+            self.log_lapse(now)
             return Attempt(AttemptEnd.LAPSED, reason=LAPSED_REASON)
         if now < self.silence_limit():
             # Only the weights might have lapsed.
@@ -697,8 +699,9 @@
     def record_first_event(self) -> None:
         """Record by how much the first event of this attempt missed its prediction."""
         if not self.first_event_recorded:
-            self.first_event_recorded = True
             now = clock.now()
+            self.log_old_weights(now)
+            self.first_event_recorded = True
             late_by_s = now - self.started_at - self.choice.predicted_s
             self.backend.record_first_event(late_by_s, now)
             self.backend.first_events.record_arrived(self.first_event_number, now)
@@ -711,6 +714,31 @@
                 self.backend.measured.record_answered(self.sample_number, now)
                 self.record_pace(now)
 
+    def log_old_weights(self, now: float) -> None:
+        """Log how long before its limit the first event on old weights arrived."""
+        limit = self.start_limit()
+        if self.flow.is_outdated(self.state.request.model, self.sent_version):
+            log_decision(
+                "first event on old weights",
+                self.state.request.log_id,
+                self.backend.listed.server_id,
+                f"version {self.sent_version}",
+                left_ms=round((limit - now) * 1000),
+                took_ms=round((now - self.started_at) * 1000),
+                predicted_ms=round(self.choice.predicted_s * 1000),
+            )
+
+    def log_lapse(self, now: float) -> None:
+        """Log that an attempt is cancelled, and how late its limit was noticed."""
+        log_decision(
+            "weights lapsed",
+            self.state.request.log_id,
+            self.backend.listed.server_id,
+            f"no first event on version {self.sent_version}",
+            noticed_late_ms=round((now - self.start_limit()) * 1000),
+            waited_ms=round((now - self.started_at) * 1000),
+        )
+
     def record_duration(self, status: int, now: float) -> None:
         """Record the duration of this attempt, which was answered."""
         measured = self.backend.measured
--- a/packages/primroselever-node/src/primroselever_node/direct/follower.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/follower.py
@@ -302,6 +302,7 @@
         if not changed and part not in self.unprocessed_parts:
             return
         configuration = self.catalogue.configuration
+        proof_at = self.catalogue.freshness.previous_proof_at
         log_decision(
             "catalogue changed",
             part,
@@ -313,6 +314,7 @@
                 for model, published in self.catalogue.weights.items()
             },
             servers=len(self.catalogue.servers),
+            proof_age_s=None if proof_at is None else round(clock.now() - proof_at, 3),
         )
         self.process_change(part)
 
