Count the bound of a version from the last proof of its absence

Cause: the bound counted from the receipt of a version, which is late by as much as the event loop, the heartbeat or the repeated watch that brought it. Ages in heartbeats lacked the time on the way. A process that started took any time that a peer reported for its estimate, and passed on the receipt of a version that it had found as its time.

Change: PublishedVersion.absent_at is the last time at which the version was proven unpublished, at most contact_s before its receipt. An answer of the store counts from when it was asked for, a watch without changes from the end of its wait, and only after what it brought is applied. Heartbeats carry sent_ms; the time by which one is slower than the fastest of the last 10 to 20 s is added to its ages. A peer that lacks a version proves its absence (record_absent). Only proven times are passed on. Which entries read the store depends on when answers were read, as before (answer_at, answer_age_ms on the wire): by the lower bounds, all entries would read it after each change.

Replaced tests: test_a_process_that_started_late_learns_publication_times_from_a_peer expected that an earlier time of a peer replaces a reported one; absent_at is a proven lower bound, so the later one is right. In test_gossip the sender has proofs now, as times without a proof are no longer passed on.

--- a/bench/experiments/configuration_spread.py
+++ b/bench/experiments/configuration_spread.py
@@ -155,9 +155,9 @@
 
     def follow(self, entry: Entry, changed: bool) -> None:
         """Watch the store, or check again later whether to read it."""
-        peers, proof_at = entry.peers, entry.freshness.proof_at
+        peers, answer_at = entry.peers, entry.freshness.answer_at
         if not reads_store(peers, self.now) and not lacks_proof(
-            peers, proof_at, WITHIN_S, self.now
+            peers, answer_at, WITHIN_S, self.now
         ):
             self.after(READ_ROLE_CHECK_S, self.following(entry))
             return
@@ -211,7 +211,7 @@
             if answer_at is not None:
                 peer.store_age_s = self.now - answer_at
                 if revision <= entry.revision:
-                    entry.freshness.record_proof(answer_at)
+                    entry.freshness.record_answer(answer_at)
             self.pull_if_behind(entry)
 
         return event
--- a/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
@@ -47,7 +47,9 @@
     era of which any answer of the store was received. ``lapsed`` holds the back ends
     whose entries went missing after an outage or a restore of the store, with the end
     of their grace period; ``withheld`` the entries of a restored store that are older
-    than the known ones; ``removed`` the removals of other back ends.
+    than the known ones; ``removed`` the removals of other back ends. ``contact_s`` is
+    for how many seconds before the receipt of a version the bound on older ones may
+    count, 0 until an entry sets it.
     """
 
     store_position: StorePosition = START_POSITION
@@ -65,6 +67,7 @@
     freshness: Freshness = field(default_factory=Freshness)
     lapse_grace_until: float = 0.0
     evacuations: Evacuations = field(default_factory=Evacuations)
+    contact_s: float = 0.0
 
     @property
     def configuration_revision(self) -> int:
@@ -84,14 +87,24 @@
         return True
 
     def publish_weights(self, model: str, version: int, now: float) -> bool:
-        """Record a published version; return whether it is the newest of its model."""
+        """
+        Record a published version; return whether it is the newest of its model.
+
+        Its bound counts from the last proof that it was not published. An entry without
+        one for ``contact_s`` is not in touch, and must not lose all engines at once.
+        """
         published = self.weights.get(model)
-        if published is None:
-            self.weights[model] = PublishedWeights([PublishedVersion(version, now)])
-            return True
-        if version <= published.version:
+        if published is not None and version <= published.version:
             return False
-        published.append(version, now)
+        earliest_at = now - self.contact_s
+        proof_at = self.freshness.proof_at
+        added = PublishedVersion(version, earliest_at, now)
+        if proof_at is not None and proof_at >= earliest_at:
+            added = added.with_proof(proof_at)
+        if published is None:
+            self.weights[model] = PublishedWeights([added])
+        else:
+            published.append(added)
         return True
 
     def list_server(self, server: ListedServer) -> bool:
--- a/packages/primroselever-core/src/primroselever_core/catalogue/published_weights.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/published_weights.py
@@ -1,8 +1,8 @@
-"""The published versions of a model's weights and when they were learned."""
+"""The published versions of a model's weights and from when their bounds count."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 MAX_VERSIONS_PER_MODEL = 8  # the bounds of older versions have long passed
 # Before the bound of a version, an engine with older weights gets no request that may
@@ -17,20 +17,40 @@
 @dataclass(frozen=True, slots=True)
 class PublishedVersion:
     """
-    A published version of a model and when this process learned of it.
+    A published version of a model, and from when the bound on older ones counts.
 
-    ``assumed`` marks an estimated time: the process found the version when it started.
+    That is ``absent_at``, the latest time at which the version was not published for
+    certain. It is an estimate unless ``proven`` is set: the process found the version
+    when it started, which sets ``assumed``, or had no proof for too long when it
+    learned of it. ``learned_at`` is when this process learned of the version, None if
+    only a peer told its time.
     """
 
     version: int
-    learned_at: float
+    absent_at: float
+    learned_at: float | None = None
+    proven: bool = False
     assumed: bool = False
 
+    def with_proof(self, at: float) -> PublishedVersion:
+        """Return the version with a proven time, at most that of its receipt."""
+        if self.learned_at is not None:
+            at = min(at, self.learned_at)
+        return replace(self, absent_at=at, proven=True, assumed=False)
+
+    def is_published_after(self, time: float) -> bool:
+        """Return whether it was published after a time, as far as is known."""
+        if self.assumed:
+            return False
+        if self.proven or self.learned_at is None:
+            return self.absent_at >= time
+        return self.learned_at >= time
+
 
 @dataclass(slots=True)
 class PublishedWeights:
     """
-    The published versions of a model and when each was learned, oldest first.
+    The published versions of a model, oldest first.
 
     Each version has its own bound, after which older weights may not begin a request:
     a newer version does not postpone the bound of the version before it.
@@ -40,7 +60,7 @@
 
     @property
     def newest(self) -> PublishedVersion:
-        """Return the newest version and the time at which it was learned."""
+        """Return the newest version and the time from which its bound counts."""
         return self.history[-1]
 
     @property
@@ -49,65 +69,103 @@
         return self.newest.version
 
     @property
-    def learned_at(self) -> float:
-        """Return the time at which the newest version was learned."""
-        return self.newest.learned_at
+    def absent_at(self) -> float:
+        """Return the time from which the bound of the newest version counts."""
+        return self.newest.absent_at
 
-    def append(self, version: int, now: float) -> None:
-        """Add a newer version, learned now."""
-        self.history.append(PublishedVersion(version, now))
+    def append(self, published: PublishedVersion) -> None:
+        """Add a newer version."""
+        self.history.append(published)
         del self.history[:-MAX_VERSIONS_PER_MODEL]
 
-    def assume_learned_at(self, learned_at: float) -> None:
-        """Set an estimated time for the newest version until a peer reports one."""
-        self.history[-1] = PublishedVersion(self.version, learned_at, assumed=True)
+    def assume_absent_at(self, absent_at: float) -> None:
+        """Set an estimated time for the newest version until one is proven."""
+        self.history[-1] = replace(
+            self.newest, absent_at=absent_at, proven=False, assumed=True
+        )
 
-    def record_peer_learned_at(self, version: int, learned_at: float) -> None:
+    def record_absent(self, version: int, at: float) -> None:
+        """
+        Record that a peer with an answer of the store knew nothing above a version.
+
+        ``at`` is a time that this answer covers. It only moves times forward.
+        """
+        for index, published in enumerate(self.history):
+            if published.version > version and at > published.absent_at:
+                self.history[index] = published.with_proof(at)
+
+    def record_peer_absent_at(self, version: int, absent_at: float) -> None:
         """
-        Record when a peer learned of a version.
+        Record a time at which a version was not published, as a peer proved it.
 
-        The earliest time counts, but a reported time always replaces an assumed one.
-        A version above the newest known one is ignored.
+        It replaces an estimated time, but not a proven one, as times that peers pass on
+        to one another grow by the time that messages take. A version above the newest
+        known one is ignored.
 
         A process that started late learns in this way of versions before the newest,
         whose bounds also apply.
         """
         if version > self.version:
             return
+        index = self.find(version)
+        if index is None:
+            self.insert(PublishedVersion(version, absent_at, proven=True))
+        elif not self.history[index].proven:
+            self.history[index] = self.history[index].with_proof(absent_at)
+
+    def record_peer_learned_at(self, version: int, learned_at: float) -> None:
+        """
+        Record when a peer of an earlier release learned of a version.
+
+        Such a time proves no absence, so the bound never becomes later by it, and it is
+        not passed on.
+        """
+        if version > self.version:
+            return
+        index = self.find(version)
+        if index is None:
+            self.insert(PublishedVersion(version, learned_at))
+        elif learned_at < self.history[index].absent_at:
+            self.history[index] = replace(self.history[index], absent_at=learned_at)
+
+    def find(self, version: int) -> int | None:
+        """Return the index of a version in the history, None if it is not there."""
         for index, published in enumerate(self.history):
             if published.version == version:
-                if published.assumed or learned_at < published.learned_at:
-                    self.history[index] = PublishedVersion(version, learned_at)
-                return
-        self.history.append(PublishedVersion(version, learned_at))
-        self.history.sort(key=lambda published: published.version)
+                return index
+        return None
+
+    def insert(self, published: PublishedVersion) -> None:
+        """Add a version before the newest."""
+        self.history.append(published)
+        self.history.sort(key=lambda each: each.version)
         del self.history[:-MAX_VERSIONS_PER_MODEL]
 
     def bounds_left(self, within_s: float, now: float) -> tuple[tuple[int, float], ...]:
         """
         Return the versions whose bound has not passed, and the seconds until then.
 
-        From the bound of a version on, ``within_s`` after it was learned, requests may
-        not start on older ones.
+        From the bound of a version on, ``within_s`` after its ``absent_at``, requests
+        may not start on older ones.
         """
         return tuple(
-            (published.version, published.learned_at + within_s - now)
+            (published.version, published.absent_at + within_s - now)
             for published in self.history
-            if published.learned_at + within_s > now
+            if published.absent_at + within_s > now
         )
 
-    def newest_learned_by(self, learned_before: float) -> int:
-        """Return the newest version learned at or before a time, 0 for none."""
+    def newest_learned_by(self, absent_before: float) -> int:
+        """Return the newest version whose bound counts from a time, 0 for none."""
         versions = (
             published.version
             for published in self.history
-            if published.learned_at <= learned_before
+            if published.absent_at <= absent_before
         )
         return max(versions, default=0)
 
     def outdated_since(self, version: int) -> float | None:
-        """Return when a newer version than one was learned, None for the newest."""
+        """Return from when the bound on a version counts, None for the newest."""
         return min(
-            (each.learned_at for each in self.history if each.version > version),
+            (each.absent_at for each in self.history if each.version > version),
             default=None,
         )
--- a/packages/primroselever-core/src/primroselever_core/gossip/peers.py
+++ b/packages/primroselever-core/src/primroselever_core/gossip/peers.py
@@ -16,6 +16,7 @@
 
 from ..catalogue.store_position import START_POSITION, StorePosition
 from ..rendezvous import top_ranked
+from .transit import TransitDelay
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -41,7 +42,8 @@
     ``sends_era`` is not set for an entry of an earlier release, which knows no eras.
     ``last_heartbeat_at`` of an entry that was only reported is when that happened, and
     ``reported_only`` is set until its own first heartbeat. ``new_until`` is until when
-    it counts as an entry that has just started.
+    it counts as an entry that has just started. ``transit`` measures the delay of its
+    heartbeats.
     """
 
     host: str
@@ -57,6 +59,7 @@
     reported_only: bool = False
     weights: dict[str, int] = field(default_factory=dict)
     evacuations_position: StorePosition = START_POSITION
+    transit: TransitDelay = field(default_factory=TransitDelay)
 
     def live(self, now: float) -> bool:
         """Return whether the peer's last heartbeat is within the timeout."""
--- a/packages/primroselever-core/src/primroselever_core/gossip/readers.py
+++ b/packages/primroselever-core/src/primroselever_core/gossip/readers.py
@@ -66,17 +66,20 @@
 
 
 def lacks_proof(
-    peers: Peers, proof_at: float | None, within_s: float, now: float
+    peers: Peers, answer_at: float | None, within_s: float, now: float
 ) -> bool:
     """
-    Return whether the last proof that nothing later is published is too old.
+    Return whether the last answer that nothing later is published is too old.
 
+    ``answer_at`` is when this process or a peer read it. Its own time would not do: a
+    change ends the watches of all readers, and their answers then tell only of the time
+    of the call, so that all entries would read the store after each change.
     ``within_s`` is the time in seconds in which a configuration must be in force.
     """
-    if proof_at is None:
+    if answer_at is None:
         return False
     spread = hash64(f"{peers.own_domain}/proof", peers.own_host) / 2**64
-    return now - proof_at > within_s * (PROOF_SHARE + PROOF_SPREAD_SHARE * spread)
+    return now - answer_at > within_s * (PROOF_SHARE + PROOF_SPREAD_SHARE * spread)
 
 
 def is_reader(peer: Peer, failure_domain: str) -> bool:
--- a/packages/primroselever-core/tests/catalogue/test_catalogue.py
+++ b/packages/primroselever-core/tests/catalogue/test_catalogue.py
@@ -95,24 +95,29 @@
     assert not fresh.servers
 
 
+# Guards against a bound that a started process keeps at its estimate, or that moves on
+# with the times that peers pass on to one another.
 def test_a_process_that_started_late_learns_publication_times_from_a_peer():
     catalogue = Catalogue()
     catalogue.publish_weights("m", 2, 30.0)
     published = catalogue.weights["m"]
-    published.assume_learned_at(25.0)
+    published.assume_absent_at(25.0)
     assert published.newest_learned_by(26.0) == 2
-    published.record_peer_learned_at(2, 28.0)
-    assert published.newest_learned_by(26.0) == 0
-    published.record_peer_learned_at(2, 27.0)
-    published.record_peer_learned_at(2, 29.0)
-    assert published.newest_learned_by(27.0) == 2
+    published.record_peer_absent_at(2, 28.0)
+    assert published.newest_learned_by(27.9) == 0
+    published.record_peer_absent_at(2, 29.0)
+    published.record_peer_absent_at(2, 27.0)
+    assert published.newest_learned_by(27.9) == 0
+    assert published.newest_learned_by(28.0) == 2
 
 
 def test_a_peers_time_for_an_unknown_newer_version_is_ignored():
     catalogue = Catalogue()
     catalogue.publish_weights("m", 2, 30.0)
+    catalogue.weights["m"].record_peer_absent_at(3, 1.0)
     catalogue.weights["m"].record_peer_learned_at(3, 1.0)
-    assert catalogue.weights["m"].learned_at == 30.0
+    assert catalogue.weights["m"].absent_at == 30.0
+    assert len(catalogue.weights["m"].history) == 1
 
 
 def test_a_process_that_was_cut_off_keeps_its_servers_for_the_grace_period(make_server):
@@ -130,8 +135,8 @@
     catalogue = Catalogue()
     catalogue.publish_weights("m", 3, 10.5)
     published = catalogue.weights["m"]
-    published.record_peer_learned_at(3, 8.0)
-    published.record_peer_learned_at(2, 6.0)
+    published.record_peer_absent_at(3, 8.0)
+    published.record_peer_absent_at(2, 6.0)
     assert published.newest_learned_by(6.0) == 2
     assert published.newest_learned_by(8.0) == 3
     assert published.version == 3
--- a/packages/primroselever-core/tests/gossip/test_configuration_proofs.py
+++ b/packages/primroselever-core/tests/gossip/test_configuration_proofs.py
@@ -37,7 +37,7 @@
 
     def reads(self, now: float) -> bool:
         return reads_store(self.peers, now) or lacks_proof(
-            self.peers, self.freshness.proof_at, WITHIN_S, now
+            self.peers, self.freshness.answer_at, WITHIN_S, now
         )
 
     def run(self, now: float) -> None:
@@ -90,7 +90,7 @@
             if peer is None or answer_at is None:
                 continue
             peer.store_age_s = self.now - answer_at
-            entry.freshness.record_proof(answer_at)
+            entry.freshness.record_answer(answer_at)
 
     def readers(self) -> list[SimulatedEntry]:
         return [entry for entry in self.entries if reads_store(entry.peers, self.now)]
--- a/packages/primroselever-entry/src/primroselever_entry/direct/process.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/process.py
@@ -83,6 +83,7 @@
         self.board = DirectBoard(
             identity, Peers(settings.host, settings.failure_domain, seeds)
         )
+        self.board.catalogue.contact_s = settings.contact_s
         observe_configuration(self.board.catalogue)
         self.pool = ConnectionPool()
         self.piece_keeper = PieceKeeper(self.board, weight_source, settings.control[1])
@@ -165,6 +166,7 @@
     def reload(self, settings: DirectEntrySettings) -> None:
         """Apply new settings, except addresses to listen on."""
         self.settings = settings
+        self.board.catalogue.contact_s = settings.contact_s
         self.board.peers.seeds = tuple(host for host, _port in settings.seeds)
         self.flow.limits = flow_limits(settings)
         log_home_problems(
@@ -210,7 +212,7 @@
         catalogue, peers, now = self.board.catalogue, self.board.peers, clock.now()
         return reads_store(peers, now, catalogue.store_position.era) or lacks_proof(
             peers,
-            catalogue.freshness.proof_at,
+            catalogue.freshness.answer_at,
             self.settings.configuration_within_s,
             now,
         )
@@ -238,14 +240,15 @@
                 continue
             if (
                 previous_version is None
+                and not published.newest.proven
                 and clock.now() - self.started_at < self.settings.contact_s
             ):
                 # The version may have been published long before this process started.
                 # It is assumed to be old and becomes mandatory soon, unless peers send
                 # its actual age.
-                learned_at = self.started_at - self.settings.weights_within_s
-                published.assume_learned_at(
-                    learned_at + self.settings.contact_s - STARTUP_MARGIN_S
+                absent_at = self.started_at - self.settings.weights_within_s
+                published.assume_absent_at(
+                    absent_at + self.settings.contact_s - STARTUP_MARGIN_S
                 )
                 # Engines and other entries usually hold it. If none does, an agent's
                 # request starts the reads.
--- a/packages/primroselever-node/src/primroselever_node/clock.py
+++ b/packages/primroselever-node/src/primroselever_node/clock.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 
 # Messages have 32 bits for an age, which is enough for 24 days.
@@ -28,6 +29,16 @@
     return max(0, int((deadline - now()) * 1000))
 
 
+def now_ms(now: float) -> int:
+    """Return a monotonic time in whole milliseconds."""
+    return int(now * 1000)
+
+
 def age_ms(since: float, now: float) -> int:
     """Return the milliseconds since a time, limited to what a message can hold."""
     return int(max(0.0, min((now - since) * 1000, MAX_AGE_MS)))
+
+
+def proven_age_ms(since: float, now: float) -> int:
+    """Return an age, rounded up so that it names no time after the proven one."""
+    return math.ceil(max(0.0, min((now - since) * 1000, MAX_AGE_MS)))
--- a/packages/primroselever-node/src/primroselever_node/direct/catalogue_pulls.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/catalogue_pulls.py
@@ -173,10 +173,12 @@
         catalogue = self.board.catalogue
         previous_position = catalogue.store_position
         previous_revision = catalogue.configuration_revision
+        proof_at = catalogue.freshness.proof_at
         previous_evacuations = dict(catalogue.evacuations.in_force)
         if copy.store_era < previous_position.era:
             record_late_answer(peer.host, copy.store_position, previous_position.era)
-        if catalogue.merge(copy, clock.now()):
+        now = clock.now()
+        if catalogue.merge(copy, now):
             record_restore(peer.host, previous_position, catalogue)
             record_configuration(catalogue, previous_revision, peer.host, "peer")
             record_evacuations(catalogue, previous_evacuations, peer.host, "peer")
@@ -189,6 +191,7 @@
                 configuration=configuration.revision if configuration else None,
                 weights=copy.weights,
                 servers=len(catalogue.servers),
+                proof_age_s=None if proof_at is None else round(now - proof_at, 3),
             )
             self.on_change(CataloguePart.OPERATOR)
             self.on_change(CataloguePart.SERVERS)
--- a/packages/primroselever-node/src/primroselever_node/direct/direct.thrift
+++ b/packages/primroselever-node/src/primroselever_node/direct/direct.thrift
@@ -10,8 +10,12 @@
 
 /*
  * The heartbeat of an entry. peers maps the hosts of other entries to their failure
- * domains. weights_age_ms is the time since each version of a model was learned, where
- * it is known. store_age_ms is negative if the store never answered this entry itself.
+ * domains. weights_age_ms is the time since each version of a model was proven to be
+ * unpublished, where that is known; entries that send no sent_ms send the time since
+ * they learned of it. store_age_ms is negative if the store never answered this entry
+ * itself. operator_age_ms is the age of what the store's answers to this entry prove
+ * about the operator's part, and answer_age_ms the time since it read the last one.
+ * sent_ms is the sender's monotonic clock at the time of sending.
  * store_era is the era in which store_revision counts; older entries send none.
  * evacuations_era and evacuations_revision are the store's position of the latest change
  * of the evacuated failure domains; entries that know no evacuations send none.
@@ -33,6 +37,8 @@
   14: optional i64 evacuations_revision,
   /* Bitmaps of the pieces that the entry holds, by model and version, little-endian. */
   15: optional map<string, map<i32, binary>> pieces,
+  16: optional i64 sent_ms,
+  17: optional i64 answer_age_ms,
 }
 
 /*
--- a/packages/primroselever-node/src/primroselever_node/direct/direct_thrift.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/direct_thrift.py
@@ -38,6 +38,8 @@
             (TType.STRING, (TType.MAP, (TType.I32, TType.BINARY))),
             False,
         ),
+        16: (TType.I64, "sent_ms", False),
+        17: (TType.I64, "answer_age_ms", False),
     }
     default_spec: ClassVar[list[Any]] = [
         ("host", None),
@@ -55,6 +57,8 @@
         ("evacuations_era", None),
         ("evacuations_revision", None),
         ("pieces", None),
+        ("sent_ms", None),
+        ("answer_age_ms", None),
     ]
 
 
--- a/packages/primroselever-node/src/primroselever_node/direct/follower.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/follower.py
@@ -125,11 +125,17 @@
                 self.schedule_restore_read(part, self.catalogue.latest_era)
                 position = None
             try:
-                changes = self.request_changes(part, position, failures)
+                wait_s = 0.0 if failures else self.watch_wait_s(part)
+                changes = self.request_changes(part, position, wait_s)
+                proof_at = find_proof(changes, position, wait_s, clock.now())
                 if position is None:
                     self.apply_snapshot(part, changes)
                 else:
                     self.apply_changes(part, changes)
+                # Only now is what it proves in force, and what it brought counts from
+                # the proof before.
+                if part is CataloguePart.OPERATOR and proof_at is not None:
+                    self.catalogue.freshness.record_own_proof(proof_at)
             except HistoryLostError as exc:
                 if position is not None and exc.era > position.era:
                     self.schedule_restore_read(part, exc.era)
@@ -164,7 +170,7 @@
             eventlet.sleep(backoff_s(failures, FIRST_RETRY_S, MAX_RETRY_S))
 
     def request_changes(
-        self, part: CataloguePart, position: StorePosition | None, failures: int
+        self, part: CataloguePart, position: StorePosition | None, wait_s: float
     ) -> CatalogueChanges:
         """
         Return a full read, or the changes after a position, of the latest known era.
@@ -177,7 +183,6 @@
             eventlet.sleep(max(0.0, self.next_read_at.pop(part, 0.0) - clock.now()))
             changes = self.source.read(part)
         else:
-            wait_s = 0.0 if failures else self.watch_wait_s(part)
             changes = self.source.watch(part, position.revision, wait_s)
         if changes.era < self.catalogue.latest_era:
             record_late_answer("store", changes.position, self.catalogue.latest_era)
@@ -302,7 +307,7 @@
         if not changed and part not in self.unprocessed_parts:
             return
         configuration = self.catalogue.configuration
-        proof_at = self.catalogue.freshness.previous_proof_at
+        proof_at = self.catalogue.freshness.proof_at
         log_decision(
             "catalogue changed",
             part,
@@ -351,6 +356,25 @@
             self.process_change(CataloguePart.SERVERS)
 
 
+def find_proof(
+    changes: CatalogueChanges, position: StorePosition | None, wait_s: float, now: float
+) -> float | None:
+    """
+    Return until when an answer tells all that was published, None if it proves nothing.
+
+    A watch without changes tells this for its whole wait, in seconds. One that ended
+    earlier without anything new may be the late copy of an earlier answer.
+    """
+    if changes.asked_at is None:
+        return None
+    if position is None:
+        return changes.asked_at
+    if changes.events:
+        return changes.asked_at if changes.position > position else None
+    waited_until = changes.asked_at + int(wait_s * 1000) / 1000  # as it is sent
+    return waited_until if now >= waited_until else None
+
+
 def is_burst_of_large_configurations(changes: CatalogueChanges) -> bool:
     """Return whether changes hold several configurations, of which one has many routes.
 
--- a/packages/primroselever-node/src/primroselever_node/direct/gossip.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/gossip.py
@@ -38,6 +38,7 @@
 from .leaving_news import LeavingNews
 from .limit_news import LimitNews
 from .pace_news import PaceNews
+from .peer_proofs import measure_sending, record_proof, record_weights_ages
 from .schema import schema
 
 if TYPE_CHECKING:
@@ -197,7 +198,8 @@
         catalogue = self.board.catalogue
         configuration = catalogue.configuration
         read_at = catalogue.own_read_at
-        operator_read_at = catalogue.freshness.own_answer_at
+        proof_at = catalogue.freshness.own_proof_at
+        answer_at = catalogue.freshness.own_answer_at
         return schema.EntryNews(
             host=self.host,
             failure_domain=self.board.identity.failure_domain,
@@ -210,8 +212,10 @@
             evacuations_revision=catalogue.evacuations.position.revision,
             store_age_ms=-1 if read_at is None else clock.age_ms(read_at, now),
             operator_age_ms=None
-            if operator_read_at is None
-            else clock.age_ms(operator_read_at, now),
+            if proof_at is None
+            else clock.proven_age_ms(proof_at, now),
+            answer_age_ms=None if answer_at is None else clock.age_ms(answer_at, now),
+            sent_ms=clock.now_ms(now),
             weights={
                 model: published.version
                 for model, published in catalogue.weights.items()
@@ -221,9 +225,9 @@
             else {},
             weights_age_ms={
                 model: {
-                    learned.version: clock.age_ms(learned.learned_at, now)
-                    for learned in published.history
-                    if not learned.assumed
+                    each.version: clock.proven_age_ms(each.absent_at, now)
+                    for each in published.history
+                    if each.proven
                 }
                 for model, published in catalogue.weights.items()
             },
@@ -394,25 +398,13 @@
         peer.weights = dict(heartbeat.weights or {})
         self.board.holdings.record(heartbeat.host, heartbeat.pieces or {})
         peers.add_reported_peers(heartbeat.peers or {}, now)
-        for model, ages_ms in (heartbeat.weights_age_ms or {}).items():
-            published = self.board.catalogue.weights.get(model)
-            if published is not None:
-                for version, learned_age_ms in ages_ms.items():
-                    published.record_peer_learned_at(
-                        version, now - max(0, learned_age_ms) / 1000
-                    )
         catalogue = self.board.catalogue
+        sent_at = measure_sending(peer, heartbeat, now)
+        record_weights_ages(catalogue, heartbeat, sent_at, now)
+        record_proof(catalogue, peer, heartbeat, sent_at, now)
         catalogue.freshness.record_named(
             peer.configuration_revision, catalogue.configuration_revision, now
         )
-        if (
-            heartbeat.operator_age_ms is not None
-            and peer.configuration_revision <= catalogue.configuration_revision
-            # An entry of an earlier release does not know what it proves.
-            and heartbeat.evacuations_revision is not None
-            and peer.evacuations_position <= catalogue.evacuations.known_through
-        ):
-            catalogue.freshness.record_proof(now - heartbeat.operator_age_ms / 1000)
         if not peer.is_ahead_of(catalogue):
             catalogue.record_peer_contact(now - peer.store_age_s)
         else:
@@ -512,7 +504,9 @@
         for model in service.models:
             published = catalogue.weights.get(model)
             weights[model] = published.version if published else DEFAULT_VERSION
-            ages[model] = clock.age_ms(published.learned_at, now) if published else 0
+            ages[model] = (
+                clock.proven_age_ms(published.absent_at, now) if published else 0
+            )
         group = sorted(
             member.listed.server_id
             for member in self.board.backends.serving(service.name)
--- a/packages/primroselever-node/src/primroselever_node/direct/origin_reader.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/origin_reader.py
@@ -266,8 +266,7 @@
             or bool(view.hosts_ahead(key))
             or not any(
                 each.version == key[1]
-                and not each.assumed
-                and each.learned_at >= self.keeper.started_at
+                and each.is_published_after(self.keeper.started_at)
                 for each in learned
             )
         )
--- a/packages/primroselever-node/src/primroselever_node/direct/sources.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/sources.py
@@ -62,12 +62,15 @@
     """
     Events up to and including a revision of the source.
 
-    ``era`` is 0 if the source named none, or none that can be used.
+    ``era`` is 0 if the source named none, or none that can be used. ``asked_at`` is the
+    time before the first request was sent, None if it is not known. The events include
+    everything that was published until then.
     """
 
     revision: int
     events: list[CatalogueEvent]
     era: int = 0
+    asked_at: float | None = None
 
     @property
     def position(self) -> StorePosition:
--- a/packages/primroselever-node/tests/direct/test_gossip.py
+++ b/packages/primroselever-node/tests/direct/test_gossip.py
@@ -112,8 +112,10 @@
 def test_an_entry_behind_its_peer_pulls_the_peers_catalogue(loopback_entries):
     ahead, behind = loopback_entries.add("127.0.0.1"), loopback_entries.add("127.0.0.2")
     ahead.board.catalogue.configure(configuration(7), clock.now())
-    ahead.board.catalogue.publish_weights("m", 2, clock.now() - 7.0)
-    ahead.board.catalogue.publish_weights("m", 3, clock.now() - 5.0)
+    ahead.board.catalogue.contact_s = 3.0
+    for version, age_s in ((2, 7.0), (3, 5.0)):
+        ahead.board.catalogue.freshness.record_proof(clock.now() - age_s)
+        ahead.board.catalogue.publish_weights("m", version, clock.now() - age_s)
     ahead.board.catalogue.list_server(SERVER)
     ahead.board.catalogue.store_position = StorePosition(0, 40)
     catalogue = behind.board.catalogue
@@ -121,7 +123,7 @@
     assert catalogue.configuration == ahead.board.catalogue.configuration
     assert catalogue.servers == {"i-1": SERVER}
     assert len(loopback_entries.changed_parts["127.0.0.2"]) == 2
-    wait_until(lambda: clock.now() - catalogue.weights["m"].learned_at > 4.9)
+    wait_until(lambda: clock.now() - catalogue.weights["m"].absent_at > 4.9)
     wait_until(lambda: catalogue.weights["m"].newest_learned_by(clock.now() - 6.9) == 2)
 
 
@@ -129,14 +131,14 @@
 # days: 32 bits hold fewer milliseconds.
 def test_an_entry_that_knows_a_version_for_long_still_sends_messages(loopback_entries):
     old, other = loopback_entries.add("127.0.0.1"), loopback_entries.add("127.0.0.2")
-    learned_at = clock.now() - 60 * 86400.0
+    absent_at = clock.now() - 60 * 86400.0
     for entry in (old, other):
         entry.board.catalogue.configure(configuration(7), clock.now())
         entry.board.catalogue.publish_weights("m", 3, clock.now())
-    old.board.catalogue.weights["m"].record_peer_learned_at(3, learned_at)
-    old.board.catalogue.own_read_at = learned_at
+    old.board.catalogue.weights["m"].record_peer_absent_at(3, absent_at)
+    old.board.catalogue.own_read_at = absent_at
     published = other.board.catalogue.weights["m"]
-    wait_until(lambda: published.learned_at < clock.now() - 20 * 86400.0)
+    wait_until(lambda: published.absent_at < clock.now() - 20 * 86400.0)
     old.board.backends.apply_listing([SERVER])
     advice = old.build_advice(SERVER.address, clock.now())
     assert advice.weights_age_ms == {"m": 2**31 - 1}
