--- a/packages/primroselever-node/src/primroselever_node/http.py
+++ b/packages/primroselever-node/src/primroselever_node/http.py
@@ -40,9 +40,30 @@
     body_s: float = 30.0
 
 
+class HeadLines:
+    """
+    The lines of the head of a request; ``is_cut`` is set if it has no end.
+
+    The parser takes the end of the connection for the end of the head, and the part of
+    a line for a line.
+    """
+
+    def __init__(self, reader: Any) -> None:
+        self.reader = reader
+        self.is_cut = False
+
+    def readline(self, size: int = -1) -> bytes:
+        """Return a line, or the part of one that precedes the end."""
+        line = bytes(self.reader.readline(size))
+        self.is_cut = not line.endswith(b"\n")
+        return line
+
+
 class BoundedProtocol(eventlet.wsgi.HttpProtocol):
     """The HTTP protocol of one connection, with the limits of its server."""
 
+    rfile: Any
+
     def __init__(self, http_server: HttpServer, conn_state: Any, server: Any) -> None:
         self.http_server = http_server
         super().__init__(conn_state, server)
@@ -54,9 +75,19 @@
         return b""
 
     def parse_request(self) -> bool:
-        """Parse the headers; respond with 408 if they do not arrive in time."""
+        """
+        Parse the headers; respond with 408 if they do not arrive in time.
+
+        A head that ends with its connection is refused: the header of the length, and
+        with it the body, may be missing.
+        """
+        lines = self.rfile = HeadLines(self.rfile)
         with eventlet.Timeout(self.http_server.limits.headers_s, False):
-            return super().parse_request()
+            is_parsed = super().parse_request()
+            if is_parsed and lines.is_cut:
+                self.send_error(HTTPStatus.BAD_REQUEST)
+                return False
+            return is_parsed
         self.send_error(HTTPStatus.REQUEST_TIMEOUT)
         return False
 
--- a/packages/primroselever-node/tests/test_http.py
+++ b/packages/primroselever-node/tests/test_http.py
@@ -30,10 +30,16 @@
     server.stop()
 
 
-def send_request(server: HttpServer, sent: bytes) -> bytes:
-    """Send bytes and return all data received until the server closes."""
+def send_request(server: HttpServer, sent: bytes, *, ends: bool = False) -> bytes:
+    """
+    Send bytes and return all data received until the server closes.
+
+    If ``ends`` is set, the server sees the end of the connection behind the bytes.
+    """
     with socket.create_connection((server.host, server.port), timeout=10) as sock:
         sock.sendall(sent)
+        if ends:
+            sock.shutdown(socket.SHUT_WR)
         received = b""
         while data := sock.recv(65536):
             received += data
@@ -92,3 +98,26 @@
 
     assert in_flight_before_end == 1
     assert received.endswith(b"second")
+
+
+# Guards against a request that is run without its body, and with a part of a header,
+# because its caller ended the connection inside the head.
+def test_a_request_whose_head_is_cut_is_not_run() -> None:
+    bodies = []
+
+    def record(environ: dict[str, Any], start_response: Any) -> list[bytes]:
+        bodies.append(environ["wsgi.input"].read())
+        start_response("200 OK", [("Content-Length", "0")])
+        return []
+
+    server = HttpServer(record, "127.0.0.1", 0, Limits())
+    server.start()
+    head = b"POST /calls/x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\n"
+    for size in range(len(head)):
+        answer = send_request(server, head[:size], ends=True)
+        assert not answer or b" 400 " in answer.splitlines()[0]
+    assert bodies == []
+    send_request(server, head + b"ink", ends=True)
+    send_request(server, head.replace(b"\r\n", b"\n") + b"ink", ends=True)
+    assert bodies == [b"ink", b"ink"]
+    server.stop()
