Keep draining when SIGTERM is repeated to a direct entry

Callers saw: a second SIGTERM during a stop, as some supervisors send, cut off every request without an answer, also those that must not be repeated. Cause: any second signal ended the process at once, for operators who cannot wait. Change: in entries that call back ends directly only SIGINT does so; a repeated SIGTERM is logged, and moves neither time of the stop. Other processes are unchanged. Measured: on the code before, three further SIGTERMs in a stop called for three exits; now none, the request in progress is answered, and SIGINT still ends the process.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/process.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import signal
 from random import Random
 from typing import TYPE_CHECKING, Any
 
@@ -147,7 +148,8 @@
 
     def run(self) -> int:
         """Serve until a stop signal, then drain; return the exit code."""
-        stop = ShutdownSignal(self.begin_stop)
+        # A supervisor may repeat SIGTERM; the requests in progress must not be cut off.
+        stop = ShutdownSignal(self.begin_stop, ending_signals=(signal.SIGINT,))
         self.rpc.start()
         self.gossip.start()
         self.follower.start()
--- a/packages/primroselever-entry/tests/direct/test_planned_stop.py
+++ b/packages/primroselever-entry/tests/direct/test_planned_stop.py
@@ -16,6 +16,7 @@
 from primroselever_entry.direct.process import LAST_WRITES_S, DirectEntryProcess
 from primroselever_entry.direct.settings import DirectEntrySettings
 from primroselever_node import clock
+from primroselever_node.console.command import EXIT_FAILED
 from primroselever_node.process import DRAIN_POLL_S
 
 from .conftest import (
@@ -455,6 +456,31 @@
     assert stop.process.unready_reason() == "leaving"
 
 
+# Guards against requests that are cut off without an answer since SIGTERM is repeated,
+# and against an operator who cannot end the process at once.
+def test_a_repeated_sigterm_does_not_end_the_process(
+    stop, signal_handlers, monkeypatch
+):
+    exits = []
+    monkeypatch.setattr("os._exit", exits.append)
+    backend = stop.entry.add("a")
+    gates = Gates(backend)
+    backend.responses = [[GATE, *ok_response()]]
+    busy = stop.entry.connect()
+    busy.sendall(order())
+    wait_for(lambda: backend.requests)
+    stop.run()
+    signal_handlers[signal.SIGTERM](signal.SIGTERM, None)
+    for _ in range(3):
+        stop.clock.advance(1.0)
+        signal_handlers[signal.SIGTERM](signal.SIGTERM, None)
+    gates.open()
+    assert read_all(busy).endswith(b"ok")
+    assert exits == []
+    signal_handlers[signal.SIGINT](signal.SIGINT, None)
+    assert exits == [EXIT_FAILED]
+
+
 # Guards against a reload that moves the times of a stop, which the platform does not.
 def test_a_reload_does_not_change_a_stop(stop):
     stop.begin()
--- a/packages/primroselever-node/src/primroselever_node/process.py
+++ b/packages/primroselever-node/src/primroselever_node/process.py
@@ -14,7 +14,7 @@
 from .console.command import EXIT_FAILED, EXIT_OK
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
 logger = logging.getLogger(__name__)
 
@@ -61,27 +61,39 @@
     """
     Waits for the first SIGTERM or SIGINT.
 
-    A second signal ends the process immediately, for operators who cannot wait for
-    the graceful shutdown. ``on_stop`` is called in the signal handler with the time of
-    the first signal, before any other greenlet runs. It must not switch greenlets.
+    A second signal that is one of ``ending_signals`` ends the process immediately, for
+    operators who cannot wait for the graceful shutdown. ``on_stop`` is called in the
+    signal handler with the time of the first signal, before any other greenlet runs. It
+    must not switch greenlets.
     """
 
-    def __init__(self, on_stop: Callable[[float], None] | None = None) -> None:
+    def __init__(
+        self,
+        on_stop: Callable[[float], None] | None = None,
+        ending_signals: Collection[int] = (signal.SIGTERM, signal.SIGINT),
+    ) -> None:
         self.event = Event()
         self.signal_count = 0
         self.on_stop = on_stop
+        self.ending_signals = ending_signals
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self.on_signal)
 
     def on_signal(self, number: int, _frame: object) -> None:
         """Schedule the event on the hub, where switching greenlets is safe."""
         self.signal_count += 1
+        hub = eventlet.hubs.get_hub()
+        if self.signal_count > 1 and number not in self.ending_signals:
+            hub.schedule_call_global(
+                0, logger.warning, "signal %d received again; still draining", number
+            )
+            return
         if self.signal_count > 1:
             logger.warning("second signal (%d) received; exiting immediately", number)
             os._exit(EXIT_FAILED)
         if self.on_stop is not None:
             self.on_stop(clock.now())
-        eventlet.hubs.get_hub().schedule_call_global(0, self.send_event)
+        hub.schedule_call_global(0, self.send_event)
 
     def send_event(self) -> None:
         """Send the event unless it has been sent."""
