Describe which late requests a stopping entry takes

Tests of what holds besides: a request that was passed on never gets 503, and a server that hangs is replaced while there is time.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/settings.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/settings.py
@@ -43,7 +43,8 @@
     ``configuration_within_s`` is the time in which a configuration must be in force
     after its publication. ``retry_ratio``,
     ``retry_slack`` and ``retry_window_s`` are the retry budget of all entries together.
-    ``turn_away_s`` is how many seconds a leaving entry accepts new connections.
+    ``turn_away_s`` is for how many seconds a leaving entry takes every request; later
+    it takes only those whose deadlines are before its end.
     ``answer_buffer_bytes`` is how much of a plain answer is kept before it is forwarded
     as it arrives, ``event_limit_bytes`` the largest event of a stream, and
     ``buffers_limit_bytes`` what all responses may hold together.
--- a/packages/primroselever-entry/tests/direct/test_planned_stop.py
+++ b/packages/primroselever-entry/tests/direct/test_planned_stop.py
@@ -22,6 +22,7 @@
 from .conftest import (
     CLOSE,
     EVENTS,
+    HANG,
     LIMITS,
     STREAM_END,
     assert_complete,
@@ -365,6 +366,44 @@
     assert len(first.requests) + len(other.requests) == 1
 
 
+# Guards against a statement that a request has not run, to the caller of one that must
+# not be repeated and was passed on.
+@pytest.mark.parametrize("end", ["hangs", "breaks off"])
+def test_an_order_that_was_passed_on_gets_502(stop, end):
+    backend = stop.entry.add("a")
+    gates = Gates(backend)
+    backend.responses = [[GATE, CLOSE]]
+    connection = stop.entry.connect()
+    stop.begin()
+    connection.sendall(order())
+    wait_for(lambda: backend.requests)
+    stop.clock.advance(3.5)
+    if end == "breaks off":
+        gates.open()
+    else:
+        stop.clock.advance(4.0)
+    response = read_all(connection)
+    assert response.startswith(b"HTTP/1.1 502")
+    assert b"retry-after:" not in response.lower()
+
+
+# Guards against a request that a server that hangs holds until the end, although there
+# is time to send it to another one.
+def test_a_server_that_hangs_is_replaced_in_time(stop):
+    first, other = stop.entry.add("a"), stop.entry.add("b")
+    first.responses, other.responses = [[HANG]], [[HANG]]
+    connection = stop.entry.connect()
+    stop.begin()
+    stop.clock.advance(1.0)
+    connection.sendall(request("/read/x", headers=[LONG], close=False))
+    wait_for(lambda: first.requests or other.requests)
+    stop.clock.advance(1.0)
+    wait_for(lambda: first.requests and other.requests)
+    stop.clock.advance(5.5)
+    assert read_all(connection).startswith(b"HTTP/1.1 502")
+    assert (len(first.requests), len(other.requests)) == (1, 1)
+
+
 # Guards against an answer with an error that is dropped, while no retry is possible.
 def test_an_error_that_cannot_be_retried_late_is_forwarded(stop):
     first, other = stop.entry.add("a"), stop.entry.add("b")
