--- a/packages/primroselever-entry/tests/direct/test_planned_stop.py
+++ b/packages/primroselever-entry/tests/direct/test_planned_stop.py
@@ -16,11 +16,13 @@
 from primroselever_entry.direct.process import LAST_WRITES_S, DirectEntryProcess
 from primroselever_entry.direct.settings import DirectEntrySettings
 from primroselever_node import clock
+from primroselever_node.console.command import EXIT_FAILED
 from primroselever_node.process import DRAIN_POLL_S
 
 from .conftest import (
     CLOSE,
     EVENTS,
+    HANG,
     LIMITS,
     STREAM_END,
     assert_complete,
@@ -364,6 +366,44 @@
     assert len(first.requests) + len(other.requests) == 1
 
 
+# Guards against a statement that a request has not run, to the caller of one that must
+# not be repeated and was passed on.
+@pytest.mark.parametrize("end", ["hangs", "breaks off"])
+def test_an_order_that_was_passed_on_gets_502(stop, end):
+    backend = stop.entry.add("a")
+    gates = Gates(backend)
+    backend.responses = [[GATE, CLOSE]]
+    connection = stop.entry.connect()
+    stop.begin()
+    connection.sendall(order())
+    wait_for(lambda: backend.requests)
+    stop.clock.advance(3.5)
+    if end == "breaks off":
+        gates.open()
+    else:
+        stop.clock.advance(4.0)
+    response = read_all(connection)
+    assert response.startswith(b"HTTP/1.1 502")
+    assert b"retry-after:" not in response.lower()
+
+
+# Guards against a request that a server that hangs holds until the end, although there
+# is time to send it to another one.
+def test_a_server_that_hangs_is_replaced_in_time(stop):
+    first, other = stop.entry.add("a"), stop.entry.add("b")
+    first.responses, other.responses = [[HANG]], [[HANG]]
+    connection = stop.entry.connect()
+    stop.begin()
+    stop.clock.advance(1.0)
+    connection.sendall(request("/read/x", headers=[LONG], close=False))
+    wait_for(lambda: first.requests or other.requests)
+    stop.clock.advance(1.0)
+    wait_for(lambda: first.requests and other.requests)
+    stop.clock.advance(5.5)
+    assert read_all(connection).startswith(b"HTTP/1.1 502")
+    assert (len(first.requests), len(other.requests)) == (1, 1)
+
+
 # Guards against an answer with an error that is dropped, while no retry is possible.
 def test_an_error_that_cannot_be_retried_late_is_forwarded(stop):
     first, other = stop.entry.add("a"), stop.entry.add("b")
@@ -455,6 +495,31 @@
     assert stop.process.unready_reason() == "leaving"
 
 
+# Guards against requests that are cut off without an answer since SIGTERM is repeated,
+# and against an operator who cannot end the process at once.
+def test_a_repeated_sigterm_does_not_end_the_process(
+    stop, signal_handlers, monkeypatch
+):
+    exits = []
+    monkeypatch.setattr("os._exit", exits.append)
+    backend = stop.entry.add("a")
+    gates = Gates(backend)
+    backend.responses = [[GATE, *ok_response()]]
+    busy = stop.entry.connect()
+    busy.sendall(order())
+    wait_for(lambda: backend.requests)
+    stop.run()
+    signal_handlers[signal.SIGTERM](signal.SIGTERM, None)
+    for _ in range(3):
+        stop.clock.advance(1.0)
+        signal_handlers[signal.SIGTERM](signal.SIGTERM, None)
+    gates.open()
+    assert read_all(busy).endswith(b"ok")
+    assert exits == []
+    signal_handlers[signal.SIGINT](signal.SIGINT, None)
+    assert exits == [EXIT_FAILED]
+
+
 # Guards against a reload that moves the times of a stop, which the platform does not.
 def test_a_reload_does_not_change_a_stop(stop):
     stop.begin()
