Specify when old proofs of absence may count as younger

Callers saw: nothing yet; found while specifying the bound on older weights.

Cause: an entry whose latest proof is older than contact_s (3 s) counts from now, or from 3 s before it learns of a version. Proofs become that old on entries in touch, as a watch alone waits for 2.5 s.

Change: the specification of lapsed weights has lenient entries. It holds if no entry in touch has a proof as old as the age from which the entry is lenient. Two mutants are lenient earlier.

--- a/models/lapsed_weights.py
+++ b/models/lapsed_weights.py
@@ -9,8 +9,11 @@
 The entry cancels the request at the lapse, but only while its event loop runs.
 
 Excluded are a link that delays the request itself by more than ``MARGIN``, clocks that
-run at different speeds, and entries out of touch: here, an entry sends nothing without
-a proof from within the bound, while the real one is lenient after ``contact_s``.
+run at different speeds, and versions that an entry skips.
+
+An entry whose latest proof is too old is out of touch. It must not lose all engines, so
+it takes its proof for younger than it is. This is safe as long as no entry in touch has
+a proof as old, which ``lateness`` states; without lenience, nothing is assumed.
 """
 
 from __future__ import annotations
@@ -86,6 +89,9 @@
     counts from its reading, ``ages_transit`` if the time of a heartbeat on its way is
     ignored, ``compares_versions`` if proofs also count from a peer that has the newer
     version. ``may_stall`` is set if the event loop may stop.
+
+    A proof that is older than ``lenient_after`` counts as one of ``lenient_age``. The
+    entry always has the version or a proof that is no older than ``lateness``.
     """
 
     bound: int = 5
@@ -97,6 +103,9 @@
     ages_transit: bool = True
     compares_versions: bool = True
     may_stall: bool = True
+    lenient_after: int = OLD
+    lenient_age: int = OLD
+    lateness: int = OLD
 
     def transitions(self, state: State) -> list[tuple[str, State]]:
         """Return the labels and successors of all transitions from a state."""
@@ -107,7 +116,8 @@
         request = current.request
         if request is not None and request.begun_at != NONE:
             return
-        yield "a tick passes", self.pass_tick(current)
+        if current.learned != NONE or current.proof < self.lateness:
+            yield "a tick passes", self.pass_tick(current)
         if current.acknowledged == NONE:
             acknowledged = current._replace(acknowledged=0)
             yield "the store acknowledges the version", acknowledged
@@ -147,7 +157,9 @@
     def entry_steps(self, current: GlobalState) -> Iterator[tuple[str, GlobalState]]:
         """Yield what the entry does while its event loop runs."""
         if current.acknowledged != NONE and current.learned == NONE:
-            yield "the entry learns of the version", current._replace(learned=0)
+            proof = self.trusted_age(current)
+            learned = current._replace(learned=0, proof=proof)
+            yield "the entry learns of the version", learned
         if current.answer != NONE:
             age = current.answer if self.ages_answers else 0
             read = current._replace(answer=NONE, proof=min(age, current.proof))
@@ -174,9 +186,16 @@
     def time_left(self, current: GlobalState) -> int:
         """Return the time left until the older weights lapse, as the entry knows it."""
         if self.counts_from_proof:
-            return self.bound - MARGIN - current.proof
+            return self.bound - MARGIN - self.trusted_age(current)
         return self.bound - MARGIN - max(current.learned, 0)
 
+    def trusted_age(self, current: GlobalState) -> int:
+        """Return the age that counts for that of the latest proof."""
+        # The time from which the bound counts is fixed once the version is known.
+        if current.learned != NONE or current.proof <= self.lenient_after:
+            return current.proof
+        return self.lenient_age
+
     def pass_tick(self, current: GlobalState) -> GlobalState:
         """Return the state after a tick."""
         age, transit = current.heartbeat
@@ -239,7 +258,7 @@
     return Specification(
         name=name,
         fields=GlobalState._fields,
-        initial=GlobalState(proof=rules.bound + 1),
+        initial=GlobalState(proof=min(rules.bound + 1, rules.lateness)),
         transitions=rules.transitions,
         invariants=invariants,
         expected_violation=expected_violation,
@@ -259,9 +278,17 @@
         "heartbeats without transit": replace(small, ages_transit=False),
         "proofs of newer versions": replace(small, compares_versions=False),
     }
+    # The bound is 4 and the contact time 2: a proof that counts as one of at least
+    # ``bound - contact`` lets no request wait for longer than the contact time.
+    touch = EntryRules(bound=4, lenient_after=2, lenient_age=2, lateness=2)
+    mutants["old proofs count as none"] = replace(touch, lenient_after=1, lenient_age=0)
+    mutants["old proofs count as younger"] = replace(
+        touch, lenient_after=1, lenient_age=1
+    )
     punctual = replace(rules, limits_engine=False, may_stall=False)
     return [
         specification(name, rules),
+        specification(f"{name}: lenient out of touch", touch),
         # Without stalls, the cancellation of the entry is enough.
         specification(f"{name}: no limit, no stalls", punctual),
         specification(f"{name}: reaches the bound", small, "begins_earlier"),
