--- a/bench/lapse_schedules.py
+++ b/bench/lapse_schedules.py
@@ -350,7 +350,7 @@
                 MODEL: {
                     each.version: clock.proven_age_ms(each.absent_at, now)
                     for each in published.history
-                    if not each.assumed
+                    if each.proven
                 }
             },
             None if proof_at is None else clock.proven_age_ms(proof_at, now),
