Forget proofs that a suspended entry may misdate, and test the time of bounds

Callers saw: nothing yet.

Change: a heartbeat that is faster by more than 50 ms than all of the last windows proves nothing, and the entry forgets its proof until the next one. A version that is learned meanwhile counts from contact_s before its receipt. PublishedWeights.append takes the time of receipt, as before.

--- a/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
@@ -24,7 +24,7 @@
     is_final,
     is_same_write,
 )
-from .published_weights import PublishedVersion, PublishedWeights
+from .published_weights import PublishedWeights
 from .routes import RouteTable
 from .store_position import START_POSITION, StorePosition
 
@@ -96,15 +96,12 @@
         published = self.weights.get(model)
         if published is not None and version <= published.version:
             return False
-        earliest_at = now - self.contact_s
-        proof_at = self.freshness.proof_at
-        added = PublishedVersion(version, earliest_at, now)
-        if proof_at is not None and proof_at >= earliest_at:
-            added = added.with_proof(proof_at)
         if published is None:
-            self.weights[model] = PublishedWeights([added])
-        else:
-            published.append(added)
+            published = self.weights[model] = PublishedWeights([])
+        published.append(version, now, now - self.contact_s)
+        proof_at = self.freshness.proof_at
+        if proof_at is not None and proof_at >= published.absent_at:
+            published.history[-1] = published.newest.with_proof(proof_at)
         return True
 
     def list_server(self, server: ListedServer) -> bool:
--- a/packages/primroselever-core/src/primroselever_core/catalogue/freshness.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/freshness.py
@@ -55,6 +55,14 @@
         if self.proof_at is None or at > self.proof_at:
             self.proof_at = at
 
+    def forget_proofs(self) -> None:
+        """
+        Forget the last proof, as this process's clock may have stood still since.
+
+        ``own_proof_at`` stays, since peers add the time for which it stood still.
+        """
+        self.proof_at = None
+
     def record_named(self, revision: int, in_force: int, now: float) -> None:
         """Record the revision that a peer has in force."""
         if revision <= max(in_force, self.named_revision):
--- a/packages/primroselever-core/src/primroselever_core/catalogue/published_weights.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/published_weights.py
@@ -73,9 +73,10 @@
         """Return the time from which the bound of the newest version counts."""
         return self.newest.absent_at
 
-    def append(self, published: PublishedVersion) -> None:
-        """Add a newer version."""
-        self.history.append(published)
+    def append(self, version: int, now: float, absent_at: float | None = None) -> None:
+        """Add a newer version, learned now, whose bound counts from then by default."""
+        absent_at = now if absent_at is None else absent_at
+        self.history.append(PublishedVersion(version, absent_at, now))
         del self.history[:-MAX_VERSIONS_PER_MODEL]
 
     def assume_absent_at(self, absent_at: float) -> None:
--- a/packages/primroselever-core/src/primroselever_core/gossip/transit.py
+++ b/packages/primroselever-core/src/primroselever_core/gossip/transit.py
@@ -29,6 +29,7 @@
 
     ``smallest_s`` is the smallest difference of the present window, which began at
     ``window_at``, and ``previous_s`` that of the window before. Both are in seconds.
+    ``stepped`` is set if the last heartbeat was much faster than all before it.
 
         >>> delay = TransitDelay()
         >>> delay.record(1, 500.0, 10.0)
@@ -40,6 +41,7 @@
     window_at: float = -inf
     smallest_s: float = inf
     previous_s: float = inf
+    stepped: bool = False
 
     def record(
         self, incarnation: int, sent_at: float, received_at: float
@@ -59,7 +61,8 @@
             self.restart(received_at)
             self.previous_s = previous_s
         known_s = min(self.smallest_s, self.previous_s)
-        if difference_s < known_s - MAX_STEP_S:
+        self.stepped = difference_s < known_s - MAX_STEP_S < inf
+        if self.stepped:
             self.restart(received_at)
             known_s = inf
         self.smallest_s = min(self.smallest_s, difference_s)
--- a/packages/primroselever-entry/tests/direct/test_process.py
+++ b/packages/primroselever-entry/tests/direct/test_process.py
@@ -45,6 +45,21 @@
     assert entry.flow.limits.regions == {"a": "north"}
 
 
+# Guards against a bound on old weights that ignores a reloaded contact time.
+def test_reload_applies_the_contact_time(entry):
+    settings = DirectEntrySettings.model_validate(SETTINGS)
+    process = SimpleNamespace(
+        settings=settings,
+        board=entry.board,
+        flow=entry.flow,
+        caller_server=entry.server,
+        start_watch=StartWatch(entry.board),
+    )
+    changed = settings.model_copy(update={"contact_s": 4.0})
+    DirectEntryProcess.reload(process, changed)
+    assert entry.board.catalogue.contact_s == 4.0
+
+
 # Guards against a setting that takes effect only after a restart, or without being set.
 def test_reload_turns_the_measured_pace_on_and_off(entry):
     settings = DirectEntrySettings.model_validate(SETTINGS)
--- a/packages/primroselever-entry/tests/direct/test_weight_prefetch.py
+++ b/packages/primroselever-entry/tests/direct/test_weight_prefetch.py
@@ -44,6 +44,31 @@
     assert prefetched == [("m", 5)]
 
 
+# Guards against a bound that passes too early: an entry that has just started sees a
+# new version appear, and takes it for an old one.
+def test_a_version_that_appears_after_the_start_keeps_its_proven_time():
+    prefetched: list[tuple[str, int]] = []
+    process = make_process(prefetched, running_s=1.0)
+    catalogue = process.board.catalogue
+    catalogue.contact_s = process.settings.contact_s
+    proof_at = clock.now() - 0.2
+    catalogue.freshness.record_proof(proof_at)
+    publish(process, 1)
+    assert catalogue.weights["m"].absent_at == proof_at
+    assert prefetched == [("m", 1)]
+
+
+# Guards against a receipt that counts as the time of publication: an entry that runs
+# for longer than its contact time finds the first version.
+def test_a_version_that_a_running_entry_finds_has_no_proven_time():
+    process = make_process([], running_s=60.0)
+    process.board.catalogue.contact_s = process.settings.contact_s
+    publish(process, 4)
+    newest = process.board.catalogue.weights["m"].newest
+    assert newest.absent_at <= clock.now() - process.settings.contact_s
+    assert not newest.proven
+
+
 def test_the_first_version_of_a_model_is_prefetched_by_a_running_entry():
     """Engines of a new model would wait until the first request for each piece."""
     prefetched: list[tuple[str, int]] = []
--- a/packages/primroselever-node/src/primroselever_node/direct/gossip.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/gossip.py
@@ -399,7 +399,7 @@
         self.board.holdings.record(heartbeat.host, heartbeat.pieces or {})
         peers.add_reported_peers(heartbeat.peers or {}, now)
         catalogue = self.board.catalogue
-        sent_at = measure_sending(peer, heartbeat, now)
+        sent_at = measure_sending(catalogue, peer, heartbeat, now)
         record_weights_ages(catalogue, heartbeat, sent_at, now)
         record_proof(catalogue, peer, heartbeat, sent_at, now)
         catalogue.freshness.record_named(
--- a/packages/primroselever-node/src/primroselever_node/direct/peer_proofs.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/peer_proofs.py
@@ -9,16 +9,22 @@
     from primroselever_core.gossip.peers import Peer
 
 
-def measure_sending(peer: Peer, heartbeat: Any, now: float) -> float | None:
+def measure_sending(
+    catalogue: Catalogue, peer: Peer, heartbeat: Any, now: float
+) -> float | None:
     """
     Return when a heartbeat was sent by this process's clock, None if unknown.
 
     Without it, the ages in the heartbeat prove nothing: they lack its time on the way.
+    A heartbeat that is much faster than all before it may show that this process was
+    suspended. Its proofs would then seem younger by that time.
     """
     if heartbeat.sent_ms is None:
         return None
     sent_at = heartbeat.sent_ms / 1000
     delay_s = peer.transit.record(heartbeat.incarnation, sent_at, now)
+    if peer.transit.stepped:
+        catalogue.freshness.forget_proofs()
     return None if delay_s is None else now - delay_s
 
 
