Take the proofs of part-updates in drawn schedules

Change: measure_sending takes the catalogue, whose proofs it may forget; the tests are named in docs/proofs.md.

--- a/bench/lapse_schedules.py
+++ b/bench/lapse_schedules.py
@@ -371,7 +371,7 @@
             heartbeat.sender, Peer(str(heartbeat.sender), "a")
         )
         peer.weights = dict(heartbeat.weights)
-        sent_at = measure_sending(peer, heartbeat, now)
+        sent_at = measure_sending(entry.catalogue, peer, heartbeat, now)
         if not self.rules.ages_transit:
             sent_at = now
         record_weights_ages(entry.catalogue, heartbeat, sent_at, now)
