Test how old the last proof is in quiet times

Change: the simulated entries record proofs; after a change, no proof is older than the spread of three readers over a watch, a heartbeat interval and two steps, 1.43 s. The test cannot fail on earlier code, which has no proofs that are lower bounds. Heartbeats with odd times of sending and answers are tested too.

Correction of: not all entries would read the store after each change if that depended on lower bounds.

--- a/packages/primroselever-core/src/primroselever_core/gossip/readers.py
+++ b/packages/primroselever-core/src/primroselever_core/gossip/readers.py
@@ -71,9 +71,9 @@
     """
     Return whether the last answer that nothing later is published is too old.
 
-    ``answer_at`` is when this process or a peer read it. Its own time would not do: a
-    change ends the watches of all readers, and their answers then tell only of the time
-    of the call, so that all entries would read the store after each change.
+    ``answer_at`` is when this process or a peer read it. The time of which it tells for
+    certain would not do: a change ends the watches of all readers, and their answers
+    tell of the times of the calls, so that other entries would read the store as well.
     ``within_s`` is the time in seconds in which a configuration must be in force.
     """
     if answer_at is None:
--- a/packages/primroselever-core/tests/gossip/test_configuration_proofs.py
+++ b/packages/primroselever-core/tests/gossip/test_configuration_proofs.py
@@ -31,6 +31,7 @@
         self.freshness = Freshness()
         self.next_heartbeat_at = random.uniform(0.0, HEARTBEAT_S)
         self.next_check_at = random.uniform(0.0, CHECK_S)
+        self.watch_began_at = 0.0
         self.watch_ends_at: float | None = None
         self.served = True
         self.calls = 0
@@ -46,6 +47,7 @@
             return
         if self.watch_ends_at is not None and self.served:
             self.freshness.record_own_answer(now)
+            self.freshness.record_own_proof(now)
         self.watch_ends_at = None
         if now < self.next_check_at:
             return
@@ -55,13 +57,17 @@
             is_first = self.freshness.own_answer_at is None
             if is_first:
                 self.freshness.record_own_answer(now)
+                self.freshness.record_own_proof(now)
             share = first_watch_share(self.peers, now) if is_first else 1.0
+            self.watch_began_at = now
             self.watch_ends_at = now + WATCH_S * share
 
     def change(self, now: float) -> None:
         """End the watch with a change, and start the first one after it."""
         if self.watch_ends_at is not None:
             self.freshness.record_own_answer(now)
+            self.freshness.record_own_proof(self.watch_began_at)
+            self.watch_began_at = now
             self.watch_ends_at = now + WATCH_S * first_watch_share(self.peers, now)
 
 
@@ -91,6 +97,7 @@
                 continue
             peer.store_age_s = self.now - answer_at
             entry.freshness.record_answer(answer_at)
+            entry.freshness.record_proof(sender.freshness.own_proof_at)
 
     def readers(self) -> list[SimulatedEntry]:
         return [entry for entry in self.entries if reads_store(entry.peers, self.now)]
@@ -133,3 +140,18 @@
     domain.run_until(42.0)
     assert len(readers) == 3
     assert [e.calls for e in domain.entries if e not in readers] == calls
+
+
+# Guards against weights that lapse seconds too early, as their bound counts from the
+# last proof: the store must answer the readers in turn, and heartbeats tell of it.
+@pytest.mark.parametrize("seed", range(10))
+def test_in_quiet_times_the_last_proof_is_recent(seed):
+    domain = SimulatedDomain(seed)
+    domain.run_until(12.0)
+    for reader in domain.readers():
+        reader.change(domain.now)
+    domain.run_until(12.0 + WATCH_S)
+    while domain.now < 42.0:
+        domain.run_until(domain.now + STEP_S)
+        oldest_at = min(entry.freshness.proof_at for entry in domain.entries)
+        assert domain.now - oldest_at <= WATCH_S / 3 + HEARTBEAT_S + 2 * STEP_S
--- a/packages/primroselever-node/tests/direct/test_datagram_reader.py
+++ b/packages/primroselever-node/tests/direct/test_datagram_reader.py
@@ -182,6 +182,8 @@
         {"weights_age_ms": {"m": {1: -(2**31)}, b"\xff": {1: 1}}},
         {"configuration_revision": 2**63 - 1, "store_revision": -(2**63)},
         {"store_age_ms": 2**63 - 1, "operator_age_ms": -(2**63)},
+        {"sent_ms": 2**63 - 1, "answer_age_ms": -(2**63)},
+        {"sent_ms": -(2**63), "answer_age_ms": 2**63 - 1},
         {"store_era": 2**63 - 1, "evacuations_era": -(2**63)},
         {"pieces": {b"\xff": {1: b"\xff"}, "m": {-1: b""}}},
     ],
