Count a watch that the store ends a little early as a proof

Cause: a watch without changes proved something only if its whole wait had passed.

Change: a watch that ends up to 50 ms early counts until 50 ms before the end of its wait.

--- a/packages/primroselever-node/src/primroselever_node/direct/follower.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/follower.py
@@ -41,6 +41,9 @@
     from .sources import CatalogueSource
 
 WATCH_WAIT_S = 2.5  # the platform counts a process as out of touch after 3 s
+# By how much a store may end a watch early, as timers are coarse. A late copy of an
+# earlier answer comes long before the end.
+EARLY_END_S = 0.05
 FIRST_RETRY_S = 0.15  # many times the 4 ms in which the store answers
 MAX_RETRY_S = 1.0  # below the time in which a configuration must be in force
 # Batches the changes of back ends, which come in bursts, as each call to the store is
@@ -372,7 +375,10 @@
     if changes.events:
         return changes.asked_at if changes.position > position else None
     waited_until = changes.asked_at + int(wait_s * 1000) / 1000  # as it is sent
-    return waited_until if now >= waited_until else None
+    if now >= waited_until:
+        return waited_until
+    earliest_end = waited_until - EARLY_END_S
+    return max(changes.asked_at, earliest_end) if now >= earliest_end else None
 
 
 def is_burst_of_large_configurations(changes: CatalogueChanges) -> bool:
