--- a/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
@@ -91,22 +91,17 @@
         Record a published version; return whether it is the newest of its model.
 
         Its bound counts from the last proof that it was not published. An entry without
-        one for ``unproven_s`` must not lose all engines at once. The version that
-        follows the known one may be skipped, and its bound applies as well.
+        one for ``unproven_s`` must not lose all engines at once.
         """
         published = self.weights.get(model)
         if published is not None and version <= published.version:
             return False
         if published is None:
             published = self.weights[model] = PublishedWeights([])
-            first_unknown = version
-        else:
-            first_unknown = published.version + 1
+        published.append(version, now, now - self.unproven_s)
         proof_at = self.freshness.proof_at
-        for added in sorted({first_unknown, version}):
-            published.append(added, now, now - self.unproven_s)
-            if proof_at is not None and proof_at >= published.absent_at:
-                published.history[-1] = published.newest.with_proof(proof_at)
+        if proof_at is not None and proof_at >= published.absent_at:
+            published.history[-1] = published.newest.with_proof(proof_at)
         return True
 
     def list_server(self, server: ListedServer) -> bool:
