Keep the bounds of versions that an entry skipped

Callers saw: in drawn schedules, requests began on version 1 up to 0.719 s after the bound of version 2, which their entry never learned of.

Cause: an entry that has versions 1 and 3 took a peer's proof of the absence of version 3 for one of any version after 1. The bound of version 1 then counted from that proof, also if the peer had version 2.

Change: before the time of a version moves forward, a version that may have been skipped is added with the time that it had. A process that has found only its first version keeps taking the proven time of a peer for it.

--- a/packages/primroselever-core/src/primroselever_core/catalogue/published_weights.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/published_weights.py
@@ -90,9 +90,22 @@
 
         ``at`` is a time that this answer covers. It only moves times forward.
         """
+        newer = [each for each in self.history if each.version > version]
         for index, published in enumerate(self.history):
             if published.version > version and at > published.absent_at:
                 self.history[index] = published.with_proof(at)
+        if newer and at > newer[0].absent_at:
+            self.keep_skipped_bound(version, newer[0])
+
+    def keep_skipped_bound(self, version: int, following: PublishedVersion) -> None:
+        """
+        Add a version that may have been published, if this process skipped it.
+
+        Its bound counts from the time that the version after it had: a later proof of
+        the absence of that one says nothing about it.
+        """
+        if version > 0 and self.find(version) is None:
+            self.insert(replace(following, version=version))
 
     def record_peer_absent_at(self, version: int, absent_at: float) -> None:
         """
@@ -111,7 +124,10 @@
         if index is None:
             self.insert(PublishedVersion(version, absent_at, proven=True))
         elif not self.history[index].proven:
-            self.history[index] = self.history[index].with_proof(absent_at)
+            known = self.history[index]
+            self.history[index] = known.with_proof(absent_at)
+            if index > 0 and absent_at > known.absent_at:
+                self.keep_skipped_bound(version - 1, known)
 
     def record_peer_learned_at(self, version: int, learned_at: float) -> None:
         """
--- a/packages/primroselever-core/tests/catalogue/test_skipped_versions.py
+++ b/packages/primroselever-core/tests/catalogue/test_skipped_versions.py
@@ -41,6 +41,18 @@
     assert published.outdated_since(1) <= estimated_at
 
 
+# Guards against requests that begin too late on version 1 of an engine: a started entry
+# found version 3, and a peer that has version 2 proves only the absence of version 3.
+def test_a_started_process_does_not_postpone_the_bound_of_a_version_before():
+    catalogue = Catalogue(contact_s=3.0)
+    catalogue.publish_weights("m", 3, LEARNED_AT)
+    published = catalogue.weights["m"]
+    published.assume_absent_at(PROVEN_AT)
+    published.record_absent(2, PEER_PROOF_AT)
+    assert published.outdated_since(1) <= PROVEN_AT
+    assert published.outdated_since(2) == PEER_PROOF_AT
+
+
 # Guards against a bound that stays early although a peer proved that version 1 was the
 # newest for longer.
 def test_a_peer_without_the_skipped_version_postpones_the_bound(published):
