Take an engine's end in the last millisecond for that at the lapse

An engine that ends a request exactly when its time is over could count as crashed, and the request as one that crashed it.

Cause: the engine is told whole milliseconds, rounded down, but the entry compared the time of the end with the exact lapse. On a link of less than 1 ms the end arrives before it.

Change: ends within a millisecond before the lapse count as those at the lapse.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -89,6 +89,8 @@
 ENDED_REASON = "the engine ended the request when its weights lapsed"
 OUTDATED_REASON = "it would start too late on the engine's weights"
 MISPLACED_REASON = "its failure domain may no longer be used"
+# Engines are told their time in whole milliseconds, rounded down.
+TIME_STEP_S = 0.001
 BODY_METHODS = (b"POST", b"PUT", b"PATCH")
 
 
@@ -646,7 +648,7 @@
     def has_ended_at_lapse(self) -> bool:
         """Return whether the engine had to end its work since its weights lapsed."""
         return self.engine_ends_at < self.state.deadline and (
-            clock.now() >= self.engine_ends_at
+            clock.now() >= self.engine_ends_at - TIME_STEP_S
         )
 
     def predict_longest_run_s(self) -> float:
--- a/packages/primroselever-entry/tests/direct/test_lapsing_weights.py
+++ b/packages/primroselever-entry/tests/direct/test_lapsing_weights.py
@@ -383,6 +383,45 @@
     assert not entry.board.suspects.records
 
 
+# Guards against an engine that counts as crashed since it ended a stream when its time
+# was over, which is up to 1 ms before the lapse: it is told whole milliseconds.
+def test_an_engine_that_ends_as_it_was_told_has_not_crashed(
+    entry, engines, monkeypatch
+):
+    old, new = engines
+    sender_class = sending.AttemptSender
+    backend_headers, handle_break = (
+        sender_class.backend_headers,
+        sender_class.handle_break,
+    )
+    told_until = []
+
+    def send_at_half_a_millisecond(sender):
+        if sender.backend.listed.server_id != old.name:
+            return backend_headers(sender)
+        lapses_at = entry.flow.weights_lapse_at("m", 1, clock.now())
+        sent_at = lapses_at - 0.1005
+        with monkeypatch.context() as frozen:
+            frozen.setattr(clock, "now", lambda: sent_at)
+            headers = backend_headers(sender)
+        told_until.append(sent_at + int(dict(headers)[b"x-left"]) / 1000)
+        return headers
+
+    def break_at_the_end(sender, exc):
+        with monkeypatch.context() as frozen:
+            frozen.setattr(clock, "now", lambda: told_until[0])
+            return handle_break(sender, exc)
+
+    monkeypatch.setattr(sender_class, "backend_headers", send_at_half_a_millisecond)
+    monkeypatch.setattr(sender_class, "handle_break", break_at_the_end)
+    old.responses = [[stream_head() + chunk(EVENTS[0]), RESET]]
+    new.responses = [[stream_head(), *map(chunk, EVENTS[1:]), STREAM_END]]
+    assert_complete(ask(entry))
+    assert len(told_until) == 1
+    assert entry.board.backends.backends["a"].available(clock.now())
+    assert not entry.board.suspects.records
+
+
 # Guards against requests to engines that are full for others because their weights
 # lapsed while a request waited.
 def test_an_engine_that_refuses_a_request_at_the_lapse_is_not_full(entry, engines):
