--- a/packages/primroselever-core/tests/catalogue/test_skipped_versions.py
+++ b/packages/primroselever-core/tests/catalogue/test_skipped_versions.py
@@ -44,7 +44,7 @@
 # Guards against requests that begin too late on version 1 of an engine: a started entry
 # found version 3, and a peer that has version 2 proves only the absence of version 3.
 def test_a_started_process_does_not_postpone_the_bound_of_a_version_before():
-    catalogue = Catalogue(contact_s=3.0)
+    catalogue = Catalogue(unproven_s=3.0)
     catalogue.publish_weights("m", 3, LEARNED_AT)
     published = catalogue.weights["m"]
     published.assume_absent_at(PROVEN_AT)
