Let the engines of the soak keep the time limits of requests

The simulated engines ignored the header with a request's remaining time, so a soak could not show whether a time limit that an entry sends bounds when a request begins. Now a request that is still queued at its limit, counted from its arrival, is refused with 503 and the not-run header, and a run is ended at its limit: its connection breaks off. A run begins with its first event. A queue can be stopped for a time; requests in it count as load, and are refused if the engine begins to switch versions.

--- a/soak/engines.py
+++ b/soak/engines.py
@@ -7,6 +7,7 @@
 import time
 from dataclasses import dataclass
 from enum import StrEnum
+from math import inf
 from typing import TYPE_CHECKING, Any
 
 import eventlet
@@ -38,6 +39,7 @@
 # A piece that was corrupted this recently may have been verified before.
 CORRUPTION_GRACE_S = 3.0
 RESTART_KINDS = ("kill", "terminate")
+QUEUE_POLL_INTERVAL_S = 0.01
 
 
 class UnframedEnd(StrEnum):
@@ -147,7 +149,8 @@
     ``layers`` maps the layers that it holds to their loads. ``agent`` is the VM of its
     agent. Until ``orders_held_until`` it accepts and answers no order, and with
     ``loses_answer`` it does not answer the next one that it accepts. ``hooks`` are
-    called once, at their moments.
+    called once, at their moments. Until ``queue_held_until`` requests that arrive wait
+    in its queue.
     """
 
     def __init__(self, ledger: Ledger, address: tuple[str, int], domain: str) -> None:
@@ -169,6 +172,7 @@
         self.loaded_at = 0.0
         self.aborted_at = 0.0
         self.orders_held_until = 0.0
+        self.queue_held_until = 0.0
         self.loses_answer = False
         self.order_count = 0
 
@@ -363,16 +367,40 @@
 
     def simulate_work(self, run: Run, duration_s: float) -> None:
         """Sleep for a time; raise CrashedError if the run was ended meanwhile."""
-        super().simulate_work(run, duration_s)
+        remaining_s = max(0.0, run.ends_at - time.monotonic())
+        super().simulate_work(run, min(duration_s, remaining_s))
+        if time.monotonic() >= run.ends_at:
+            raise CrashedError
         if run.started_at <= self.aborted_at:
             run.interrupted = True
             raise CrashedError
 
+    def wait_in_queue(self, ends_at: float) -> None:
+        """
+        Wait until the queue moves, the time limit passes or a switch begins.
+
+        Raise CrashedError if the engine crashed meanwhile.
+        """
+        server_id = self.server_id
+        self.running += 1  # it occupies a place as runs do
+        while time.monotonic() < min(self.queue_held_until, ends_at):
+            if server_id != self.server_id or self.switching:
+                break
+            eventlet.sleep(QUEUE_POLL_INTERVAL_S)
+        if server_id != self.server_id:
+            raise CrashedError
+        self.running -= 1
+
     def run_stream(self, request: Request) -> Reply:
         """Run a request whose path ends with the number of its last event."""
+        ends_at = read_time_limit(request)
         refusal = self.check_admission(request)
         if refusal is not None:
             return refusal
+        self.wait_in_queue(ends_at)
+        if time.monotonic() >= ends_at:
+            self.ledger.counts["refused in the queue at the time limit"] += 1
+            return self.refuse(request, "503 Service Unavailable")
         if len(self.layers) < LAYER_COUNT:
             return self.refuse(request, "421 Misdirected Request")
         if self.switching:
@@ -381,6 +409,7 @@
         if expected_version is not None and int(expected_version) != self.held_version:
             return self.refuse(request, "421 Misdirected Request")
         run = self.begin_run(request)
+        run.ends_at = ends_at
         headers = [
             *self.make_headers(request, run),
             ("Content-Type", "text/event-stream"),
@@ -419,7 +448,16 @@
         try:
             for number in range(first, last + 1):
                 self.simulate_work(run, EVENT_INTERVAL_S)
+                if not run.begun_at:
+                    run.begun_at = time.monotonic()
+                    run.version = layers[0].version
                 self.record_event(layers)
                 yield make_event(request_id, number)
         finally:
             self.running = max(0, self.running - 1)
+
+
+def read_time_limit(request: Request) -> float:
+    """Return when a request that arrives now must have ended, infinity for never."""
+    remaining_ms = request.headers.get("Deadline-Ms")
+    return inf if remaining_ms is None else time.monotonic() + int(remaining_ms) / 1000
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -5,6 +5,7 @@
 import itertools
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
+from math import inf
 
 # The platform allows an answer to end this long after the timeout of its route.
 ANSWER_SLACK_S = 0.5
@@ -32,7 +33,9 @@
     A run of a request; ``interrupted`` is set if its back end crashed meanwhile.
 
     ``leaving`` is set if its answer announced that the back end leaves, and ``limited``
-    if it named a rate limit. ``domain`` is the failure domain of the back end.
+    if it named a rate limit. ``domain`` is the failure domain of the back end. A run of
+    an engine begins with its first event at ``begun_at``, 0 until then, on a
+    ``version`` of the weights. The engine ends it at ``ends_at``.
     """
 
     server_id: str
@@ -43,6 +46,9 @@
     interrupted: bool = False
     leaving: bool = False
     limited: bool = False
+    begun_at: float = 0.0
+    version: int = 0
+    ends_at: float = inf
 
     @property
     def seal(self) -> str:
