Check in the soak that no request begins on lapsed weights

A user saw a request begin on version 2 of the weights 8.107 s after the store acknowledged version 3; the limit is 8 s. No soak could show this: nothing compared the versions of runs with the times of their publication, and no fault made an entry late.

The ledger keeps the time of each version, and reports a run that began on an older one more than 8 s after a newer one was acknowledged. Faults of the links, of the store and of the process of the entry in the 3 s before excuse it; late event loops, late updates and slow engines do not. A new fault at the end of the fixed sequence publishes a version that all entries learn of 0.6 s late and that engines cannot load in time, stops the queues of the engines from 6.0 to 8.05 s after it, and stalls the event loop of one entry for 0.8 s from 7.4 s on. The stall and the delay of datagrams are hooks outside of the programs, installed by the same module that starts mutants.

--- a/soak/backends.py
+++ b/soak/backends.py
@@ -66,10 +66,16 @@
 
 
 class Origin(StandIn):
-    """Serves the manifests and pieces of weights."""
+    """Serves the manifests and pieces of weights, except until ``down_until``."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.down_until = 0.0
 
     def answer(self, request: Request) -> Reply:
         """Return the manifest or a piece of the requested version."""
+        if time.monotonic() < self.down_until:
+            return json_reply({"problem": "away"}, "503 Service Unavailable")
         version = int(request.query.get("version", "1"))
         if request.path.startswith("/manifest/"):
             digests = [
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -73,17 +73,24 @@
         if not available_entries:
             return None, None
         entry = self.random.choice(available_entries)
+        connection = self.connect(entry)
+        if connection is None:
+            return None, None
+        self.remaining_requests = self.random.randrange(MAX_REQUESTS_PER_CONNECTION)
+        if self.keeps_connections:
+            self.remaining_requests = float("inf")
+        return connection, entry
+
+    def connect(self, entry: Vm) -> http.client.HTTPConnection | None:
+        """Return a new connection to an entry, None if connecting fails."""
         host, _, port = entry.settings["callers"].rpartition(":")
         connection = http.client.HTTPConnection(host, int(port), timeout=1.0)
         try:
             connection.connect()
         except OSError:
-            return None, None
+            return None
         self.connection, self.entry = connection, entry
-        self.remaining_requests = self.random.randrange(MAX_REQUESTS_PER_CONNECTION)
-        if self.keeps_connections:
-            self.remaining_requests = float("inf")
-        return connection, entry
+        return connection
 
     def close(self) -> None:
         """Close the connection, if there is one."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -25,6 +25,7 @@
 )
 from .engines import ModelServer
 from .fleet import DOMAINS
+from .lapse_faults import let_weights_lapse
 from .ledger import (
     CONFIGURATION_LIMIT_S,
     CONTACT_RECOVERY_S,
@@ -561,4 +562,5 @@
     silence_plain_server,
     evacuate_domain,
     disturb_loads,
+    let_weights_lapse,
 )
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -28,7 +28,7 @@
     PlainServer,
 )
 from .engines import MODEL_NAME, ModelServer
-from .ledger import Evacuation, Home
+from .ledger import WEIGHTS_WITHIN_S, Evacuation, Home, Version
 from .load_checks import COLD_OVERAGE, COLD_PER_S, COLD_SLACK, PRIORITIES
 from .platform_store import PlatformStore
 
@@ -41,7 +41,6 @@
 ENTRIES_PER_DOMAIN = 2
 ENGINES_PER_DOMAIN = 2
 PLAIN_SERVERS_PER_DOMAIN = 1
-WEIGHTS_WITHIN_S = 8.0
 SHUTDOWN_S = 8.0
 STOP_TIMEOUT_S = 12.0
 READINESS_INTERVAL_S = 0.25
@@ -121,6 +120,7 @@
     listed_server_ids: dict[str, str] = field(default_factory=dict)
     evacuations: dict[str, Evacuation] = field(default_factory=dict)
     store: PlatformStore = field(default_factory=PlatformStore)
+    origin: Origin = field(default_factory=Origin)
     links: Links = field(default_factory=Links)
     origin_address: tuple[str, int] = ("", 0)
     store_address: tuple[str, int] = ("", 0)
@@ -133,7 +133,7 @@
 
     def start(self) -> None:
         """Start the services, publish the initial state, and start the programs."""
-        self.origin_address = self.start_stand_in(Origin(), "127.9.0.2")
+        self.origin_address = self.start_stand_in(self.origin, "127.9.0.2")
         self.store_address = self.start_stand_in(self.store, "127.9.0.1")
         news_port, control_port = find_free_port("udp"), find_free_port("tcp")
         seeds = [
@@ -324,9 +324,11 @@
 
     def publish_weights_version(self, version: int) -> None:
         """Publish the version of the weights that engines must serve."""
-        self.weights_version = version
         value = {"model": MODEL_NAME, "version": version}
         self.store.state.write(f"op/version/{MODEL_NAME}", value)
+        if version > self.weights_version:  # not written again after a restore
+            self.ledger.versions.append(Version(version, time.monotonic()))
+        self.weights_version = version
 
     def list_backend(self, name: str) -> None:
         """Write the store entry of the current incarnation of a back end."""
@@ -389,7 +391,7 @@
         settings_path = self.directory / f"{vm.name}.json"
         settings_path.write_text(json.dumps(vm.settings))
         program = [str(ROOT / "platform" / f"{vm.role}.py")]
-        if self.mutant:
+        if self.mutant or vm.role == "entry":
             program = ["-m", "soak.mutants", self.mutant, vm.role]
         vm.incarnation += 1
         vm.failed_checks, vm.stopping = FAILED_CHECKS_UNTIL_REMOVAL, False
@@ -400,7 +402,12 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                env={**os.environ, "PYTHONPATH": f"{ROOT}{os.pathsep}{ROOT}/platform"},
+                env={
+                    **os.environ,
+                    "PYTHONPATH": f"{ROOT}{os.pathsep}{ROOT}/platform",
+                    # The programs set it too late if a variant imports eventlet first.
+                    "EVENTLET_NO_GREENDNS": "yes",
+                },
             )
 
     def wait_for_exit(self, vm: Vm, timeout_s: float = STOP_TIMEOUT_S) -> int | None:
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -22,6 +22,9 @@
 # Time from the acknowledged evacuation of a failure domain to the last request that
 # begins to run there.
 EVACUATION_LIMIT_S = 5.0
+# Time from the acknowledged publication of a version of weights to the last request
+# that begins on an older one.
+WEIGHTS_WITHIN_S = 8.0
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 STREAM_KINDS = ("stream", "batch")
 UNEXPECTED_STATUSES = (400, 401, 403, 404, 413, 431)
@@ -74,6 +77,14 @@
     published_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class Version:
+    """A version of the weights that the store acknowledged."""
+
+    number: int
+    acknowledged_at: float
+
+
 @dataclass(frozen=True, slots=True)
 class ColdStart:
     """The time in which a back end takes few requests after its start."""
@@ -181,6 +192,7 @@
     limits: list[NamedLimit] = field(default_factory=list)
     evacuations: list[Evacuation] = field(default_factory=list)
     homes: list[Home] = field(default_factory=list)
+    versions: list[Version] = field(default_factory=list)
     cold_starts: list[ColdStart] = field(default_factory=list)
     draining_since: dict[str, float] = field(default_factory=dict)
     counts: Counter[str] = field(default_factory=Counter)
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -1,7 +1,8 @@
 """
 Faulty variants that the soak must detect: python -m soak.mutants NAME ROLE ...
 
-Each mutant replaces one decision with a wrong one, only in the process that runs it.
+Each mutant replaces one decision with a wrong one, only in the process that runs it. An
+empty name stands for the sound program. Entries get the hooks for faults.
 """
 
 from __future__ import annotations
@@ -14,6 +15,8 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+from .entry_hooks import install_hooks
+
 if TYPE_CHECKING:
     from primroselever_agent.direct.filling import FillingController
     from primroselever_core.filling.loads import LoadOrder
@@ -247,7 +250,10 @@
     import eventlet
 
     eventlet.monkey_patch()
-    MUTANTS[name]()
+    if role == "entry":
+        install_hooks()
+    if name:
+        MUTANTS[name]()
     runpy.run_path(str(program), run_name="__main__")
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -20,6 +20,7 @@
     PLANNED_FREQUENCIES,
 )
 from .fleet import Fleet
+from .lapse_checks import check_lapses
 from .ledger import Ledger
 from .load_checks import check_load
 
@@ -96,6 +97,7 @@
         self.ledger.check_completed_soak()
         check_back_ends(self.ledger)
         check_load(self.ledger)
+        check_lapses(self.ledger)
         return self.ledger
 
     def wait_until_ready(self, fleet: Fleet) -> None:
