Drop cancelled requests from the queues of the soak's engines

A request that its entry had cancelled while it waited in a stopped queue began anyway once the queue moved: the simulated engine did not look at its connection, so the check reported entries that had kept the bound.

Requests of the stand-ins now name their connection, and a queued request whose connection was closed is dropped.

--- a/bench/standins/base.py
+++ b/bench/standins/base.py
@@ -15,13 +15,14 @@
 
 @dataclass(slots=True)
 class Request:
-    """A request to a stand-in."""
+    """A request to a stand-in; ``connection`` is the socket on which it arrived."""
 
     method: str
     path: str
     query: dict[str, str]
     headers: dict[str, str]
     body: bytes
+    connection: Any = None
 
     def json(self) -> Any:
         """Return the body as JSON."""
@@ -77,6 +78,7 @@
                 if key.startswith("HTTP_")
             },
             body=environ["wsgi.input"].read(length) if length else b"",
+            connection=environ["wsgi.input"].get_socket(),
         )
         if request.path == "/control":
             reply = self.control(request)
--- a/soak/engines.py
+++ b/soak/engines.py
@@ -4,6 +4,7 @@
 
 import itertools
 import random
+import select
 import time
 from dataclasses import dataclass
 from enum import StrEnum
@@ -11,6 +12,7 @@
 from typing import TYPE_CHECKING, Any
 
 import eventlet
+from eventlet import patcher
 
 from bench.standins.base import Reply, Request, json_reply, not_found
 
@@ -375,21 +377,24 @@
             run.interrupted = True
             raise CrashedError
 
-    def wait_in_queue(self, ends_at: float) -> None:
+    def wait_in_queue(self, request: Request, ends_at: float) -> None:
         """
         Wait until the queue moves, the time limit passes or a switch begins.
 
-        Raise CrashedError if the engine crashed meanwhile.
+        Raise CrashedError if the engine crashed meanwhile or the request was cancelled.
         """
         server_id = self.server_id
         self.running += 1  # it occupies a place as runs do
         while time.monotonic() < min(self.queue_held_until, ends_at):
-            if server_id != self.server_id or self.switching:
+            if server_id != self.server_id or self.switching or is_cancelled(request):
                 break
             eventlet.sleep(QUEUE_POLL_INTERVAL_S)
         if server_id != self.server_id:
             raise CrashedError
         self.running -= 1
+        if is_cancelled(request):
+            self.ledger.counts["cancelled in the queue"] += 1
+            raise CrashedError
 
     def run_stream(self, request: Request) -> Reply:
         """Run a request whose path ends with the number of its last event."""
@@ -397,7 +402,7 @@
         refusal = self.check_admission(request)
         if refusal is not None:
             return refusal
-        self.wait_in_queue(ends_at)
+        self.wait_in_queue(request, ends_at)
         if time.monotonic() >= ends_at:
             self.ledger.counts["refused in the queue at the time limit"] += 1
             return self.refuse(request, "503 Service Unavailable")
@@ -461,3 +466,12 @@
     """Return when a request that arrives now must have ended, infinity for never."""
     remaining_ms = request.headers.get("Deadline-Ms")
     return inf if remaining_ms is None else time.monotonic() + int(remaining_ms) / 1000
+
+
+def is_cancelled(request: Request) -> bool:
+    """Return whether the sender of a request has closed its connection."""
+    if request.connection is None:
+        return False
+    poll = patcher.original("select").poll()
+    poll.register(request.connection, select.POLLRDHUP)
+    return bool(poll.poll(0))
--- a/soak/tests/test_time_limits.py
+++ b/soak/tests/test_time_limits.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+
 import pytest
 
 from bench.standins.base import Reply, Request
@@ -106,3 +108,19 @@
     assert send_stream(engine, 6000).status.startswith("503")
     assert clock.now == 100.0
     assert not engine.ledger.runs
+
+
+def test_a_request_is_dropped_from_the_queue_if_its_connection_is_closed(
+    engine: ModelServer, clock: Clock
+) -> None:
+    """Requests that an entry had cancelled in time began once the queue moved."""
+    engine.queue_held_until = clock.now + 2.0
+    near_side, far_side = socket.socketpair()
+    near_side.close()
+    headers = {"Expect-Instance": engine.server_id, "Request-Id": "r1"}
+    request = Request("POST", "/stream/x/3", {}, headers, b"", far_side)
+    with far_side, pytest.raises(CrashedError):
+        engine.answer(request)
+    assert clock.now == 100.0
+    assert not engine.ledger.runs
+    assert engine.running == 0
