--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -216,6 +216,13 @@
     replace_method(FillingController, "waits_for_order", lambda self, wanted: False)
 
 
+def lapse_not_sent() -> None:
+    """Send engines the caller's time limit, which may be after the weights lapse."""
+    from primroselever_entry.direct.sending import AttemptSender
+
+    replace_method(AttemptSender, "engine_deadline", lambda self: self.state.deadline)
+
+
 MUTANTS = {
     "retry-after-send": retry_after_send,
     "configuration-back": configuration_back,
@@ -236,6 +243,7 @@
     "load-unproven": load_unproven,
     "load-unchecked": load_unchecked,
     "stage-over-order": stage_over_order,
+    "lapse-not-sent": lapse_not_sent,
 }
 
 
