--- a/packages/primroselever-node/src/primroselever_node/direct/follower.py
+++ b/packages/primroselever-node/src/primroselever_node/direct/follower.py
@@ -41,6 +41,9 @@
     from .sources import CatalogueSource
 
 WATCH_WAIT_S = 2.5  # the platform counts a process as out of touch after 3 s
+# By how much a store may end a watch early, as timers are coarse. A late copy of an
+# earlier answer comes long before the end.
+EARLY_END_S = 0.05
 FIRST_RETRY_S = 0.15  # many times the 4 ms in which the store answers
 MAX_RETRY_S = 1.0  # below the time in which a configuration must be in force
 # Batches the changes of back ends, which come in bursts, as each call to the store is
@@ -125,11 +128,17 @@
                 self.schedule_restore_read(part, self.catalogue.latest_era)
                 position = None
             try:
-                changes = self.request_changes(part, position, failures)
+                wait_s = 0.0 if failures else self.watch_wait_s(part)
+                changes = self.request_changes(part, position, wait_s)
+                proof_at = find_proof(changes, position, wait_s, clock.now())
                 if position is None:
                     self.apply_snapshot(part, changes)
                 else:
                     self.apply_changes(part, changes)
+                # Only now is what it proves in force, and what it brought counts from
+                # the proof before.
+                if part is CataloguePart.OPERATOR and proof_at is not None:
+                    self.catalogue.freshness.record_own_proof(proof_at)
             except HistoryLostError as exc:
                 if position is not None and exc.era > position.era:
                     self.schedule_restore_read(part, exc.era)
@@ -164,7 +173,7 @@
             eventlet.sleep(backoff_s(failures, FIRST_RETRY_S, MAX_RETRY_S))
 
     def request_changes(
-        self, part: CataloguePart, position: StorePosition | None, failures: int
+        self, part: CataloguePart, position: StorePosition | None, wait_s: float
     ) -> CatalogueChanges:
         """
         Return a full read, or the changes after a position, of the latest known era.
@@ -177,7 +186,6 @@
             eventlet.sleep(max(0.0, self.next_read_at.pop(part, 0.0) - clock.now()))
             changes = self.source.read(part)
         else:
-            wait_s = 0.0 if failures else self.watch_wait_s(part)
             changes = self.source.watch(part, position.revision, wait_s)
         if changes.era < self.catalogue.latest_era:
             record_late_answer("store", changes.position, self.catalogue.latest_era)
@@ -302,7 +310,7 @@
         if not changed and part not in self.unprocessed_parts:
             return
         configuration = self.catalogue.configuration
-        proof_at = self.catalogue.freshness.previous_proof_at
+        proof_at = self.catalogue.freshness.proof_at
         log_decision(
             "catalogue changed",
             part,
@@ -351,6 +359,28 @@
             self.process_change(CataloguePart.SERVERS)
 
 
+def find_proof(
+    changes: CatalogueChanges, position: StorePosition | None, wait_s: float, now: float
+) -> float | None:
+    """
+    Return until when an answer tells all that was published, None if it proves nothing.
+
+    A watch without changes tells this for its whole wait, in seconds. One that ended
+    earlier without anything new may be the late copy of an earlier answer.
+    """
+    if changes.asked_at is None:
+        return None
+    if position is None:
+        return changes.asked_at
+    if changes.events:
+        return changes.asked_at if changes.position > position else None
+    waited_until = changes.asked_at + int(wait_s * 1000) / 1000  # as it is sent
+    if now >= waited_until:
+        return waited_until
+    earliest_end = waited_until - EARLY_END_S
+    return max(changes.asked_at, earliest_end) if now >= earliest_end else None
+
+
 def is_burst_of_large_configurations(changes: CatalogueChanges) -> bool:
     """Return whether changes hold several configurations, of which one has many routes.
 
