Stall the entry of the lapse fault around the lapse that counts from proofs

Entries now get four changes in the 0.24 s before the version, so that their last proof is recent, and the stall is from 7.3 to 8.15 s after the version.

--- a/soak/entry_hooks.py
+++ b/soak/entry_hooks.py
@@ -15,7 +15,7 @@
     from collections.abc import Callable
 
 STALL_SIGNAL = signal.SIGUSR1
-STALL_S = 0.8
+STALL_S = 0.85
 DELAY_SIGNAL = signal.SIGUSR2
 UPDATE_DELAY_S = 0.6
 DELAYED_FOR_S = 1.5  # at least two heartbeats of each peer
--- a/soak/lapse_faults.py
+++ b/soak/lapse_faults.py
@@ -24,13 +24,17 @@
     from .fault_context import FaultContext
     from .fleet import Vm
 
-# Entries watch the store again within this time of a change.
-WATCH_AGAIN_S = 0.15
+# Entries watch the store again within this time of a change. An answer only proves what
+# was published when it was asked for, so there are several.
+WATCH_AGAIN_S = 0.06
+PROOF_COUNT = 4
 # The queues stop while entries still send requests to old weights, 1 to 2 s before they
 # move again, just after the bound.
 QUEUES_STOP_S = WEIGHTS_WITHIN_S - 2.0
 QUEUES_MOVE_S = WEIGHTS_WITHIN_S + 0.05
-STALL_BEGINS_S = WEIGHTS_WITHIN_S - 0.6  # before entries cancel requests
+# Before entries cancel requests, if their last proof is at most 0.4 s older than the
+# version. It ends after the queues move.
+STALL_BEGINS_S = WEIGHTS_WITHIN_S - 0.7
 STREAM_COUNT = 8  # sent to the stalled entry
 STREAM_INTERVAL_S = 0.07
 MAX_WAIT_FOR_VERSION_S = 12.0
@@ -76,9 +80,11 @@
     """Publish a version, of which all entries learn late; return when it was."""
     fleet = context.fleet
     configuration = fleet.build_configuration(fleet.configuration_revision)
-    fleet.store.state.write("op/config", configuration)
-    # All watches of the entries are new ones, so that they do not time out.
-    eventlet.sleep(WATCH_AGAIN_S)
+    # All watches of the entries are new ones, so that they do not time out, and their
+    # proofs are recent.
+    for _ in range(PROOF_COUNT):
+        fleet.store.state.write("op/config", configuration)
+        eventlet.sleep(WATCH_AGAIN_S)
     begun_at = time.monotonic()
     entries = fleet.entries()
     paths = [fleet.links.paths[f"{vm.name}>store"] for vm in entries]
