--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -5,6 +5,7 @@
 import itertools
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
+from math import inf
 
 # The platform allows an answer to end this long after the timeout of its route.
 ANSWER_SLACK_S = 0.5
@@ -21,6 +22,9 @@
 # Time from the acknowledged evacuation of a failure domain to the last request that
 # begins to run there.
 EVACUATION_LIMIT_S = 5.0
+# Time from the acknowledged publication of a version of weights to the last request
+# that begins on an older one.
+WEIGHTS_WITHIN_S = 8.0
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 STREAM_KINDS = ("stream", "batch")
 UNEXPECTED_STATUSES = (400, 401, 403, 404, 413, 431)
@@ -32,7 +36,9 @@
     A run of a request; ``interrupted`` is set if its back end crashed meanwhile.
 
     ``leaving`` is set if its answer announced that the back end leaves, and ``limited``
-    if it named a rate limit. ``domain`` is the failure domain of the back end.
+    if it named a rate limit. ``domain`` is the failure domain of the back end. A run of
+    an engine begins with its first event at ``begun_at``, 0 until then, on a
+    ``version`` of the weights. The engine ends it at ``ends_at``.
     """
 
     server_id: str
@@ -43,6 +49,9 @@
     interrupted: bool = False
     leaving: bool = False
     limited: bool = False
+    begun_at: float = 0.0
+    version: int = 0
+    ends_at: float = inf
 
     @property
     def seal(self) -> str:
@@ -68,6 +77,14 @@
     published_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class Version:
+    """A version of the weights that the store acknowledged."""
+
+    number: int
+    acknowledged_at: float
+
+
 @dataclass(frozen=True, slots=True)
 class ColdStart:
     """The time in which a back end takes few requests after its start."""
@@ -175,6 +192,7 @@
     limits: list[NamedLimit] = field(default_factory=list)
     evacuations: list[Evacuation] = field(default_factory=list)
     homes: list[Home] = field(default_factory=list)
+    versions: list[Version] = field(default_factory=list)
     cold_starts: list[ColdStart] = field(default_factory=list)
     draining_since: dict[str, float] = field(default_factory=dict)
     counts: Counter[str] = field(default_factory=Counter)
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -1,7 +1,8 @@
 """
 Faulty variants that the soak must detect: python -m soak.mutants NAME ROLE ...
 
-Each mutant replaces one decision with a wrong one, only in the process that runs it.
+Each mutant replaces one decision with a wrong one, only in the process that runs it. An
+empty name stands for the sound program. Entries get the hooks for faults.
 """
 
 from __future__ import annotations
@@ -14,6 +15,8 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+from .entry_hooks import install_hooks
+
 if TYPE_CHECKING:
     from primroselever_agent.direct.filling import FillingController
     from primroselever_core.filling.loads import LoadOrder
@@ -213,6 +216,13 @@
     replace_method(FillingController, "waits_for_order", lambda self, wanted: False)
 
 
+def lapse_not_sent() -> None:
+    """Send engines the caller's time limit, which may be after the weights lapse."""
+    from primroselever_entry.direct.sending import AttemptSender
+
+    replace_method(AttemptSender, "engine_deadline", lambda self: self.state.deadline)
+
+
 MUTANTS = {
     "retry-after-send": retry_after_send,
     "configuration-back": configuration_back,
@@ -233,6 +243,7 @@
     "load-unproven": load_unproven,
     "load-unchecked": load_unchecked,
     "stage-over-order": stage_over_order,
+    "lapse-not-sent": lapse_not_sent,
 }
 
 
@@ -247,7 +258,10 @@
     import eventlet
 
     eventlet.monkey_patch()
-    MUTANTS[name]()
+    if role == "entry":
+        install_hooks()
+    if name:
+        MUTANTS[name]()
     runpy.run_path(str(program), run_name="__main__")
 
 
