Stop writing plain requests when the weights of their engine lapse

A plain request to an engine whose body is written slowly could begin on lapsed weights: the engine counts its time from the arrival.

Cause: the entry's own cancellation, which covers slow links, never applied to plain routes, since the entry cannot tell when a plain answer was started. Until the request is written, it was not.

Change: the limit of weights also applies to plain requests while they are written. One that may not run twice is answered with 502 then, as after any cancelled attempt.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -108,6 +108,7 @@
     0 if that is not bounded. An attempt without a first event is cancelled when they
     lapse. ``engine_ends_at`` is when the engine was told to end its work, and
     ``longest_run_s`` the longest time in seconds that it may need for the answer.
+    ``written`` is set once the whole request was written.
     """
 
     def __init__(
@@ -134,6 +135,7 @@
         self.sent_version = 0
         self.engine_ends_at = inf
         self.longest_run_s = self.predict_longest_run_s()
+        self.written = False
         self.first_event_recorded = False
         self.known_crashes: frozenset[CrashId] = frozenset()
         self.part_run = PartRun()
@@ -417,6 +419,7 @@
             request.body,
             min(self.state.deadline, self.start_limit()),
         )
+        self.written = True
         self.last_received_at = clock.now()
         return self.receive_response()
 
@@ -618,10 +621,11 @@
         Return until when to wait for the engine to start the attempt.
 
         It is asked for again by then, since a newer version may have been published.
-        The entry cannot tell when a plain answer was started.
+        The entry cannot tell when a plain answer was started, only that it was not
+        before the request was written. The engine counts its time from the arrival.
         """
         is_stream = self.state.route.kind is RouteKind.STREAMING
-        if self.first_event_recorded or not is_stream:
+        if self.first_event_recorded or (self.written and not is_stream):
             return inf
         return self.flow.weights_lapse_at(
             self.state.request.model, self.sent_version, clock.now()
