Wait for the engine to refuse a request when its weights lapse

Cause: the entry cancelled a request at the time that it had given the engine.

Change: it cancels 0.1 s later, which leaves 0.2 s of the margin of 0.3 s; by then the refusal has proven that the request has not run, so it may be sent again.

Result: the new test of a stream that may not be resumed fails with a wait of 0 s (502), and passes now.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -75,6 +75,8 @@
 MAX_STREAM_SILENCE_S = 1.6
 # Of the predicted time of an answer, which may double while the engine is busy.
 LONGEST_RUN_FACTOR = 2.0
+# Of the margin of a cancellation, which is 0.3 s, for the refusal of the engine.
+REFUSAL_WAIT_S = 0.1
 LOOK_AHEAD_S = 0.001  # to receive what a silent back end has sent already
 # These statuses and 400 mean, together with the not_run header, that the request did
 # not run; 421 also means it without the header.
@@ -627,9 +629,11 @@
         is_stream = self.state.route.kind is RouteKind.STREAMING
         if self.first_event_recorded or (self.written and not is_stream):
             return inf
-        return self.flow.weights_lapse_at(
+        lapses_at = self.flow.weights_lapse_at(
             self.state.request.model, self.sent_version, clock.now()
         )
+        # The engine refuses the request at the lapse, which proves that it has not run.
+        return lapses_at + (REFUSAL_WAIT_S if self.written else 0.0)
 
     def engine_deadline(self) -> float:
         """
--- a/packages/primroselever-entry/tests/direct/test_lapsing_weights.py
+++ b/packages/primroselever-entry/tests/direct/test_lapsing_weights.py
@@ -475,3 +475,27 @@
     assert int(new.header(b"x-left")) <= 550 - flow.CANCEL_MARGIN_S * 1000
     assert response.startswith(b"HTTP/1.1 502")
     assert started == []
+
+
+# Guards against 502 for requests that have not run and could be sent again: the entry
+# cancelled them at the moment at which the engine refused them.
+def test_the_refusal_of_the_engine_at_the_lapse_is_waited_for(entry, engines):
+    old, new = engines
+    configuration = entry.board.catalogue.configuration
+    routes = tuple(
+        make_route(route.kind, route.name, resumable=False, objective_s=0.4)
+        for route in configuration.routes
+    )
+    entry.board.catalogue.configure(
+        replace(configuration, revision=2, routes=routes), clock.now()
+    )
+
+    def refuse_after_the_limit():
+        limit = clock.now() + int(old.header(b"x-left")) / 1000
+        eventlet.sleep(limit + 0.02 - clock.now())
+        yield from refusal()
+
+    old.responses = [refuse_after_the_limit()]
+    new.responses = [[stream_head(), *map(chunk, EVENTS), STREAM_END]]
+    assert_complete(ask(entry))
+    assert (len(old.requests), len(new.requests)) == (1, 1)
