Count answers that are wrong after a lapse as such

Cause: an answer that is too large, or whose events are wrong, counted as one that the engine ended at the lapse, if it came later. Found by review.

--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -314,7 +314,10 @@
 
     def handle_break(self, exc: BrokenExchangeError) -> Attempt:
         """Record that the exchange broke; return the result."""
-        if self.has_ended_at_lapse() and not isinstance(exc, BuffersFullError):
+        is_wrong = isinstance(
+            exc, AnswerTooLargeError | BuffersFullError | WrongEventsError
+        )
+        if self.has_ended_at_lapse() and not is_wrong:
             self.log_lapse(clock.now())
             return Attempt(AttemptEnd.LAPSED, reason=ENDED_REASON)
         if not isinstance(exc, BuffersFullError):
@@ -325,7 +328,7 @@
         self.log_response_end(self.head, str(exc))
         if isinstance(exc, AnswerTooLargeError | BuffersFullError):
             self.flow.instruments.count_too_large()
-        if isinstance(exc, AnswerTooLargeError | BuffersFullError | WrongEventsError):
+        if is_wrong:
             # With the status, this does not look like a crash.
             return Attempt(AttemptEnd.BROKEN, self.head.status_code, str(exc))
         return Attempt(AttemptEnd.BROKEN, reason=str(exc))
