--- a/packages/primroselever-entry/tests/direct/test_weight_prefetch.py
+++ b/packages/primroselever-entry/tests/direct/test_weight_prefetch.py
@@ -7,7 +7,7 @@
 from primroselever_core.direct_board import DirectBoard
 from primroselever_core.gossip.peers import Peers
 from primroselever_core.identity import Identity
-from primroselever_entry.direct.process import DirectEntryProcess
+from primroselever_entry.direct.process import DirectEntryProcess, unproven_time
 from primroselever_entry.direct.start_watch import StartWatch
 from primroselever_node import clock
 from primroselever_node.direct.sources import CataloguePart
@@ -50,7 +50,7 @@
     prefetched: list[tuple[str, int]] = []
     process = make_process(prefetched, running_s=1.0)
     catalogue = process.board.catalogue
-    catalogue.contact_s = process.settings.contact_s
+    catalogue.unproven_s = unproven_time(process.settings)
     proof_at = clock.now() - 0.2
     catalogue.freshness.record_proof(proof_at)
     publish(process, 1)
@@ -62,10 +62,10 @@
 # for longer than its contact time finds the first version.
 def test_a_version_that_a_running_entry_finds_has_no_proven_time():
     process = make_process([], running_s=60.0)
-    process.board.catalogue.contact_s = process.settings.contact_s
+    process.board.catalogue.unproven_s = unproven_time(process.settings)
     publish(process, 4)
     newest = process.board.catalogue.weights["m"].newest
-    assert newest.absent_at <= clock.now() - process.settings.contact_s
+    assert newest.absent_at <= clock.now() - unproven_time(process.settings)
     assert not newest.proven
 
 
