--- a/packages/primroselever-core/src/primroselever_core/catalogue/published_weights.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/published_weights.py
@@ -18,11 +18,11 @@
     """
     A published version of a model, and from when the bound on older ones counts.
 
-    That is ``absent_at``, the latest time at which the version was not published for
-    certain. It is an estimate unless ``proven`` is set: the process found the version
-    when it started, which sets ``assumed``, or had no proof for too long when it
-    learned of it. ``learned_at`` is when this process learned of the version, None if
-    only a peer told its time.
+    The bound counts from ``absent_at``, the latest time at which the version certainly
+    was not published yet. This time is an estimate unless ``proven`` is set: the
+    process found the version when it started, which sets ``assumed``, or had no proof
+    for too long when it learned of it. ``learned_at`` is when this process learned of
+    the version, None if only a peer reported its time.
     """
 
     version: int
@@ -170,8 +170,8 @@
             if published.absent_at + within_s > now
         )
 
-    def newest_learned_by(self, absent_before: float) -> int:
-        """Return the newest version whose bound counts from a time, 0 for none."""
+    def newest_absent_by(self, absent_before: float) -> int:
+        """Return the newest version last proven absent by a time, 0 for none."""
         versions = (
             published.version
             for published in self.history
--- a/packages/primroselever-core/tests/catalogue/test_catalogue.py
+++ b/packages/primroselever-core/tests/catalogue/test_catalogue.py
@@ -25,9 +25,9 @@
     catalogue.publish_weights("m", 2, 18.0)
     catalogue.publish_weights("m", 3, 21.0)
     published = catalogue.weights["m"]
-    assert published.newest_learned_by(17.9) == 0
-    assert published.newest_learned_by(18.0) == 2
-    assert published.newest_learned_by(21.0) == 3
+    assert published.newest_absent_by(17.9) == 0
+    assert published.newest_absent_by(18.0) == 2
+    assert published.newest_absent_by(21.0) == 3
 
 
 def test_an_older_version_is_ignored():
@@ -102,13 +102,13 @@
     catalogue.publish_weights("m", 2, 30.0)
     published = catalogue.weights["m"]
     published.assume_absent_at(25.0)
-    assert published.newest_learned_by(26.0) == 2
+    assert published.newest_absent_by(26.0) == 2
     published.record_peer_absent_at(2, 28.0)
-    assert published.newest_learned_by(27.9) == 0
+    assert published.newest_absent_by(27.9) == 0
     published.record_peer_absent_at(2, 29.0)
     published.record_peer_absent_at(2, 27.0)
-    assert published.newest_learned_by(27.9) == 0
-    assert published.newest_learned_by(28.0) == 2
+    assert published.newest_absent_by(27.9) == 0
+    assert published.newest_absent_by(28.0) == 2
 
 
 def test_a_peers_time_for_an_unknown_newer_version_is_ignored():
@@ -137,8 +137,8 @@
     published = catalogue.weights["m"]
     published.record_peer_absent_at(3, 8.0)
     published.record_peer_absent_at(2, 6.0)
-    assert published.newest_learned_by(6.0) == 2
-    assert published.newest_learned_by(8.0) == 3
+    assert published.newest_absent_by(6.0) == 2
+    assert published.newest_absent_by(8.0) == 3
     assert published.version == 3
 
 
--- a/packages/primroselever-core/tests/catalogue/test_skipped_versions.py
+++ b/packages/primroselever-core/tests/catalogue/test_skipped_versions.py
@@ -25,7 +25,7 @@
 def test_a_peer_with_a_skipped_version_does_not_postpone_the_bound(published):
     published.record_absent(2, PEER_PROOF_AT)
     assert published.outdated_since(1) <= PROVEN_AT
-    assert published.newest_learned_by(PROVEN_AT) > 1
+    assert published.newest_absent_by(PROVEN_AT) > 1
 
 
 # Guards against the same if the time of version 3 was an estimate, which that of a peer
--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -496,7 +496,7 @@
         if published_weights is None:
             return 0
         max_age_s = self.limits.weights_within_s - LEAST_MARGIN_S
-        return published_weights.newest_learned_by(now - max_age_s)
+        return published_weights.newest_absent_by(now - max_age_s)
 
     def may_send(self, state: RequestState, choice: Chosen, now: float) -> bool:
         """Return whether a request may still be sent to the weights of an engine."""
--- a/packages/primroselever-node/tests/direct/test_gossip.py
+++ b/packages/primroselever-node/tests/direct/test_gossip.py
@@ -124,7 +124,7 @@
     assert catalogue.servers == {"i-1": SERVER}
     assert len(loopback_entries.changed_parts["127.0.0.2"]) == 2
     wait_until(lambda: clock.now() - catalogue.weights["m"].absent_at > 4.9)
-    wait_until(lambda: catalogue.weights["m"].newest_learned_by(clock.now() - 6.9) == 2)
+    wait_until(lambda: catalogue.weights["m"].newest_absent_by(clock.now() - 6.9) == 2)
 
 
 # Guards against an entry whose heartbeats and advice can no longer be encoded after 24
