Tell the contact time from the bound in the test of a reload

Cause: the test set contact_s to 4.0 s. With a bound of 8 s, the time without a proof is then 4.0 s as well, so a reload that stores contact_s itself passed.

Change: two contact times that differ from what is left of the bound.

Result: the test passes, and fails if unproven_time returns contact_s.

--- a/packages/primroselever-entry/tests/direct/test_process.py
+++ b/packages/primroselever-entry/tests/direct/test_process.py
@@ -55,9 +55,10 @@
         caller_server=entry.server,
         start_watch=StartWatch(entry.board),
     )
-    changed = settings.model_copy(update={"contact_s": 4.0})
-    DirectEntryProcess.reload(process, changed)
-    assert entry.board.catalogue.unproven_s == 4.0
+    for contact_s, unproven_s in ((3.5, 4.5), (2.5, 5.5)):
+        changed = settings.model_copy(update={"contact_s": contact_s})
+        DirectEntryProcess.reload(process, changed)
+        assert entry.board.catalogue.unproven_s == unproven_s
 
 
 # Guards against a setting that takes effect only after a restart, or without being set.
