--- a/packages/primroselever-entry/tests/direct/test_lapsing_weights.py
+++ b/packages/primroselever-entry/tests/direct/test_lapsing_weights.py
@@ -370,6 +370,19 @@
     assert (int(engine.header(b"x-left")) <= 100) == is_limited
 
 
+# Guards against more time on the newest weights for an entry that forgot its proofs, as
+# its VM was suspended.
+@pytest.mark.parametrize("proof_age_s", [0.0, 4.9, 7.0])
+def test_a_forgotten_proof_gives_no_more_time_on_the_newest_weights(entry, proof_age_s):
+    catalogue = entry.board.catalogue
+    catalogue.unproven_s = 5.0
+    now = clock.now()
+    catalogue.freshness.record_own_proof(now - proof_age_s)
+    proven_at = entry.flow.absence_proven_at(now)
+    catalogue.freshness.forget_proofs()
+    assert entry.flow.absence_proven_at(now) <= proven_at
+
+
 # Guards against an engine that counts as crashed, and a request that counts as crashing
 # it, because it ended a stream when its weights lapsed.
 def test_a_stream_that_the_engine_ends_at_the_lapse_is_resumed(entry, engines):
