--- a/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/catalogue.py
@@ -48,8 +48,8 @@
     whose entries went missing after an outage or a restore of the store, with the end
     of their grace period; ``withheld`` the entries of a restored store that are older
     than the known ones; ``removed`` the removals of other back ends. ``unproven_s`` is
-    for how many seconds before its receipt the bound of a version counts that nothing
-    proves to have been absent, 0 until an entry sets it.
+    how many seconds before this process learns of a version its bound counts from if
+    nothing proves that the version was absent, 0 until an entry sets it.
     """
 
     store_position: StorePosition = START_POSITION
--- a/packages/primroselever-core/src/primroselever_core/catalogue/published_weights.py
+++ b/packages/primroselever-core/src/primroselever_core/catalogue/published_weights.py
@@ -32,7 +32,7 @@
     assumed: bool = False
 
     def with_proof(self, at: float) -> PublishedVersion:
-        """Return the version with a proven time, at most that of its receipt."""
+        """Return the version with a proven time, not after it was learned."""
         if self.learned_at is not None:
             at = min(at, self.learned_at)
         return replace(self, absent_at=at, proven=True, assumed=False)
--- a/packages/primroselever-core/src/primroselever_core/gossip/transit.py
+++ b/packages/primroselever-core/src/primroselever_core/gossip/transit.py
@@ -1,9 +1,9 @@
 """
 The delay of heartbeats, from the clocks of their senders and of this process.
 
-The clocks have no common start and stand still while a machine is suspended. So only
-the differences between receipt and sending are compared, and the smallest one is taken
-as that of a heartbeat without delay.
+The clocks have no common start and stand still while a VM is suspended. So only the
+differences between the times of arrival and of sending are compared, and the smallest
+one is taken as that of a heartbeat without delay.
 """
 
 from __future__ import annotations
--- a/packages/primroselever-entry/src/primroselever_entry/direct/process.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/process.py
@@ -330,7 +330,7 @@
 
 def unproven_time(settings: DirectEntrySettings) -> float:
     """
-    Return for how many seconds before its receipt the bound of a version may count.
+    Return the seconds before a version is learned from which its bound may count.
 
     Old weights then still serve for ``contact_s``, after which an entry that has a path
     to the platform again is in touch.
