Rank an engine lower while its first events are overdue

The engine reports no queue meanwhile, so it looks idle and gets up to 37 requests in one second, over twice its share, until the first one counts as silent after 1.6 s. Callers leave after 2.4 s. The end of their connections waits in the same link, so the engine runs their requests.

Change: first events that are overdue count in the choice of an engine, as they already do before its weights lapse, and not only those that arrived late. What all engines have in common still does not count.

--- a/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/backend.py
@@ -103,8 +103,7 @@
     an engine's first report without weights to its first weights, False afterwards, and
     None before any report. ``memory`` counts the tokens that an engine holds.
     ``names_requests`` is set once the server repeated the identifier of a request.
-    ``first_events`` are those of streams, which affect a choice only shortly before an
-    engine's weights lapse.
+    ``first_events`` are those of streams.
     """
 
     listed: ListedServer
--- a/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
@@ -7,9 +7,10 @@
 time. A back end that has no weights or fails more often than others is not chosen,
 although it looks idle. After it refused a request because it was full, an engine is
 ranked lower for a short time, and any other back end is not chosen. An engine whose
-first events come later than predicted, by more than those of the others, is ranked
-lower: the link of its VM may be congested, which its reports do not show. So is an
-engine whose next pass would read so many prompts that the requests that it runs pause.
+first events come later than predicted, or are overdue, by more than those of the
+others, is ranked lower: the link of its VM may be congested, which its reports do not
+show. So is an engine whose next pass would read so many prompts that the requests that
+it runs pause.
 """
 
 from __future__ import annotations
@@ -166,7 +167,7 @@
         )
     failing = find_failing_backends(candidates)
     healthy = [b for b in candidates if b.listed.server_id not in failing]
-    usual_delay_s = median(b.unexpected_delay_s(now) for b in healthy)
+    usual_delay_s = median(first_event_delay_s(b, now) for b in healthy)
     usual = usual_pace(healthy, figures, now)
     costs = [domain_cost_s(backend, figures, own_domain) for backend in healthy]
     predictions = [
@@ -340,10 +341,20 @@
 
 def congestion_s(backend: Backend, usual_delay_s: float, now: float) -> float:
     """Return the delay of a back end's link, 0 if it is not above the usual one."""
-    excess_s = backend.unexpected_delay_s(now) - usual_delay_s
+    excess_s = first_event_delay_s(backend, now) - usual_delay_s
     return excess_s if excess_s > MIN_UNEXPECTED_DELAY_S else 0.0
 
 
+def first_event_delay_s(backend: Backend, now: float) -> float:
+    """
+    Return by how many seconds a back end's first events come later than predicted.
+
+    One that is overdue counts before it arrives: requests in a congested link arrive
+    seconds late, and meanwhile the engine, which reports no queue, looks idle.
+    """
+    return max(backend.unexpected_delay_s(now), backend.first_events.delay_s(now))
+
+
 def pause_cost_s(
     backend: Backend, needs: RequestNeeds, figures: EngineFigures | None, now: float
 ) -> float:
--- a/packages/primroselever-core/tests/dispatch/test_congested_links.py
+++ b/packages/primroselever-core/tests/dispatch/test_congested_links.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from primroselever_core.dispatch.choose import Chosen, choose_backend
 from primroselever_core.dispatch.first_events import FirstEvents
 from primroselever_core.dispatch.old_weights import (
     MAX_LATE_S,
@@ -23,6 +24,10 @@
 REPORT_S = 0.2
 
 
+def choose(backends, needs, figures, now=10.0):
+    return choose_backend(backends, needs, figures, "here", (), now, Random(1))
+
+
 class CongestedEngine:
     """
     An idle engine with old weights behind a link that sends in order.
@@ -142,3 +147,48 @@
     assert (events.delay_s(10.0), events.due_at) == (1.5, {})
     events.record_ended(0, 10.0)
     assert events.delay_s(10.0) == 1.5
+
+
+# Guards against requests that follow others into a congested link: the engine reports
+# no queue, and the first late event arrives only seconds later. Callers leave before,
+# and the engine still runs the requests, as the end of their connections waits in the
+# link as well.
+def test_an_engine_is_avoided_before_its_late_first_events_arrive(
+    make_backend, make_report, make_needs, figures
+):
+    congested, busy, other = (make_backend(name) for name in "abc")
+    congested.apply_report(make_report(10.0))
+    busy.apply_report(make_report(10.0, running=7))
+    other.apply_report(make_report(10.0, running=8, waiting=1))
+    engines, needs = [congested, busy, other], make_needs()
+    number = congested.first_events.record_sent(9.5)
+    assert choose(engines, needs, figures).backend is busy
+    congested.first_events.record_arrived(number, 10.0)
+    number = congested.first_events.record_sent(10.1)
+    congested.first_events.record_arrived(number, 10.1)
+    assert choose(engines, needs, figures, now=10.1).backend is congested
+
+
+# Guards against an engine that is avoided because of a usual error of the prediction.
+def test_a_first_event_that_is_hardly_overdue_does_not_change_the_choice(
+    make_backend, make_report, make_needs, figures
+):
+    idle, busy = make_backend("a"), make_backend("b")
+    idle.apply_report(make_report(10.0))
+    busy.apply_report(make_report(10.0, running=7))
+    idle.first_events.record_sent(9.91)
+    idle.first_events.record_sent(10.2)
+    assert choose([idle, busy], make_needs(), figures).backend is idle
+
+
+# Guards against requests that are refused because all engines are slower than
+# predicted.
+def test_overdue_first_events_of_all_engines_refuse_no_request(
+    make_backend, make_report, make_needs, figures
+):
+    engines = [make_backend(name) for name in "abc"]
+    for engine in engines:
+        engine.apply_report(make_report(10.0, running=4))
+        for due_at in (8.0, 8.5):
+            engine.first_events.record_sent(due_at)
+    assert isinstance(choose(engines, make_needs(), figures), Chosen)
