--- a/bench/tests/test_process_pauses.py
+++ b/bench/tests/test_process_pauses.py
@@ -7,14 +7,14 @@
 from bench.process_pauses import ProcessPauses
 
 
-def test_the_latest_sample_is_reported():
+def test_the_latest_sample_is_reported() -> None:
     pauses = ProcessPauses()
     for late_s in (0.002, 0.7, 0.1):
         pauses.observe_sample(10.0, 10.0 + late_s)
     assert str(pauses) == "not running 0.700 s, garbage collection 0.000 s"
 
 
-def test_garbage_collections_are_observed_until_a_reset():
+def test_garbage_collections_are_observed_until_a_reset() -> None:
     pauses = ProcessPauses()
     gc.callbacks.append(pauses.observe_collection)
     try:
