Move the bounds of weights out of flow.py and sending.py

Change: weight_bounds.py has the functions of all requests and, in AttemptBounds, the limits and log lines of one attempt. measuring.py has what an attempt records of its back end. The functions read flow.limits at each call, since a reload replaces it. No behaviour changes. The soak's mutant lapse-not-sent replaces AttemptBounds.engine_deadline, and the tests patch weight_bounds.LEAST_MARGIN_S.

--- a/bench/lapse_schedules.py
+++ b/bench/lapse_schedules.py
@@ -30,8 +30,13 @@
 from primroselever_core.dispatch.retry_share import RetryLimits
 from primroselever_core.gossip.peers import Peer, Peers
 from primroselever_core.identity import Identity
-from primroselever_entry.direct.flow import CANCEL_MARGIN_S, DirectFlow, FlowLimits
-from primroselever_entry.direct.sending import AttemptSender
+from primroselever_entry.direct.flow import DirectFlow, FlowLimits
+from primroselever_entry.direct.weight_bounds import (
+    CANCEL_MARGIN_S,
+    AttemptBounds,
+    min_version,
+    weights_lapse_at,
+)
 from primroselever_node import clock
 from primroselever_node.direct.follower import (
     FIRST_RETRY_S,
@@ -398,20 +403,20 @@
         random, now, flow = self.random, self.entry_now(), entry.flow
         self.run_in(entry, random.expovariate(2.0), lambda: self.send(entry))
         version = random.randint(1, len(self.acknowledged_at))
-        if version < flow.min_version(MODEL, now):
+        if version < min_version(flow, MODEL, now):
             self.counts["refused"] += 1
             return
         deadline = now + random.choice(self.deadlines_s)
         sent_version = version if self.rules.knows_version else 0
-        sender = SimpleNamespace(
+        bounds = SimpleNamespace(
             state=SimpleNamespace(
                 deadline=deadline, request=SimpleNamespace(model=MODEL)
             ),
             flow=flow,
-            sent_version=sent_version,
+            version=sent_version,
             longest_run_s=0.0,
         )
-        ends_at = AttemptSender.engine_deadline(cast("Any", sender))
+        ends_at = AttemptBounds.engine_deadline(cast("Any", bounds))
         if not self.rules.limits_engine:
             ends_at = deadline
         remaining_s = max(1, int((ends_at - now) * 1000)) / 1000
@@ -427,7 +432,7 @@
     def watch_lapse(self, entry: Entry, request: Request, sent_version: int) -> None:
         """Cancel a request if its weights have lapsed, else wait until they do."""
         now = self.entry_now()
-        left_s = entry.flow.weights_lapse_at(MODEL, sent_version, now) - now
+        left_s = weights_lapse_at(entry.flow, MODEL, sent_version, now) - now
         if left_s <= 0:
             transit_s = self.random.uniform(0.0, MAX_TRANSIT_S)
             self.after(transit_s, lambda: setattr(request, "cancelled", True))
--- a/packages/primroselever-entry/src/primroselever_entry/direct/explain.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/explain.py
@@ -16,6 +16,7 @@
 
 from .memory import describe_memory
 from .start_watch import describe_start
+from .weight_bounds import min_version, newer_bounds
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -58,12 +59,12 @@
         engine_figures = service.engine
         needs = RequestNeeds(
             model,
-            self.flow.min_version(model, now),
+            min_version(self.flow, model, now),
             engine_figures.usual_prompt_tokens if engine_figures else 0.0,
             engine_figures.usual_answer_tokens if engine_figures else 0.0,
             routes.objectives.get(service_name, ASSUMED_DEADLINE_S),
             ASSUMED_DEADLINE_S,
-            newer_bounds=self.flow.newer_bounds(model, now),
+            newer_bounds=newer_bounds(self.flow, model, now),
         )
         backends = self.board.backends.serving(service_name)
         placement = self.placement(query)
--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -10,13 +10,9 @@
 
 import logging
 from dataclasses import dataclass, field, replace
-from math import inf
 from typing import TYPE_CHECKING
 
 from primroselever_core.catalogue.model import RouteKind
-from primroselever_core.catalogue.published_weights import (
-    LEAST_MARGIN_S,
-)
 from primroselever_core.catalogue.routes import effective_priority, pick_service
 from primroselever_core.dispatch.announcements import caller_return_s, earliest_return
 from primroselever_core.dispatch.buffers import BufferAccount, BufferLimits
@@ -43,6 +39,7 @@
 from .request_state import RequestState
 from .sending import AttemptSender
 from .sent_requests import SentRequests
+from .weight_bounds import min_version, newer_bounds
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Mapping, Sequence
@@ -64,9 +61,6 @@
 # within a few responses from the store.
 DEFAULT_RETRY_AFTER_S = 0.5
 NO_TIME_LIMIT_S = 60.0  # longer than any route's timeout
-# A request without its first event is cancelled this long before weights_within_s ends.
-# This entry may have learned of the version late, and the cancellation takes its time.
-CANCEL_MARGIN_S = 0.3
 CRASHED_SERVERS_REASON = "earlier runs of this request crashed servers"
 SILENCE_RECHECK_S = 0.2  # how often another back end is sought for a silent request
 # Of the longest time left on the route; a request with less time left is a retry.
@@ -421,13 +415,13 @@
         request = state.request
         needs = RequestNeeds(
             model=request.model,
-            min_version=self.min_version(request.model, now),
+            min_version=min_version(self, request.model, now),
             prompt_tokens=request.prompt_tokens,
             answer_tokens=request.answer_tokens,
             first_event_within_s=state.objective_at - now,
             deadline_within_s=state.deadline - now,
             pause_s=state.route.pause_s,
-            newer_bounds=self.newer_bounds(request.model, now),
+            newer_bounds=newer_bounds(self, request.model, now),
         )
         needs = self.admission.add_terms(state, needs, now)
         if state.attempts and state.route.kind is RouteKind.STREAMING:
@@ -490,21 +484,13 @@
         service = self.board.catalogue.routes.services.get(state.service)
         return state.admitted_figures if service is None else service.engine
 
-    def min_version(self, model: str, now: float) -> int:
-        """Return the oldest version to which a request may be sent now, 0 for any."""
-        published_weights = self.board.catalogue.weights.get(model)
-        if published_weights is None:
-            return 0
-        max_age_s = self.limits.weights_within_s - LEAST_MARGIN_S
-        return published_weights.newest_absent_by(now - max_age_s)
-
     def may_send(self, state: RequestState, choice: Chosen, now: float) -> bool:
         """Return whether a request may still be sent to the weights of an engine."""
         loaded_version = choice.backend.loaded_version(state.request.model, now)
         return (
             now < choice.send_by
             and loaded_version > 0
-            and loaded_version >= self.min_version(state.request.model, now)
+            and loaded_version >= min_version(self, state.request.model, now)
         )
 
     def may_pass_on(self, state: RequestState) -> bool:
@@ -518,54 +504,6 @@
             state.deadline, clock.now()
         )
 
-    def weights_lapse_at(self, model: str, version: int, now: float) -> float:
-        """
-        Return until when a request may wait for its first event on weights.
-
-        Its prediction may be wrong, for example if other entries sent requests to the
-        same engine at the same moment. The newest version lapses as if the next one had
-        been published right after the latest proof that there is none.
-        """
-        if not version:
-            return inf
-        published_weights = self.board.catalogue.weights.get(model)
-        outdated_since = (
-            None
-            if published_weights is None
-            else published_weights.outdated_since(version)
-        )
-        if outdated_since is None:
-            outdated_since = self.absence_proven_at(now)
-        return outdated_since + self.limits.weights_within_s - CANCEL_MARGIN_S
-
-    def absence_proven_at(self, now: float) -> float:
-        """
-        Return when it was last proven that nothing newer was published.
-
-        Without a proof for ``unproven_s`` it is that long ago: an entry that is cut off
-        from the store serves what it can, but gives engines little time.
-        """
-        catalogue = self.board.catalogue
-        earliest_at = now - catalogue.unproven_s
-        proof_at = catalogue.freshness.proof_at
-        return earliest_at if proof_at is None else max(proof_at, earliest_at)
-
-    def is_outdated(self, model: str, version: int) -> bool:
-        """Return whether a newer version is known than the one an engine runs."""
-        published_weights = self.board.catalogue.weights.get(model)
-        return (
-            version > 0
-            and published_weights is not None
-            and published_weights.outdated_since(version) is not None
-        )
-
-    def newer_bounds(self, model: str, now: float) -> tuple[tuple[int, float], ...]:
-        """Return versions, and the seconds until requests may not start on older."""
-        published_weights = self.board.catalogue.weights.get(model)
-        if published_weights is None:
-            return ()
-        return published_weights.bounds_left(self.limits.weights_within_s, now)
-
     def retry_refusal_reason(self, state: RequestState, attempt: Attempt) -> str | None:
         """Return why a request is not retried, or None if it is."""
         if attempt.end is AttemptEnd.OUT_OF_TIME:
--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -8,10 +8,6 @@
 import eventlet
 
 from primroselever_core.catalogue.model import RouteKind
-from primroselever_core.dispatch.choose import MIN_UNEXPECTED_DELAY_S
-from primroselever_core.dispatch.predict import predict_answer_s
-from primroselever_core.dispatch.ramps import usual_duration_s
-from primroselever_core.dispatch.server_memory import count_tokens
 from primroselever_node import clock
 from primroselever_node.direct.connection_pool import allowed_idle_s
 from primroselever_node.direct.exchange import ConnectError, ExchangeTimeoutError
@@ -31,6 +27,7 @@
 from .caller_request import forwardable_headers
 from .event_stream import WrongEventsError
 from .grace_period import LEAVING_REASON
+from .measuring import AttemptMeasurement
 from .part_watch import PartRun
 from .placing import current_placement
 from .response_body import (
@@ -44,6 +41,7 @@
     open_body,
     unsent_bytes,
 )
+from .weight_bounds import AttemptBounds
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -73,10 +71,6 @@
 # A stream that is silent for this long is resumed elsewhere if possible. A sound back
 # end may pause for a second or so, and callers stop waiting after 2 s.
 MAX_STREAM_SILENCE_S = 1.6
-# Of the predicted time of an answer, which may double while the engine is busy.
-LONGEST_RUN_FACTOR = 2.0
-# Of the margin of a cancellation, which is 0.3 s, for the refusal of the engine.
-REFUSAL_WAIT_S = 0.1
 LOOK_AHEAD_S = 0.001  # to receive what a silent back end has sent already
 # These statuses and 400 mean, together with the not_run header, that the request did
 # not run; 421 also means it without the header.
@@ -91,8 +85,6 @@
 ENDED_REASON = "the engine ended the request when its weights lapsed"
 OUTDATED_REASON = "it would start too late on the engine's weights"
 MISPLACED_REASON = "its failure domain may no longer be used"
-# Engines are told their time in whole milliseconds, rounded down.
-TIME_STEP_S = 0.001
 BODY_METHODS = (b"POST", b"PUT", b"PATCH")
 
 
@@ -106,11 +98,7 @@
     silent back end is waited for at least. ``released_bytes`` counts what had been
     forwarded of the body when the back end became silent. ``head_ahead`` is a head that
     was received meanwhile, and ``broken_ahead`` is set if the exchange broke.
-    ``sent_version`` is the version of the engine's weights on which the request starts,
-    0 if that is not bounded. An attempt without a first event is cancelled when they
-    lapse. ``engine_ends_at`` is when the engine was told to end its work, and
-    ``longest_run_s`` the longest time in seconds that it may need for the answer.
-    ``written`` is set once the whole request was written.
+    ``bounds`` are until when it may start, and the engine may work on it.
     """
 
     def __init__(
@@ -134,11 +122,7 @@
         self.started_at = clock.now()
         self.last_received_at = self.started_at
         self.wait_until = 0.0
-        self.sent_version = 0
-        self.engine_ends_at = inf
-        self.longest_run_s = self.predict_longest_run_s()
-        self.written = False
-        self.first_event_recorded = False
+        self.bounds = AttemptBounds(flow, state, choice, self.started_at)
         self.known_crashes: frozenset[CrashId] = frozenset()
         self.part_run = PartRun()
         self.index = 0
@@ -146,28 +130,7 @@
         self.closed = False
         self.overtaken = False
         self.backend.in_flight += 1
-        figures = flow.engine_figures(state)
-        self.samples_first_event = figures is not None
-        self.memory_number = 0
-        if figures is not None:
-            request = state.request
-            tokens = count_tokens(request.prompt_tokens, request.answer_tokens, figures)
-            self.memory_number = self.backend.memory.record_sent(
-                *tokens, self.started_at
-            )
-        # 0 is the number of no request.
-        self.first_event_number = 0
-        if figures is not None and state.route.kind is RouteKind.STREAMING:
-            self.first_event_number = self.backend.first_events.record_sent(
-                self.started_at + choice.predicted_s
-            )
-        self.sample_number = 0
-        if self.backend.measures_pace:
-            self.sample_number = self.backend.measured.record_sent(
-                choice.expected_s,
-                self.started_at,
-                None if self.samples_first_event else 1.0,
-            )
+        self.measurement = AttemptMeasurement(flow, state, choice, self.started_at)
 
     def run(self) -> Attempt:
         """
@@ -194,9 +157,9 @@
         while not silent.has_resumed():
             if silent.broken_ahead or not silent.may_resume():
                 return
-            left_s = silent.start_limit() - clock.now()
+            left_s = silent.bounds.start_limit() - clock.now()
             if left_s <= 0:
-                silent.log_lapse(clock.now())
+                silent.bounds.log_lapse(clock.now())
                 silent.close()
                 return
             with eventlet.Timeout(None if left_s == inf else left_s, False):
@@ -267,15 +230,13 @@
             return
         self.closed = True
         self.backend.in_flight -= 1
-        self.backend.memory.record_ended(self.memory_number)
         now = clock.now()
-        self.backend.measured.record_unanswered(self.sample_number, now)
-        self.backend.first_events.record_ended(self.first_event_number, now)
+        self.measurement.record_end(now)
         if self.body is not None:
             self.body.buffer.resize(0)
         if self.connection is None:
             return
-        if now >= self.start_limit():
+        if now >= self.bounds.start_limit():
             # What still waits on this VM must not start on the lapsed weights.
             self.connection.discard_request()
         else:
@@ -317,8 +278,8 @@
         is_wrong = isinstance(
             exc, AnswerTooLargeError | BuffersFullError | WrongEventsError
         )
-        if self.has_ended_at_lapse() and not is_wrong:
-            self.log_lapse(clock.now())
+        if self.bounds.has_ended_at_lapse() and not is_wrong:
+            self.bounds.log_lapse(clock.now())
             return Attempt(AttemptEnd.LAPSED, reason=ENDED_REASON)
         if not isinstance(exc, BuffersFullError):
             self.backend.record_failure(clock.now(), self.started_at)
@@ -354,14 +315,16 @@
     def handle_silence(self, exc: ExchangeTimeoutError) -> Attempt:
         """Record that no data arrived in time; return the result."""
         now = clock.now()
-        limit = min(self.state.deadline, self.silence_limit(), self.start_limit())
+        limit = min(
+            self.state.deadline, self.silence_limit(), self.bounds.start_limit()
+        )
         if self.wait_until == 0.0 and now >= limit:
             self.log_silence(exc, now)
         if now >= self.state.deadline:
             return Attempt(AttemptEnd.OUT_OF_TIME, reason="the deadline passed")
-        if now >= self.start_limit():
+        if now >= self.bounds.start_limit():
             # The engine is not at fault: it may be about to answer.
-            self.log_lapse(now)
+            self.bounds.log_lapse(now)
             return Attempt(AttemptEnd.LAPSED, reason=LAPSED_REASON)
         if now < self.silence_limit():
             # Only the weights might have lapsed.
@@ -405,7 +368,7 @@
         if not current_placement(self.flow, self.state).admits(listed.failure_domain):
             # A configuration or an evacuation came while the connection was opened.
             return Attempt(AttemptEnd.NOT_SENT, reason=MISPLACED_REASON)
-        if self.samples_first_event and not self.flow.may_send(
+        if self.measurement.samples_first_event and not self.flow.may_send(
             self.state, self.choice, clock.now()
         ):
             # The connection was opened slowly, or the process was paused.
@@ -413,8 +376,10 @@
         if not self.flow.may_pass_on(self.state):
             # A stop signal came, or its time passed, while the connection was opened.
             return Attempt(AttemptEnd.NOT_SENT, reason=LEAVING_REASON)
-        if self.samples_first_event:
-            self.sent_version = self.backend.loaded_version(request.model, clock.now())
+        if self.measurement.samples_first_event:
+            self.bounds.version = self.backend.loaded_version(
+                request.model, clock.now()
+            )
         self.caller.on_caller_left = self.connection.interrupt
         self.flow.sent_requests.record_sent(listed.server_id, request.request_id)
         self.connection.send(
@@ -422,9 +387,9 @@
             request.target,
             self.backend_headers(),
             request.body,
-            min(self.state.deadline, self.start_limit()),
+            min(self.state.deadline, self.bounds.start_limit()),
         )
-        self.written = True
+        self.bounds.written = True
         self.last_received_at = clock.now()
         return self.receive_response()
 
@@ -465,7 +430,7 @@
         self.flow.sent_requests.record_answered(
             self.backend.listed.server_id, self.state.request.request_id
         )
-        if status >= 500 and not self.has_ended_at_lapse():
+        if status >= 500 and not self.bounds.has_ended_at_lapse():
             self.backend.record_answered_failure()
         unstated = status in UNSTATED_STATUSES and not not_run
         fails = status >= 500 and self.may_try_another_backend()
@@ -514,8 +479,8 @@
             self.backend.record_mismatch(now)
             if self.backend.cold is not None:
                 self.backend.cold.record_not_taken(self.started_at, now)
-        elif self.has_ended_at_lapse():
-            self.log_lapse(now)
+        elif self.bounds.has_ended_at_lapse():
+            self.bounds.log_lapse(now)
         else:
             self.backend.record_refusal(now)
             self.flow.announcements.record_refused(self.backend)
@@ -573,8 +538,8 @@
         if state.last_event_id:
             excluded |= {names.resume_after}
         headers = forwardable_headers(state.request.headers, excluded)
-        self.engine_ends_at = self.engine_deadline()
-        remaining_ms = max(1, int((self.engine_ends_at - clock.now()) * 1000))
+        self.bounds.engine_ends_at = self.bounds.engine_deadline()
+        remaining_ms = max(1, int((self.bounds.engine_ends_at - clock.now()) * 1000))
         headers.append((names.remaining_ms, str(remaining_ms).encode()))
         headers.append((names.expected_server, self.backend.listed.server_id.encode()))
         if state.workspace is not None:
@@ -583,10 +548,10 @@
             headers.append((names.resume_after, state.last_event_id))
         if self.flow.engine_figures(state) is not None:
             headers.append((names.urgency, str(state.urgency).encode()))
-        if self.sent_version:
+        if self.bounds.version:
             # The back end refuses any other version, even a newer one. The limit of the
             # request is that of this version.
-            headers.append((names.expected_weights, str(self.sent_version).encode()))
+            headers.append((names.expected_weights, str(self.bounds.version).encode()))
         body = state.request.body
         if body or state.request.method in BODY_METHODS:
             headers.append((b"Content-Length", str(len(body)).encode()))
@@ -594,13 +559,13 @@
 
     def head_deadline(self) -> float:
         """Return until when the head of a response must arrive."""
-        return min(self.silence_limit(), self.start_limit())
+        return min(self.silence_limit(), self.bounds.start_limit())
 
     def body_deadline(self, streaming: bool) -> float:
         """Return until when the next part of a response must arrive."""
         if not streaming:
             return self.state.deadline
-        return min(self.silence_limit(), self.start_limit())
+        return min(self.silence_limit(), self.bounds.start_limit())
 
     def silence_limit(self) -> float:
         """
@@ -621,57 +586,6 @@
             limit_s = max(MIN_SILENCE_LIMIT_S, route.objective_s)
         return self.silence_deadline(max(limit_s, 2 * self.choice.predicted_s))
 
-    def start_limit(self) -> float:
-        """
-        Return until when to wait for the engine to start the attempt.
-
-        It is asked for again by then, since a newer version may have been published.
-        The entry cannot tell when a plain answer was started, only that it was not
-        before the request was written. The engine counts its time from the arrival.
-        """
-        is_stream = self.state.route.kind is RouteKind.STREAMING
-        if self.first_event_recorded or (self.written and not is_stream):
-            return inf
-        lapses_at = self.flow.weights_lapse_at(
-            self.state.request.model, self.sent_version, clock.now()
-        )
-        # The engine refuses the request at the lapse, which proves that it has not run.
-        return lapses_at + (REFUSAL_WAIT_S if self.written else 0.0)
-
-    def engine_deadline(self) -> float:
-        """
-        Return until when the back end may work on the attempt.
-
-        A request that still waits there by the time that it is given is refused, so it
-        never starts on lapsed weights, however late this process, its knowledge of
-        versions or the engine is. One that has started is ended by the engine as well.
-        An answer on the newest version that may take longer than the bound itself is
-        not limited: it would be ended although no newer version is published.
-        """
-        deadline, now = self.state.deadline, clock.now()
-        model = self.state.request.model
-        lapses_at = self.flow.weights_lapse_at(model, self.sent_version, now)
-        is_outdated = self.flow.is_outdated(model, self.sent_version)
-        if not is_outdated and self.longest_run_s > self.flow.limits.weights_within_s:
-            return deadline
-        return min(deadline, lapses_at)
-
-    def has_ended_at_lapse(self) -> bool:
-        """Return whether the engine had to end its work since its weights lapsed."""
-        return self.engine_ends_at < self.state.deadline and (
-            clock.now() >= self.engine_ends_at - TIME_STEP_S
-        )
-
-    def predict_longest_run_s(self) -> float:
-        """Return the longest time in seconds that an engine may need for the answer."""
-        figures = self.flow.engine_figures(self.state)
-        if figures is None:
-            return 0.0
-        tokens = self.state.request.answer_tokens or figures.usual_answer_tokens
-        pace = self.backend.pace(self.started_at)
-        answer_s = pace * predict_answer_s(figures, figures.slots, tokens)
-        return LONGEST_RUN_FACTOR * (self.choice.predicted_s + answer_s)
-
     def silence_deadline(self, limit_s: float) -> float:
         """Return until when a back end may be silent before another one is tried."""
         deadline = self.state.deadline
@@ -714,16 +628,7 @@
         self.caller.finish_response()
         now = clock.now()
         if head.status_code < 500:
-            self.backend.record_success()
-            self.record_duration(head.status_code, now)
-            if not streaming:
-                others = self.flow.board.backends.serving(self.state.service)
-                self.flow.announcements.record_pace(
-                    self.backend,
-                    now - self.started_at,
-                    usual_duration_s(self.backend, others),
-                    self.started_at,
-                )
+            self.measurement.record_answer(head.status_code, streaming, now)
         self.release_connection(connection, head)
         return Attempt(AttemptEnd.ANSWERED, head.status_code)
 
@@ -763,68 +668,12 @@
             silent.close()
 
     def record_first_event(self) -> None:
-        """Record by how much the first event of this attempt missed its prediction."""
-        if not self.first_event_recorded:
+        """Record the first event of this attempt; later ones are ignored."""
+        if not self.bounds.answer_begun:
             now = clock.now()
-            self.log_old_weights(now)
-            self.first_event_recorded = True
-            late_by_s = now - self.started_at - self.choice.predicted_s
-            self.backend.record_first_event(late_by_s, now)
-            self.backend.first_events.record_arrived(self.first_event_number, now)
-            # Smaller differences from a prediction are its usual error.
-            usual_s = max(self.choice.predicted_s, MIN_UNEXPECTED_DELAY_S)
-            self.flow.announcements.record_pace(
-                self.backend, now - self.started_at, usual_s, self.started_at
-            )
-            if self.samples_first_event:
-                self.backend.measured.record_answered(self.sample_number, now)
-                self.record_pace(now)
-
-    def log_old_weights(self, now: float) -> None:
-        """Log how long before its limit the first event on old weights arrived."""
-        limit = self.start_limit()
-        if self.flow.is_outdated(self.state.request.model, self.sent_version):
-            log_decision(
-                "first event on old weights",
-                self.state.request.log_id,
-                self.backend.listed.server_id,
-                f"version {self.sent_version}",
-                left_ms=round((limit - now) * 1000),
-                took_ms=round((now - self.started_at) * 1000),
-                predicted_ms=round(self.choice.predicted_s * 1000),
-            )
-
-    def log_lapse(self, now: float) -> None:
-        """Log that an attempt ended with its weights, and how late this was noticed."""
-        limit = self.start_limit()
-        log_decision(
-            "weights lapsed",
-            self.state.request.log_id,
-            self.backend.listed.server_id,
-            f"version {self.sent_version} may no longer be used",
-            noticed_late_ms=round((now - min(self.engine_ends_at, limit)) * 1000),
-            answer_begun=self.first_event_recorded,
-            waited_ms=round((now - self.started_at) * 1000),
-        )
-
-    def record_duration(self, status: int, now: float) -> None:
-        """Record the duration of this attempt, which was answered."""
-        measured = self.backend.measured
-        self.backend.record_duration(now - self.started_at)
-        if self.samples_first_event or status >= 400:
-            # An answer without events says nothing about the first event of others. A
-            # server that rejects requests at once is not a fast one.
-            measured.drop(self.sample_number)
-        else:
-            measured.record_answered(self.sample_number, now)
-            self.record_pace(now)
-
-    def record_pace(self, now: float) -> None:
-        """Record the measured time of this attempt against the expected one."""
-        if self.sample_number and self.choice.expected_s:
-            self.flow.instruments.record_pace(
-                (now - self.started_at) / self.choice.expected_s
-            )
+            self.bounds.log_old_weights(now)
+            self.bounds.answer_begun = True
+            self.measurement.record_first_event(now)
 
     def forward_head(self, head: ResponseHead, body: StreamBody | PlainBody) -> None:
         """Forward the response head, unless one has already been forwarded."""
--- a/packages/primroselever-entry/tests/direct/test_lapsing_weights.py
+++ b/packages/primroselever-entry/tests/direct/test_lapsing_weights.py
@@ -17,7 +17,12 @@
 from primroselever_core.catalogue.model import RouteKind, WeightedService
 from primroselever_core.catalogue.published_weights import OLD_WEIGHTS_MARGIN_S
 from primroselever_core.dispatch import choose
-from primroselever_entry.direct import flow, sending
+from primroselever_entry.direct import sending, weight_bounds
+from primroselever_entry.direct.weight_bounds import (
+    CANCEL_MARGIN_S,
+    absence_proven_at,
+    weights_lapse_at,
+)
 from primroselever_node import clock
 from primroselever_node.direct import connection_pool
 from primroselever_node.direct.exchange import ConnectError, ExchangeTimeoutError
@@ -43,11 +48,11 @@
 @pytest.fixture
 def engines(entry, monkeypatch):
     """Return one engine on version 1, which lapses soon, and one on version 2."""
-    monkeypatch.setattr(flow, "LEAST_MARGIN_S", flow.CANCEL_MARGIN_S)
+    monkeypatch.setattr(weight_bounds, "LEAST_MARGIN_S", CANCEL_MARGIN_S)
     # As with a prediction that is too short.
     monkeypatch.setattr(choose, "starts_in_time", lambda *_: True)
     monkeypatch.setattr(choose, "send_deadline", lambda *_: inf)
-    return add_engines(entry, flow.CANCEL_MARGIN_S + LAPSE_S)
+    return add_engines(entry, CANCEL_MARGIN_S + LAPSE_S)
 
 
 def add_engines(entry, left_s: float):
@@ -122,9 +127,9 @@
 def test_a_request_on_the_newest_weights_is_cancelled_when_they_lapse(
     entry, monkeypatch
 ):
-    monkeypatch.setattr(flow, "LEAST_MARGIN_S", flow.CANCEL_MARGIN_S)
+    monkeypatch.setattr(weight_bounds, "LEAST_MARGIN_S", CANCEL_MARGIN_S)
     entry.flow.limits = replace(
-        entry.flow.limits, weights_within_s=flow.CANCEL_MARGIN_S + LAPSE_S
+        entry.flow.limits, weights_within_s=CANCEL_MARGIN_S + LAPSE_S
     )
     old, new = add_engines(entry, inf)
     published_weights = entry.board.catalogue.weights["m"]
@@ -378,9 +383,9 @@
     catalogue.unproven_s = 5.0
     now = clock.now()
     catalogue.freshness.record_own_proof(now - proof_age_s)
-    proven_at = entry.flow.absence_proven_at(now)
+    proven_at = absence_proven_at(entry.flow, now)
     catalogue.freshness.forget_proofs()
-    assert entry.flow.absence_proven_at(now) <= proven_at
+    assert absence_proven_at(entry.flow, now) <= proven_at
 
 
 # Guards against an engine that counts as crashed, and a request that counts as crashing
@@ -420,7 +425,7 @@
     def send_at_half_a_millisecond(sender):
         if sender.backend.listed.server_id != old.name:
             return backend_headers(sender)
-        lapses_at = entry.flow.weights_lapse_at("m", 1, clock.now())
+        lapses_at = weights_lapse_at(entry.flow, "m", 1, clock.now())
         sent_at = lapses_at - 0.1005
         with monkeypatch.context() as frozen:
             frozen.setattr(clock, "now", lambda: sent_at)
@@ -485,7 +490,7 @@
     old.responses = [[RESET]]
     new.responses = [start_after(new, 10.0, started)]
     response = ask(entry)
-    assert int(new.header(b"x-left")) <= 550 - flow.CANCEL_MARGIN_S * 1000
+    assert int(new.header(b"x-left")) <= 550 - CANCEL_MARGIN_S * 1000
     assert response.startswith(b"HTTP/1.1 502")
     assert started == []
 
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -218,9 +218,9 @@
 
 def lapse_not_sent() -> None:
     """Send engines the caller's time limit, which may be after the weights lapse."""
-    from primroselever_entry.direct.sending import AttemptSender
+    from primroselever_entry.direct.weight_bounds import AttemptBounds
 
-    replace_method(AttemptSender, "engine_deadline", lambda self: self.state.deadline)
+    replace_method(AttemptBounds, "engine_deadline", lambda self: self.state.deadline)
 
 
 MUTANTS = {
