--- a/packages/primroselever-entry/tests/direct/test_lapsing_weights.py
+++ b/packages/primroselever-entry/tests/direct/test_lapsing_weights.py
@@ -12,12 +12,16 @@
 
 import eventlet
 import pytest
-from eventlet import patcher
 
-from primroselever_core.catalogue.model import RouteKind, WeightedService
+from primroselever_core.catalogue.model import RouteKind
 from primroselever_core.catalogue.published_weights import OLD_WEIGHTS_MARGIN_S
 from primroselever_core.dispatch import choose
-from primroselever_entry.direct import flow, sending
+from primroselever_entry.direct import sending, weight_bounds
+from primroselever_entry.direct.weight_bounds import (
+    CANCEL_MARGIN_S,
+    absence_proven_at,
+    weights_lapse_at,
+)
 from primroselever_node import clock
 from primroselever_node.direct import connection_pool
 from primroselever_node.direct.exchange import ConnectError, ExchangeTimeoutError
@@ -36,42 +40,24 @@
     refusal,
     stream_head,
 )
-
-LAPSE_S = 0.25  # until the old weights lapse, well below the timeout of the route
+from .lapsing_engines import (
+    LAPSE_S,
+    add_engines,
+    pass_time_before_sending,
+    stall_event_loop,
+    start_after,
+    use_kind,
+)
 
 
 @pytest.fixture
 def engines(entry, monkeypatch):
     """Return one engine on version 1, which lapses soon, and one on version 2."""
-    monkeypatch.setattr(flow, "LEAST_MARGIN_S", flow.CANCEL_MARGIN_S)
+    monkeypatch.setattr(weight_bounds, "LEAST_MARGIN_S", CANCEL_MARGIN_S)
     # As with a prediction that is too short.
     monkeypatch.setattr(choose, "starts_in_time", lambda *_: True)
     monkeypatch.setattr(choose, "send_deadline", lambda *_: inf)
-    return add_engines(entry, flow.CANCEL_MARGIN_S + LAPSE_S)
-
-
-def add_engines(entry, left_s: float):
-    """Add an engine on version 1 that is preferred, and a loaded one on version 2."""
-    old, new = entry.add("a", "engine"), entry.add("b", "engine")
-    old_listed, new_listed = old.listed(), replace(new.listed(), weights=(("m", 2),))
-    entry.board.backends.apply_listing([old_listed, new_listed])
-    entry.board.backends.backends["b"].in_flight = 7
-    within_s = entry.flow.limits.weights_within_s
-    entry.board.catalogue.publish_weights("m", 1, clock.now() - 60.0)
-    entry.board.catalogue.publish_weights("m", 2, clock.now() - within_s + left_s)
-    return old, new
-
-
-def use_kind(entry, kind: RouteKind) -> None:
-    """Give all routes a kind, and the engines."""
-    configuration = entry.board.catalogue.configuration
-    routes = tuple(
-        make_route(kind, route.name, services=(WeightedService("engine", 1),))
-        for route in configuration.routes
-    )
-    entry.board.catalogue.configure(
-        replace(configuration, revision=2, routes=routes), clock.now()
-    )
+    return add_engines(entry, CANCEL_MARGIN_S + LAPSE_S)
 
 
 # Guards against requests that start on old weights after their deadline.
@@ -122,9 +108,9 @@
 def test_a_request_on_the_newest_weights_is_cancelled_when_they_lapse(
     entry, monkeypatch
 ):
-    monkeypatch.setattr(flow, "LEAST_MARGIN_S", flow.CANCEL_MARGIN_S)
+    monkeypatch.setattr(weight_bounds, "LEAST_MARGIN_S", CANCEL_MARGIN_S)
     entry.flow.limits = replace(
-        entry.flow.limits, weights_within_s=flow.CANCEL_MARGIN_S + LAPSE_S
+        entry.flow.limits, weights_within_s=CANCEL_MARGIN_S + LAPSE_S
     )
     old, new = add_engines(entry, inf)
     published_weights = entry.board.catalogue.weights["m"]
@@ -203,21 +189,6 @@
     assert (len(old.requests), new.requests) == (1, [])
 
 
-def pass_time_before_sending(entry, monkeypatch, seconds: float) -> None:
-    """Have the clock advance while the first connection is opened."""
-    now, acquire = clock.now, entry.flow.pool.acquire_connection
-    left_s = [seconds]
-
-    def acquire_late(*args):
-        connection = acquire(*args)
-        passed_s = left_s.pop() if left_s else 0.0
-        if passed_s:
-            monkeypatch.setattr(clock, "now", lambda: now() + passed_s)
-        return connection
-
-    monkeypatch.setattr(entry.flow.pool, "acquire_connection", acquire_late)
-
-
 # Guards against requests that start on old weights after their deadline: the engine is
 # chosen while they may, and the connection is opened after that, or the process is
 # paused in between.
@@ -303,30 +274,6 @@
     assert (events.due_at, events.late_by_s > 0.2) == ({}, True)
 
 
-def start_after(engine, wait_s: float, started: list[str]):
-    """
-    Yield what an engine sends that starts a request after a wait.
-
-    It refuses the request if its time, counted from arrival, passes before.
-    """
-    arrived_at = clock.now()
-    limit = arrived_at + int(engine.header(b"x-left")) / 1000
-    starts_at = arrived_at + wait_s
-    while clock.now() < min(starts_at, limit):
-        yield PAUSE
-    if limit <= starts_at:
-        yield from refusal()
-        return
-    started.append(engine.name)
-    yield from [stream_head(), *map(chunk, EVENTS), STREAM_END]
-
-
-def stall_event_loop(delay_s: float, stall_s: float) -> None:
-    """Let no greenlet run for a while, after a delay."""
-    unpatched_time = patcher.original("time")
-    eventlet.spawn_after(delay_s, unpatched_time.sleep, stall_s)
-
-
 # Guards against requests that an engine starts after the lapse of its weights because
 # the event loop of the entry runs late, so that nothing cancels them in time.
 def test_no_request_starts_on_lapsed_weights_while_the_event_loop_is_late(
@@ -378,9 +325,9 @@
     catalogue.unproven_s = 5.0
     now = clock.now()
     catalogue.freshness.record_own_proof(now - proof_age_s)
-    proven_at = entry.flow.absence_proven_at(now)
+    proven_at = absence_proven_at(entry.flow, now)
     catalogue.freshness.forget_proofs()
-    assert entry.flow.absence_proven_at(now) <= proven_at
+    assert absence_proven_at(entry.flow, now) <= proven_at
 
 
 # Guards against an engine that counts as crashed, and a request that counts as crashing
@@ -420,7 +367,7 @@
     def send_at_half_a_millisecond(sender):
         if sender.backend.listed.server_id != old.name:
             return backend_headers(sender)
-        lapses_at = entry.flow.weights_lapse_at("m", 1, clock.now())
+        lapses_at = weights_lapse_at(entry.flow, "m", 1, clock.now())
         sent_at = lapses_at - 0.1005
         with monkeypatch.context() as frozen:
             frozen.setattr(clock, "now", lambda: sent_at)
@@ -485,7 +432,7 @@
     old.responses = [[RESET]]
     new.responses = [start_after(new, 10.0, started)]
     response = ask(entry)
-    assert int(new.header(b"x-left")) <= 550 - flow.CANCEL_MARGIN_S * 1000
+    assert int(new.header(b"x-left")) <= 550 - CANCEL_MARGIN_S * 1000
     assert response.startswith(b"HTTP/1.1 502")
     assert started == []
 
