Count overdue first events only while no later request was answered

Cause: took the delay that is meant for the margin before a lapse, which counts the oldest awaited event, whatever was answered since, and remembers a single late one.

Change: a link transfers in order, so a first event is overdue only if no request that was sent later was answered. It counts for 3 s at most, and nothing is remembered after its request ended. Delays are computed once for each engine and choice. An attempt is closed also after an unexpected error before or after its run, and the head of an answer without events ends the wait.

--- a/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/choose.py
@@ -167,15 +167,18 @@
         )
     failing = find_failing_backends(candidates)
     healthy = [b for b in candidates if b.listed.server_id not in failing]
-    usual_delay_s = median(first_event_delay_s(b, now) for b in healthy)
+    delays = [first_event_delay_s(backend, now) for backend in healthy]
+    usual_delay_s = median(delays)
     usual = usual_pace(healthy, figures, now)
     costs = [domain_cost_s(backend, figures, own_domain) for backend in healthy]
     predictions = [
         predict_wait_s(backend, needs, figures, now, usual)
-        + excess_wait_s(backend, needs, figures, usual, usual_delay_s, now)
+        + excess_wait_s(
+            backend, needs, figures, usual, congestion_s(delay_s, usual_delay_s), now
+        )
         + cost_s
         + JITTER_S * random.random()
-        for backend, cost_s in zip(healthy, costs, strict=True)
+        for backend, delay_s, cost_s in zip(healthy, delays, costs, strict=True)
     ]
     ranked = sorted(
         (predicted_s + pause_cost_s(backend, needs, figures, now), index)
@@ -319,7 +322,7 @@
     needs: RequestNeeds,
     figures: EngineFigures | None,
     usual: float,
-    usual_delay_s: float,
+    link_delay_s: float,
     now: float,
 ) -> float:
     """
@@ -328,20 +331,19 @@
     The measured pace and the delay of the link describe the same late events, so the
     larger one counts.
     """
-    delay_s = congestion_s(backend, usual_delay_s, now)
     if figures is None or not backend.measures_pace:
-        return delay_s
+        return link_delay_s
     published = backend.pace(now)
     factor = slowness(backend.measured.value(now), usual, published)
     if factor == 1.0:
-        return delay_s
+        return link_delay_s
     wait_s = published * predict_published_s(backend, needs, figures, now)
-    return max(delay_s, (factor - 1.0) * wait_s)
+    return max(link_delay_s, (factor - 1.0) * wait_s)
 
 
-def congestion_s(backend: Backend, usual_delay_s: float, now: float) -> float:
+def congestion_s(delay_s: float, usual_delay_s: float) -> float:
     """Return the delay of a back end's link, 0 if it is not above the usual one."""
-    excess_s = first_event_delay_s(backend, now) - usual_delay_s
+    excess_s = delay_s - usual_delay_s
     return excess_s if excess_s > MIN_UNEXPECTED_DELAY_S else 0.0
 
 
@@ -352,7 +354,7 @@
     One that is overdue counts before it arrives: requests in a congested link arrive
     seconds late, and meanwhile the engine, which reports no queue, looks idle.
     """
-    return max(backend.unexpected_delay_s(now), backend.first_events.delay_s(now))
+    return max(backend.unexpected_delay_s(now), backend.first_events.overdue_s(now))
 
 
 def pause_cost_s(
--- a/packages/primroselever-core/src/primroselever_core/dispatch/first_events.py
+++ b/packages/primroselever-core/src/primroselever_core/dispatch/first_events.py
@@ -13,6 +13,8 @@
 # long as the oldest one has waited so far.
 GROWTH_FACTOR = 2.0
 DELAY_HALF_LIFE_S = 4.0  # without further first events
+# One that is due for longer says nothing of the link: its request hangs in the engine.
+MAX_OVERDUE_S = 3.0
 
 
 @dataclass(slots=True)
@@ -22,6 +24,7 @@
 
     ``due_at`` holds, by the number of a request, when its first event is predicted.
     ``late_by_s`` is by how much the latest one missed that, as known at ``known_at``.
+    ``answered_number`` is that of the latest request whose first event arrived.
 
         >>> events = FirstEvents()
         >>> number = events.record_sent(due_at=1.2)
@@ -36,6 +39,7 @@
     next_number: int = 0
     late_by_s: float = 0.0
     known_at: float = 0.0
+    answered_number: int = 0
 
     def record_sent(self, due_at: float) -> int:
         """Add a request that is sent now; return its number for the other methods."""
@@ -48,12 +52,30 @@
         due_at = self.due_at.pop(number, None)
         if due_at is not None:
             self.late_by_s, self.known_at = max(0.0, now - due_at), now
+            self.answered_number = max(self.answered_number, number)
 
     def record_ended(self, number: int, now: float) -> None:
         """End a request without a first event; one that is not due shows nothing."""
-        if now > self.due_at.get(number, now):
-            self.record_arrived(number, now)
-        self.due_at.pop(number, None)
+        due_at = self.due_at.pop(number, now)
+        if now > due_at:
+            self.late_by_s, self.known_at = now - due_at, now
+
+    def overdue_s(self, now: float) -> float:
+        """
+        Return how much later than predicted an event may come, by those still awaited.
+
+        A link transfers requests in order. A request after which another one was
+        answered has arrived, and waits in the engine.
+        """
+        oldest_due_at = min(
+            (
+                due_at
+                for number, due_at in self.due_at.items()
+                if number > self.answered_number and due_at > now - MAX_OVERDUE_S
+            ),
+            default=now,
+        )
+        return max(0.0, GROWTH_FACTOR * (now - oldest_due_at))
 
     def delay_s(self, now: float) -> float:
         """Return how much later than predicted an event may come if sent for now."""
--- a/packages/primroselever-core/tests/dispatch/test_congested_links.py
+++ b/packages/primroselever-core/tests/dispatch/test_congested_links.py
@@ -158,8 +158,8 @@
 ):
     congested, busy, other = (make_backend(name) for name in "abc")
     congested.apply_report(make_report(10.0))
-    busy.apply_report(make_report(10.0, running=7))
-    other.apply_report(make_report(10.0, running=8, waiting=1))
+    busy.apply_report(make_report(10.0, running=8))
+    other.apply_report(make_report(10.0, running=8, waiting=2))
     engines, needs = [congested, busy, other], make_needs()
     number = congested.first_events.record_sent(9.5)
     assert choose(engines, needs, figures).backend is busy
@@ -175,7 +175,7 @@
 ):
     idle, busy = make_backend("a"), make_backend("b")
     idle.apply_report(make_report(10.0))
-    busy.apply_report(make_report(10.0, running=7))
+    busy.apply_report(make_report(10.0, running=8))
     idle.first_events.record_sent(9.91)
     idle.first_events.record_sent(10.2)
     assert choose([idle, busy], make_needs(), figures).backend is idle
--- a/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/flow.py
@@ -336,11 +336,10 @@
         state.tried_server_ids.append(backend.listed.server_id)
         self.record_sent_prompt(state, backend, now)
         self.announcements.record_start(backend.listed)
+        known_crashes = self.crash_watch.known_crashes(state.request, state.workspace)
+        part_run = self.part_watch.begin_run(state.request, state.deadline)
         sender = AttemptSender(self, state, choice, caller)
-        sender.known_crashes = self.crash_watch.known_crashes(
-            state.request, state.workspace
-        )
-        sender.part_run = self.part_watch.begin_run(state.request, state.deadline)
+        sender.known_crashes, sender.part_run = known_crashes, part_run
         sender.index = len(state.attempts)
         return self.record_attempt(state, sender, sender.run())
 
@@ -348,6 +347,11 @@
         self, state: RequestState, sender: AttemptSender, attempt: Attempt
     ) -> Attempt:
         """Record the result of an attempt, or of a longer wait for its response."""
+        if attempt.end is AttemptEnd.SILENT:
+            # First, so that the attempt is closed whatever happens here.
+            if state.silent_sender not in (None, sender):
+                state.silent_sender.close()
+            state.silent_sender = sender
         newly_sent = sender.index == len(state.attempts)
         state.attempts[sender.index : sender.index + 1] = [attempt]
         if newly_sent or attempt.end is not AttemptEnd.SILENT:
@@ -361,10 +365,6 @@
             self.part_watch.record_broken_run(
                 state.request, sender.backend, sender.part_run
             )
-        if attempt.end is AttemptEnd.SILENT:
-            if state.silent_sender not in (None, sender):
-                state.silent_sender.close()
-            state.silent_sender = sender
         if attempt.may_have_run:
             state.may_have_run = True
         if attempt.end is AttemptEnd.ANSWERED:
--- a/packages/primroselever-entry/src/primroselever_entry/direct/measuring.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/measuring.py
@@ -69,6 +69,10 @@
             self.backend.measured.record_answered(self.sample_number, now)
             self.record_pace(now)
 
+    def record_plain_head(self, now: float) -> None:
+        """Record the head of an answer without events, such as an error."""
+        self.backend.first_events.record_arrived(self.first_event_number, now)
+
     def record_answer(self, status: int, streaming: bool, now: float) -> None:
         """Record the attempt and its duration after a complete answer."""
         self.backend.record_success()
--- a/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
+++ b/packages/primroselever-entry/src/primroselever_entry/direct/sending.py
@@ -445,6 +445,8 @@
         self.body = open_body(
             self.state, head, self.flow.limits.buffers, self.flow.buffers
         )
+        if not isinstance(self.body, StreamBody):
+            self.measurement.record_plain_head(clock.now())
         return self.forward_response(connection, head, self.body)
 
     def may_follow(self, head: ResponseHead) -> bool:
